--- /dev/null
+++ b/packages/limit/src/index.ts
@@ -0,0 +1,2 @@
+/** Queues, quotas, refusals and retry budgets. */
+export * from "./queue.ts";
--- /dev/null
+++ b/packages/place/src/index.ts
@@ -0,0 +1,3 @@
+/** Placement policies behind one interface. */
+export * from "./policy.ts";
+export * from "./least_outstanding.ts";
--- /dev/null
+++ b/packages/types/src/message.ts
@@ -0,0 +1,286 @@
+/**
+ * Messages between the system's own processes. They travel in frames; a frame
+ * carries what is pending at the moment it is sent, and the freshness stamps
+ * that keep starts fenced without messages of their own.
+ */
+import type {
+  Answer,
+  Job,
+  JobId,
+  Reply,
+  Size,
+  TaskName,
+  TaskOutcome,
+} from "./job.ts";
+import type { Announcement, Load, SideIdentity } from "./server.ts";
+import type { Member, Table } from "./table.ts";
+
+/** One version of the operators' configuration, as TOML. */
+export interface Configuration {
+  readonly version: number;
+  readonly text: string;
+}
+
+// ---- entry to side -------------------------------------------------------
+
+/** Asks a side to run one task, once. */
+export interface Start {
+  readonly kind: "start";
+  readonly job: JobId;
+  readonly index: number;
+  /** Rises with each send of this task under one table version. */
+  readonly attempt: number;
+  /** Number of tasks in the job. */
+  readonly of: number;
+  readonly class: string;
+  readonly body: string;
+  readonly size: Size;
+  readonly declaredMs: number;
+  /** Time left until the job's deadline in milliseconds. */
+  readonly leftMs: number;
+}
+
+/** Takes a start back unless the task runs already. */
+export interface Revoke {
+  readonly kind: "revoke";
+  readonly job: JobId;
+  readonly index: number;
+  /** Also stops the task on the backend server if it runs. */
+  readonly stop: boolean;
+}
+
+/** The job has ended and its answer is kept by the entry. */
+export interface CloseJob {
+  readonly kind: "closeJob";
+  readonly job: JobId;
+}
+
+/**
+ * Asks for the evidence of all jobs that the asking entry owns under
+ * `tableVersion` and that another entry started.
+ */
+export interface Collect {
+  readonly kind: "collect";
+  readonly tableVersion: number;
+}
+
+/**
+ * The entry has declared this registration of the side lost and will never
+ * send it a start. The side must register with every entry anew.
+ */
+export interface RegistrationLost {
+  readonly kind: "registrationLost";
+  readonly registration: number;
+}
+
+export interface TableNews {
+  readonly kind: "table";
+  readonly table: Table;
+}
+
+export interface ConfigurationNews {
+  readonly kind: "configuration";
+  readonly configuration: Configuration;
+}
+
+export type EntryMessage =
+  | Start
+  | Revoke
+  | CloseJob
+  | Collect
+  | RegistrationLost
+  | TableNews
+  | ConfigurationNews;
+
+export interface EntryFrame {
+  readonly entry: string;
+  readonly tableVersion: number;
+  readonly configurationVersion: number;
+  /** The newest of the side's stamps that the entry has seen. */
+  readonly echoedStampMs: number;
+  /**
+   * The newest of the side's stamps that the entry had seen when it began a
+   * read of the store that returned `tableVersion`; -1 when there is none.
+   */
+  readonly readStampMs: number;
+  /** Number of the last side frame whose messages the entry has taken in. */
+  readonly ack: number;
+  readonly messages: readonly EntryMessage[];
+}
+
+// ---- side to entry -------------------------------------------------------
+
+/** First message on a stream, and again whenever what it says changes. */
+export interface Hello {
+  readonly kind: "hello";
+  readonly identity: SideIdentity;
+  /** Rises when an entry has declared the earlier registration lost. */
+  readonly registration: number;
+  /** Absent while no backend server has announced itself. */
+  readonly announcement?: Announcement | undefined;
+  /** A draining side takes no new starts. */
+  readonly draining: boolean;
+}
+
+/** How a started task ended. */
+export interface Result {
+  readonly kind: "result";
+  readonly job: JobId;
+  readonly outcome: TaskOutcome;
+}
+
+/** A start that was not run and never will be by this request. */
+export interface Refused {
+  readonly kind: "refused";
+  readonly job: JobId;
+  readonly index: number;
+  readonly reason: RefusedReason;
+}
+
+export type RefusedReason =
+  | "staleTable"
+  | "unconfirmedTable"
+  | "notOwner"
+  | "notRegistered"
+  | "draining"
+  | "noServer"
+  | "queueFull"
+  | "doesNotFit"
+  | "revoked"
+  | "connectionRefused"
+  | "deadlinePassed";
+
+/** What a side knows of one task. */
+export interface TaskEvidence {
+  readonly index: number;
+  readonly state: "running" | "finished";
+  /** Absent while running, or when the result has been dropped. */
+  readonly outcome?: TaskOutcome | undefined;
+}
+
+export interface JobEvidence {
+  readonly job: JobId;
+  readonly of: number;
+  readonly tasks: readonly TaskEvidence[];
+}
+
+/** The reply to `Collect`: all the side knows, whole. */
+export interface Evidence {
+  readonly kind: "evidence";
+  readonly tableVersion: number;
+  readonly jobs: readonly JobEvidence[];
+}
+
+export type SideMessage = Hello | Result | Refused | Evidence;
+
+export interface SideFrame {
+  readonly side: string;
+  readonly incarnation: string;
+  /** Rises by one with each frame that carries messages, per entry. */
+  readonly sequence: number;
+  /** The side's own monotonic clock in milliseconds. */
+  readonly stampMs: number;
+  readonly tableVersion: number;
+  readonly configurationVersion: number;
+  readonly load: Load;
+  readonly messages: readonly SideMessage[];
+}
+
+// ---- entry to entry ------------------------------------------------------
+
+/** A submission received here and owned there. */
+export interface ForwardedSubmit {
+  readonly kind: "submit";
+  readonly request: number;
+  readonly job: Job;
+}
+
+export interface ForwardedRead {
+  readonly kind: "read";
+  readonly request: number;
+  readonly job: JobId;
+}
+
+export interface ForwardedCancel {
+  readonly kind: "cancel";
+  readonly request: number;
+  readonly job: JobId;
+}
+
+export interface ForwardedReply {
+  readonly kind: "reply";
+  readonly request: number;
+  readonly reply: Reply;
+}
+
+/** The receiver does not own the key under its newer table. */
+export interface NotOwner {
+  readonly kind: "notOwner";
+  readonly request: number;
+}
+
+/** A job record given to its next owner when an entry drains or one joins. */
+export interface HandOver {
+  readonly kind: "handOver";
+  readonly tableVersion: number;
+  readonly records: readonly RecordSnapshot[];
+  /** Registrations of sides known to the sender. */
+  readonly sides: readonly Registration[];
+  /** True on the last message for this table version. */
+  readonly done: boolean;
+}
+
+/** The receiver holds all records handed over for this table version. */
+export interface HandOverTaken {
+  readonly kind: "handOverTaken";
+  readonly tableVersion: number;
+}
+
+/** Registrations that the sender has declared lost, for good. */
+export interface SidesLost {
+  readonly kind: "sidesLost";
+  readonly sides: readonly Registration[];
+}
+
+/** One registration of one run of a side process. */
+export interface Registration {
+  readonly incarnation: string;
+  readonly registration: number;
+}
+
+export type PeerMessage =
+  | ForwardedSubmit
+  | ForwardedRead
+  | ForwardedCancel
+  | ForwardedReply
+  | NotOwner
+  | HandOver
+  | HandOverTaken
+  | SidesLost
+  | TableNews
+  | ConfigurationNews;
+
+export interface PeerFrame {
+  readonly entry: string;
+  readonly tableVersion: number;
+  readonly configurationVersion: number;
+  readonly messages: readonly PeerMessage[];
+}
+
+/** The state of one task inside a job record. */
+export type TaskState =
+  | { readonly kind: "waiting" }
+  | { readonly kind: "sent"; readonly side: string }
+  | { readonly kind: "ended"; readonly outcome: TaskOutcome };
+
+/** A job record as it travels between entries. */
+export interface RecordSnapshot {
+  readonly job: Job;
+  readonly digest: string;
+  /** Time since the record was made in milliseconds. */
+  readonly ageMs: number;
+  readonly tasks: readonly TaskState[];
+  readonly answer?: Answer | undefined;
+}
+
+export type { Member, TaskName };
