--- /dev/null
+++ b/packages/guard/src/guard.ts
@@ -0,0 +1,411 @@
+/**
+ * The start guard of a side. A task starts only when the entry that asks owns
+ * the job under the newest table the side knows, that table is confirmed
+ * fresh, and there is no evidence of the task. Every
+ * refusal is a true `notRun`.
+ */
+import { createFreshness, ownerOf } from "@coltsfootreach/ownership";
+import {
+  type Announcement,
+  type Collect,
+  EMPTY_TABLE,
+  type EntryFrame,
+  type EntryMessage,
+  type Hello,
+  type JobId,
+  type Load,
+  type Refused,
+  type RefusedReason,
+  type Revoke,
+  type SideIdentity,
+  type SideMessage,
+  type Start,
+  type Table,
+  type TaskName,
+  type TaskOutcome,
+} from "@coltsfootreach/types";
+import {
+  createEvidenceTable,
+  evidenceOf,
+  type EvidenceOptions,
+  type JobRecord,
+  type QueuedStart,
+} from "./evidence.ts";
+
+export interface GuardOptions extends EvidenceOptions {
+  readonly identity: SideIdentity;
+  /** How long a confirmation of the table lasts, on the side's clock. */
+  readonly freshnessMs: number;
+  /** Starts that may wait here, as a multiple of the slots. */
+  readonly queuePerSlot: number;
+}
+
+/** What the side must do next. */
+export type GuardEffect =
+  | { readonly kind: "run"; readonly start: Start }
+  | { readonly kind: "stop"; readonly name: TaskName }
+  | {
+    readonly kind: "send";
+    readonly entry: string;
+    readonly message: SideMessage;
+  }
+  | { readonly kind: "tableAdopted"; readonly table: Table };
+
+export interface Guard {
+  receive(frame: EntryFrame, nowMs: number): readonly GuardEffect[];
+  /** A task that was run has ended. */
+  ended(
+    job: JobId,
+    outcome: TaskOutcome,
+    nowMs: number,
+  ): readonly GuardEffect[];
+  /** The backend server announced itself, changed, or is gone. */
+  announce(
+    announcement: Announcement | undefined,
+    nowMs: number,
+  ): readonly GuardEffect[];
+  /** From now on every start is refused. */
+  drain(): readonly GuardEffect[];
+  /** Drops old evidence and starts or refuses what waits. */
+  tick(nowMs: number): readonly GuardEffect[];
+  /** The hello that opens a stream. */
+  hello(): Hello;
+  table(): Table;
+  load(): Load;
+  /** True when starts would be accepted from the owner of their job. */
+  isOpen(nowMs: number): boolean;
+  /** Why starts are refused now, for operators; undefined when they are not. */
+  closedBecause(nowMs: number): RefusedReason | undefined;
+}
+
+export function createGuard(options: GuardOptions): Guard {
+  const evidence = createEvidenceTable(options);
+  const freshness = createFreshness();
+  let table: Table = EMPTY_TABLE;
+  let announcement: Announcement | undefined;
+  let isDraining = false;
+  let registration = 1;
+  let registeredAtMs = -Infinity;
+  let isRegistered = false;
+  let running = 0;
+  let queue: QueuedStart[] = [];
+  const lastSequence = new Map<string, number>();
+
+  function hello(): Hello {
+    return {
+      kind: "hello",
+      identity: options.identity,
+      registration,
+      announcement,
+      draining: isDraining,
+    };
+  }
+
+  function toAllMembers(message: SideMessage): GuardEffect[] {
+    return table.members.map((member) => ({
+      kind: "send",
+      entry: member.incarnation,
+      message,
+    }));
+  }
+
+  /**
+   * The side takes starts only once every member has heard its registration,
+   * so that a member that takes over knows every side that could have started
+   * a task.
+   */
+  function checkRegistered(): boolean {
+    if (isRegistered) return true;
+    if (table.members.length === 0) return false;
+    isRegistered = table.members.every((member) => {
+      const echo = freshness.echoOf(member.incarnation);
+      return echo !== undefined && echo > registeredAtMs;
+    });
+    return isRegistered;
+  }
+
+  /** Why nothing may start now, whether accepted before or not. */
+  function fencedBecause(nowMs: number): RefusedReason | undefined {
+    if (announcement === undefined) return "noServer";
+    if (!checkRegistered()) return "notRegistered";
+    const age = nowMs - freshness.confirmedAtMs(table);
+    return age < options.freshnessMs ? undefined : "unconfirmedTable";
+  }
+
+  function closedBecause(nowMs: number): RefusedReason | undefined {
+    return isDraining ? "draining" : fencedBecause(nowMs);
+  }
+
+  function slots(): number {
+    if (announcement === undefined) return 0;
+    return Math.min(announcement.slots, announcement.connections);
+  }
+
+  function refuse(
+    entry: string,
+    refused: Omit<Refused, "kind">,
+  ): GuardEffect {
+    return { kind: "send", entry, message: { kind: "refused", ...refused } };
+  }
+
+  function fits(start: Start): boolean {
+    const offer = announcement!;
+    return offer.classes.includes(start.class) &&
+      offer.size.cores >= start.size.cores &&
+      offer.size.memoryMb >= start.size.memoryMb &&
+      offer.size.accelerators >= start.size.accelerators;
+  }
+
+  function refusalOf(
+    start: Start,
+    frame: EntryFrame,
+    nowMs: number,
+  ): RefusedReason | undefined {
+    if (frame.tableVersion !== table.version) return "staleTable";
+    if (ownerOf(table, start.job)?.incarnation !== frame.entry) {
+      return "notOwner";
+    }
+    const closed = closedBecause(nowMs);
+    if (closed !== undefined) return closed;
+    if (!fits(start)) return "doesNotFit";
+    const room = slots() * (1 + options.queuePerSlot);
+    return running + queue.length < room ? undefined : "queueFull";
+  }
+
+  /** Answers a start of a task that this side knows already. */
+  function repeat(
+    record: JobRecord,
+    start: Start,
+    frame: EntryFrame,
+  ): readonly GuardEffect[] {
+    const isOwner = frame.tableVersion === table.version &&
+      ownerOf(table, start.job)?.incarnation === frame.entry;
+    if (!isOwner) return [];
+    record.sender = frame.entry;
+    const task = record.tasks.get(start.index)!;
+    if (task.state === "queued") task.queued.start = start;
+    if (task.state !== "finished") return [];
+    const outcome = task.outcome ?? lostResult(start.index);
+    return [{
+      kind: "send",
+      entry: frame.entry,
+      message: { kind: "result", job: start.job, outcome },
+    }];
+  }
+
+  function take(
+    start: Start,
+    frame: EntryFrame,
+    nowMs: number,
+  ): readonly GuardEffect[] {
+    const known = evidence.find(start.job);
+    if (known?.tasks.has(start.index)) return repeat(known, start, frame);
+    const { job, index, attempt } = start;
+    const reason = refusalOf(start, frame, nowMs);
+    if (reason !== undefined) {
+      return [refuse(frame.entry, { job, index, attempt, reason })];
+    }
+    const record = evidence.open(start, frame.entry, nowMs);
+    if (record === undefined) {
+      const full = { job, index, attempt, reason: "evidenceFull" } as const;
+      return [refuse(frame.entry, full)];
+    }
+    record.sender = frame.entry;
+    const queued: QueuedStart = { record, start, queuedAtMs: nowMs };
+    record.tasks.set(index, { state: "queued", queued });
+    queue.push(queued);
+    return [];
+  }
+
+  /** Starts what waits while there are slots; the fence is checked again. */
+  function startQueued(nowMs: number): readonly GuardEffect[] {
+    const effects: GuardEffect[] = [];
+    while (queue.length > 0) {
+      const head = queue[0]!;
+      const reason = refusalOfQueued(head, nowMs);
+      if (reason === undefined && running >= slots()) break;
+      queue.shift();
+      const { record, start } = head;
+      const { job, index, attempt } = start;
+      if (reason !== undefined) {
+        record.tasks.delete(index);
+        effects.push(refuse(record.sender, { job, index, attempt, reason }));
+        continue;
+      }
+      running += 1;
+      record.tasks.set(index, { state: "running", attempt });
+      effects.push({ kind: "run", start });
+    }
+    return effects;
+  }
+
+  function refusalOfQueued(
+    queued: QueuedStart,
+    nowMs: number,
+  ): RefusedReason | undefined {
+    const fenced = fencedBecause(nowMs);
+    if (fenced !== undefined) return fenced;
+    const leftMs = queued.start.leftMs - (nowMs - queued.queuedAtMs);
+    return leftMs > 0 ? undefined : "deadlinePassed";
+  }
+
+  function adopt(next: Table): readonly GuardEffect[] {
+    if (next.version <= table.version) return [];
+    table = next;
+    freshness.retain(table);
+    for (const entry of lastSequence.keys()) {
+      if (!isMember(table, entry)) lastSequence.delete(entry);
+    }
+    // The next owner may start these elsewhere, so they must not start here.
+    const kept: QueuedStart[] = [];
+    for (const queued of queue) {
+      const owner = ownerOf(table, queued.record.job)?.incarnation;
+      if (owner === queued.record.sender) {
+        kept.push(queued);
+      } else {
+        queued.record.tasks.delete(queued.start.index);
+      }
+    }
+    queue = kept;
+    return [{ kind: "tableAdopted", table }];
+  }
+
+  function revoke(
+    message: Revoke,
+    frame: EntryFrame,
+  ): readonly GuardEffect[] {
+    const { job, index, attempt } = message;
+    if (ownerOf(table, job)?.incarnation !== frame.entry) return [];
+    const record = evidence.find(job);
+    const task = record?.tasks.get(index);
+    if (task?.state === "running") {
+      return message.stop ? [{ kind: "stop", name: { job, index } }] : [];
+    }
+    if (task?.state === "finished") return [];
+    if (task?.state === "queued") {
+      queue = queue.filter((queued) => queued !== task.queued);
+      record!.tasks.delete(index);
+    }
+    const reason = "revoked" as const;
+    return [refuse(frame.entry, { job, index, attempt, reason })];
+  }
+
+  function collect(
+    message: Collect,
+    frame: EntryFrame,
+  ): readonly GuardEffect[] {
+    if (message.tableVersion > table.version) return [];
+    const jobs = [];
+    for (const record of evidence.jobs()) {
+      if (record.sender === frame.entry) continue;
+      const owner = ownerOf(table, record.job);
+      if (owner?.incarnation !== frame.entry) continue;
+      record.sender = frame.entry;
+      jobs.push(evidenceOf(record));
+    }
+    return [{
+      kind: "send",
+      entry: frame.entry,
+      message: {
+        kind: "evidence",
+        tableVersion: message.tableVersion,
+        jobs,
+      },
+    }];
+  }
+
+  function registerAnew(lost: number, nowMs: number): readonly GuardEffect[] {
+    if (lost < registration) return [];
+    registration = lost + 1;
+    registeredAtMs = nowMs;
+    isRegistered = false;
+    return toAllMembers(hello());
+  }
+
+  function handle(
+    message: EntryMessage,
+    frame: EntryFrame,
+    nowMs: number,
+  ): readonly GuardEffect[] {
+    switch (message.kind) {
+      case "table":
+        return adopt(message.table);
+      case "start":
+        return take(message, frame, nowMs);
+      case "revoke":
+        return revoke(message, frame);
+      case "collect":
+        return collect(message, frame);
+      case "registrationLost":
+        return registerAnew(message.registration, nowMs);
+      case "closeJob":
+        evidence.close(message.job, nowMs);
+        return [];
+      case "configuration":
+        return [];
+    }
+  }
+
+  function report(
+    record: JobRecord,
+    outcome: TaskOutcome,
+  ): GuardEffect {
+    const { job, sender, tasks } = record;
+    const task = tasks.get(outcome.index);
+    if (outcome.verdict !== "notRun") {
+      tasks.set(outcome.index, { state: "finished", outcome });
+      const message = { kind: "result", job, outcome } as const;
+      return { kind: "send", entry: sender, message };
+    }
+    tasks.delete(outcome.index);
+    const attempt = task?.state === "running" ? task.attempt : 0;
+    const reason = "connectionRefused" as const;
+    return refuse(sender, { job, index: outcome.index, attempt, reason });
+  }
+
+  return {
+    receive(frame, nowMs) {
+      if (frame.sequence <= (lastSequence.get(frame.entry) ?? -1)) return [];
+      lastSequence.set(frame.entry, frame.sequence);
+      freshness.hear(frame);
+      const effects: GuardEffect[] = [];
+      for (const message of frame.messages) {
+        effects.push(...handle(message, frame, nowMs));
+      }
+      effects.push(...startQueued(nowMs));
+      return effects;
+    },
+    ended(job, outcome, nowMs) {
+      running -= 1;
+      const record = evidence.find(job);
+      const effects = record === undefined ? [] : [report(record, outcome)];
+      return [...effects, ...startQueued(nowMs)];
+    },
+    announce(next, nowMs) {
+      announcement = next;
+      return [...toAllMembers(hello()), ...startQueued(nowMs)];
+    },
+    drain() {
+      isDraining = true;
+      return toAllMembers(hello());
+    },
+    tick(nowMs) {
+      evidence.expire(nowMs);
+      return startQueued(nowMs);
+    },
+    hello,
+    table: () => table,
+    load: () => ({ running, queued: queue.length }),
+    isOpen: (nowMs) => closedBecause(nowMs) === undefined,
+    closedBecause,
+  };
+}
+
+function lostResult(index: number): TaskOutcome {
+  return {
+    index,
+    state: "failed",
+    verdict: "ran",
+    reason: "the task ran but its result is no longer kept",
+  };
+}
--- /dev/null
+++ b/packages/guard/src/index.ts
@@ -0,0 +1,3 @@
+/** The side's start guard and the evidence it keeps. */
+export * from "./guard.ts";
+export * from "./evidence.ts";
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -28,7 +28,7 @@
   readonly kind: "start";
   readonly job: JobId;
   readonly index: number;
-  /** Rises with each send of this task under one table version. */
+  /** Rises with each send of this task by one entry. */
   readonly attempt: number;
   /** Number of tasks in the job. */
   readonly of: number;
@@ -45,6 +45,8 @@
   readonly kind: "revoke";
   readonly job: JobId;
   readonly index: number;
+  /** The attempt that is taken back. */
+  readonly attempt: number;
   /** Also stops the task on the backend server if it runs. */
   readonly stop: boolean;
 }
@@ -94,6 +96,11 @@
 
 export interface EntryFrame {
   readonly entry: string;
+  /**
+   * Rises with each frame from this entry to this side over all their streams.
+   * A side drops a frame that is not newer than the last one it took in.
+   */
+  readonly sequence: number;
   readonly tableVersion: number;
   readonly configurationVersion: number;
   /** The newest of the side's stamps that the entry has seen. */
@@ -134,6 +141,8 @@
   readonly kind: "refused";
   readonly job: JobId;
   readonly index: number;
+  /** The attempt that was refused; later ones may stand. */
+  readonly attempt: number;
   readonly reason: RefusedReason;
 }
 
@@ -146,6 +155,7 @@
   | "noServer"
   | "queueFull"
   | "doesNotFit"
+  | "evidenceFull"
   | "revoked"
   | "connectionRefused"
   | "deadlinePassed";
