--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -4,7 +4,7 @@
  * fresh, and there is no evidence of the task. Every
  * refusal is a true `notRun`.
  */
-import { createFreshness, ownerOf } from "@coltsfootreach/ownership";
+import { createFreshness, isMember, ownerOf } from "@coltsfootreach/ownership";
 import {
   type Announcement,
   type Collect,
@@ -72,6 +72,8 @@
   hello(): Hello;
   table(): Table;
   load(): Load;
+  /** Starts of one entry that run or wait here. */
+  heldFor(entry: string): number;
   /** True when starts would be accepted from the owner of their job. */
   isOpen(nowMs: number): boolean;
   /** Why starts are refused now, for operators; undefined when they are not. */
@@ -87,8 +89,8 @@
   let registration = 1;
   let registeredAtMs = -Infinity;
   let isRegistered = false;
-  let running = 0;
   let queue: QueuedStart[] = [];
+  const runningFor: JobRecord[] = [];
   const lastSequence = new Map<string, number>();
 
   function hello(): Hello {
@@ -169,7 +171,7 @@
     if (closed !== undefined) return closed;
     if (!fits(start)) return "doesNotFit";
     const room = slots() * (1 + options.queuePerSlot);
-    return running + queue.length < room ? undefined : "queueFull";
+    return runningFor.length + queue.length < room ? undefined : "queueFull";
   }
 
   /** Answers a start of a task that this side knows already. */
@@ -223,7 +225,7 @@
     while (queue.length > 0) {
       const head = queue[0]!;
       const reason = refusalOfQueued(head, nowMs);
-      if (reason === undefined && running >= slots()) break;
+      if (reason === undefined && runningFor.length >= slots()) break;
       queue.shift();
       const { record, start } = head;
       const { job, index, attempt } = start;
@@ -232,7 +234,7 @@
         effects.push(refuse(record.sender, { job, index, attempt, reason }));
         continue;
       }
-      running += 1;
+      runningFor.push(record);
       record.tasks.set(index, { state: "running", attempt });
       effects.push({ kind: "run", start });
     }
@@ -376,8 +378,9 @@
       return effects;
     },
     ended(job, outcome, nowMs) {
-      running -= 1;
       const record = evidence.find(job);
+      const at = runningFor.findIndex((other) => other === record);
+      if (at >= 0) runningFor.splice(at, 1);
       const effects = record === undefined ? [] : [report(record, outcome)];
       return [...effects, ...startQueued(nowMs)];
     },
@@ -395,7 +398,12 @@
     },
     hello,
     table: () => table,
-    load: () => ({ running, queued: queue.length }),
+    load: () => ({ running: runningFor.length, queued: queue.length }),
+    heldFor(entry) {
+      const running = runningFor.filter((record) => record.sender === entry);
+      const queued = queue.filter((start) => start.record.sender === entry);
+      return running.length + queued.length;
+    },
     isOpen: (nowMs) => closedBecause(nowMs) === undefined,
     closedBecause,
   };
--- a/packages/ownership/src/change.ts
+++ b/packages/ownership/src/change.ts
@@ -4,6 +4,9 @@
  */
 import type { Member, Table } from "@coltsfootreach/types";
 
+/** Removals that the table remembers. */
+const MAX_REMOVALS = 64;
+
 /** Adds a member; the same table when it is a member already. */
 export function joined(table: Table, member: Member): Table {
   const present = table.members.some(
@@ -27,17 +30,31 @@
   );
 }
 
-/** Removes members; the same table when none of them is in it. */
+/** Removes a member that has handed everything over. */
+export function left(table: Table, incarnation: string): Table {
+  const kept = table.members.filter(
+    (member) => member.incarnation !== incarnation,
+  );
+  return kept.length === table.members.length ? table : next(table, kept);
+}
+
+/** Removes members that are gone; the same table when none is in it. */
 export function without(
   table: Table,
   incarnations: ReadonlySet<string>,
 ): Table {
+  const version = table.version + 1;
+  const removals = table.members
+    .filter((member) => incarnations.has(member.incarnation))
+    .map(({ incarnation }) => ({ incarnation, version }));
+  if (removals.length === 0) return table;
   const kept = table.members.filter(
     (member) => !incarnations.has(member.incarnation),
   );
-  return kept.length === table.members.length ? table : next(table, kept);
+  const known = [...table.removals, ...removals].slice(-MAX_REMOVALS);
+  return { version, members: kept, removals: known };
 }
 
 function next(table: Table, members: readonly Member[]): Table {
-  return { version: table.version + 1, members };
+  return { version: table.version + 1, members, removals: table.removals };
 }
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -181,18 +181,25 @@
   readonly jobs: readonly JobEvidence[];
 }
 
-export type SideMessage = Hello | Result | Refused | Evidence;
+/** The side will start nothing any more and leaves. */
+export interface Goodbye {
+  readonly kind: "goodbye";
+}
+
+export type SideMessage = Hello | Result | Refused | Evidence | Goodbye;
 
 export interface SideFrame {
   readonly side: string;
   readonly incarnation: string;
-  /** Rises by one with each frame that carries messages, per entry. */
+  /** Rises with each frame to this entry over all their streams. */
   readonly sequence: number;
   /** The side's own monotonic clock in milliseconds. */
   readonly stampMs: number;
   readonly tableVersion: number;
   readonly configurationVersion: number;
   readonly load: Load;
+  /** How much of the load the receiving entry has started. */
+  readonly held: number;
   readonly messages: readonly SideMessage[];
 }
 
@@ -280,15 +287,25 @@
 /** The state of one task inside a job record. */
 export type TaskState =
   | { readonly kind: "waiting" }
-  | { readonly kind: "sent"; readonly side: string }
+  | {
+    readonly kind: "sent";
+    /** Incarnation of the side. */
+    readonly side: string;
+    readonly attempt: number;
+  }
   | { readonly kind: "ended"; readonly outcome: TaskOutcome };
 
-/** A job record as it travels between entries. */
+/**
+ * A job record as it travels between entries. The job is absent when only
+ * evidence of it is known.
+ */
 export interface RecordSnapshot {
-  readonly job: Job;
-  readonly digest: string;
+  readonly id: JobId;
+  readonly job?: Job | undefined;
   /** Time since the record was made in milliseconds. */
   readonly ageMs: number;
+  /** Time left until the deadline in milliseconds; may be negative. */
+  readonly leftMs: number;
   readonly tasks: readonly TaskState[];
   readonly answer?: Answer | undefined;
 }
--- a/packages/types/src/table.ts
+++ b/packages/types/src/table.ts
@@ -16,10 +16,23 @@
   readonly draining: boolean;
 }
 
+/** A member that was removed without having left by itself. */
+export interface Removal {
+  readonly incarnation: string;
+  /** The table version that first lacked it. */
+  readonly version: number;
+}
+
 export interface Table {
   readonly version: number;
   readonly members: readonly Member[];
+  /** The newest removals, oldest first. */
+  readonly removals: readonly Removal[];
 }
 
 /** The table before any entry has joined. */
-export const EMPTY_TABLE: Table = { version: 0, members: [] };
+export const EMPTY_TABLE: Table = {
+  version: 0,
+  members: [],
+  removals: [],
+};
