--- /dev/null
+++ b/packages/coordinate/src/effect.ts
@@ -0,0 +1,54 @@
+/**
+ * What an entry's core asks its tasks to do, and how it is set up.
+ */
+import type { RecordOptions } from "@coltsfootreach/admit";
+import type { Queue } from "@coltsfootreach/limit";
+import type { Policy } from "@coltsfootreach/place";
+import type {
+  Act,
+  EntryMessage,
+  Member,
+  PeerMessage,
+  Reply,
+} from "@coltsfootreach/types";
+
+export type EntryEffect =
+  | {
+    readonly kind: "reply";
+    /** The number under which the request was given to the core. */
+    readonly request: number;
+    readonly reply: Reply;
+  }
+  | {
+    readonly kind: "toSide";
+    /** Incarnation of the side. */
+    readonly side: string;
+    readonly message: EntryMessage;
+    /** True when the message can wait for the next frame. */
+    readonly lazy: boolean;
+  }
+  | {
+    readonly kind: "toPeer";
+    readonly entry: string;
+    readonly message: PeerMessage;
+  }
+  /** This run of the entry is no longer a member and must join anew. */
+  | { readonly kind: "removed" }
+  | { readonly kind: "act"; readonly act: Act };
+
+export interface EntryOptions {
+  readonly member: Member;
+  readonly records: RecordOptions;
+  readonly queue: Queue;
+  readonly policy: Policy;
+  /** Unix time in milliseconds, to judge the age of keys. */
+  wallMs(): number;
+  /** How long a side trusts a confirmation of its table. */
+  readonly freshnessMs: number;
+  /** Silence after which a side is out of placement. */
+  readonly sideLostMs: number;
+  /** How long tasks on a lost side are waited for. */
+  readonly doubtMs: number;
+  /** Most submissions that wait for a takeover or hand-over to settle. */
+  readonly maxHeld: number;
+}
--- /dev/null
+++ b/packages/coordinate/src/index.ts
@@ -0,0 +1,5 @@
+/** The state machine of an entry. */
+export * from "./effect.ts";
+export * from "./requests.ts";
+export * from "./sides.ts";
+export * from "./entry_core.ts";
--- a/packages/guard/src/evidence.ts
+++ b/packages/guard/src/evidence.ts
@@ -112,8 +112,10 @@
   const tasks: TaskEvidence[] = [];
   for (const [index, task] of record.tasks) {
     if (task.state === "queued") continue;
-    const outcome = task.state === "finished" ? task.outcome : undefined;
-    tasks.push({ index, state: task.state, outcome });
+    const { state } = task;
+    const outcome = state === "finished" ? task.outcome : undefined;
+    const attempt = state === "running" ? task.attempt : 0;
+    tasks.push({ index, state, attempt, outcome });
   }
   return { job: record.job, of: record.of, tasks };
 }
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -186,6 +186,10 @@
     record.sender = frame.entry;
     const task = record.tasks.get(start.index)!;
     if (task.state === "queued") task.queued.start = start;
+    if (task.state === "running") {
+      const { attempt } = start;
+      record.tasks.set(start.index, { state: "running", attempt });
+    }
     if (task.state !== "finished") return [];
     const outcome = task.outcome ?? lostResult(start.index);
     return [{
--- /dev/null
+++ b/packages/takeover/src/registry.ts
@@ -0,0 +1,108 @@
+/**
+ * The registrations of sides that an entry knows. A side starts tasks only
+ * once every member of the table has heard its registration, so the registry
+ * holds every side on which a lost entry could have started a task.
+ */
+import type { Registration, Table } from "@coltsfootreach/types";
+
+interface KnownSide {
+  readonly registration: Registration;
+  /** The side's name in its settings, once it has said hello here. */
+  name: string | undefined;
+  /** The newest table version under which it has given evidence. */
+  evidenceVersion: number;
+  /** Entries that have declared this registration lost. */
+  readonly lostBy: Set<string>;
+}
+
+export interface Registry {
+  /** A side has said hello; an earlier run under its name is over. */
+  hello(name: string, registration: Registration): void;
+  /** Another entry knows this registration. */
+  hearOf(registration: Registration): void;
+  evidence(incarnation: string, tableVersion: number): void;
+  /** The side has promised to start nothing any more. */
+  goodbye(incarnation: string): void;
+  lost(registration: Registration, by: string): void;
+  /** Forgets registrations that every member has declared lost. */
+  forgetLost(table: Table): void;
+  isLostBy(registration: Registration, by: string): boolean;
+  /** The newest table version under which a side has given evidence. */
+  evidenceVersionOf(incarnation: string): number;
+  /** Sides that have not given evidence under `tableVersion` or a newer one. */
+  withoutEvidence(tableVersion: number): readonly string[];
+  registrations(): readonly Registration[];
+}
+
+export function createRegistry(): Registry {
+  const sides = new Map<string, KnownSide>();
+
+  function know(registration: Registration): KnownSide {
+    const known = sides.get(registration.incarnation);
+    const isCurrent = known !== undefined &&
+      known.registration.registration >= registration.registration;
+    if (isCurrent) return known;
+    const side: KnownSide = {
+      registration,
+      name: known?.name,
+      evidenceVersion: known?.evidenceVersion ?? 0,
+      lostBy: new Set(),
+    };
+    sides.set(registration.incarnation, side);
+    return side;
+  }
+
+  return {
+    hello(name, registration) {
+      for (const [incarnation, side] of sides) {
+        const isEarlierRun = side.name === name &&
+          incarnation !== registration.incarnation;
+        if (isEarlierRun) sides.delete(incarnation);
+      }
+      know(registration).name = name;
+    },
+    hearOf(registration) {
+      know(registration);
+    },
+    evidence(incarnation, tableVersion) {
+      const side = sides.get(incarnation);
+      if (side === undefined) return;
+      side.evidenceVersion = Math.max(side.evidenceVersion, tableVersion);
+    },
+    goodbye(incarnation) {
+      sides.delete(incarnation);
+    },
+    lost(registration, by) {
+      const side = sides.get(registration.incarnation);
+      const isSame =
+        side?.registration.registration === registration.registration;
+      if (isSame) side!.lostBy.add(by);
+    },
+    forgetLost(table) {
+      for (const [incarnation, side] of sides) {
+        const isLost = table.members.every((member) =>
+          side.lostBy.has(member.incarnation)
+        );
+        if (isLost) sides.delete(incarnation);
+      }
+    },
+    isLostBy(registration, by) {
+      const side = sides.get(registration.incarnation);
+      return side !== undefined && side.lostBy.has(by) &&
+        side.registration.registration === registration.registration;
+    },
+    evidenceVersionOf(incarnation) {
+      return sides.get(incarnation)?.evidenceVersion ?? 0;
+    },
+    withoutEvidence(tableVersion) {
+      const missing: string[] = [];
+      for (const [incarnation, side] of sides) {
+        if (side.evidenceVersion < tableVersion) missing.push(incarnation);
+      }
+      return missing;
+    },
+    registrations() {
+      return [...sides.values()].map((side) => side.registration);
+    },
+  };
+}
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -164,6 +164,8 @@
 export interface TaskEvidence {
   readonly index: number;
   readonly state: "running" | "finished";
+  /** The attempt that started it; 0 once it has finished. */
+  readonly attempt: number;
   /** Absent while running, or when the result has been dropped. */
   readonly outcome?: TaskOutcome | undefined;
 }
@@ -239,18 +241,17 @@
 /** A job record given to its next owner when an entry drains or one joins. */
 export interface HandOver {
   readonly kind: "handOver";
+  readonly batch: number;
   readonly tableVersion: number;
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
-  /** True on the last message for this table version. */
-  readonly done: boolean;
 }
 
-/** The receiver holds all records handed over for this table version. */
+/** The receiver holds all records of a batch. */
 export interface HandOverTaken {
   readonly kind: "handOverTaken";
-  readonly tableVersion: number;
+  readonly batch: number;
 }
 
 /** Registrations that the sender has declared lost, for good. */
