--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -653,7 +653,7 @@
       }
       const ask: Ask = snapshot.job === undefined
         ? { kind: "read" }
-        : { kind: "submit", job: snapshot.job, wallMs: Infinity };
+        : { kind: "submit", job: snapshot.job };
       const receivedAtMs = record.madeAtMs;
       forward({ origin, job: record.id, ask, receivedAtMs }, undefined);
     }
