Add the tenant queue and the expected-delay policy

createTenantQueue: deficit round robin between tenants charged in slot time, one line per class within a tenant, jobs by arrival, deadline or least work. createExpectedDelay: shortest expected end from learned slowness per side and a learned use of declared times per class.

--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -1,2 +1,3 @@
 /** Queues, quotas, refusals and retry budgets. */
 export * from "./queue.ts";
+export * from "./tenant_queue.ts";
--- /dev/null
+++ b/packages/limit/src/tenant_queue_test.ts
@@ -0,0 +1,99 @@
+import { expect } from "chai";
+import { createTenantQueue, type Waiting } from "./index.ts";
+
+interface JobOptions {
+  readonly tenant?: string;
+  readonly class?: string;
+  readonly deadlineAtMs?: number;
+  readonly declaredMs?: number;
+}
+
+function tasksOf(
+  job: string,
+  count: number,
+  options: JobOptions = {},
+): Waiting[] {
+  return Array.from({ length: count }, (_, index) => ({
+    job,
+    index,
+    tenant: "a",
+    class: "check",
+    deadlineAtMs: 1_000,
+    declaredMs: 100,
+    ...options,
+  }));
+}
+
+function take(queue: ReturnType<typeof createTenantQueue>, most: number) {
+  const taken: Waiting[] = [];
+  queue.drain((task) => taken.length < most && taken.push(task) > 0, 0);
+  return taken;
+}
+
+describe("createTenantQueue", () => {
+  it("serves tenants by weight while all have work", () => {
+    const queue = createTenantQueue({ weightOf: (t) => t === "a" ? 3 : 1 });
+    queue.push(tasksOf("j1", 400, { tenant: "a" }));
+    queue.push(tasksOf("j2", 400, { tenant: "b" }));
+    let ofA = 0;
+    for (let step = 0; step < 200; step++) {
+      for (const task of take(queue, 1)) ofA += task.tenant === "a" ? 1 : 0;
+    }
+    expect(ofA).to.be.within(146, 154);
+  });
+
+  it("charges tenants for slot time and not for tasks", () => {
+    const queue = createTenantQueue();
+    queue.push(tasksOf("j1", 400, { tenant: "a", declaredMs: 300 }));
+    queue.push(tasksOf("j2", 400, { tenant: "b", declaredMs: 100 }));
+    const ofB = take(queue, 200).filter((task) => task.tenant === "b").length;
+    expect(ofB).to.be.within(146, 154);
+  });
+
+  it("offers other lines when one line cannot be placed", () => {
+    const queue = createTenantQueue();
+    queue.push(tasksOf("j1", 10, { class: "unplaceable" }));
+    queue.push(tasksOf("j2", 2, { class: "check" }));
+    queue.push(tasksOf("j3", 2, { tenant: "b" }));
+    const placed: string[] = [];
+    queue.drain((task) => {
+      if (task.class === "unplaceable") return false;
+      placed.push(task.job);
+      return true;
+    }, 0);
+    expect(placed.sort()).to.deep.equal(["j2", "j2", "j3", "j3"]);
+    expect(queue.size()).to.equal(10);
+  });
+
+  it("puts a task back at the head of its tenant's line", () => {
+    const queue = createTenantQueue();
+    queue.push(tasksOf("j1", 1));
+    queue.push(tasksOf("j2", 1));
+    const [first] = take(queue, 1);
+    queue.putBack(first!);
+    expect(take(queue, 2).map((task) => task.job)).to.deep.equal(["j1", "j2"]);
+  });
+
+  it("removes jobs and expired tasks whole", () => {
+    const queue = createTenantQueue();
+    queue.push(tasksOf("j1", 5, { deadlineAtMs: 10 }));
+    queue.push(tasksOf("j2", 5));
+    queue.push(tasksOf("j3", 5, { tenant: "b" }));
+    expect(queue.removeJob("j2")).to.have.length(5);
+    expect(queue.removeExpired(10).map((t) => t.job)).to.deep.equal(
+      Array(5).fill("j1"),
+    );
+    expect(queue.size("a")).to.equal(0);
+    expect(take(queue, 9)).to.have.length(5);
+    expect(queue.size()).to.equal(0);
+  });
+
+  it("orders jobs by deadline or by least work when asked", () => {
+    for (const order of ["deadline", "leastWork"] as const) {
+      const queue = createTenantQueue({ order });
+      queue.push(tasksOf("j1", 50, { deadlineAtMs: 900 }));
+      queue.push(tasksOf("j2", 1, { deadlineAtMs: 500 }));
+      expect(take(queue, 1)[0]!.job).to.equal("j2");
+    }
+  });
+});
--- a/packages/place/src/index.ts
+++ b/packages/place/src/index.ts
@@ -1,3 +1,5 @@
 /** Placement policies behind one interface. */
 export * from "./policy.ts";
 export * from "./least_outstanding.ts";
+export * from "./run_times.ts";
+export * from "./expected_delay.ts";
