--- a/packages/place/src/index.ts
+++ b/packages/place/src/index.ts
@@ -3,3 +3,5 @@
 export * from "./least_outstanding.ts";
 export * from "./run_times.ts";
 export * from "./expected_delay.ts";
+export * from "./baselines.ts";
+export * from "./health.ts";
--- a/packages/place/src/policy.ts
+++ b/packages/place/src/policy.ts
@@ -29,6 +29,10 @@
   readonly declaredMs: number;
   /** Tasks of the same job that have not been placed yet, this one included. */
   readonly unplaced: number;
+  /** The longest declared run time of the job's tasks. */
+  readonly longestMs?: number | undefined;
+  /** Time since the job was accepted in milliseconds. */
+  readonly ageMs?: number | undefined;
   /** Time left until the deadline in milliseconds. */
   readonly leftMs: number;
 }
