--- /dev/null
+++ b/packages/log/src/index.ts
@@ -0,0 +1,3 @@
+/** JSON-line logs. */
+export * from "./log.ts";
+export * from "./redact.ts";
