--- a/packages/types/src/estate.ts
+++ b/packages/types/src/estate.ts
@@ -44,19 +44,25 @@
   readonly idempotent: boolean;
 }
 
-export type ActKind =
-  | "eject"
-  | "readmit"
-  | "takeOver"
-  | "shed"
-  | "moveQuota"
-  | "drain";
+/** Kinds of automatic act, as operators name them in rules and commands. */
+export const ACT_KINDS = [
+  "eject",
+  "readmit",
+  "takeOver",
+  "shed",
+  "moveQuota",
+  "drain",
+] as const;
+
+export type ActKind = typeof ACT_KINDS[number];
 
 export interface Rules {
   /** Kinds of automatic act that operators have stopped. */
   readonly held: readonly ActKind[];
   /** Backend servers that take no new work. */
   readonly drained: readonly string[];
+  /** Backend servers that are never ejected; undoes an ejection for good. */
+  readonly neverEjected: readonly string[];
   /** Entry incarnations that an operator declares gone for good. */
   readonly gone: readonly string[];
   /** Share of failed tasks at which a backend server is ejected, 0 to 1. */
