--- /dev/null
+++ b/packages/configure/src/difference.ts
@@ -0,0 +1,91 @@
+/** What differs between two estates, item by item and field by field. */
+import { isDeepStrictEqual } from "node:util";
+import type { Estate } from "@coltsfootreach/types";
+
+export type Section =
+  | "dataCentres"
+  | "workers"
+  | "servers"
+  | "tenants"
+  | "classes"
+  | "rules";
+
+export interface FieldDifference {
+  readonly field: string;
+  readonly from: unknown;
+  readonly to: unknown;
+}
+
+export interface Difference {
+  readonly section: Section;
+  /** The item's name; "rules" for the rules. */
+  readonly name: string;
+  readonly change: "added" | "removed" | "changed";
+  /** Filled for changed items only. */
+  readonly fields: readonly FieldDifference[];
+}
+
+interface Named {
+  readonly name: string;
+}
+
+/** Differences from one estate to the next; an absent one has no items. */
+export function findDifferences(
+  from: Estate | undefined,
+  to: Estate,
+): readonly Difference[] {
+  return [
+    ...compareSection("dataCentres", from?.dataCentres, to.dataCentres),
+    ...compareSection("workers", from?.workers, to.workers),
+    ...compareSection("servers", from?.servers, to.servers),
+    ...compareSection("tenants", from?.tenants, to.tenants),
+    ...compareSection("classes", from?.classes, to.classes),
+    ...compareRules(from, to),
+  ];
+}
+
+function compareSection<Item extends Named>(
+  section: Section,
+  from: readonly Item[] = [],
+  to: readonly Item[],
+): readonly Difference[] {
+  const before = new Map(from.map((item) => [item.name, item]));
+  const after = new Set(to.map((item) => item.name));
+  const removed = from.filter(({ name }) => !after.has(name))
+    .map(({ name }): Difference => ({
+      section,
+      name,
+      change: "removed",
+      fields: [],
+    }));
+  const rest = to.flatMap((item): Difference[] => {
+    const { name } = item;
+    const old = before.get(name);
+    if (old === undefined) {
+      return [{ section, name, change: "added", fields: [] }];
+    }
+    const fields = compareFields(old, item);
+    return fields.length === 0
+      ? []
+      : [{ section, name, change: "changed", fields }];
+  });
+  return [...removed, ...rest];
+}
+
+function compareRules(
+  from: Estate | undefined,
+  to: Estate,
+): readonly Difference[] {
+  if (from === undefined) return [];
+  const fields = compareFields(from.rules, to.rules);
+  return fields.length === 0
+    ? []
+    : [{ section: "rules", name: "rules", change: "changed", fields }];
+}
+
+function compareFields(from: object, to: object): readonly FieldDifference[] {
+  const before = new Map<string, unknown>(Object.entries(from));
+  return Object.entries(to)
+    .filter(([field, value]) => !isDeepStrictEqual(before.get(field), value))
+    .map(([field, value]) => ({ field, from: before.get(field), to: value }));
+}
--- /dev/null
+++ b/packages/configure/src/holder_test.ts
@@ -0,0 +1,83 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { err, ok } from "neverthrow";
+import type { Estate } from "@coltsfootreach/types";
+import { createConfigurationHolder } from "./holder.ts";
+import { LAG_BOUND_MS, laggards } from "./laggard.ts";
+
+const SEED = 20_261_204;
+
+/** Texts that start with "bad" cannot be used. */
+function createHolder() {
+  return createConfigurationHolder({
+    parse: ({ version, text }) =>
+      text.startsWith("bad")
+        ? err({ message: text })
+        : ok({ version } as Partial<Estate> as Estate),
+  });
+}
+
+function news(version: number, text = `text ${version}`, nowMs = version) {
+  return { configuration: { version, text }, source: "peer", nowMs } as const;
+}
+
+describe("the configuration in force", () => {
+  it("says what is in force, since when and from where", () => {
+    const holder = createHolder();
+    expect(holder.inForce()).to.equal(undefined);
+    expect(holder.take(news(3, "a", 50))).to.equal("newer");
+    expect(holder.take(news(3, "a", 60))).to.equal("same");
+    expect(holder.inForce()).to.deep.include({ sinceMs: 50, source: "peer" });
+  });
+
+  it("never goes back, whatever the order of arrival", () => {
+    fc.assert(
+      fc.property(fc.array(fc.nat(20)), (versions) => {
+        const holder = createHolder();
+        let highest = 0;
+        for (const version of versions) {
+          holder.take(news(version));
+          highest = Math.max(highest, version);
+          expect(holder.version()).to.equal(highest);
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it("passes over another text under the version in force", () => {
+    const holder = createHolder();
+    holder.take(news(3, "a"));
+    expect(holder.take(news(3, "b"))).to.equal("different");
+    expect(holder.inForce()?.configuration.text).to.equal("a");
+  });
+
+  it("stays on the last good version until a better one comes", () => {
+    const holder = createHolder();
+    holder.take(news(1));
+    expect(holder.take(news(2, "bad key"))).to.equal("invalid");
+    expect(holder.version()).to.equal(1);
+    expect(holder.rejected()).to.include({ version: 2, reason: "bad key" });
+    holder.take(news(3));
+    expect(holder.rejected()).to.equal(undefined);
+  });
+});
+
+describe("laggards", () => {
+  const status = (process: string, version: number) => ({
+    process,
+    role: "side" as const,
+    version,
+    heardAtMs: 0,
+  });
+
+  it("are those below the version, the furthest behind first", () => {
+    const statuses = [status("a", 5), status("b", 4), status("c", 2)];
+    const known = { version: 5, sinceMs: 100 };
+    const found = laggards(statuses, known, 100 + LAG_BOUND_MS);
+    expect(found.map((item) => item.process)).to.deep.equal(["c", "b"]);
+    expect(found[0]).to.include({ behindMs: LAG_BOUND_MS, overdue: true });
+    const earlier = laggards(statuses, known, 99 + LAG_BOUND_MS);
+    expect(earlier.some((item) => item.overdue)).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/configure/src/index.ts
@@ -0,0 +1,11 @@
+/** Configuration versions: planning, applying, keeping and following them. */
+export * from "./apply.ts";
+export * from "./difference.ts";
+export * from "./effect.ts";
+export * from "./follow.ts";
+export * from "./holder.ts";
+export * from "./keys.ts";
+export * from "./laggard.ts";
+export * from "./plan.ts";
+export * from "./record.ts";
+export * from "./repository.ts";
--- /dev/null
+++ b/packages/configure/src/plan.ts
@@ -0,0 +1,26 @@
+/** Shows a change of configuration before it is made. */
+import type { Estate } from "@coltsfootreach/types";
+import { type Difference, findDifferences } from "./difference.ts";
+import { type Effect, findEffects, type Running } from "./effect.ts";
+
+export interface Plan {
+  /** The version that the change starts from; 0 for the first. */
+  readonly fromVersion: number;
+  readonly differences: readonly Difference[];
+  readonly effects: readonly Effect[];
+}
+
+/** What would change, and what that does to the work that runs now. */
+export function planChange(
+  current: Estate | undefined,
+  next: Estate,
+  running: Running,
+): Plan {
+  return {
+    fromVersion: current?.version ?? 0,
+    differences: findDifferences(current, next),
+    effects: current === undefined
+      ? []
+      : findEffects({ from: current, to: next, running }),
+  };
+}
--- /dev/null
+++ b/packages/configure/src/repository.ts
@@ -0,0 +1,146 @@
+/**
+ * Reads configuration versions from the key-value service. Parts of a long
+ * text that the last read version shared with the next are not read again.
+ */
+import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { InvalidFile, type StoreUnavailable } from "@coltsfootreach/errors";
+import type { Store } from "@coltsfootreach/store";
+import type { Configuration } from "@coltsfootreach/types";
+import type { ConfigurationKeys } from "./keys.ts";
+import {
+  type ConfigurationRecord,
+  digestOf,
+  parseRecord,
+  type PartReference,
+} from "./record.ts";
+
+export type ReadFault = StoreUnavailable | InvalidFile;
+
+/** The version in force and the revision of its key. */
+export interface Head {
+  readonly record: ConfigurationRecord;
+  readonly revision: number;
+}
+
+export interface ConfigurationRepository {
+  /** The version in force; undefined before the first. */
+  readHead(): ResultAsync<Head | undefined, ReadFault>;
+  /** The record of any kept version; undefined when it is not kept. */
+  readVersion(
+    version: number,
+  ): ResultAsync<ConfigurationRecord | undefined, ReadFault>;
+  /** Kept versions from the newest to the oldest, the one in force first. */
+  readHistory(): ResultAsync<readonly ConfigurationRecord[], ReadFault>;
+  /** The text of a record, put together from its parts. */
+  readText(record: ConfigurationRecord): ResultAsync<Configuration, ReadFault>;
+  /** The configuration in a value of the head key, as a watch reports it. */
+  resolve(value: string): ResultAsync<Configuration, ReadFault>;
+}
+
+export interface RepositoryOptions {
+  readonly store: Store;
+  readonly keys: ConfigurationKeys;
+}
+
+export function createConfigurationRepository(
+  { store, keys }: RepositoryOptions,
+): ConfigurationRepository {
+  let partsByDigest: ReadonlyMap<string, string> = new Map();
+
+  function readHead(): ResultAsync<Head | undefined, ReadFault> {
+    return store.read(keys.head).andThen<Head | undefined, ReadFault>(
+      (found) => {
+        if (found === undefined) return okAsync(undefined);
+        return parseRecord(keys.head, found.value)
+          .map((record) => ({ record, revision: found.revision }));
+      },
+    );
+  }
+
+  function readVersion(
+    version: number,
+  ): ResultAsync<ConfigurationRecord | undefined, ReadFault> {
+    return readHead().andThen((head) =>
+      head?.record.version === version
+        ? okAsync(head.record)
+        : readHistoryRecord(version)
+    );
+  }
+
+  function readHistoryRecord(
+    version: number,
+  ): ResultAsync<ConfigurationRecord | undefined, ReadFault> {
+    const key = keys.history(version);
+    return store.read(key).andThen<
+      ConfigurationRecord | undefined,
+      ReadFault
+    >((found) =>
+      found === undefined ? okAsync(undefined) : parseRecord(key, found.value)
+    );
+  }
+
+  function readHistory(): ResultAsync<
+    readonly ConfigurationRecord[],
+    ReadFault
+  > {
+    return readHead().andThen((head) => {
+      if (head === undefined) return okAsync([]);
+      return store.list(keys.histories).map((found) => {
+        const older = found.flatMap(({ key, value }) =>
+          parseRecord(key, value).match((record) => [record], () => [])
+        ).filter((record) => record.version < head.record.version);
+        older.sort((a, b) => b.version - a.version);
+        return [head.record, ...older];
+      });
+    });
+  }
+
+  function readText(
+    record: ConfigurationRecord,
+  ): ResultAsync<Configuration, ReadFault> {
+    const text = record.text === undefined
+      ? readParts(record.parts)
+      : okAsync<string, ReadFault>(record.text);
+    return text.andThen((whole) => {
+      if (digestOf(whole) === record.digest) {
+        return okAsync({ version: record.version, text: whole });
+      }
+      const source = `configuration ${record.version}`;
+      return errAsync(new InvalidFile(source, "digest", "does not match"));
+    });
+  }
+
+  function readParts(
+    references: readonly PartReference[],
+  ): ResultAsync<string, ReadFault> {
+    return ResultAsync.combine(references.map(readPart)).map((parts) => {
+      partsByDigest = new Map(
+        parts.map((part, position) => [references[position]!.digest, part]),
+      );
+      return parts.join("");
+    });
+  }
+
+  function readPart(
+    { key, digest }: PartReference,
+  ): ResultAsync<string, ReadFault> {
+    const known = partsByDigest.get(digest);
+    if (known !== undefined) return okAsync(known);
+    return store.read(key).andThen<string, ReadFault>((found) =>
+      found === undefined
+        ? errAsync(new InvalidFile(key, "value", "missing part"))
+        : okAsync(found.value)
+    );
+  }
+
+  return {
+    readHead,
+    readVersion,
+    readHistory,
+    readText,
+    resolve: (value) =>
+      parseRecord(keys.head, value).asyncAndThen<Configuration, ReadFault>(
+        readText,
+      ),
+  };
+}
