--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,2 +1,14 @@
 /** The platform's key-value service as the system uses it. */
 export * from "./store.ts";
+export {
+  createEtcdStore,
+  type EtcdStore,
+  type EtcdStoreOptions,
+} from "./etcd_store.ts";
+export type { Owned, OwnedValue, OwnedWrite } from "./owned_value.ts";
+export {
+  type OwnedSwap,
+  settleOwned,
+  swapOwned,
+  type SwapOwnedOptions,
+} from "./swap_owned.ts";
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -14,6 +14,13 @@
   readonly revision: number;
 }
 
+/** All keys of a prefix at one revision of the store. */
+export interface Listing {
+  readonly values: readonly Versioned[];
+  /** Revision of the store at the reading; a watch goes on from the next. */
+  readonly revision: number;
+}
+
 /** The outcome of a compare-and-swap. */
 export type Swap =
   | { readonly kind: "swapped"; readonly revision: number }
@@ -57,7 +64,7 @@
   /** Reads one key; linearizable. */
   read(key: string): ResultAsync<Versioned | undefined, StoreUnavailable>;
   /** Reads all keys with a prefix; linearizable. */
-  list(prefix: string): ResultAsync<readonly Versioned[], StoreUnavailable>;
+  list(prefix: string): ResultAsync<Listing, StoreUnavailable>;
   swap(write: Write): ResultAsync<Swap, StoreUnavailable>;
   /** Deletes a key unless it has changed since `expectedRevision`. */
   remove(
@@ -70,7 +77,7 @@
   revoke(lease: Lease): ResultAsync<void, StoreUnavailable>;
   /** Watches a key prefix from the given revision on. */
   watch(prefix: string, from: number, listener: WatchListener): Watch;
-  /** Calls made so far, by kind. */
+  /** Calls made so far, by kind; a waiting watch counts as one. */
   calls(): Readonly<Record<StoreCall, number>>;
 }
 
