--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,287 @@
+/**
+ * An entry process: owns the streams, the timers and the store calls around
+ * the entry's core, and answers callers' requests by number.
+ */
+import { v4 } from "uuid";
+import type { RecordOptions } from "@coltsfootreach/admit";
+import {
+  type Ask,
+  createEntryCore,
+  type EntryCore,
+  type EntryEffect,
+} from "@coltsfootreach/coordinate";
+import type { Queue } from "@coltsfootreach/limit";
+import { listenForLinks, type Target } from "@coltsfootreach/link";
+import type { Log } from "@coltsfootreach/log";
+import type { Policy } from "@coltsfootreach/place";
+import type { Store } from "@coltsfootreach/store";
+import type { ServerCredentials } from "@grpc/grpc-js";
+import type { JobId, Member, Reply } from "@coltsfootreach/types";
+import { createMembership, type Membership } from "./membership.ts";
+import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
+import { createSideStreams, type SideStreams } from "./side_streams.ts";
+
+/** How often the core looks at deadlines, lost sides and takeovers. */
+const TICK_MS = 20;
+
+export interface EntryOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Where to listen for sides and entries, as `IP:port`. */
+  readonly listen: string;
+  /** How others reach that; port 0 stands for the port that was bound. */
+  readonly advertise: string;
+  readonly store: Store;
+  readonly prefix: string;
+  readonly leaseSeconds: number;
+  readonly freshnessMs: number;
+  readonly heartbeatMs: number;
+  readonly sideLostMs: number;
+  readonly doubtMs: number;
+  readonly drainMs: number;
+  readonly maxHeld: number;
+  readonly records: RecordOptions;
+  createQueue(): Queue;
+  createPolicy(): Policy;
+  readonly credentials?: {
+    readonly server: ServerCredentials;
+    readonly client: Target["credentials"];
+  } | undefined;
+  readonly log: Log;
+}
+
+export interface Entry {
+  /** Resolves with the reply; never rejects. */
+  request(job: JobId, ask: Ask): Promise<Reply>;
+  incarnation(): string;
+  /** True while the balancer should send callers here. */
+  isReady(): boolean;
+  core(): EntryCore;
+  counts(): EntryCounts;
+  /** Hands over its jobs, answers what it holds, and leaves. */
+  stop(): Promise<void>;
+}
+
+export interface EntryCounts {
+  readonly sides: ReturnType<SideStreams["counts"]>;
+  readonly peers: ReturnType<PeerStreams["counts"]>;
+  readonly store: ReturnType<Store["calls"]>;
+}
+
+interface Pending {
+  readonly job: JobId;
+  readonly ask: Ask;
+  resolve(reply: Reply): void;
+}
+
+/** One membership: a core and what serves it. */
+interface Run {
+  readonly member: Member;
+  readonly core: EntryCore;
+  readonly sides: SideStreams;
+  readonly peers: PeerStreams;
+  readonly membership: Membership;
+}
+
+export async function startEntry(options: EntryOptions): Promise<Entry> {
+  const { log } = options;
+  const pending = new Map<number, Pending>();
+  let requests = 0;
+  let isReady = false;
+  let isStopping = false;
+  let isFlushPlanned = false;
+  let run: Run;
+
+  const server = (await listenForLinks({
+    address: options.listen,
+    credentials: options.credentials?.server,
+    acceptSide: (stream) => run.sides.accept(stream),
+    acceptPeer: (stream) => run.peers.accept(stream),
+  }))._unsafeUnwrap();
+
+  function apply(own: Run, effects: readonly EntryEffect[]): void {
+    if (own !== run) return;
+    for (const effect of effects) {
+      if (effect.kind === "toSide") {
+        own.sides.push(effect.side, effect.message, effect.lazy);
+      } else if (effect.kind === "toPeer") {
+        own.peers.push(effect.entry, effect.message);
+      } else if (effect.kind === "reply") {
+        settle(effect.request, effect.reply);
+      } else if (effect.kind === "removed") {
+        return rejoin(own);
+      } else {
+        log.info("act", { act: effect.act.kind, reason: effect.act.why });
+      }
+    }
+    planFlush();
+  }
+
+  function settle(request: number, reply: Reply): void {
+    const waiting = pending.get(request);
+    pending.delete(request);
+    waiting?.resolve(reply);
+  }
+
+  /** Collects the messages of one turn of the event loop into frames. */
+  function planFlush(): void {
+    if (isFlushPlanned) return;
+    isFlushPlanned = true;
+    setImmediate(() => {
+      isFlushPlanned = false;
+      const own = run;
+      for (const effect of own.core.dispatch(performance.now())) {
+        if (effect.kind === "toSide") {
+          own.sides.push(effect.side, effect.message, effect.lazy);
+        }
+      }
+      own.sides.flush();
+      own.peers.flush();
+    });
+  }
+
+  function followTable(own: Run, effects: readonly EntryEffect[]): void {
+    own.peers.follow(
+      own.core.table().members.filter((member) =>
+        member.incarnation !== own.member.incarnation
+      ),
+    );
+    apply(own, effects);
+  }
+
+  function createRun(): Run {
+    const incarnation = v4();
+    const member: Member = {
+      incarnation,
+      name: options.name,
+      dataCentre: options.dataCentre,
+      address: options.advertise.replace(/:0$/, `:${server.port}`),
+      draining: false,
+    };
+    const core = createEntryCore({
+      member,
+      records: options.records,
+      queue: options.createQueue(),
+      policy: options.createPolicy(),
+      wallMs: () => Date.now(),
+      freshnessMs: options.freshnessMs,
+      sideLostMs: options.sideLostMs,
+      doubtMs: options.doubtMs,
+      maxHeld: options.maxHeld,
+    });
+    const sides = createSideStreams({
+      heartbeatMs: options.heartbeatMs,
+      silentMs: options.sideLostMs,
+      header: (side) => ({
+        entry: incarnation,
+        tableVersion: core.table().version,
+        configurationVersion: 0,
+        ...core.stamps(side),
+      }),
+      received: (frame) => apply(own, core.sideFrame(frame, performance.now())),
+      closed: (side) => core.sideClosed(side),
+    });
+    const peers = createPeerStreams({
+      me: incarnation,
+      credentials: options.credentials?.client,
+      heartbeatMs: options.heartbeatMs,
+      silentMs: options.sideLostMs,
+      header: () => ({
+        entry: incarnation,
+        tableVersion: core.table().version,
+        configurationVersion: 0,
+      }),
+      up: (entry) => apply(own, core.peerUp(entry, performance.now())),
+      down: (entry) => core.peerDown(entry),
+      received: (frame) =>
+        followTable(own, core.peerFrame(frame, performance.now())),
+    });
+    const membership = createMembership({
+      store: options.store,
+      prefix: options.prefix,
+      member,
+      leaseSeconds: options.leaseSeconds,
+      renewMs: options.heartbeatMs,
+      log,
+      beginRead: () => core.beginTableRead(),
+      tableRead: (table, token) =>
+        followTable(own, core.tableRead({ table, token }, performance.now())),
+      tableLearned: (table) =>
+        followTable(own, core.tableLearned(table, performance.now())),
+      isTakeoverHeld: () => false,
+    });
+    const own: Run = { member, core, sides, peers, membership };
+    return own;
+  }
+
+  function closeRun(own: Run): void {
+    own.membership.close();
+    own.sides.close();
+    own.peers.close();
+  }
+
+  /** Others removed this run: joins anew and asks again what was asked. */
+  function rejoin(own: Run): void {
+    log.warn("removed from the table of entries; joining anew");
+    run = createRun();
+    closeRun(own);
+    void run.membership.join();
+    for (const [request, { job, ask }] of pending) {
+      const now = performance.now();
+      apply(run, run.core.request({ request, job, ask }, now));
+    }
+  }
+
+  const timer = setInterval(() => {
+    const now = { nowMs: performance.now(), wallMs: Date.now() };
+    apply(run, run.core.tick(now));
+  }, TICK_MS);
+
+  async function drain(): Promise<void> {
+    const me = run.member.incarnation;
+    const others = run.core.table().members.filter((member) =>
+      member.incarnation !== me && !member.draining
+    );
+    // The last entry keeps its keys, since nobody could take them.
+    if (others.length > 0) await run.membership.drain();
+    const untilMs = performance.now() + options.drainMs;
+    while (performance.now() < untilMs) {
+      if (pending.size === 0 && run.core.isIdle()) return;
+      await new Promise((wake) => setTimeout(wake, TICK_MS));
+    }
+  }
+
+  run = createRun();
+  await run.membership.join();
+  isReady = true;
+
+  return {
+    request(job, ask) {
+      requests += 1;
+      const request = requests;
+      return new Promise((resolve) => {
+        pending.set(request, { job, ask, resolve });
+        const now = performance.now();
+        apply(run, run.core.request({ request, job, ask }, now));
+      });
+    },
+    incarnation: () => run.member.incarnation,
+    isReady: () => isReady && !isStopping,
+    core: () => run.core,
+    counts: () => ({
+      sides: run.sides.counts(),
+      peers: run.peers.counts(),
+      store: options.store.calls(),
+    }),
+    async stop() {
+      isStopping = true;
+      log.info("draining");
+      await drain();
+      await run.membership.leave();
+      clearInterval(timer);
+      closeRun(run);
+      server.close();
+      log.info("entry stopped");
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,2 @@
+/** The entry process. */
+export * from "./entry.ts";
--- /dev/null
+++ b/packages/entry/src/membership.ts
@@ -0,0 +1,242 @@
+/**
+ * Keeps an entry in the table of entries: joins by compare-and-swap, holds a
+ * lease in the store, follows the table, and removes members whose lease has
+ * lapsed.
+ */
+import type { Log } from "@coltsfootreach/log";
+import { draining, joined, left, without } from "@coltsfootreach/ownership";
+import {
+  decodeOwned,
+  type Lease,
+  type Owned,
+  type Store,
+  swapOwned,
+  type Versioned,
+  type Watch,
+} from "@coltsfootreach/store";
+import { EMPTY_TABLE, type Member, type Table } from "@coltsfootreach/types";
+import { err, ok } from "neverthrow";
+
+/** How often the table is read again, whatever the watch says. */
+const READ_INTERVAL_MS = 2000;
+
+/** Pause before a failed call is tried again. */
+const RETRY_MS = 250;
+
+export interface MembershipOptions<Token> {
+  readonly store: Store;
+  readonly prefix: string;
+  readonly member: Member;
+  readonly leaseSeconds: number;
+  readonly renewMs: number;
+  readonly log: Log;
+  /** Called before a read begins; its result is given back with the table. */
+  beginRead(): Token;
+  tableRead(table: Table, token: Token): void;
+  tableLearned(table: Table): void;
+  /** True when an operator has stopped automatic takeovers. */
+  isTakeoverHeld(): boolean;
+}
+
+export interface Membership {
+  /** Resolves once this entry is a member. */
+  join(): Promise<void>;
+  /** Gives up this entry's keys; false when the store cannot say so. */
+  drain(): Promise<boolean>;
+  leave(): Promise<void>;
+  /** Ends without a word to the store, for an entry that was removed. */
+  close(): void;
+}
+
+export function createMembership<Token>(
+  options: MembershipOptions<Token>,
+): Membership {
+  const { store, member, log, prefix } = options;
+  const tableKey = `${prefix}table`;
+  const livePrefix = `${prefix}entries/`;
+  const liveKey = livePrefix + member.incarnation;
+  /** Granted, but perhaps not yet behind this entry's key. */
+  let granted: Lease | undefined;
+  let lease: Lease | undefined;
+  let watch: Watch | undefined;
+  let isClosed = false;
+  const timers: NodeJS.Timeout[] = [];
+
+  /** The table after the change; undefined when that is not certain. */
+  async function changeTable(
+    change: (table: Table) => Table,
+  ): Promise<Table | undefined> {
+    const outcome = await swapOwned(store, tableKey, {
+      decide(current) {
+        const table = tableOf(current);
+        const next = change(table);
+        return next === table
+          ? err(new Unchanged(table))
+          : ok(JSON.stringify(next));
+      },
+    });
+    if (outcome.isErr()) {
+      const { error } = outcome;
+      return error instanceof Unchanged ? error.table : undefined;
+    }
+    if (outcome.value.kind !== "accepted") return undefined;
+    return JSON.parse(outcome.value.body) as Table;
+  }
+
+  async function persist(
+    change: (table: Table) => Table,
+  ): Promise<Table> {
+    for (;;) {
+      const table = await changeTable(change);
+      if (table !== undefined) return table;
+      await sleep(RETRY_MS);
+    }
+  }
+
+  async function hold(): Promise<void> {
+    if (granted === undefined) {
+      const answer = await store.grant(options.leaseSeconds);
+      if (answer.isErr()) return;
+      granted = answer.value;
+    }
+    const written = await store.swap({
+      key: liveKey,
+      value: member.name,
+      expectedRevision: 0,
+      lease: granted,
+    });
+    // A conflict means that an earlier write took effect without an answer.
+    if (written.isOk()) lease = granted;
+  }
+
+  function dropLease(): void {
+    lease = undefined;
+    granted = undefined;
+  }
+
+  async function renew(): Promise<void> {
+    if (lease === undefined) return await hold();
+    const renewed = await store.renew(lease);
+    if (renewed.isOk() && !renewed.value) dropLease();
+  }
+
+  async function read(): Promise<void> {
+    const token = options.beginRead();
+    const found = await store.read(tableKey);
+    if (found.isErr() || isClosed) return;
+    options.tableRead(tableOf(decodeOwned(found.value)), token);
+  }
+
+  /** Removes the members of the table that hold no lease. */
+  async function removeLapsed(): Promise<void> {
+    if (options.isTakeoverHeld()) return;
+    const table = await store.read(tableKey);
+    const live = await store.list(livePrefix);
+    if (table.isErr() || live.isErr()) return;
+    const names = new Set(
+      live.value.values.map(({ key }) => key.slice(livePrefix.length)),
+    );
+    const lapsed = tableOf(decodeOwned(table.value)).members
+      .map(({ incarnation }) => incarnation)
+      .filter((incarnation) =>
+        incarnation !== member.incarnation && !names.has(incarnation)
+      );
+    if (lapsed.length === 0) return;
+    log.warn("removing entries whose lease has lapsed", {
+      figures: { entries: lapsed.length },
+    });
+    const changed = await changeTable((now) => without(now, new Set(lapsed)));
+    if (changed !== undefined) options.tableLearned(changed);
+  }
+
+  function follow(from: number): void {
+    if (isClosed) return;
+    watch = store.watch(prefix, from, {
+      changed(change) {
+        if (change.key === tableKey && change.value !== undefined) {
+          const { key, value, revision } = change;
+          const found: Versioned = { key, value, revision };
+          options.tableLearned(tableOf(decodeOwned(found)));
+        }
+        const isLapse = change.key.startsWith(livePrefix) &&
+          change.value === undefined;
+        if (!isLapse) return;
+        if (change.key === liveKey) dropLease();
+        void removeLapsed();
+      },
+      ended() {
+        timers.push(setTimeout(startFollowing, RETRY_MS));
+      },
+    });
+  }
+
+  async function startFollowing(): Promise<void> {
+    if (isClosed) return;
+    const listed = await store.list(prefix);
+    if (listed.isErr()) {
+      timers.push(setTimeout(startFollowing, RETRY_MS));
+      return;
+    }
+    follow(listed.value.revision + 1);
+    await removeLapsed();
+    await read();
+  }
+
+  function repeat(task: () => Promise<void>, everyMs: number): void {
+    let busy = false;
+    timers.push(setInterval(async () => {
+      if (busy || isClosed) return;
+      busy = true;
+      await task();
+      busy = false;
+    }, everyMs));
+  }
+
+  return {
+    async join() {
+      while (lease === undefined) {
+        await hold();
+        if (lease === undefined) await sleep(RETRY_MS);
+      }
+      const table = await persist((now) => joined(now, member));
+      log.info("joined", { tableVersion: table.version });
+      options.tableLearned(table);
+      repeat(renew, options.renewMs);
+      repeat(read, READ_INTERVAL_MS);
+      void startFollowing();
+    },
+    async drain() {
+      const table = await changeTable((now) =>
+        draining(now, member.incarnation)
+      );
+      if (table !== undefined) options.tableLearned(table);
+      return table !== undefined;
+    },
+    async leave() {
+      await changeTable((now) => left(now, member.incarnation));
+      this.close();
+      if (lease !== undefined) await store.revoke(lease);
+    },
+    close() {
+      isClosed = true;
+      watch?.close();
+      for (const timer of timers) clearTimeout(timer);
+    },
+  };
+}
+
+/** Says that the table needs no change, and what it is. */
+class Unchanged extends Error {
+  constructor(readonly table: Table) {
+    super("the table needs no change");
+  }
+}
+
+function tableOf(current: Owned | undefined): Table {
+  if (current === undefined) return EMPTY_TABLE;
+  return JSON.parse(current.body) as Table;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((wake) => setTimeout(wake, ms));
+}
--- /dev/null
+++ b/packages/serve/src/index.ts
@@ -0,0 +1,3 @@
+/** The callers' HTTP interface. */
+export * from "./app.ts";
+export * from "./body.ts";
--- /dev/null
+++ b/packages/side/src/index.ts
@@ -0,0 +1,2 @@
+/** The side process. */
+export * from "./side.ts";
