--- /dev/null
+++ b/packages/standin/src/index.ts
@@ -0,0 +1,16 @@
+/** Stand-ins for the key-value service and for backend servers. */
+export { type Cancel, type Clock, SYSTEM_CLOCK } from "./clock/clock.ts";
+export { createFakeClock, type FakeClock } from "./clock/fake_clock.ts";
+export type { KvFaultRequest, KvFaults } from "./kv/fault.ts";
+export {
+  createKvStandin,
+  type KvStandin,
+  type KvStandinOptions,
+} from "./kv/kv_standin.ts";
+export {
+  createMemoryService,
+  createMemoryStore,
+  type MemoryStore,
+  type MemoryStoreOptions,
+} from "./kv/memory_store.ts";
+export type { KvService } from "./kv/service.ts";
