--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -14,3 +14,10 @@
   type MemoryStoreOptions,
 } from "./kv/memory_store.ts";
 export type { KvService } from "./kv/service.ts";
+export type { BackendFaultRequest } from "./backend/backend_fault.ts";
+export {
+  type BackendStandin,
+  type BackendStandinOptions,
+  createBackendStandin,
+} from "./backend/backend_standin.ts";
+export type { StartRecord } from "./backend/task_log.ts";
--- a/packages/standin/src/kv/keyspace.ts
+++ b/packages/standin/src/kv/keyspace.ts
@@ -157,10 +157,11 @@
 
   function keepAlive(id: string, nowMs: number): GrantedLease | undefined {
     const lease = leases.get(id);
-    if (lease !== undefined) {
-      leases.set(id, held(lease, nowMs));
+    if (lease === undefined) {
+      return undefined;
     }
-    return lease;
+    leases.set(id, held(lease, nowMs));
+    return { id, ttlSeconds: lease.ttlSeconds };
   }
 
   function revoke(id: string): boolean {
