--- /dev/null
+++ b/packages/daemon/src/credentials.ts
@@ -0,0 +1,28 @@
+/** TLS credentials of the links between processes. */
+import { readFileSync } from "node:fs";
+import {
+  ChannelCredentials,
+  credentials,
+  ServerCredentials,
+} from "@grpc/grpc-js";
+import type { TlsSettings } from "@coltsfootreach/settings";
+
+export interface LinkCredentials {
+  readonly server: ServerCredentials;
+  readonly client: ChannelCredentials;
+}
+
+/** Both ends show a certificate that the authority has signed. */
+export function readCredentials(
+  tls: TlsSettings | undefined,
+): LinkCredentials | undefined {
+  if (tls === undefined) return undefined;
+  const authority = readFileSync(tls.authority);
+  const certificate = readFileSync(tls.certificate);
+  const key = readFileSync(tls.key);
+  const pairs = [{ private_key: key, cert_chain: certificate }];
+  return {
+    server: ServerCredentials.createSsl(authority, pairs, true),
+    client: credentials.createSsl(authority, key, certificate),
+  };
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -62,11 +62,11 @@
   stop(): Promise<void>;
 }
 
-export interface EntryCounts {
+export type EntryCounts = {
   readonly sides: ReturnType<SideStreams["counts"]>;
   readonly peers: ReturnType<PeerStreams["counts"]>;
   readonly store: ReturnType<Store["calls"]>;
-}
+};
 
 interface Pending {
   readonly job: JobId;
--- /dev/null
+++ b/packages/measure/src/index.ts
@@ -0,0 +1,3 @@
+/** Counters and response-time histograms. */
+export * from "./histograms.ts";
+export * from "./metrics.ts";
