--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -2,13 +2,12 @@
  * Makes a text the next configuration version. The head key moves by
  * compare-and-swap on the version that the operator edited from, so of two
  * racing edits one is told of a conflict. A write whose answer was lost is
- * repeated on the same revision: it takes effect at most once, and the token
- * of the head or of its history tells whose write it was.
+ * settled by the token that it leaves in the head.
  */
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
-import type { Store, Versioned } from "@coltsfootreach/store";
+import { type Owned, type Store, swapOwned } from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationKeys } from "./keys.ts";
 import {
@@ -19,7 +18,6 @@
   type PartReference,
 } from "./record.ts";
 import {
-  type ConfigurationRepository,
   createConfigurationRepository,
   type Head,
   type ReadFault,
@@ -55,7 +53,6 @@
     readonly kind: "unknown";
     readonly version: number;
     readonly token: string;
-    readonly reason: string;
   };
 
 export interface ApplyOptions {
@@ -95,7 +92,7 @@
   if (settled !== undefined) return ok(settled);
   const prepared = await prepare(options, change, head);
   if (prepared.isErr()) return err(prepared.error);
-  const outcome = await swapHead({ options, repository, head }, prepared.value);
+  const outcome = await swapHead({ ...options, head }, prepared.value);
   if (outcome.isOk() && outcome.value.kind === "accepted") {
     await pruneHistory({
       ...options,
@@ -208,71 +205,52 @@
 }
 
 interface SwapContext {
-  readonly options: ApplyOptions;
-  readonly repository: ConfigurationRepository;
+  readonly store: Store;
+  readonly keys: ConfigurationKeys;
   readonly head: Head | undefined;
 }
 
+/** The head is not the one any more that the change was prepared on. */
+interface HeadMoved {
+  readonly kind: "headMoved";
+  readonly current: Owned | undefined;
+}
+
 async function swapHead(
-  { options, repository, head }: SwapContext,
+  { store, keys, head }: SwapContext,
   record: ConfigurationRecord,
 ): Promise<Result<Outcome, ReadFault>> {
   const { version, token } = record;
-  let inDoubt = false;
-  let reason = "";
-  for (let attempt = 1; attempt <= SWAP_ATTEMPTS; attempt++) {
-    const swap = await options.store.swap({
-      key: options.keys.head,
-      value: formatRecord(record),
-      expectedRevision: head?.revision ?? 0,
-    });
-    if (swap.isErr()) {
-      inDoubt ||= swap.error.verdict !== "notRun";
-      reason = swap.error.message;
-      continue;
-    }
-    if (swap.value.kind === "swapped") return ok({ kind: "accepted", version });
-    const settled = await settleConflict(
-      { keys: options.keys, repository, record },
-      swap.value.current,
-    );
-    if (settled.isOk()) return settled;
-    reason = settled.error.message;
-    if (!inDoubt) return err(settled.error);
+  const swap = await swapOwned<HeadMoved>(store, keys.head, {
+    decide: (current) =>
+      current?.revision === head?.revision
+        ? ok(formatRecord(record))
+        : err({ kind: "headMoved", current }),
+    attempts: SWAP_ATTEMPTS,
+    newToken: () => token,
+  });
+  if (swap.isErr()) {
+    return swap.error instanceof StoreUnavailable
+      ? err(swap.error)
+      : conflictWith(keys, swap.error.current);
+  }
+  switch (swap.value.kind) {
+    case "accepted":
+      return ok({ kind: "accepted", version });
+    case "lostRace":
+      return conflictWith(keys, swap.value.current);
+    case "unknown":
+      return ok({ kind: "unknown", version, token });
   }
-  if (inDoubt) return ok({ kind: "unknown", version, token, reason });
-  return err(new StoreUnavailable("notRun", reason));
-}
-
-interface ConflictContext {
-  readonly keys: ConfigurationKeys;
-  readonly repository: ConfigurationRepository;
-  readonly record: ConfigurationRecord;
 }
 
-/**
- * The head has moved: by an earlier send of this very change, directly or with
- * later versions on top, or by another operator.
- */
-async function settleConflict(
-  { keys, repository, record }: ConflictContext,
-  current: Versioned | undefined,
-): Promise<Result<Outcome, ReadFault>> {
-  const accepted: Outcome = { kind: "accepted", version: record.version };
+function conflictWith(
+  keys: ConfigurationKeys,
+  current: Owned | undefined,
+): Result<Outcome, InvalidFile> {
   if (current === undefined) {
     return err(new InvalidFile(keys.head, "value", "has been removed"));
   }
-  const parsed = parseRecord(keys.head, current.value);
-  if (parsed.isErr()) return err(parsed.error);
-  const now = parsed.value;
-  if (now.token === record.token) return ok(accepted);
-  if (now.version <= record.version) {
-    return ok({ kind: "conflict", current: now });
-  }
-  const kept = await repository.readVersion(record.version);
-  return kept.map((found): Outcome =>
-    found?.token === record.token
-      ? accepted
-      : { kind: "conflict", current: now }
-  );
+  return parseRecord(keys.head, current.body)
+    .map((record): Outcome => ({ kind: "conflict", current: record }));
 }
--- a/packages/configure/src/apply_test.ts
+++ b/packages/configure/src/apply_test.ts
@@ -1,9 +1,16 @@
 import { expect } from "chai";
 import { err, errAsync, ok, okAsync } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
-import type { Store, Swap, Versioned, Write } from "@coltsfootreach/store";
+import {
+  decodeOwned,
+  type Store,
+  type Swap,
+  type Versioned,
+  type Write,
+} from "@coltsfootreach/store";
 import { applyChange, type Change, LONGEST_INLINE_BYTES } from "./apply.ts";
 import { createConfigurationKeys } from "./keys.ts";
+import { parseRecord } from "./record.ts";
 import { createConfigurationRepository } from "./repository.ts";
 
 const KEYS = createConfigurationKeys("t/");
@@ -43,9 +50,12 @@
       return okAsync(values.get(key));
     },
     list: (prefix: string) =>
-      okAsync(
-        [...values.values()].filter(({ key }) => key.startsWith(prefix)),
-      ),
+      okAsync({
+        values: [...values.values()].filter(({ key }) =>
+          key.startsWith(prefix)
+        ),
+        revision,
+      }),
     swap: (write: Write) => {
       counts.swap++;
       if (write.key !== KEYS.head) return okAsync(put(write));
@@ -106,6 +116,12 @@
   return (await repository.readText(head.record))._unsafeUnwrap();
 }
 
+/** The parts that a head or a history record refers to. */
+function partKeysOf(found: Versioned): readonly string[] {
+  const record = parseRecord(found.key, decodeOwned(found)!.body);
+  return record._unsafeUnwrap().parts.map(({ key }) => key);
+}
+
 /** A text of many tables, about 60 bytes each. */
 function longText(tables: number): string {
   return Array.from(
@@ -155,7 +171,8 @@
     const fake = createFakeStore();
     await apply(fake, change("a", 0));
     const rival = fake.values.get(KEYS.head)!.value
-      .replace('"version":1', '"version":2').replace("token-", "rival-");
+      .replace('\\"version\\":1', '\\"version\\":2')
+      .replaceAll("token-", "rival-");
     const expectedRevision = fake.values.get(KEYS.head)!.revision;
     fake.interrupt(() =>
       fake.put({ key: KEYS.head, value: rival, expectedRevision })
@@ -267,8 +284,7 @@
     }
     const needed = new Set(
       [KEYS.head, KEYS.history(5)].flatMap((key) =>
-        JSON.parse(fake.values.get(key)!.value).parts
-          .map((part: { readonly key: string }) => part.key)
+        partKeysOf(fake.values.get(key)!)
       ),
     );
     const stored = [...fake.values.keys()]
--- a/packages/configure/src/follow.ts
+++ b/packages/configure/src/follow.ts
@@ -47,9 +47,9 @@
     );
   }
 
-  async function take({ value }: Change): Promise<void> {
+  async function take({ key, value, revision }: Change): Promise<void> {
     if (value === undefined) return;
-    const resolved = await repository.resolve(value);
+    const resolved = await repository.resolve({ key, value, revision });
     resolved.match(
       (configuration) => tell(configuration, "watch"),
       (fault) => beginLater(fault.message),
--- a/packages/configure/src/prune.ts
+++ b/packages/configure/src/prune.ts
@@ -24,7 +24,7 @@
   const { store, keys, newest, limit } = options;
   const listed = await store.list(keys.histories);
   if (listed.isErr()) return;
-  const records = listed.value.flatMap(({ key, value, revision }) =>
+  const records = listed.value.values.flatMap(({ key, value, revision }) =>
     parseRecord(key, value)
       .match((record): KeptRecord[] => [{ key, revision, record }], () => [])
   );
--- a/packages/configure/src/repository.ts
+++ b/packages/configure/src/repository.ts
@@ -2,9 +2,14 @@
  * Reads configuration versions from the key-value service. Parts of a long
  * text that the last read version shared with the next are not read again.
  */
-import { errAsync, okAsync, ResultAsync } from "neverthrow";
+import { errAsync, okAsync, type Result, ResultAsync } from "neverthrow";
 import { InvalidFile, type StoreUnavailable } from "@coltsfootreach/errors";
-import type { Store } from "@coltsfootreach/store";
+import {
+  decodeOwned,
+  type Owned,
+  type Store,
+  type Versioned,
+} from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationKeys } from "./keys.ts";
 import {
@@ -33,8 +38,8 @@
   readHistory(): ResultAsync<readonly ConfigurationRecord[], ReadFault>;
   /** The text of a record, put together from its parts. */
   readText(record: ConfigurationRecord): ResultAsync<Configuration, ReadFault>;
-  /** The configuration in a value of the head key, as a watch reports it. */
-  resolve(value: string): ResultAsync<Configuration, ReadFault>;
+  /** The configuration that a value of the head key stands for. */
+  resolve(found: Versioned): ResultAsync<Configuration, ReadFault>;
 }
 
 export interface RepositoryOptions {
@@ -50,13 +55,17 @@
   function readHead(): ResultAsync<Head | undefined, ReadFault> {
     return store.read(keys.head).andThen<Head | undefined, ReadFault>(
       (found) => {
-        if (found === undefined) return okAsync(undefined);
-        return parseRecord(keys.head, found.value)
-          .map((record) => ({ record, revision: found.revision }));
+        const owned = decodeOwned(found);
+        return owned === undefined ? okAsync(undefined) : readOwnedHead(owned);
       },
     );
   }
 
+  function readOwnedHead(owned: Owned): Result<Head, InvalidFile> {
+    return parseRecord(keys.head, owned.body)
+      .map((record) => ({ record, revision: owned.revision }));
+  }
+
   function readVersion(
     version: number,
   ): ResultAsync<ConfigurationRecord | undefined, ReadFault> {
@@ -85,8 +94,8 @@
   > {
     return readHead().andThen((head) => {
       if (head === undefined) return okAsync([]);
-      return store.list(keys.histories).map((found) => {
-        const older = found.flatMap(({ key, value }) =>
+      return store.list(keys.histories).map(({ values }) => {
+        const older = values.flatMap(({ key, value }) =>
           parseRecord(key, value).match((record) => [record], () => [])
         ).filter((record) => record.version < head.record.version);
         older.sort((a, b) => b.version - a.version);
@@ -138,9 +147,8 @@
     readVersion,
     readHistory,
     readText,
-    resolve: (value) =>
-      parseRecord(keys.head, value).asyncAndThen<Configuration, ReadFault>(
-        readText,
-      ),
+    resolve: (found) =>
+      parseRecord(keys.head, decodeOwned(found)!.body)
+        .asyncAndThen<Configuration, ReadFault>(readText),
   };
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -5,7 +5,12 @@
   type EtcdStore,
   type EtcdStoreOptions,
 } from "./etcd_store.ts";
-export type { Owned, OwnedValue, OwnedWrite } from "./owned_value.ts";
+export {
+  decodeOwned,
+  type Owned,
+  type OwnedValue,
+  type OwnedWrite,
+} from "./owned_value.ts";
 export {
   type OwnedSwap,
   settleOwned,
