--- /dev/null
+++ b/packages/manage/src/app_test.ts
@@ -0,0 +1,149 @@
+import { expect } from "chai";
+import type { Act } from "@coltsfootreach/types";
+import { createManagementApp } from "./app.ts";
+import { createActJournal, type NewAct } from "./journal.ts";
+import { serveManagement } from "./serve.ts";
+import type { EntryStatus, EntryView } from "./view.ts";
+
+const TOKEN = "a-token-of-the-operators";
+
+const STATUS: EntryStatus = {
+  entry: "entry-1",
+  incarnation: "i1",
+  nowMs: 10_000,
+  configuration: { version: 5, sinceMs: 1, source: "watch" },
+  newest: { version: 5, sinceMs: 4_000 },
+  processes: [
+    { process: "side-1", role: "side", version: 5, heardAtMs: 9_900 },
+    { process: "side-2", role: "side", version: 3, heardAtMs: 9_800 },
+  ],
+  table: { version: 1, members: [] },
+  store: { reachable: true, sinceMs: 0 },
+  expectedServers: ["a", "b"],
+  presentServers: ["b", "c"],
+};
+
+const ACT: NewAct = {
+  kind: "eject",
+  subject: "pot-dispatch-03",
+  why: "most of its tasks failed",
+  figures: { failureRatio: 0.9 },
+  configurationVersion: 5,
+  atMs: 1,
+};
+
+function createApp() {
+  const journal = createActJournal({ incarnation: "i1", limit: 10 });
+  journal.record(ACT);
+  const view: EntryView = {
+    status: () => STATUS,
+    acts: journal.list,
+    act: journal.find,
+    top: () => ({ entry: "entry-1", nowMs: 1, tenants: [], servers: [] }),
+    job: (tenant, key) =>
+      tenant !== "t" || key !== "k/1" ? undefined : {
+        tenant,
+        key,
+        class: "heat-check",
+        state: "waiting",
+        entry: "entry-1",
+        tableVersion: 1,
+        configurationVersion: 5,
+        ageMs: 3,
+        leftMs: 7,
+        why: "waits for a slot",
+        tasks: [{ index: 0, state: "waiting", attempts: 0, why: "no slot" }],
+      },
+  };
+  return createManagementApp({ view, token: TOKEN });
+}
+
+async function get(path: string, authorization = `Bearer ${TOKEN}`) {
+  const response = await createApp().request(path, {
+    headers: { authorization },
+  });
+  const body = await response.json() as Readonly<Record<string, unknown>>;
+  return { status: response.status, body };
+}
+
+describe("the operators' interface", () => {
+  const paths = ["/status", "/acts", "/acts/i1-1", "/top", "/jobs/t/k", "/x"];
+  const headers = ["", "Bearer ", "Bearer x", TOKEN, `Bearer ${TOKEN}x`];
+  it("answers nothing without the token", async () => {
+    for (const path of paths) {
+      for (const header of headers) {
+        const { status, body } = await get(path, header);
+        expect(status, `${path} ${header}`).to.equal(401);
+        expect(JSON.stringify(body)).not.to.include(TOKEN);
+      }
+    }
+  });
+
+  it("names laggards and what differs from the inventory", async () => {
+    const { body } = await get("/status");
+    expect(body.laggards).to.deep.equal([{
+      process: "side-2",
+      role: "side",
+      version: 3,
+      heardAtMs: 9_800,
+      behindMs: 6_000,
+      overdue: true,
+    }]);
+    expect(body.missingServers).to.deep.equal(["a"]);
+    expect(body.unexpectedServers).to.deep.equal(["c"]);
+  });
+
+  it("lists and explains acts", async () => {
+    expect((await get("/acts")).body).to.have.lengthOf(1);
+    expect((await get("/acts/i1-1")).body).to.deep.include(ACT);
+    expect((await get("/acts/i1-9")).status).to.equal(404);
+  });
+
+  it("explains jobs and tasks, whatever stands in a key", async () => {
+    const job = await get("/jobs/t/k%2F1");
+    expect(job.body).to.include({ key: "k/1", why: "waits for a slot" });
+    const task = await get("/tasks/t/k%2F1/0");
+    expect(task.body).to.include({ index: 0, why: "no slot" });
+    expect((await get("/tasks/t/k%2F1/1")).status).to.equal(404);
+    expect((await get("/jobs/t/none")).status).to.equal(404);
+  });
+
+  it("serves on its own address", async () => {
+    const address = { host: "127.0.0.1", port: 0 };
+    const server = await serveManagement(createApp(), address);
+    const response = await fetch(`http://${server.address}/top`);
+    expect(response.status).to.equal(401);
+    await response.body?.cancel();
+    await server.close();
+  });
+});
+
+describe("the journal of acts", () => {
+  it("keeps the newest within its bound", () => {
+    const journal = createActJournal({ incarnation: "i", limit: 3 });
+    for (let atMs = 0; atMs < 10; atMs++) journal.record({ ...ACT, atMs });
+    expect(journal.list().map((act) => act.atMs)).to.deep.equal([7, 8, 9]);
+  });
+
+  it("marks acts as undone, once", () => {
+    const journal = createActJournal({ incarnation: "i", limit: 3 });
+    const { id } = journal.record(ACT);
+    journal.markUndone(id, 50);
+    journal.markUndone(id, 60);
+    journal.markUndone("gone", 60);
+    expect(journal.find(id)?.undoneAtMs).to.equal(50);
+  });
+
+  it("finds the act that stands", () => {
+    const journal = createActJournal({ incarnation: "i", limit: 9 });
+    const standing = (): Act | undefined =>
+      journal.findStanding("eject", ACT.subject);
+    const first = journal.record(ACT);
+    const second = journal.record(ACT);
+    expect(standing()?.id).to.equal(second.id);
+    journal.markUndone(second.id, 1);
+    expect(standing()?.id).to.equal(first.id);
+    journal.markUndone(first.id, 1);
+    expect(standing()).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/packages/manage/src/journal.ts
@@ -0,0 +1,68 @@
+/**
+ * Keeps records of what an entry did by itself. The oldest are dropped beyond
+ * a bound.
+ */
+import type { Act } from "@coltsfootreach/types";
+
+/** An act as its decider describes it; the journal gives it its identity. */
+export type NewAct = Omit<Act, "id" | "undoneAtMs">;
+
+export interface ActJournal {
+  record(act: NewAct): Act;
+  /** Marks an act as undone; an act that is gone or undone stays as it is. */
+  markUndone(id: string, atMs: number): void;
+  /** From the oldest to the newest. */
+  list(): readonly Act[];
+  find(id: string): Act | undefined;
+  /** The newest act of a kind on a subject that stands. */
+  findStanding(kind: Act["kind"], subject: string): Act | undefined;
+}
+
+export interface JournalOptions {
+  /** Goes into each act's name, so that names differ between entries. */
+  readonly incarnation: string;
+  /** Acts kept. */
+  readonly limit: number;
+}
+
+export function createActJournal(
+  { incarnation, limit }: JournalOptions,
+): ActJournal {
+  /** In the order of their making, as a map keeps its insertion order. */
+  const acts = new Map<string, Act>();
+  let count = 0;
+
+  function record(act: NewAct): Act {
+    count++;
+    const recorded: Act = { id: `${incarnation}-${count}`, ...act };
+    acts.set(recorded.id, recorded);
+    if (acts.size > limit) dropOldest();
+    return recorded;
+  }
+
+  function dropOldest(): void {
+    const [oldest] = acts.keys();
+    if (oldest !== undefined) acts.delete(oldest);
+  }
+
+  function markUndone(id: string, atMs: number): void {
+    const act = acts.get(id);
+    if (act === undefined || act.undoneAtMs !== undefined) return;
+    acts.set(id, { ...act, undoneAtMs: atMs });
+  }
+
+  function findStanding(kind: Act["kind"], subject: string): Act | undefined {
+    return [...acts.values()].findLast((act) =>
+      act.kind === kind && act.subject === subject &&
+      act.undoneAtMs === undefined
+    );
+  }
+
+  return {
+    record,
+    markUndone,
+    findStanding,
+    list: () => [...acts.values()],
+    find: (id) => acts.get(id),
+  };
+}
