--- /dev/null
+++ b/packages/fleet/src/settings_files.ts
@@ -0,0 +1,57 @@
+/** Writes the settings files of a fleet on loopback. */
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { stringify } from "smol-toml";
+
+export interface EntryFile {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly callerPort: number;
+  readonly linkPort: number;
+  readonly managementPort: number;
+  readonly managementToken: string;
+  readonly storeAddress: string;
+}
+
+export interface SideFile {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly rack: string;
+  readonly worker: string;
+  readonly announcementPort: number;
+  readonly entries: readonly string[];
+}
+
+export function writeEntryFile(folder: string, entry: EntryFile): string {
+  const link = `127.0.0.1:${entry.linkPort}`;
+  return write(folder, entry.name, {
+    role: "entry",
+    name: entry.name,
+    data_centre: entry.dataCentre,
+    listen: `127.0.0.1:${entry.callerPort}`,
+    link: { listen: link, advertise: link },
+    store: { endpoints: [entry.storeAddress] },
+    management: {
+      listen: `127.0.0.1:${entry.managementPort}`,
+      token: entry.managementToken,
+    },
+  });
+}
+
+export function writeSideFile(folder: string, side: SideFile): string {
+  return write(folder, side.name, {
+    role: "side",
+    name: side.name,
+    data_centre: side.dataCentre,
+    rack: side.rack,
+    worker: side.worker,
+    announcement: { listen: `127.0.0.1:${side.announcementPort}` },
+    entries: side.entries,
+  });
+}
+
+function write(folder: string, name: string, document: object): string {
+  const file = join(folder, `${name}.toml`);
+  writeFileSync(file, stringify(document));
+  return file;
+}
