--- /dev/null
+++ b/packages/cli/src/cli.ts
@@ -0,0 +1,146 @@
+/**
+ * Parses a command line, runs its command and writes what came of it: a report
+ * to standard output, or one line to standard error.
+ */
+import { err, type Result } from "neverthrow";
+import { type CAC, cac } from "cac";
+import { type InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
+import {
+  type OperatorSettings,
+  readOperatorSettings,
+} from "@coltsfootreach/settings";
+import packageFile from "../package.json" with { type: "json" };
+import { COMMANDS, type Options } from "./commands.ts";
+import type { Context } from "./context.ts";
+import {
+  type CommandError,
+  type CommandResult,
+  EXIT_OK,
+  type ExitCode,
+  exitCodeOf,
+  UsageError,
+} from "./report.ts";
+
+const PROGRAM = "coltsfootreach";
+const SETTINGS_VARIABLE = "COLTSFOOTREACH_SETTINGS";
+const DEFAULT_SETTINGS = "coltsfootreach.toml";
+
+/** The process around the command line. */
+export interface World extends Omit<Context, "settings" | "author"> {
+  readonly env: Readonly<Record<string, string | undefined>>;
+  /** Writes one text with a line break after it. */
+  out(text: string): void;
+  err(text: string): void;
+}
+
+/** `args` are those after the program's name. */
+export async function runCli(
+  args: readonly string[],
+  world: World,
+): Promise<ExitCode> {
+  const parser = createParser();
+  const run = parse(parser, args);
+  if (run === undefined) return EXIT_OK;
+  const json = parser.parser.options.json === true;
+  const result = await run(world);
+  return result.match(
+    (report) => {
+      world.out(json ? JSON.stringify(report.data, null, 2) : report.text);
+      return report.exitCode;
+    },
+    (error) => {
+      world.err(json ? formatErrorJson(error) : formatError(error));
+      return exitCodeOf(error);
+    },
+  );
+}
+
+/** A parsed command line, ready to run. */
+type Run = (world: World) => CommandResult | Promise<CommandResult>;
+
+/** The library calls back with the command that it found. */
+interface Parser {
+  readonly parser: CAC;
+  found(): Run | undefined;
+}
+
+function createParser(): Parser {
+  const parser = cac(PROGRAM);
+  let found: Run | undefined;
+  parser.option("--settings <file>", "Settings of the command line");
+  parser.option("--author <name>", "Who makes the change");
+  parser.option("--json", "Write JSON");
+  for (const command of COMMANDS) {
+    const added = parser.command(command.usage, command.description);
+    for (const option of command.options ?? []) {
+      added.option(option.name, option.description);
+    }
+    added.action((...values: unknown[]) => {
+      const options = values.at(-1) as Options;
+      const args = values.slice(0, -1)
+        .filter((value) => value !== undefined).map(String);
+      found = (world) =>
+        command.run({ context: createContext(world, options), args, options });
+    });
+  }
+  parser.help();
+  parser.version(packageFile.version);
+  return { parser, found: () => found };
+}
+
+/** Undefined after help or version has been shown. */
+function parse(
+  { parser, found }: Parser,
+  args: readonly string[],
+): Run | undefined {
+  try {
+    parser.parse(["node", PROGRAM, ...joinWords(args)], { run: false });
+    if (parser.options.help || parser.options.version) return undefined;
+    parser.runMatchedCommand();
+  } catch (error) {
+    return refuse(error instanceof Error ? error.message : String(error));
+  }
+  return found() ?? refuse(describeUnknown(parser.args));
+}
+
+function refuse(reason: string): Run {
+  return () => err(new UsageError(reason));
+}
+
+function describeUnknown(args: readonly string[]): string {
+  return args.length === 0
+    ? `no command; see ${PROGRAM} --help`
+    : `unknown command "${args.join(" ")}"; see ${PROGRAM} --help`;
+}
+
+/** The library matches one word only, so `config check` becomes one word. */
+function joinWords(args: readonly string[]): readonly string[] {
+  const [first, second, ...rest] = args;
+  if (first !== "config" || second === undefined || second.startsWith("-")) {
+    return args;
+  }
+  return [`${first} ${second}`, ...rest];
+}
+
+function createContext(world: World, options: Options): Context {
+  const { env } = world;
+  const file = options.settings ?? env[SETTINGS_VARIABLE] ?? DEFAULT_SETTINGS;
+  const author = options.author ?? env.USER ?? env.LOGNAME ?? "unknown";
+  return {
+    ...world,
+    settings: (): Result<OperatorSettings, InvalidFile> =>
+      readOperatorSettings(String(file)),
+    author: String(author),
+  };
+}
+
+function formatError(error: CommandError): string {
+  const line = error.message.replaceAll(/\s*\n\s*/g, " ");
+  return error instanceof StoreUnavailable
+    ? `${PROGRAM}: the store gave no answer: ${line}`
+    : `${PROGRAM}: ${line}`;
+}
+
+function formatErrorJson(error: CommandError): string {
+  return JSON.stringify({ error: error.name, reason: error.message });
+}
--- /dev/null
+++ b/packages/cli/src/commands/config_status/run.ts
@@ -0,0 +1,92 @@
+/** Shows which version each process has in force, and who lags. */
+import { err, ok, type Result } from "neverthrow";
+import type { ConfigurationRecord } from "@coltsfootreach/configure";
+import type { StatusReport } from "@coltsfootreach/manage";
+import { describeRecord, withVersions } from "../../configuration.ts";
+import type { Context } from "../../context.ts";
+import { askAll, type EntryAnswers } from "../../management.ts";
+import { type CommandResult, fail, succeed } from "../../report.ts";
+import { formatTable } from "../../text.ts";
+
+export async function run(context: Context): Promise<CommandResult> {
+  const head = await readHeadRecord(context);
+  const asked = await askAll<StatusReport>(context, "/status");
+  if (asked.isErr()) return err(asked.error);
+  const answers = asked.value;
+  const text = [
+    describeHead(head),
+    formatEntries(answers),
+    ...answers.bodies.flatMap(describeTrouble),
+    ...answers.failures.map((failure) => `no answer: ${failure}`),
+  ].join("\n");
+  const data = {
+    store: head.isOk() ? summarize(head.value) : { error: head.error },
+    entries: answers.bodies,
+    failures: answers.failures,
+  };
+  const quiet = answers.failures.length === 0 &&
+    answers.bodies.every(({ laggards }) => laggards.length === 0);
+  return ok(quiet ? succeed(text, data) : fail(text, data));
+}
+
+type HeadRecord = Result<ConfigurationRecord | undefined, string>;
+
+async function readHeadRecord(context: Context): Promise<HeadRecord> {
+  const read = await withVersions(
+    context,
+    async ({ repository }) => await repository.readHead(),
+  );
+  return read.map((head) => head?.record).mapErr((error) => error.message);
+}
+
+function summarize(record: ConfigurationRecord | undefined) {
+  if (record === undefined) return { version: 0 };
+  const { version, author, atMs, note } = record;
+  return { version, author, atMs, note };
+}
+
+function describeHead(head: HeadRecord): string {
+  if (head.isErr()) return `store: ${head.error}`;
+  if (head.value === undefined) return "store: no configuration yet";
+  return `store: ${describeRecord(head.value)}`;
+}
+
+function formatEntries({ bodies }: EntryAnswers<StatusReport>): string {
+  return formatTable([
+    ["ENTRY", "VERSION", "FROM", "SINCE", "PROCESSES", "LAGGARDS", "STORE"],
+    ...bodies.map((status) => [
+      status.entry,
+      status.configuration.version,
+      status.configuration.source,
+      sinceOf(status),
+      status.processes.length,
+      status.laggards.length,
+      status.store.reachable ? "reachable" : "out of reach",
+    ]),
+  ]);
+}
+
+function sinceOf({ configuration, nowMs }: StatusReport): string {
+  const { sinceMs } = configuration;
+  return sinceMs === undefined
+    ? "-"
+    : `${Math.round((nowMs - sinceMs) / 1_000)}s`;
+}
+
+function describeTrouble(status: StatusReport): readonly string[] {
+  const { entry, configuration, laggards } = status;
+  const rejected = configuration.rejected === undefined ? [] : [
+    `${entry} cannot use version ${configuration.rejected.version}: ` +
+    configuration.rejected.reason,
+  ];
+  const behind = laggards.map((laggard) =>
+    `laggard seen by ${entry}: ${laggard.process} has version ` +
+    `${laggard.version}, behind for ${laggard.behindMs} ms` +
+    (laggard.overdue ? ", takes no new work" : "")
+  );
+  const missing = status.missingServers
+    .map((name) => `${entry} misses backend server ${name}`);
+  const unexpected = status.unexpectedServers
+    .map((name) => `${entry} sees ${name}, which is not in the inventory`);
+  return [...rejected, ...behind, ...missing, ...unexpected];
+}
