--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -28,7 +28,7 @@
   readonly kind: "start";
   readonly job: JobId;
   readonly index: number;
-  /** Rises with each send of this task under one table version. */
+  /** Rises with each send of this task by one entry. */
   readonly attempt: number;
   /** Number of tasks in the job. */
   readonly of: number;
@@ -45,6 +45,8 @@
   readonly kind: "revoke";
   readonly job: JobId;
   readonly index: number;
+  /** The attempt that is taken back. */
+  readonly attempt: number;
   /** Also stops the task on the backend server if it runs. */
   readonly stop: boolean;
 }
@@ -94,6 +96,11 @@
 
 export interface EntryFrame {
   readonly entry: string;
+  /**
+   * Rises with each frame from this entry to this side over all their streams.
+   * A side drops a frame that is not newer than the last one it took in.
+   */
+  readonly sequence: number;
   readonly tableVersion: number;
   readonly configurationVersion: number;
   /** The newest of the side's stamps that the entry has seen. */
@@ -134,6 +141,8 @@
   readonly kind: "refused";
   readonly job: JobId;
   readonly index: number;
+  /** The attempt that was refused; later ones may stand. */
+  readonly attempt: number;
   readonly reason: RefusedReason;
 }
 
@@ -146,6 +155,7 @@
   | "noServer"
   | "queueFull"
   | "doesNotFit"
+  | "evidenceFull"
   | "revoked"
   | "connectionRefused"
   | "deadlinePassed";
@@ -154,6 +164,8 @@
 export interface TaskEvidence {
   readonly index: number;
   readonly state: "running" | "finished";
+  /** The attempt that started it; 0 once it has finished. */
+  readonly attempt: number;
   /** Absent while running, or when the result has been dropped. */
   readonly outcome?: TaskOutcome | undefined;
 }
@@ -171,18 +183,25 @@
   readonly jobs: readonly JobEvidence[];
 }
 
-export type SideMessage = Hello | Result | Refused | Evidence;
+/** The side will start nothing any more and leaves. */
+export interface Goodbye {
+  readonly kind: "goodbye";
+}
+
+export type SideMessage = Hello | Result | Refused | Evidence | Goodbye;
 
 export interface SideFrame {
   readonly side: string;
   readonly incarnation: string;
-  /** Rises by one with each frame that carries messages, per entry. */
+  /** Rises with each frame to this entry over all their streams. */
   readonly sequence: number;
   /** The side's own monotonic clock in milliseconds. */
   readonly stampMs: number;
   readonly tableVersion: number;
   readonly configurationVersion: number;
   readonly load: Load;
+  /** How much of the load the receiving entry has started. */
+  readonly held: number;
   readonly messages: readonly SideMessage[];
 }
 
@@ -222,18 +241,17 @@
 /** A job record given to its next owner when an entry drains or one joins. */
 export interface HandOver {
   readonly kind: "handOver";
+  readonly batch: number;
   readonly tableVersion: number;
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
-  /** True on the last message for this table version. */
-  readonly done: boolean;
 }
 
-/** The receiver holds all records handed over for this table version. */
+/** The receiver holds all records of a batch. */
 export interface HandOverTaken {
   readonly kind: "handOverTaken";
-  readonly tableVersion: number;
+  readonly batch: number;
 }
 
 /** Registrations that the sender has declared lost, for good. */
@@ -270,15 +288,25 @@
 /** The state of one task inside a job record. */
 export type TaskState =
   | { readonly kind: "waiting" }
-  | { readonly kind: "sent"; readonly side: string }
+  | {
+    readonly kind: "sent";
+    /** Incarnation of the side. */
+    readonly side: string;
+    readonly attempt: number;
+  }
   | { readonly kind: "ended"; readonly outcome: TaskOutcome };
 
-/** A job record as it travels between entries. */
+/**
+ * A job record as it travels between entries. The job is absent when only
+ * evidence of it is known.
+ */
 export interface RecordSnapshot {
-  readonly job: Job;
-  readonly digest: string;
+  readonly id: JobId;
+  readonly job?: Job | undefined;
   /** Time since the record was made in milliseconds. */
   readonly ageMs: number;
+  /** Time left until the deadline in milliseconds; may be negative. */
+  readonly leftMs: number;
   readonly tasks: readonly TaskState[];
   readonly answer?: Answer | undefined;
 }
