--- a/packages/store/src/failure.ts
+++ b/packages/store/src/failure.ts
@@ -3,6 +3,7 @@
  * Anything that is not known to precede the effect counts as `mayHaveRun`.
  */
 import type { Verdict } from "@coltsfootreach/types";
+import type { z } from "zod";
 import { errorAnswer } from "./wire.ts";
 
 export interface Failure {
@@ -10,11 +11,12 @@
   readonly reason: string;
   /** The service itself turned the request down; asking again is no use. */
   readonly rejected: boolean;
-  /** The gRPC status code, when the service sent one. */
+  /** The gRPC status code, when the service has answered. */
   readonly code?: number | undefined;
 }
 
 export const NOT_FOUND = 5;
+const UNKNOWN = 2;
 const INVALID_ARGUMENT = 3;
 const PERMISSION_DENIED = 7;
 const RESOURCE_EXHAUSTED = 8;
@@ -23,6 +25,9 @@
 const UNIMPLEMENTED = 12;
 const UNAUTHENTICATED = 16;
 
+/** How the service's own errors begin; others come from what is in between. */
+const OWN_ERROR = "etcdserver: ";
+
 /** Status codes with which the service refuses before any effect. */
 const REFUSALS: readonly number[] = [
   NOT_FOUND,
@@ -49,8 +54,8 @@
 
 /** An answer of the service other than success. */
 export function errorStatus(status: number, text: string): Failure {
-  const code = statusCode(text);
-  const rejected = code !== undefined && REFUSALS.includes(code);
+  const { code, message } = parseError(text);
+  const rejected = REFUSALS.includes(code) && message.startsWith(OWN_ERROR);
   const verdict = rejected ? "notRun" : "mayHaveRun";
   return { verdict, reason: `HTTP ${status}: ${text}`, rejected, code };
 }
@@ -69,10 +74,10 @@
   return cause instanceof Error ? cause.message : String(cause);
 }
 
-function statusCode(text: string): number | undefined {
+function parseError(text: string): z.infer<typeof errorAnswer> {
   try {
-    return errorAnswer.safeParse(JSON.parse(text)).data?.code;
+    return errorAnswer.parse(JSON.parse(text));
   } catch {
-    return undefined;
+    return { code: UNKNOWN, message: text };
   }
 }
