--- /dev/null
+++ b/packages/demo/src/check.ts
@@ -0,0 +1,74 @@
+/** Holds what came back, and what the backend servers saw, to the promises. */
+import type { Returned } from "./caller.ts";
+
+export interface Faults {
+  readonly doubleStarts: number;
+  readonly jobsWithoutEnd: number;
+  readonly falseNotRun: number;
+  readonly wrongAnswers: number;
+  /** Tasks that are said to have run and that no backend server saw. */
+  readonly falseRan: number;
+}
+
+interface StartLog {
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/** Starts of each task by its id, over all backend servers. */
+export type Starts = ReadonlyMap<string, number>;
+
+export async function readStarts(
+  backendOrigins: readonly string[],
+): Promise<Starts> {
+  const starts = new Map<string, number>();
+  for (const origin of backendOrigins) {
+    const response = await fetch(`${origin}/standin/starts`);
+    const { counts } = await response.json() as StartLog;
+    for (const [id, count] of Object.entries(counts)) {
+      starts.set(id, (starts.get(id) ?? 0) + count);
+    }
+  }
+  return starts;
+}
+
+export function findFaults(
+  returned: readonly Returned[],
+  starts: Starts,
+): Faults {
+  let jobsWithoutEnd = 0;
+  let falseNotRun = 0;
+  let wrongAnswers = 0;
+  let falseRan = 0;
+  for (const one of returned) {
+    if (one.kind !== "answer") {
+      jobsWithoutEnd += 1;
+      continue;
+    }
+    if (!isOwnAnswer(one)) wrongAnswers += 1;
+    for (const outcome of one.answer.outcomes) {
+      const id = `${one.job.tenant}\n${one.job.key}\n${outcome.index}`;
+      if (outcome.verdict === "notRun" && starts.has(id)) falseNotRun += 1;
+      if (outcome.verdict === "ran" && !starts.has(id)) falseRan += 1;
+    }
+  }
+  const doubles = [...starts.values()].filter((count) => count > 1);
+  return {
+    doubleStarts: doubles.length,
+    jobsWithoutEnd,
+    falseNotRun,
+    wrongAnswers,
+    falseRan,
+  };
+}
+
+/** Each outcome must be the echo of its own task, in order. */
+function isOwnAnswer(one: Extract<Returned, { kind: "answer" }>): boolean {
+  const { answer, job } = one;
+  if (answer.key !== job.key) return false;
+  if (answer.outcomes.length !== job.tasks.length) return false;
+  return answer.outcomes.every((outcome, index) => {
+    if (outcome.index !== index) return false;
+    if (outcome.state === "failed") return true;
+    return outcome.body === JSON.parse(job.tasks[index]!.body).echo;
+  });
+}
