--- /dev/null
+++ b/packages/coordinate/src/context.ts
@@ -0,0 +1,88 @@
+/**
+ * What the parts of an entry's core share: its state and the messages that it
+ * is about to send.
+ */
+import { createRecords, type Records } from "@coltsfootreach/admit";
+import { createSettlement, type Settlement } from "@coltsfootreach/takeover";
+import type {
+  EntryMessage,
+  PeerMessage,
+  Refusal,
+  Reply,
+} from "@coltsfootreach/types";
+import type { EntryEffect, EntryOptions } from "./effect.ts";
+import { createOutgoing, type Outgoing } from "./outgoing.ts";
+import { createWaiters, type Origin, type Waiters } from "./requests.ts";
+import { createSides, type Sides } from "./sides.ts";
+
+export interface EntryContext {
+  /** Incarnation of this entry. */
+  readonly me: string;
+  readonly options: EntryOptions;
+  readonly records: Records;
+  readonly sides: Sides;
+  readonly settlement: Settlement;
+  readonly waiters: Waiters;
+  readonly outgoing: Outgoing;
+  readonly connectedPeers: Set<string>;
+  toSide(side: string, message: EntryMessage, lazy?: boolean): void;
+  toPeer(entry: string, message: PeerMessage): void;
+  reply(origin: Origin, answer: Reply): void;
+  refuse(origin: Origin, refusal: Refusal): void;
+  emit(effect: EntryEffect): void;
+  /** Takes out the messages to send. */
+  flush(): readonly EntryEffect[];
+}
+
+export function createEntryContext(options: EntryOptions): EntryContext {
+  const me = options.member.incarnation;
+  let effects: EntryEffect[] = [];
+
+  function flush(): readonly EntryEffect[] {
+    const out = effects;
+    effects = [];
+    return out;
+  }
+
+  function toSide(side: string, message: EntryMessage, lazy = false): void {
+    effects.push({ kind: "toSide", side, message, lazy });
+  }
+
+  function toPeer(entry: string, message: PeerMessage): void {
+    effects.push({ kind: "toPeer", entry, message });
+  }
+
+  function reply(origin: Origin, answer: Reply): void {
+    const { request } = origin;
+    if (origin.kind === "local") {
+      effects.push({ kind: "reply", request, reply: answer });
+    } else {
+      toPeer(origin.entry, { kind: "reply", request, reply: answer });
+    }
+  }
+
+  function refuse(origin: Origin, refusal: Refusal): void {
+    reply(origin, { kind: "refused", refusal });
+  }
+
+  return {
+    me,
+    options,
+    records: createRecords(options.records),
+    sides: createSides(),
+    settlement: createSettlement({
+      me,
+      freshnessMs: options.freshnessMs,
+      windowMs: options.records.windowMs,
+    }),
+    waiters: createWaiters(),
+    outgoing: createOutgoing(),
+    connectedPeers: new Set(),
+    toSide,
+    toPeer,
+    reply,
+    refuse,
+    emit: (effect) => effects.push(effect),
+    flush,
+  };
+}
--- /dev/null
+++ b/packages/coordinate/src/table_desk.ts
@@ -0,0 +1,242 @@
+/**
+ * The table of entries as this entry follows it, and the records that change
+ * hands with it.
+ */
+import type { JobRecord } from "@coltsfootreach/admit";
+import { ownerOf } from "@coltsfootreach/ownership";
+import {
+  type HandOver,
+  jobId,
+  type PeerFrame,
+  type PeerMessage,
+  type RecordSnapshot,
+  type Table,
+} from "@coltsfootreach/types";
+import type { EntryContext } from "./context.ts";
+import type { RequestDesk } from "./request_desk.ts";
+import type { Ask, Origin } from "./requests.ts";
+import type { SideDesk } from "./side_desk.ts";
+import type { TaskDesk } from "./task_desk.ts";
+
+export interface TableDesk {
+  adopt(table: Table, nowMs: number): void;
+  peerUp(entry: string, nowMs: number): void;
+  takePeerFrame(frame: PeerFrame, nowMs: number): void;
+  /** Tells every entry what it has not been told. */
+  updateAll(): void;
+}
+
+export interface Desks {
+  readonly requests: RequestDesk;
+  readonly sides: SideDesk;
+  readonly tasks: TaskDesk;
+}
+
+export function createTableDesk(
+  context: EntryContext,
+  desks: Desks,
+): TableDesk {
+  const { me, options, records, sides, settlement, waiters } = context;
+  const { outgoing, connectedPeers, toPeer } = context;
+  const { requests, tasks } = desks;
+  const { queue } = options;
+  /** Table version that was pushed on the current stream to an entry. */
+  const pushedTable = new Map<string, number>();
+  /** Table version for which all records were handed over, by entry. */
+  const handedOver = new Map<string, number>();
+  let wasMember = false;
+
+  function adopt(table: Table, nowMs: number): void {
+    if (table.version <= settlement.table().version) return;
+    const isMember = table.members.some((member) => member.incarnation === me);
+    if (!isMember) {
+      if (wasMember) context.emit({ kind: "removed" });
+      return;
+    }
+    wasMember = true;
+    noteRemovals(table);
+    settlement.adopt(table, nowMs);
+    takeBackOutgoing(nowMs);
+    releaseMoved(nowMs);
+    desks.sides.updateAll();
+    for (const entry of connectedPeers) updatePeer(entry, 0);
+    requests.routeHeld();
+    requests.resendForwards(nowMs);
+  }
+
+  function noteRemovals(table: Table): void {
+    const present = new Set(table.members.map((one) => one.incarnation));
+    for (const member of settlement.table().members) {
+      if (present.has(member.incarnation)) continue;
+      waiters.dropPeer(member.incarnation);
+      requests.unsendTo(member.incarnation);
+    }
+  }
+
+  /** Records for an owner that went before it took them come back. */
+  function takeBackOutgoing(nowMs: number): void {
+    const members = settlement.table().members;
+    const present = new Set(members.map((member) => member.incarnation));
+    for (const snapshot of outgoing.takeBack(present)) {
+      takeRecord(snapshot, nowMs);
+    }
+  }
+
+  /** Gives up the records that now belong to another entry. */
+  function releaseMoved(nowMs: number): void {
+    const moved: JobRecord[] = [];
+    for (const record of records.all()) {
+      const owner = ownerOf(settlement.table(), record.id);
+      if (owner !== undefined && owner.incarnation !== me) moved.push(record);
+    }
+    for (const record of moved) releaseRecord(record, nowMs);
+  }
+
+  function releaseRecord(record: JobRecord, nowMs: number): void {
+    queue.removeJob(record.id);
+    for (const task of record.tasks) {
+      if (task.kind === "sent") tasks.release(task.side);
+    }
+    const snapshot = records.release(record.id, nowMs)!;
+    sendRecord(snapshot);
+    for (const origin of waiters.take(record.id)) {
+      if (origin.kind === "peer") {
+        const { entry, request } = origin;
+        toPeer(entry, { kind: "notOwner", request });
+        continue;
+      }
+      const ask: Ask = snapshot.job === undefined
+        ? { kind: "read" }
+        : { kind: "submit", job: snapshot.job };
+      const receivedAtMs = record.madeAtMs;
+      requests.forward(
+        { origin, job: record.id, ask, receivedAtMs },
+        undefined,
+      );
+    }
+  }
+
+  function sendRecord(snapshot: RecordSnapshot): void {
+    const owner = ownerOf(settlement.table(), snapshot.id)?.incarnation;
+    if (owner !== undefined) outgoing.add(owner, snapshot);
+  }
+
+  function takeRecord(snapshot: RecordSnapshot, nowMs: number): void {
+    if (ownerOf(settlement.table(), snapshot.id)?.incarnation !== me) {
+      sendRecord(snapshot);
+      return;
+    }
+    const known = records.find(snapshot.id);
+    const isRepeated = known?.job !== undefined;
+    const hadAnswer = known?.answer !== undefined;
+    const record = records.take(snapshot, nowMs);
+    if (record.answer !== undefined) {
+      if (!hadAnswer) tasks.settle(record, record.answer);
+      return;
+    }
+    if (isRepeated) return;
+    const leftMs = record.deadlineAtMs - nowMs;
+    record.tasks.forEach((task, index) => {
+      if (task.kind !== "sent" || record.job === undefined) return;
+      // Tells the side who gets the result, and starts what never arrived.
+      if (sides.find(task.side)?.connected) {
+        tasks.send(record, index, { side: task.side, leftMs });
+      }
+    });
+    tasks.enqueue(record, nowMs);
+  }
+
+  function updatePeer(entry: string, follows: number): void {
+    const table = settlement.table();
+    const pushed = pushedTable.get(entry) ?? 0;
+    if (Math.max(follows, pushed) < table.version) {
+      pushedTable.set(entry, table.version);
+      toPeer(entry, { kind: "table", table });
+    }
+    const version = settlement.handOverVersion();
+    const batch = outgoing.nextBatch(entry);
+    if (handedOver.get(entry) === version && batch.records.length === 0) return;
+    handedOver.set(entry, version);
+    toPeer(entry, {
+      kind: "handOver",
+      batch: batch.number,
+      tableVersion: version,
+      records: batch.records,
+      sides: settlement.registry.registrations(),
+    });
+  }
+
+  function takeHandOver(
+    entry: string,
+    message: HandOver,
+    nowMs: number,
+  ): void {
+    for (const side of message.sides) settlement.registry.hearOf(side);
+    for (const snapshot of message.records) takeRecord(snapshot, nowMs);
+    settlement.handedOver(entry, message.tableVersion);
+    toPeer(entry, { kind: "handOverTaken", batch: message.batch });
+  }
+
+  function handlePeer(
+    entry: string,
+    message: PeerMessage,
+    nowMs: number,
+  ): void {
+    const receivedAtMs = nowMs;
+    switch (message.kind) {
+      case "submit":
+      case "read":
+      case "cancel": {
+        const { request } = message;
+        const origin: Origin = { kind: "peer", entry, request };
+        const ask: Ask = message.kind === "submit"
+          ? { kind: "submit", job: message.job }
+          : { kind: message.kind };
+        const job = message.kind === "submit"
+          ? jobId(message.job)
+          : message.job;
+        return requests.route({ origin, job, ask, receivedAtMs });
+      }
+      case "reply":
+        return requests.answered(message.request, message.reply);
+      case "notOwner":
+        return requests.notOwner(entry, message.request);
+      case "handOver":
+        return takeHandOver(entry, message, nowMs);
+      case "handOverTaken":
+        return outgoing.taken(entry, message.batch);
+      case "sidesLost":
+        for (const side of message.sides) {
+          settlement.registry.lost(side, entry);
+        }
+        return settlement.registry.forgetLost(settlement.table());
+      case "table":
+        return adopt(message.table, nowMs);
+      case "configuration":
+        return;
+    }
+  }
+
+  return {
+    adopt,
+    peerUp(entry, nowMs) {
+      connectedPeers.add(entry);
+      pushedTable.delete(entry);
+      handedOver.delete(entry);
+      outgoing.repeat(entry);
+      requests.unsendTo(entry);
+      updatePeer(entry, 0);
+      requests.resendForwards(nowMs);
+    },
+    takePeerFrame(frame, nowMs) {
+      const { entry, tableVersion } = frame;
+      for (const message of frame.messages) handlePeer(entry, message, nowMs);
+      settlement.follows(entry, tableVersion);
+      updatePeer(entry, tableVersion);
+    },
+    updateAll() {
+      const { version } = settlement.table();
+      for (const entry of connectedPeers) updatePeer(entry, version);
+    },
+  };
+}
--- /dev/null
+++ b/packages/coordinate/src/task_desk.ts
@@ -0,0 +1,312 @@
+/**
+ * The tasks of the jobs that an entry owns: queued, placed on sides, and ended
+ * by their results or refusals.
+ */
+import type { JobRecord } from "@coltsfootreach/admit";
+import type { Waiting } from "@coltsfootreach/limit";
+import { ownerOf } from "@coltsfootreach/ownership";
+import type {
+  Answer,
+  Evidence,
+  Refused,
+  Result,
+  Start,
+} from "@coltsfootreach/types";
+import type { EntryContext } from "./context.ts";
+import type { SideState } from "./sides.ts";
+
+export interface TaskDesk {
+  /** Puts the waiting tasks of a record in the queue. */
+  enqueue(record: JobRecord, nowMs: number): void;
+  /** Places what waits. */
+  placeWaiting(nowMs: number): void;
+  /** Sends one task to a side, again if it was sent there before. */
+  send(record: JobRecord, index: number, to: SendTo): void;
+  /** Takes a running or queued job back from the sides. */
+  revokeSent(record: JobRecord): void;
+  /** Tells everyone who waits for a job that it has ended. */
+  settle(record: JobRecord, answer: Answer): void;
+  /** A task sent to this side is no longer counted there. */
+  release(side: string): void;
+  takeResult(side: SideState, message: Result, nowMs: number): void;
+  takeRefusal(side: SideState, message: Refused, nowMs: number): void;
+  takeEvidence(side: SideState, message: Evidence, nowMs: number): void;
+  /** Counts anew the tasks that are with a side. */
+  recountOutstanding(side: SideState): void;
+  /** Repeats the starts whose fate the last stream left open. */
+  resendStarts(side: SideState, nowMs: number): void;
+  /** Ends the tasks of a side whose word will never come. */
+  endTasksOn(side: SideState, nowMs: number): void;
+  /** Ends what has waited or run for too long. */
+  expire(nowMs: number): void;
+}
+
+export interface SendTo {
+  readonly side: string;
+  /** Time left until the deadline in milliseconds. */
+  readonly leftMs: number;
+}
+
+export function createTaskDesk(context: EntryContext): TaskDesk {
+  const { me, options, records, sides, settlement, waiters } = context;
+  const { toSide, reply } = context;
+  const { queue, policy } = options;
+  let attempts = 0;
+
+  function enqueue(record: JobRecord, nowMs: number): void {
+    const { job } = record;
+    if (job === undefined) return;
+    if (record.hasGaps) {
+      const reason = "a side that is gone may have run this task";
+      const answer = records.endWaiting(record, reason, nowMs);
+      if (answer !== undefined) settle(record, answer);
+      return;
+    }
+    const waiting: Waiting[] = [];
+    record.tasks.forEach((task, index) => {
+      if (task.kind === "waiting") waiting.push(waitingOf(record, index));
+    });
+    queue.push(waiting);
+  }
+
+  function waitingOf(record: JobRecord, index: number): Waiting {
+    const job = record.job!;
+    return {
+      job: record.id,
+      index,
+      tenant: job.tenant,
+      class: job.class,
+      deadlineAtMs: record.deadlineAtMs,
+      declaredMs: job.tasks[index]!.declaredMs,
+    };
+  }
+
+  function place(waiting: Waiting, nowMs: number): boolean {
+    const record = records.find(waiting.job);
+    const task = record?.job?.tasks[waiting.index];
+    const state = record?.tasks[waiting.index];
+    if (record === undefined || task === undefined) return true;
+    if (state?.kind !== "waiting") return true;
+    const job = record.job!;
+    const leftMs = record.deadlineAtMs - nowMs;
+    const need = {
+      class: job.class,
+      size: task.size,
+      tableVersion: settlement.table().version,
+    };
+    const placing = {
+      ...need,
+      tenant: job.tenant,
+      declaredMs: task.declaredMs,
+      unplaced: record.open,
+      leftMs,
+    };
+    const candidates = sides.candidates(need, nowMs);
+    const side = policy.choose(placing, candidates, nowMs);
+    if (side === undefined) return false;
+    send(record, waiting.index, { side, leftMs });
+    return true;
+  }
+
+  function send(
+    record: JobRecord,
+    index: number,
+    to: { side: string; leftMs: number },
+  ): void {
+    const task = record.job!.tasks[index]!;
+    attempts += 1;
+    records.sent(record, index, { side: to.side, attempt: attempts });
+    sides.find(to.side)!.outstanding += 1;
+    toSide(
+      to.side,
+      {
+        kind: "start",
+        job: record.id,
+        index,
+        attempt: attempts,
+        of: record.tasks.length,
+        class: record.job!.class,
+        body: task.body,
+        size: task.size,
+        declaredMs: task.declaredMs,
+        leftMs: to.leftMs,
+      } satisfies Start,
+    );
+  }
+
+  function revokeSent(record: JobRecord): void {
+    record.tasks.forEach((task, index) => {
+      if (task.kind !== "sent") return;
+      const { side, attempt } = task;
+      const job = record.id;
+      toSide(side, { kind: "revoke", job, index, attempt, stop: true });
+    });
+  }
+
+  function settle(record: JobRecord, answer: Answer): void {
+    for (const origin of waiters.take(record.id)) {
+      reply(origin, { kind: "answered", answer });
+    }
+    for (const side of record.sides) {
+      toSide(side, { kind: "closeJob", job: record.id }, true);
+    }
+  }
+
+  function takeResult(side: SideState, message: Result, nowMs: number): void {
+    const record = records.find(message.job);
+    if (record === undefined) return;
+    const { outcome } = message;
+    const state = record.tasks[outcome.index];
+    if (state?.kind !== "sent") return;
+    release(state.side);
+    policy.observe({
+      side: side.identity.incarnation,
+      class: record.job?.class ?? "",
+      declaredMs: record.job?.tasks[outcome.index]?.declaredMs ?? 0,
+      runMs: outcome.runMs,
+      failed: outcome.state === "failed",
+    }, nowMs);
+    const answer = records.end(record, outcome, nowMs);
+    if (answer !== undefined) settle(record, answer);
+  }
+
+  function release(side: string): void {
+    const state = sides.find(side);
+    if (state !== undefined && state.outstanding > 0) state.outstanding -= 1;
+  }
+
+  function takeRefusal(side: SideState, message: Refused, nowMs: number): void {
+    const record = records.find(message.job);
+    if (record === undefined) return;
+    const { index, attempt, reason } = message;
+    if (!records.refused(record, index, attempt)) return;
+    release(side.identity.incarnation);
+    sides.refused(side, reason, nowMs);
+    const isOver = reason === "revoked" || reason === "deadlinePassed" ||
+      record.deadlineAtMs <= nowMs;
+    if (!isOver && record.job !== undefined) {
+      queue.putBack(waitingOf(record, index));
+      return;
+    }
+    const why = reason === "revoked"
+      ? "cancelled"
+      : "the deadline passed before a slot was free";
+    const answer = records.end(
+      record,
+      { index, state: "failed", verdict: "notRun", reason: why },
+      nowMs,
+    );
+    if (answer !== undefined) settle(record, answer);
+  }
+
+  function takeEvidence(
+    side: SideState,
+    message: Evidence,
+    nowMs: number,
+  ): void {
+    const incarnation = side.identity.incarnation;
+    settlement.registry.evidence(incarnation, message.tableVersion);
+    for (const evidence of message.jobs) {
+      if (ownerOf(settlement.table(), evidence.job)?.incarnation !== me) {
+        continue;
+      }
+      const before = records.find(evidence.job)?.answer;
+      const record = records.learn(evidence, incarnation, nowMs);
+      recountOutstanding(side);
+      if (before === undefined && record.answer !== undefined) {
+        settle(record, record.answer);
+      }
+    }
+  }
+
+  function recountOutstanding(side: SideState): void {
+    const incarnation = side.identity.incarnation;
+    let outstanding = 0;
+    for (const record of records.open()) {
+      for (const task of record.tasks) {
+        const isHere = task.kind === "sent" && task.side === incarnation;
+        if (isHere) outstanding += 1;
+      }
+    }
+    side.outstanding = outstanding;
+  }
+
+  /** Repeats the starts whose fate the last stream left open. */
+  function resendStarts(side: SideState, nowMs: number): void {
+    const incarnation = side.identity.incarnation;
+    for (const record of records.open()) {
+      if (record.job === undefined) continue;
+      const leftMs = record.deadlineAtMs - nowMs;
+      record.tasks.forEach((task, index) => {
+        if (task.kind !== "sent" || task.side !== incarnation) return;
+        side.outstanding -= 1;
+        send(record, index, { side: incarnation, leftMs });
+      });
+    }
+    recountOutstanding(side);
+  }
+
+  /** Ends the tasks of a side whose word will never come. */
+  function endTasksOn(side: SideState, nowMs: number): void {
+    const incarnation = side.identity.incarnation;
+    for (const record of [...records.open()]) {
+      record.tasks.forEach((task, index) => {
+        if (task.kind !== "sent" || task.side !== incarnation) return;
+        const answer = records.end(record, {
+          index,
+          state: "failed",
+          verdict: "mayHaveRun",
+          reason: "the side that was sent this task is gone",
+          server: side.announcement?.server,
+        }, nowMs);
+        if (answer !== undefined) settle(record, answer);
+      });
+    }
+  }
+
+  function expire(nowMs: number): void {
+    for (const { record, kind } of records.expire(nowMs)) {
+      if (kind === "overdue") {
+        endOverdue(record, nowMs);
+        continue;
+      }
+      queue.removeJob(record.id);
+      const reason = kind === "deadline"
+        ? "the deadline passed before a slot was free"
+        : "its entry was lost and nobody resubmitted the job";
+      const answer = records.endWaiting(record, reason, nowMs);
+      if (answer !== undefined) settle(record, answer);
+    }
+  }
+
+  function endOverdue(record: JobRecord, nowMs: number): void {
+    record.tasks.forEach((task, index) => {
+      if (task.kind === "ended") return;
+      const answer = records.end(record, {
+        index,
+        state: "failed",
+        verdict: "mayHaveRun",
+        reason: "no word of this task came long after the deadline",
+      }, nowMs);
+      if (answer !== undefined) settle(record, answer);
+    });
+  }
+
+  return {
+    enqueue,
+    placeWaiting(nowMs) {
+      queue.drain((waiting) => place(waiting, nowMs), nowMs);
+    },
+    send,
+    revokeSent,
+    settle,
+    release,
+    takeResult,
+    takeRefusal,
+    takeEvidence,
+    recountOutstanding,
+    resendStarts,
+    endTasksOn,
+    expire,
+  };
+}
