Feed configuration from the one watch that an entry holds

History and parts move to a prefix of their own, out of sight of that watch. The test of the bounded history no longer depends on the order of the keys.

--- a/packages/cli/src/commands/config_plan/run.ts
+++ b/packages/cli/src/commands/config_plan/run.ts
@@ -27,8 +27,8 @@
   const running = await readRunning(context);
   const planned = await withVersions(
     context,
-    async ({ readCurrent }): Promise<Result<Plan, CommandError>> =>
-      (await readCurrent()).map((current) =>
+    async ({ repository }): Promise<Result<Plan, CommandError>> =>
+      (await repository.readCurrent()).map((current) =>
         planChange(estateOf(current), next.value, running.running)
       ),
   );
--- a/packages/cli/src/commands/config_show/run.ts
+++ b/packages/cli/src/commands/config_show/run.ts
@@ -27,11 +27,11 @@
 
 /** Reads a kept version, or the one in force. */
 export async function readVersion(
-  { repository, readCurrent }: Versions,
+  { repository }: Versions,
   version: number | undefined,
 ): Promise<Result<Configuration, CommandError>> {
   if (version === undefined) {
-    const current = await readCurrent();
+    const current = await repository.readCurrent();
     return current.andThen((found) =>
       found === undefined
         ? err(new CommandFailed("there is no configuration yet"))
--- a/packages/cli/src/configuration.ts
+++ b/packages/cli/src/configuration.ts
@@ -1,5 +1,5 @@
 /** What the configuration commands share. */
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import {
   applyChange,
   type ConfigurationRecord,
@@ -20,8 +20,6 @@
 /** The store of one fleet, opened for one command. */
 export interface Versions {
   readonly repository: ConfigurationRepository;
-  /** The version in force; undefined before the first. */
-  readCurrent(): Promise<Result<Configuration | undefined, ReadFault>>;
   apply(edit: Edit): Promise<Result<Outcome, ReadFault>>;
 }
 
@@ -48,7 +46,6 @@
   try {
     return await use({
       repository,
-      readCurrent: () => readCurrent(repository),
       apply: (edit) =>
         applyChange({ store, keys, check: parseEstate }, {
           ...edit,
@@ -62,15 +59,6 @@
   }
 }
 
-async function readCurrent(
-  repository: ConfigurationRepository,
-): Promise<Result<Configuration | undefined, ReadFault>> {
-  const head = await repository.readHead();
-  if (head.isErr()) return err(head.error);
-  if (head.value === undefined) return ok(undefined);
-  return await repository.readText(head.value.record);
-}
-
 /** The estate of a configuration; an absent one has none. */
 export function estateOf(
   configuration: Configuration | undefined,
--- a/packages/configure/src/apply_test.ts
+++ b/packages/configure/src/apply_test.ts
@@ -251,8 +251,7 @@
     for (let version = 0; version < 8; version++) {
       await apply(fake, change(`text ${version}`, version), 3);
     }
-    const keys = [...fake.values.keys()].sort();
-    expect(keys).to.deep.equal(
+    expect([...fake.values.keys()]).to.have.members(
       [KEYS.head, KEYS.history(5), KEYS.history(6), KEYS.history(7)],
     );
   });
--- /dev/null
+++ b/packages/configure/src/feed.ts
@@ -0,0 +1,76 @@
+/**
+ * Turns what an entry learns of the head key into configuration versions. The
+ * entry's one watch offers changes; a refresh reads the key, for when a watch
+ * may be silent or another process is ahead. Failed reads are tried again.
+ */
+import type { Store, Versioned } from "@coltsfootreach/store";
+import type { Configuration } from "@coltsfootreach/types";
+import type { ConfigurationSource } from "./holder.ts";
+import type { ConfigurationKeys } from "./keys.ts";
+import { createConfigurationRepository, type ReadFault } from "./repository.ts";
+
+export interface FeedOptions {
+  readonly store: Store;
+  readonly keys: ConfigurationKeys;
+  /** Pause before a failed read is tried again, in milliseconds. */
+  readonly retryMs: number;
+  /** Called with versions in any order; a holder passes over older ones. */
+  learned(configuration: Configuration, source: ConfigurationSource): void;
+  failed(fault: ReadFault): void;
+}
+
+export interface ConfigurationFeed {
+  /** Takes a value of the head key, as a watch or a listing shows it. */
+  offer(found: Versioned): void;
+  /** Reads the head key; one read at a time. */
+  refresh(): void;
+  close(): void;
+}
+
+export function createConfigurationFeed(
+  options: FeedOptions,
+): ConfigurationFeed {
+  const { learned, failed, retryMs } = options;
+  const repository = createConfigurationRepository(options);
+  let timer: ReturnType<typeof setTimeout> | undefined;
+  let isReading = false;
+  let isClosed = false;
+
+  async function resolve(found: Versioned): Promise<void> {
+    const resolved = await repository.resolve(found);
+    resolved.match((configuration) => tell(configuration, "watch"), retry);
+  }
+
+  async function read(): Promise<void> {
+    if (isReading || isClosed) return;
+    isReading = true;
+    const current = await repository.readCurrent();
+    isReading = false;
+    current.match((configuration) => {
+      if (configuration !== undefined) tell(configuration, "read");
+    }, retry);
+  }
+
+  function tell(
+    configuration: Configuration,
+    source: ConfigurationSource,
+  ): void {
+    if (!isClosed) learned(configuration, source);
+  }
+
+  function retry(fault: ReadFault): void {
+    if (isClosed) return;
+    failed(fault);
+    clearTimeout(timer);
+    timer = setTimeout(() => void read(), retryMs);
+  }
+
+  return {
+    offer: (found) => void resolve(found),
+    refresh: () => void read(),
+    close() {
+      isClosed = true;
+      clearTimeout(timer);
+    },
+  };
+}
--- a/packages/configure/src/keys.ts
+++ b/packages/configure/src/keys.ts
@@ -1,12 +1,15 @@
 /**
  * Where configuration lives in the key-value service:
  *
- * - `configuration/head` is the version in force, changed by compare-and-swap
- *   only, and the one key that entries watch;
- * - `configuration/history/0000000042` is an earlier head, written before the
- *   head moves past it;
- * - `configuration/parts/TOKEN/3` is a piece of a long text, written before
+ * - `PREFIX/configuration` is the version in force, changed by
+ *   compare-and-swap only;
+ * - `PREFIX-archive/history/0000000042` is an earlier version, written before
+ *   the head moves past it;
+ * - `PREFIX-archive/parts/TOKEN/3` is a piece of a long text, written before
  *   the head that refers to it.
+ *
+ * The archive has a prefix of its own, so that the one watch that an entry
+ * holds on the fleet's prefix reports the head and never the long texts.
  */
 
 export interface ConfigurationKeys {
@@ -20,16 +23,15 @@
 /** Wide enough that keys sort by version. */
 const VERSION_DIGITS = 10;
 
-export function createConfigurationKeys(
-  prefix: string = "",
-): ConfigurationKeys {
-  const root = `${prefix}configuration/`;
-  const histories = `${root}history/`;
+/** `prefix` is that of the fleet's keys, such as "coltsfootreach/". */
+export function createConfigurationKeys(prefix: string): ConfigurationKeys {
+  const archive = `${prefix.replace(/\/$/, "")}-archive/`;
+  const histories = `${archive}history/`;
   return {
-    head: `${root}head`,
+    head: `${prefix}configuration`,
     histories,
     history: (version) =>
       `${histories}${String(version).padStart(VERSION_DIGITS, "0")}`,
-    part: (token, position) => `${root}parts/${token}/${position}`,
+    part: (token, position) => `${archive}parts/${token}/${position}`,
   };
 }
--- a/packages/configure/src/repository.ts
+++ b/packages/configure/src/repository.ts
@@ -30,6 +30,8 @@
 export interface ConfigurationRepository {
   /** The version in force; undefined before the first. */
   readHead(): ResultAsync<Head | undefined, ReadFault>;
+  /** The configuration in force; undefined before the first. */
+  readCurrent(): ResultAsync<Configuration | undefined, ReadFault>;
   /** The record of any kept version; undefined when it is not kept. */
   readVersion(
     version: number,
@@ -61,6 +63,12 @@
     );
   }
 
+  function readCurrent(): ResultAsync<Configuration | undefined, ReadFault> {
+    return readHead().andThen<Configuration | undefined, ReadFault>((head) =>
+      head === undefined ? okAsync(undefined) : readText(head.record)
+    );
+  }
+
   function readOwnedHead(owned: Owned): Result<Head, InvalidFile> {
     return parseRecord(keys.head, owned.body)
       .map((record) => ({ record, revision: owned.revision }));
@@ -144,6 +152,7 @@
 
   return {
     readHead,
+    readCurrent,
     readVersion,
     readHistory,
     readText,
--- a/packages/manage/src/app_test.ts
+++ b/packages/manage/src/app_test.ts
@@ -17,7 +17,7 @@
     { process: "side-1", role: "side", version: 5, heardAtMs: 9_900 },
     { process: "side-2", role: "side", version: 3, heardAtMs: 9_800 },
   ],
-  table: { version: 1, members: [] },
+  table: { version: 1, members: [], removals: [] },
   store: { reachable: true, sinceMs: 0 },
   expectedServers: ["a", "b"],
   presentServers: ["b", "c"],
