--- a/packages/cli/src/commands/config_apply/run.ts
+++ b/packages/cli/src/commands/config_apply/run.ts
@@ -1,5 +1,6 @@
 /** Makes a file the next configuration version. */
 import { err, ok, type Result } from "neverthrow";
+import { digestOf } from "@coltsfootreach/configure";
 import { readBaseVersion, removeBaseVersion } from "@coltsfootreach/inventory";
 import { readText } from "@coltsfootreach/settings";
 import {
@@ -45,10 +46,14 @@
   args: ApplyArguments,
   text: string,
 ): Promise<Result<Report, CommandError>> {
-  const base = await findBase(versions, args, text);
+  const bare = removeBaseVersion(text);
+  const named = args.base ?? readBaseVersion(text);
+  const base = named === undefined
+    ? await findBase(versions, args, bare)
+    : ok(named);
   if (base.isErr()) return err(base.error);
   const edit: Edit = {
-    text: removeBaseVersion(text),
+    text: bare,
     baseVersion: base.value,
     note: args.note,
   };
@@ -57,20 +62,24 @@
   return ok(await reportOutcome(versions, edit, outcome.value));
 }
 
+/**
+ * A text without a base version may be the first one, or one that is in force
+ * already because an earlier try went through unnoticed.
+ */
 async function findBase(
   { repository }: Versions,
-  { file, base }: ApplyArguments,
+  { file }: ApplyArguments,
   text: string,
 ): Promise<Result<number, CommandError>> {
-  const named = base ?? readBaseVersion(text);
-  if (named !== undefined) return ok(named);
   const head = await repository.readHead();
   if (head.isErr()) return err(head.error);
   if (head.value === undefined) return ok(0);
+  const { version, digest } = head.value.record;
+  if (digest === digestOf(text)) return ok(version);
   return err(
     new UsageError(
       `${file} does not say which version it was edited from; give --base ` +
-        `(version ${head.value.record.version} is in force)`,
+        `(version ${version} is in force)`,
     ),
   );
 }
