--- a/packages/inventory/src/format.ts
+++ b/packages/inventory/src/format.ts
@@ -37,6 +37,14 @@
   });
 }
 
+/**
+ * The document without its workers and backend servers. It is what sides need,
+ * and small however large the fleet is.
+ */
+export function excerptForSides(estate: EstateContent | Estate): string {
+  return formatEstate({ ...estate, workers: [], servers: [] });
+}
+
 /** The rules under their TOML names. */
 export function formatRules(rules: Rules) {
   return {
--- a/packages/inventory/src/parse_test.ts
+++ b/packages/inventory/src/parse_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { readAnySettings } from "@coltsfootreach/settings";
 import { editRules } from "./edit.ts";
-import { formatEstate } from "./format.ts";
+import { excerptForSides, formatEstate } from "./format.ts";
 import {
   parseEstate,
   readBaseVersion,
@@ -97,6 +97,12 @@
     expect(parse(text).isOk()).to.equal(true);
   });
 
+  it("leaves the machines out of what sides get", () => {
+    const estate = parse(DELTA)._unsafeUnwrap();
+    const excerpt = parse(excerptForSides(estate))._unsafeUnwrap();
+    expect(excerpt).to.deep.equal({ ...estate, workers: [], servers: [] });
+  });
+
   it("imports the register and keeps known delays", () => {
     const estate = parse(DELTA)._unsafeUnwrap();
     const machines = importRegister({
