Order jobs by least work under fair queueing with a virtual time

Cause: small jobs wait behind big ones of their own tenant and, after one long task of theirs, for many rounds of the others. Change: a virtual time with a bounded lead in place of deficit round robin, and among tenants that are not ahead the job with the least work left first.

--- a/packages/limit/src/tenant_queue.ts
+++ b/packages/limit/src/tenant_queue.ts
@@ -1,15 +1,16 @@
 /**
- * The queue of an entry: deficit round robin between tenants, and within a
- * tenant one line per class whose jobs stand in a configurable order. A task
- * that cannot be placed holds up only the jobs behind it in its own line, and
- * of those only the ones past a short look-ahead.
+ * The queue of an entry. Tenants get slot time by weight, as in fair queueing
+ * with a virtual time: a tenant that is ahead of its share by more than a
+ * bounded lead waits. Among the tenants that are not, the job of lowest rank
+ * goes first, so that small jobs pass big ones of any tenant. A task that
+ * cannot be placed holds up only its own class, and only after a few tries.
  */
 import type { JobId } from "@coltsfootreach/types";
 import { createHeap, type Heap } from "./heap.ts";
 import type { Queue, Waiting } from "./queue.ts";
 
 /**
- * Which job of a line goes first:
+ * Which job goes first:
  * - `arrival`: the job that came first.
  * - `deadline`: the job whose deadline passes first.
  * - `leastWork`: the job with the least work left, where older jobs count as
@@ -27,25 +28,33 @@
   readonly order?: JobOrder | undefined;
 }
 
-/** Slot time that a tenant of weight 1 gains per round, in milliseconds. */
-const QUANTUM_MS = 100;
+/** Slot time by which a tenant of weight 1 may be ahead of its share. */
+const MAX_LEAD_MS = 4_000;
 
 /** Tenants of lower weight are served as if they had this one. */
 const MIN_WEIGHT = 0.01;
 
-/** Jobs of one line that may be refused before the line waits. */
-const LOOK_AHEAD = 3;
+/** Jobs of one class that are refused in a drain before the class waits. */
+const MAX_REFUSALS = 4;
 
-/** Blocked tenants after which a drain ends; the next one goes on there. */
-const MAX_BLOCKED = 32;
+/** Tenants ahead of their share that a drain lets compete for the rest. */
+const MAX_ADMITTED = 8;
 
 /** How much later a job ranks per millisecond of its share of the slots. */
-const WORK_FACTOR = 4;
+const WORK_FACTOR = 50;
+
+/** Most of its time to the deadline by which a job may rank later. */
+const MAX_SETBACK_SHARE = 0.5;
 
 /** The slots that are assumed when none are told. */
 const DEFAULT_SLOTS = 80;
 
-/** The tasks of one job that wait. */
+/** Ended jobs that may linger in the deadline heap before it is rebuilt. */
+const MAX_LINGERING = 1_024;
+
+type Place = (task: Waiting) => boolean;
+
+/** The tasks of one job that wait, shortest first. */
 interface Group {
   readonly job: JobId;
   readonly tenant: string;
@@ -53,54 +62,76 @@
   readonly deadlineAtMs: number;
   readonly sequence: number;
   readonly pushedAtMs: number;
-  /** Longest first, so the last element is the next one backwards. */
   readonly tasks: Waiting[];
   workMs: number;
+  /** Set when a task was put back: the job goes before the others. */
+  first: boolean;
   removed: boolean;
 }
 
+/** The jobs of one tenant and class. */
 interface Line {
-  readonly class: string;
+  readonly account: Account;
   readonly groups: Heap<Group>;
-  /** Groups that were refused in the drain under way. */
-  readonly aside: Group[];
+  /** The entry of the class heap that stands for this line; older ones lapse. */
+  entry: number;
+}
+
+interface Entry {
+  readonly line: Line;
+  readonly number: number;
+}
+
+interface ClassLines {
+  /** Lines of tenants that are not ahead, by the rank of their first job. */
+  readonly lines: Heap<Entry>;
+  refusals: number;
 }
 
 interface Account {
   readonly tenant: string;
   readonly lines: Map<string, Line>;
-  deficitMs: number;
   size: number;
-  /** The last drain in which a task of the tenant was refused. */
-  refusedInDrain: number;
-  /** The last drain in which every line of the tenant was refused. */
-  blockedInDrain: number;
+  /** Slot time taken over weight, on the scale of the virtual time. */
+  servedMs: number;
+  parked: boolean;
 }
 
-type Place = (task: Waiting) => boolean;
+interface Offer {
+  readonly line: Line;
+  readonly group: Group;
+  readonly classLines: ClassLines;
+}
 
 export function createTenantQueue(options: TenantQueueOptions = {}): Queue {
-  const weightOf = options.weightOf ?? (() => 1);
   const costOf = options.costOf ?? ((task: Waiting) => task.declaredMs);
   const slots = options.slots ?? (() => DEFAULT_SLOTS);
-  const order = options.order ?? "arrival";
+  const order = options.order ?? "leastWork";
   const accounts = new Map<string, Account>();
   const groups = new Map<JobId, Group>();
-  const byDeadline = createHeap<Group>();
-  const ring: Account[] = [];
-  const refusedAccounts: Account[] = [];
-  let turn = 0;
-  let cursor = 0;
+  const classes = new Map<string, ClassLines>();
+  const parked = createHeap<Account>();
+  const aside: Group[] = [];
+  const admitted: Account[] = [];
+  let byDeadline = createHeap<Group>();
+  let virtualMs = 0;
+  let activeWeight = 0;
   let total = 0;
   let sequence = 0;
-  let drains = 0;
+  let entries = 0;
   let latestMs = 0;
 
+  function weightOf(account: Account): number {
+    return Math.max(MIN_WEIGHT, options.weightOf?.(account.tenant) ?? 1);
+  }
+
   function rankOf(group: Group): number {
+    if (group.first) return -1;
     if (order === "arrival") return group.sequence;
     if (order === "deadline") return group.deadlineAtMs;
     const shareMs = group.workMs / Math.max(1, slots());
-    return group.pushedAtMs + WORK_FACTOR * shareMs;
+    const most = MAX_SETBACK_SHARE * (group.deadlineAtMs - group.pushedAtMs);
+    return group.pushedAtMs + Math.min(most, WORK_FACTOR * shareMs);
   }
 
   function accountOf(tenant: string): Account {
@@ -109,26 +140,56 @@
       account = {
         tenant,
         lines: new Map(),
-        deficitMs: 0,
         size: 0,
-        refusedInDrain: 0,
-        blockedInDrain: 0,
+        servedMs: 0,
+        parked: false,
       };
       accounts.set(tenant, account);
-      ring.push(account);
     }
     return account;
   }
 
+  function classLinesOf(className: string): ClassLines {
+    let found = classes.get(className);
+    if (found === undefined) {
+      found = { lines: createHeap(), refusals: 0 };
+      classes.set(className, found);
+    }
+    return found;
+  }
+
   function lineOf(account: Account, className: string): Line {
     let line = account.lines.get(className);
     if (line === undefined) {
-      line = { class: className, groups: createHeap(), aside: [] };
+      line = { account, groups: createHeap(), entry: 0 };
       account.lines.set(className, line);
     }
     return line;
   }
 
+  /** Drops ended jobs from the front of a line. */
+  function headOf(line: Line): Group | undefined {
+    while (line.groups.peek()?.removed) line.groups.pop();
+    return line.groups.peek();
+  }
+
+  /** Enters a line into its class under the rank of its first job. */
+  function enter(line: Line): void {
+    const head = headOf(line);
+    if (head === undefined || line.account.parked) return;
+    line.entry = ++entries;
+    classLinesOf(head.class).lines.push(rankOf(head), {
+      line,
+      number: line.entry,
+    });
+  }
+
+  function addGroup(group: Group): void {
+    const line = lineOf(accountOf(group.tenant), group.class);
+    line.groups.push(rankOf(group), group);
+    if (line.groups.peek() === group) enter(line);
+  }
+
   function openGroup(task: Waiting): Group {
     const group: Group = {
       job: task.job,
@@ -139,6 +200,7 @@
       pushedAtMs: latestMs,
       tasks: [],
       workMs: 0,
+      first: false,
       removed: false,
     };
     groups.set(task.job, group);
@@ -149,6 +211,28 @@
   function closeGroup(group: Group): void {
     group.removed = true;
     groups.delete(group.job);
+    if (byDeadline.size() <= 2 * groups.size + MAX_LINGERING) return;
+    byDeadline = createHeap();
+    for (const kept of groups.values()) {
+      byDeadline.push(kept.deadlineAtMs, kept);
+    }
+  }
+
+  function grow(account: Account, count: number): void {
+    if (account.size === 0) {
+      activeWeight += weightOf(account);
+      account.servedMs = Math.max(account.servedMs, virtualMs);
+    }
+    account.size += count;
+    total += count;
+  }
+
+  function shrink(account: Account, count: number): void {
+    account.size -= count;
+    total -= count;
+    if (account.size > 0) return;
+    activeWeight = Math.max(0, activeWeight - weightOf(account));
+    if (account.servedMs <= virtualMs) accounts.delete(account.tenant);
   }
 
   function add(group: Group, tasks: readonly Waiting[]): void {
@@ -156,145 +240,135 @@
       group.tasks.push(task);
       group.workMs += costOf(task);
     }
-    const account = accountOf(group.tenant);
-    account.size += tasks.length;
-    total += tasks.length;
+    grow(accountOf(group.tenant), tasks.length);
   }
 
-  /** Drops groups that have ended from the head of a line. */
-  function headOf(line: Line): Group | undefined {
-    let head = line.groups.peek();
-    while (head?.removed) {
-      line.groups.pop();
-      head = line.groups.peek();
-    }
-    return head;
+  function charge(account: Account, cost: number): void {
+    account.servedMs += cost / weightOf(account);
+    virtualMs += cost / Math.max(MIN_WEIGHT, activeWeight);
+    parkIfAhead(account);
   }
 
-  /** The line whose head goes first, of those that may still be offered. */
-  function nextLine(account: Account): Line | undefined {
-    let best: Line | undefined;
-    let lowest = Infinity;
-    for (const line of account.lines.values()) {
-      if (line.aside.length >= LOOK_AHEAD) continue;
-      if (headOf(line) === undefined) continue;
-      const rank = line.groups.lowestRank();
-      if (rank < lowest) {
-        lowest = rank;
-        best = line;
-      }
-    }
-    return best;
+  /** Parks a tenant whose lead has grown too long. */
+  function parkIfAhead(account: Account): void {
+    if (account.parked || account.servedMs <= virtualMs + MAX_LEAD_MS) return;
+    account.parked = true;
+    for (const line of account.lines.values()) line.entry = 0;
+    parked.push(account.servedMs, account);
   }
 
-  function take(account: Account, group: Group): void {
-    const task = group.tasks.pop()!;
-    const cost = costOf(task);
-    group.workMs = Math.max(0, group.workMs - cost);
-    account.deficitMs -= cost;
-    account.size--;
-    total--;
-    if (group.tasks.length === 0) closeGroup(group);
+  function unpark(): void {
+    const account = parked.pop()!;
+    account.parked = false;
+    for (const line of account.lines.values()) enter(line);
   }
 
-  function setAside(account: Account, line: Line): void {
-    line.aside.push(line.groups.pop()!);
-    if (account.refusedInDrain === drains) return;
-    account.refusedInDrain = drains;
-    refusedAccounts.push(account);
+  function unparkDue(): void {
+    while (parked.lowestRank() <= virtualMs + MAX_LEAD_MS) unpark();
   }
 
-  /** Offers tasks of one tenant until one is placed or all its lines wait. */
-  function offerLine(account: Account, place: Place): "placed" | "blocked" {
-    let line = nextLine(account);
-    while (line !== undefined) {
-      const group = line.groups.peek()!;
-      if (place(group.tasks.at(-1)!)) {
-        take(account, group);
-        return "placed";
-      }
-      setAside(account, line);
-      line = nextLine(account);
+  /**
+   * Lets the tenant that is least ahead compete for what the others leave. It
+   * is parked again with the first task that it gets.
+   */
+  function admitParked(): boolean {
+    if (parked.size() === 0 || admitted.length >= MAX_ADMITTED) return false;
+    admitted.push(parked.peek()!);
+    unpark();
+    return true;
+  }
+
+  function parkAdmitted(): void {
+    for (const account of admitted) parkIfAhead(account);
+    admitted.length = 0;
+  }
+
+  function dropLapsed(lines: Heap<Entry>): void {
+    let top = lines.peek();
+    while (top !== undefined && top.line.entry !== top.number) {
+      lines.pop();
+      top = lines.peek();
     }
-    account.blockedInDrain = drains;
-    return "blocked";
   }
 
-  function restore(account: Account): void {
-    for (const line of account.lines.values()) {
-      for (const group of line.aside) {
-        line.groups.push(rankOf(group), group);
+  /** The class whose first job has the lowest rank, of those not refused. */
+  function nextClass(): ClassLines | undefined {
+    let best: ClassLines | undefined;
+    for (const one of classes.values()) {
+      if (one.refusals >= MAX_REFUSALS) continue;
+      dropLapsed(one.lines);
+      if (one.lines.size() === 0) continue;
+      const lowest = best?.lines.lowestRank() ?? Infinity;
+      if (one.lines.lowestRank() < lowest) best = one;
+    }
+    return best;
+  }
+
+  function nextOffer(): Offer | undefined {
+    let classLines = nextClass();
+    while (classLines !== undefined) {
+      const rank = classLines.lines.lowestRank();
+      const { line } = classLines.lines.pop()!;
+      const group = headOf(line);
+      if (group !== undefined && rankOf(group) <= rank) {
+        return { line, group, classLines };
       }
-      line.aside.length = 0;
-      if (line.groups.size() === 0) account.lines.delete(line.class);
+      enter(line);
+      classLines = nextClass();
     }
+    return undefined;
   }
 
-  function leaveRing(at: number): void {
-    const gone = ring[at]!;
-    ring.splice(at, 1);
-    accounts.delete(gone.tenant);
-    if (turn > at) turn--;
-    if (turn >= ring.length) turn = 0;
-    if (cursor > at) cursor--;
-    if (cursor >= ring.length) cursor = 0;
+  function take(group: Group, task: Waiting): void {
+    const cost = costOf(task);
+    const account = accountOf(group.tenant);
+    group.workMs = Math.max(0, group.workMs - cost);
+    group.first = false;
+    if (group.tasks.length === 0) closeGroup(group);
+    charge(account, cost);
+    shrink(account, 1);
+    parkAdmitted();
   }
 
-  function passTurn(): void {
-    turn = (turn + 1) % ring.length;
-    const next = ring[turn]!;
-    const weight = Math.max(MIN_WEIGHT, weightOf(next.tenant));
-    const quantum = QUANTUM_MS * weight;
-    next.deficitMs = Math.min(next.deficitMs + quantum, 2 * quantum);
+  /** Offers the longest task of a job and, if that is refused, the shortest. */
+  function offerGroup(group: Group, place: Place): boolean {
+    const longest = group.tasks.at(-1)!;
+    if (place(longest)) {
+      group.tasks.pop();
+      take(group, longest);
+      return true;
+    }
+    const shortest = group.tasks[0]!;
+    if (shortest === longest || !place(shortest)) return false;
+    group.tasks.shift();
+    take(group, shortest);
+    return true;
   }
 
-  /** Serves tenants in turn until the one whose turn it is gets refused. */
-  function drainInTurn(place: Place): void {
-    while (ring.length > 0) {
-      const account = ring[turn]!;
-      if (account.size === 0) {
-        leaveRing(turn);
-      } else if (account.deficitMs <= 0) {
-        passTurn();
-      } else if (offerLine(account, place) === "blocked") {
-        return;
-      }
+  function makeOffer({ line, group, classLines }: Offer, place: Place): void {
+    if (!offerGroup(group, place)) {
+      classLines.refusals++;
+      line.groups.pop();
+      aside.push(group);
     }
+    enter(line);
   }
 
-  /**
-   * Lets the other tenants use what the one in turn cannot, a task each. What
-   * they take counts against their later turns.
-   */
-  function drainRest(place: Place): void {
-    let blocked = 0;
-    let refused = 0;
-    let placed = false;
-    while (blocked < ring.length && refused < MAX_BLOCKED) {
-      cursor = (cursor + 1) % ring.length;
-      const account = ring[cursor]!;
-      if (account.size === 0) {
-        leaveRing(cursor);
-      } else if (account.blockedInDrain === drains) {
-        blocked++;
-      } else if (offerLine(account, place) === "blocked") {
-        blocked++;
-        refused++;
-      } else {
-        blocked = 0;
-        placed = true;
-      }
+  function restore(): void {
+    for (const group of aside) addGroup(group);
+    aside.length = 0;
+    parkAdmitted();
+    for (const [name, one] of classes) {
+      one.refusals = 0;
+      if (one.lines.size() === 0) classes.delete(name);
     }
-    if (placed && ring.length > 0) passTurn();
   }
 
   function removeJob(job: JobId): readonly Waiting[] {
     const group = groups.get(job);
     if (group === undefined) return [];
     closeGroup(group);
-    const account = accountOf(group.tenant);
-    account.size -= group.tasks.length;
-    total -= group.tasks.length;
+    shrink(accountOf(group.tenant), group.tasks.length);
     return group.tasks;
   }
 
@@ -302,31 +376,32 @@
     push(tasks) {
       const first = tasks[0];
       if (first === undefined) return;
-      const group = groups.get(first.job) ?? openGroup(first);
-      const isNew = group.tasks.length === 0;
+      const known = groups.get(first.job);
+      const group = known ?? openGroup(first);
       const shortestFirst = [...tasks]
         .sort((a, b) => a.declaredMs - b.declaredMs || b.index - a.index);
       add(group, shortestFirst);
-      if (!isNew) return;
-      lineOf(accountOf(group.tenant), group.class)
-        .groups.push(rankOf(group), group);
+      if (known === undefined) addGroup(group);
     },
 
     putBack(task) {
       const known = groups.get(task.job);
       const group = known ?? openGroup(task);
+      group.first = true;
       add(group, [task]);
-      if (known !== undefined) return;
-      lineOf(accountOf(task.tenant), task.class).groups.push(-1, group);
+      charge(accountOf(task.tenant), -costOf(task));
+      addGroup(group);
     },
 
     drain(place, nowMs) {
       latestMs = Math.max(latestMs, nowMs);
-      drains++;
-      drainInTurn(place);
-      if (ring.length > 0) drainRest(place);
-      for (const account of refusedAccounts) restore(account);
-      refusedAccounts.length = 0;
+      unparkDue();
+      let offer = nextOffer();
+      while (offer !== undefined || admitParked()) {
+        if (offer !== undefined) makeOffer(offer, place);
+        offer = nextOffer();
+      }
+      restore();
     },
 
     removeJob,
--- a/packages/trial/src/main.ts
+++ b/packages/trial/src/main.ts
@@ -70,7 +70,7 @@
   .option("--policy <name>", "A policy, or all", { default: "all" })
   .option("--scenario <name>", "A scenario, or all", { default: "plain" })
   .option("--order <name>", "arrival, deadline or leastWork", {
-    default: "arrival",
+    default: "leastWork",
   })
   .option("--load <share>", "Offered work over capacity", { default: 0.8 })
   .option("--seed <number>", "Seed of everything random", { default: 1 })
