--- /dev/null
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -0,0 +1,126 @@
+/**
+ * The configuration that an entry has in force, and who has been told of it:
+ * sides and other entries get it on the streams that exist anyway.
+ */
+import {
+  type ConfigurationHolder,
+  type ConfigurationSource,
+  LAG_BOUND_MS,
+  type Taken,
+} from "@coltsfootreach/configure";
+import type {
+  Configuration,
+  Estate,
+  RequestClass,
+  Rules,
+  Tenant,
+} from "@coltsfootreach/types";
+import type { EntryContext } from "./context.ts";
+import type { SideState } from "./sides.ts";
+
+/** Rules that hold while no configuration is in force. */
+const DEFAULT_RULES: Rules = {
+  held: [],
+  drained: [],
+  neverEjected: [],
+  gone: [],
+  ejectFailureRatio: 0.5,
+  ejectAtMost: 0.3,
+  probationMs: 10_000,
+  retryShare: 0.2,
+};
+
+export interface ConfigurationDesk {
+  take(
+    configuration: Configuration,
+    source: ConfigurationSource,
+    nowMs: number,
+  ): Taken;
+  version(): number;
+  estate(): Estate | undefined;
+  rules(): Rules;
+  /** Undefined for a tenant that the configuration does not name. */
+  tenant(name: string): Tenant | undefined;
+  requestClass(name: string): RequestClass | undefined;
+  /** Tells a side of the version in force unless it was told already. */
+  updateSide(side: SideState): void;
+  /** Tells an entry that follows an older version. */
+  updatePeer(entry: string, follows: number): void;
+  /** A new stream: whatever was sent on the former one may be lost. */
+  forget(target: string): void;
+  /** True when a side may take no new work until it has caught up. */
+  isLagging(side: SideState, nowMs: number): boolean;
+}
+
+/** What the desk needs of the core around it. */
+type Surroundings = Pick<
+  EntryContext,
+  "options" | "sides" | "connectedPeers" | "toSide" | "toPeer"
+>;
+
+export function createConfigurationDesk(
+  context: Surroundings,
+  holder: ConfigurationHolder,
+): ConfigurationDesk {
+  const { sides, connectedPeers, toSide, toPeer } = context;
+  const told = new Map<string, number>();
+  let tenants: ReadonlyMap<string, Tenant> = new Map();
+  let classes: ReadonlyMap<string, RequestClass> = new Map();
+  let forSides: Configuration | undefined;
+
+  function putInForce(): void {
+    const { configuration, estate } = holder.inForce()!;
+    tenants = new Map(estate.tenants.map((tenant) => [tenant.name, tenant]));
+    classes = new Map(estate.classes.map((one) => [one.name, one]));
+    const { version } = configuration;
+    const text = context.options.excerptForSides(estate);
+    forSides = { version, text };
+    for (const side of sides.all()) updateSide(side);
+    for (const entry of connectedPeers) updatePeer(entry, 0);
+  }
+
+  function isTold(target: string, follows: number): boolean {
+    const known = Math.max(follows, told.get(target) ?? 0);
+    return known >= holder.version();
+  }
+
+  function updateSide(side: SideState): void {
+    const { incarnation } = side.identity;
+    if (forSides === undefined || !side.connected) return;
+    if (isTold(incarnation, side.configurationVersion)) return;
+    told.set(incarnation, holder.version());
+    toSide(incarnation, { kind: "configuration", configuration: forSides });
+  }
+
+  function updatePeer(entry: string, follows: number): void {
+    const inForce = holder.inForce();
+    if (inForce === undefined || isTold(entry, follows)) return;
+    told.set(entry, holder.version());
+    const { configuration } = inForce;
+    toPeer(entry, { kind: "configuration", configuration });
+  }
+
+  return {
+    take(configuration, source, nowMs) {
+      const taken = holder.take({ configuration, source, nowMs });
+      if (taken === "newer") putInForce();
+      return taken;
+    },
+    version: () => holder.version(),
+    estate: () => holder.inForce()?.estate,
+    rules: () => holder.inForce()?.estate.rules ?? DEFAULT_RULES,
+    tenant: (name) => tenants.get(name),
+    requestClass: (name) => classes.get(name),
+    updateSide,
+    updatePeer,
+    forget(target) {
+      told.delete(target);
+    },
+    isLagging(side, nowMs) {
+      const inForce = holder.inForce();
+      if (inForce === undefined) return false;
+      if (side.configurationVersion >= holder.version()) return false;
+      return nowMs - inForce.sinceMs >= LAG_BOUND_MS;
+    },
+  };
+}
--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -3,6 +3,7 @@
  * is about to send.
  */
 import { createRecords, type Records } from "@coltsfootreach/admit";
+import { createHealth, type Health } from "@coltsfootreach/place";
 import { createSettlement, type Settlement } from "@coltsfootreach/takeover";
 import type {
   EntryMessage,
@@ -10,7 +11,11 @@
   Refusal,
   Reply,
 } from "@coltsfootreach/types";
-import type { EntryEffect, EntryOptions } from "./effect.ts";
+import {
+  type ConfigurationDesk,
+  createConfigurationDesk,
+} from "./configuration_desk.ts";
+import type { EntryEffect, EntryOptions, NewAct } from "./effect.ts";
 import { createOutgoing, type Outgoing } from "./outgoing.ts";
 import { createWaiters, type Origin, type Waiters } from "./requests.ts";
 import { createSides, type Sides } from "./sides.ts";
@@ -24,16 +29,23 @@
   readonly settlement: Settlement;
   readonly waiters: Waiters;
   readonly outgoing: Outgoing;
+  readonly configuration: ConfigurationDesk;
+  readonly health: Health;
   readonly connectedPeers: Set<string>;
   toSide(side: string, message: EntryMessage, lazy?: boolean): void;
   toPeer(entry: string, message: PeerMessage): void;
   reply(origin: Origin, answer: Reply): void;
   refuse(origin: Origin, refusal: Refusal): void;
   emit(effect: EntryEffect): void;
+  /** Records something that the core did by itself. */
+  act(act: ActDescription): void;
   /** Takes out the messages to send. */
   flush(): readonly EntryEffect[];
 }
 
+/** An act without what every act has. */
+export type ActDescription = Omit<NewAct, "atMs" | "configurationVersion">;
+
 export function createEntryContext(options: EntryOptions): EntryContext {
   const me = options.member.incarnation;
   let effects: EntryEffect[] = [];
@@ -65,11 +77,35 @@
     reply(origin, { kind: "refused", refusal });
   }
 
+  const sides = createSides();
+  const connectedPeers = new Set<string>();
+  const configuration = createConfigurationDesk(
+    { options, sides, connectedPeers, toSide, toPeer },
+    options.holder,
+  );
+  const health = createHealth({
+    rules: () => ({
+      ...configuration.rules(),
+      configurationVersion: configuration.version(),
+    }),
+    sides: () => sides.liveCount(),
+    nextId: () => "",
+  });
+
+  function act(description: ActDescription): void {
+    const configurationVersion = configuration.version();
+    const atMs = options.wallMs();
+    effects.push({
+      kind: "act",
+      act: { ...description, configurationVersion, atMs },
+    });
+  }
+
   return {
     me,
     options,
     records: createRecords(options.records),
-    sides: createSides(),
+    sides,
     settlement: createSettlement({
       me,
       freshnessMs: options.freshnessMs,
@@ -77,12 +113,15 @@
     }),
     waiters: createWaiters(),
     outgoing: createOutgoing(),
-    connectedPeers: new Set(),
+    configuration,
+    health,
+    connectedPeers,
     toSide,
     toPeer,
     reply,
     refuse,
     emit: (effect) => effects.push(effect),
+    act,
     flush,
   };
 }
--- a/packages/coordinate/src/effect.ts
+++ b/packages/coordinate/src/effect.ts
@@ -2,11 +2,13 @@
  * What an entry's core asks its tasks to do, and how it is set up.
  */
 import type { RecordOptions } from "@coltsfootreach/admit";
+import type { ConfigurationHolder } from "@coltsfootreach/configure";
 import type { Queue } from "@coltsfootreach/limit";
 import type { Policy } from "@coltsfootreach/place";
 import type {
   Act,
   EntryMessage,
+  Estate,
   Member,
   PeerMessage,
   Reply,
@@ -34,7 +36,15 @@
   }
   /** This run of the entry is no longer a member and must join anew. */
   | { readonly kind: "removed" }
-  | { readonly kind: "act"; readonly act: Act };
+  | { readonly kind: "act"; readonly act: NewAct }
+  /** An operator has declared these entries gone for good. */
+  | {
+    readonly kind: "removeMembers";
+    readonly incarnations: ReadonlySet<string>;
+  };
+
+/** Something the core did by itself; the journal gives it its identity. */
+export type NewAct = Omit<Act, "id" | "undoneAtMs">;
 
 export interface EntryOptions {
   readonly member: Member;
@@ -43,6 +53,10 @@
   readonly policy: Policy;
   /** Unix time in milliseconds, to judge the age of keys. */
   wallMs(): number;
+  /** The configuration of this process, kept across runs. */
+  readonly holder: ConfigurationHolder;
+  /** The part of a configuration that sides need. */
+  excerptForSides(estate: Estate): string;
   /** How long a side trusts a confirmation of its table. */
   readonly freshnessMs: number;
   /** Silence after which a side is out of placement. */
--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -3,8 +3,17 @@
  * tasks around it own sockets and timers.
  */
 import type { Records } from "@coltsfootreach/admit";
+import type { ConfigurationSource } from "@coltsfootreach/configure";
+import type { Health } from "@coltsfootreach/place";
 import type { Settlement } from "@coltsfootreach/takeover";
-import type { JobId, PeerFrame, SideFrame, Table } from "@coltsfootreach/types";
+import type {
+  Configuration,
+  JobId,
+  PeerFrame,
+  SideFrame,
+  Table,
+} from "@coltsfootreach/types";
+import type { ConfigurationDesk } from "./configuration_desk.ts";
 import { createEntryContext } from "./context.ts";
 import type { EntryEffect, EntryOptions } from "./effect.ts";
 import { createRequestDesk } from "./request_desk.ts";
@@ -46,6 +55,12 @@
   beginTableRead(): TableReadToken;
   tableRead(read: TableRead, nowMs: number): readonly EntryEffect[];
   tableLearned(table: Table, nowMs: number): readonly EntryEffect[];
+  /** Takes in a version of the configuration from the store. */
+  configurationLearned(
+    configuration: Configuration,
+    source: ConfigurationSource,
+    nowMs: number,
+  ): readonly EntryEffect[];
   /** Places what waits; called once after each batch of events. */
   dispatch(nowMs: number): readonly EntryEffect[];
   tick(now: { nowMs: number; wallMs: number }): readonly EntryEffect[];
@@ -54,6 +69,8 @@
   stamps(side: string): SideStamps;
   /** True when nothing of a caller or of a job is left here. */
   isIdle(): boolean;
+  readonly configuration: ConfigurationDesk;
+  readonly health: Health;
   readonly records: Records;
   readonly sides: Sides;
   readonly settlement: Settlement;
@@ -120,6 +137,10 @@
       tables.adopt(table, nowMs);
       return flush();
     },
+    configurationLearned(configuration, source, nowMs) {
+      tables.learn(configuration, source, nowMs);
+      return flush();
+    },
     dispatch(nowMs) {
       tasks.placeWaiting(nowMs);
       return flush();
@@ -149,6 +170,8 @@
       const hasOpen = [...records.open()].length > 0;
       return requests.isIdle() && !hasOpen && context.outgoing.isEmpty();
     },
+    configuration: context.configuration,
+    health: context.health,
     records,
     sides,
     settlement,
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -41,6 +41,7 @@
     if (!isNewStream) return;
     pushedTable.delete(incarnation);
     collected.delete(incarnation);
+    context.configuration.forget(incarnation);
     tasks.resendStarts(side, nowMs);
   }
 
@@ -57,6 +58,7 @@
     options.policy.forget(incarnation);
     pushedTable.delete(incarnation);
     collected.delete(incarnation);
+    context.configuration.forget(incarnation);
   }
 
   function handleSide(
@@ -89,6 +91,7 @@
       pushedTable.set(incarnation, table.version);
       toSide(incarnation, { kind: "table", table });
     }
+    context.configuration.updateSide(side);
     const wanted = settlement.collectVersion();
     const given = settlement.registry.evidenceVersionOf(incarnation);
     if (given >= wanted || collected.get(incarnation) === wanted) return;
--- a/packages/coordinate/src/sides.ts
+++ b/packages/coordinate/src/sides.ts
@@ -56,8 +56,10 @@
   refused(side: SideState, reason: RefusedReason, nowMs: number): void;
   remove(incarnation: string): void;
   all(): Iterable<SideState>;
-  /** Sides that may be sent a task now. */
-  candidates(need: Need, nowMs: number): readonly Candidate[];
+  /** Sides that may be sent a task now, of those that `admits` lets pass. */
+  candidates(need: Need, admits: Admits, nowMs: number): readonly Candidate[];
+  /** Sides that are not lost. */
+  liveCount(): number;
   /** True when a live side could run the task, busy or not. */
   canFit(need: Need): boolean;
 }
@@ -69,6 +71,9 @@
   readonly tableVersion: number;
 }
 
+/** Whether a side may take work at all now. */
+export type Admits = (side: SideState) => boolean;
+
 export function createSides(): Sides {
   const sides = new Map<string, SideState>();
 
@@ -149,15 +154,20 @@
       sides.delete(incarnation);
     },
     all: () => sides.values(),
-    candidates(need, nowMs) {
+    candidates(need, admits, nowMs) {
       const found: Candidate[] = [];
       for (const side of sides.values()) {
         if (!isLive(side) || side.pausedUntilMs > nowMs) continue;
         if (side.tableVersion !== need.tableVersion) continue;
-        if (fits(side, need)) found.push(candidateOf(side));
+        if (fits(side, need) && admits(side)) found.push(candidateOf(side));
       }
       return found;
     },
+    liveCount() {
+      let count = 0;
+      for (const side of sides.values()) count += side.lost ? 0 : 1;
+      return count;
+    },
     canFit(need) {
       for (const side of sides.values()) {
         if (!side.lost && fits(side, need)) return true;
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -3,10 +3,13 @@
  * hands with it.
  */
 import type { JobRecord } from "@coltsfootreach/admit";
+import type { ConfigurationSource } from "@coltsfootreach/configure";
 import { ownerOf } from "@coltsfootreach/ownership";
 import {
+  type Configuration,
   type HandOver,
   jobId,
+  type Member,
   type PeerFrame,
   type PeerMessage,
   type RecordSnapshot,
@@ -19,6 +22,12 @@
 import type { TaskDesk } from "./task_desk.ts";
 
 export interface TableDesk {
+  /** Takes in a version of the configuration. */
+  learn(
+    configuration: Configuration,
+    source: ConfigurationSource,
+    nowMs: number,
+  ): void;
   adopt(table: Table, nowMs: number): void;
   peerUp(entry: string, nowMs: number): void;
   takePeerFrame(frame: PeerFrame, nowMs: number): void;
@@ -37,7 +46,7 @@
   desks: Desks,
 ): TableDesk {
   const { me, options, records, sides, settlement, waiters } = context;
-  const { outgoing, connectedPeers, toPeer } = context;
+  const { outgoing, connectedPeers, configuration, toPeer } = context;
   const { requests, tasks } = desks;
   const { queue } = options;
   /** Table version that was pushed on the current stream to an entry. */
@@ -68,11 +77,29 @@
     const present = new Set(table.members.map((one) => one.incarnation));
     for (const member of settlement.table().members) {
       if (present.has(member.incarnation)) continue;
+      noteTakeover(table, member);
       waiters.dropPeer(member.incarnation);
       requests.unsendTo(member.incarnation);
     }
   }
 
+  function noteTakeover(table: Table, lost: Member): void {
+    const isRemoved = table.removals.some((removal) =>
+      removal.incarnation === lost.incarnation
+    );
+    if (!isRemoved) return;
+    context.act({
+      kind: "takeOver",
+      subject: lost.name,
+      why: "its lease lapsed, so its keys go to the other entries",
+      figures: {
+        tableVersion: table.version,
+        entriesLeft: table.members.length,
+        sidesKnown: settlement.registry.registrations().length,
+      },
+    });
+  }
+
   /** Records for an owner that went before it took them come back. */
   function takeBackOutgoing(nowMs: number): void {
     const members = settlement.table().members;
@@ -177,6 +204,20 @@
     toPeer(entry, { kind: "handOverTaken", batch: message.batch });
   }
 
+  function learn(
+    next: Configuration,
+    source: ConfigurationSource,
+    nowMs: number,
+  ): void {
+    if (configuration.take(next, source, nowMs) !== "newer") return;
+    const gone = new Set(configuration.rules().gone);
+    settlement.declareGone(gone);
+    const isPresent = settlement.table().members.some((member) =>
+      gone.has(member.incarnation)
+    );
+    if (isPresent) context.emit({ kind: "removeMembers", incarnations: gone });
+  }
+
   function handlePeer(
     entry: string,
     message: PeerMessage,
@@ -213,7 +254,7 @@
       case "table":
         return adopt(message.table, nowMs);
       case "configuration":
-        return;
+        return learn(message.configuration, "peer", nowMs);
     }
   }
 
@@ -225,7 +266,9 @@
       handedOver.delete(entry);
       outgoing.repeat(entry);
       requests.unsendTo(entry);
+      configuration.forget(entry);
       updatePeer(entry, 0);
+      configuration.updatePeer(entry, 0);
       requests.resendForwards(nowMs);
     },
     takePeerFrame(frame, nowMs) {
@@ -233,7 +276,9 @@
       for (const message of frame.messages) handlePeer(entry, message, nowMs);
       settlement.follows(entry, tableVersion);
       updatePeer(entry, tableVersion);
+      configuration.updatePeer(entry, frame.configurationVersion);
     },
+    learn,
     updateAll() {
       const { version } = settlement.table();
       for (const entry of connectedPeers) updatePeer(entry, version);
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -49,7 +49,7 @@
 
 export function createTaskDesk(context: EntryContext): TaskDesk {
   const { me, options, records, sides, settlement, waiters } = context;
-  const { toSide, reply } = context;
+  const { toSide, reply, configuration, health } = context;
   const { queue, policy } = options;
   let attempts = 0;
 
@@ -101,13 +101,37 @@
       unplaced: record.open,
       leftMs,
     };
-    const candidates = sides.candidates(need, nowMs);
+    const admits = (side: SideState) => mayTakeWork(side, nowMs);
+    const candidates = sides.candidates(need, admits, nowMs);
     const side = policy.choose(placing, candidates, nowMs);
     if (side === undefined) return false;
+    noteTrial(sides.find(side)!, nowMs);
     send(record, waiting.index, { side, leftMs });
     return true;
   }
 
+  function mayTakeWork(side: SideState, nowMs: number): boolean {
+    const { server } = side.announcement!;
+    if (configuration.rules().drained.includes(server)) return false;
+    if (configuration.isLagging(side, nowMs)) return false;
+    return health.standing(server, nowMs) !== "out";
+  }
+
+  /** A side on probation gets one task, whose outcome decides. */
+  function noteTrial(side: SideState, nowMs: number): void {
+    const { server } = side.announcement!;
+    if (health.standing(server, nowMs) === "trial") {
+      health.startTrial(server, nowMs);
+    }
+  }
+
+  function judge(side: SideState, failed: boolean, nowMs: number): void {
+    const server = side.announcement?.server;
+    if (server === undefined) return;
+    const act = health.observe({ side: server, failed }, nowMs);
+    if (act !== undefined) context.act(act);
+  }
+
   function send(
     record: JobRecord,
     index: number,
@@ -166,6 +190,7 @@
       runMs: outcome.runMs,
       failed: outcome.state === "failed",
     }, nowMs);
+    judge(side, outcome.state === "failed", nowMs);
     const answer = records.end(record, outcome, nowMs);
     if (answer !== undefined) settle(record, answer);
   }
@@ -182,6 +207,8 @@
     if (!records.refused(record, index, attempt)) return;
     release(side.identity.incarnation);
     sides.refused(side, reason, nowMs);
+    const server = side.announcement?.server;
+    if (server !== undefined) health.cancelTrial(server);
     const isOver = reason === "revoked" || reason === "deadlinePassed" ||
       record.deadlineAtMs <= nowMs;
     if (!isOver && record.job !== undefined) {
--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -72,6 +72,7 @@
       overdueMs: OVERDUE_MS,
       orphanMs: ORPHAN_MS,
     },
+    maxActs: limits.acts,
     createQueue: () => createTenantQueue(),
     createPolicy: () => createExpectedDelay({ random: Math.random }),
     credentials: readCredentials(settings.tls),
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,10 +9,18 @@
   createEntryCore,
   type EntryCore,
   type EntryEffect,
+  type NewAct,
 } from "@coltsfootreach/coordinate";
+import {
+  createConfigurationFeed,
+  createConfigurationHolder,
+  createConfigurationKeys,
+} from "@coltsfootreach/configure";
+import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
 import { listenForLinks, type Target } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
+import { type ActJournal, createActJournal } from "@coltsfootreach/manage";
 import type { Policy } from "@coltsfootreach/place";
 import type { Store } from "@coltsfootreach/store";
 import type { ServerCredentials } from "@grpc/grpc-js";
@@ -21,6 +29,9 @@
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
 
+/** Pause before the configuration is read again. */
+const REFRESH_PAUSE_MS = 1000;
+
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
@@ -41,6 +52,8 @@
   readonly drainMs: number;
   readonly maxHeld: number;
   readonly records: RecordOptions;
+  /** Records of automatic acts kept. */
+  readonly maxActs: number;
   createQueue(): Queue;
   createPolicy(): Policy;
   readonly credentials?: {
@@ -57,6 +70,7 @@
   /** True while the balancer should send callers here. */
   isReady(): boolean;
   core(): EntryCore;
+  journal(): ActJournal;
   counts(): EntryCounts;
   /** Hands over its jobs, answers what it holds, and leaves. */
   stop(): Promise<void>;
@@ -86,6 +100,28 @@
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { log } = options;
   const pending = new Map<number, Pending>();
+  const holder = createConfigurationHolder({
+    parse: (configuration) => parseEstate(configuration),
+  });
+  const journal = createActJournal({
+    incarnation: options.name,
+    limit: options.maxActs,
+  });
+  const feed = createConfigurationFeed({
+    store: options.store,
+    keys: createConfigurationKeys(options.prefix),
+    retryMs: REFRESH_PAUSE_MS,
+    learned(configuration, source) {
+      const now = performance.now();
+      const { version } = configuration;
+      apply(run, run.core.configurationLearned(configuration, source, now));
+      log.info("configuration", { configurationVersion: version });
+    },
+    failed(fault) {
+      log.warn("the configuration cannot be read", { reason: fault.message });
+    },
+  });
+  let refreshedAtMs = -Infinity;
   let requests = 0;
   let isReady = false;
   let isStopping = false;
@@ -110,13 +146,38 @@
         settle(effect.request, effect.reply);
       } else if (effect.kind === "removed") {
         return rejoin(own);
+      } else if (effect.kind === "removeMembers") {
+        void own.membership.remove(effect.incarnations);
       } else {
-        log.info("act", { act: effect.act.kind, reason: effect.act.why });
+        recordAct(effect.act);
       }
     }
     planFlush();
   }
 
+  function recordAct(act: NewAct): void {
+    if (act.kind === "readmit") {
+      const ejection = journal.findStanding("eject", act.subject);
+      if (ejection !== undefined) journal.markUndone(ejection.id, act.atMs);
+    }
+    const { id } = journal.record(act);
+    log.warn("automatic act", {
+      act: `${act.kind} ${act.subject} ${id}`,
+      reason: act.why,
+      figures: act.figures,
+      configurationVersion: act.configurationVersion,
+    });
+  }
+
+  /** Another process has a newer configuration than this one. */
+  function noteVersion(version: number): void {
+    const nowMs = performance.now();
+    if (version <= holder.version()) return;
+    if (nowMs - refreshedAtMs < REFRESH_PAUSE_MS) return;
+    refreshedAtMs = nowMs;
+    feed.refresh();
+  }
+
   function settle(request: number, reply: Reply): void {
     const waiting = pending.get(request);
     pending.delete(request);
@@ -164,6 +225,8 @@
       queue: options.createQueue(),
       policy: options.createPolicy(),
       wallMs: () => Date.now(),
+      holder,
+      excerptForSides,
       freshnessMs: options.freshnessMs,
       sideLostMs: options.sideLostMs,
       doubtMs: options.doubtMs,
@@ -175,7 +238,7 @@
       header: (side) => ({
         entry: incarnation,
         tableVersion: core.table().version,
-        configurationVersion: 0,
+        configurationVersion: holder.version(),
         ...core.stamps(side),
       }),
       received: (frame) => apply(own, core.sideFrame(frame, performance.now())),
@@ -189,7 +252,7 @@
       header: () => ({
         entry: incarnation,
         tableVersion: core.table().version,
-        configurationVersion: 0,
+        configurationVersion: holder.version(),
       }),
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
@@ -208,7 +271,12 @@
         followTable(own, core.tableRead({ table, token }, performance.now())),
       tableLearned: (table) =>
         followTable(own, core.tableLearned(table, performance.now())),
-      isTakeoverHeld: () => false,
+      configurationChanged(found) {
+        if (found === undefined) feed.refresh();
+        else feed.offer(found);
+      },
+      isTakeoverHeld: () =>
+        core.configuration.rules().held.includes("takeOver"),
     });
     const own: Run = { member, core, sides, peers, membership };
     return own;
@@ -268,6 +336,7 @@
     incarnation: () => run.member.incarnation,
     isReady: () => isReady && !isStopping,
     core: () => run.core,
+    journal: () => journal,
     counts: () => ({
       sides: run.sides.counts(),
       peers: run.peers.counts(),
@@ -279,6 +348,7 @@
       await drain();
       await run.membership.leave();
       clearInterval(timer);
+      feed.close();
       closeRun(run);
       server.close();
       log.info("entry stopped");
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -3,6 +3,7 @@
  * lease in the store, follows the table, and removes members whose lease has
  * lapsed.
  */
+import { createConfigurationKeys } from "@coltsfootreach/configure";
 import type { Log } from "@coltsfootreach/log";
 import { draining, joined, left, without } from "@coltsfootreach/ownership";
 import {
@@ -34,11 +35,15 @@
   beginRead(): Token;
   tableRead(table: Table, token: Token): void;
   tableLearned(table: Table): void;
+  /** The configuration's key has changed, or may have. */
+  configurationChanged(found: Versioned | undefined): void;
   /** True when an operator has stopped automatic takeovers. */
   isTakeoverHeld(): boolean;
 }
 
 export interface Membership {
+  /** Removes entries that an operator has declared gone. */
+  remove(incarnations: ReadonlySet<string>): Promise<void>;
   /** Resolves once this entry is a member. */
   join(): Promise<void>;
   /** Gives up this entry's keys; false when the store cannot say so. */
@@ -52,6 +57,7 @@
   options: MembershipOptions<Token>,
 ): Membership {
   const { store, member, log, prefix } = options;
+  const configurationKey = createConfigurationKeys(prefix).head;
   const tableKey = `${prefix}table`;
   const livePrefix = `${prefix}entries/`;
   const liveKey = livePrefix + member.incarnation;
@@ -153,11 +159,8 @@
     if (isClosed) return;
     watch = store.watch(prefix, from, {
       changed(change) {
-        if (change.key === tableKey && change.value !== undefined) {
-          const { key, value, revision } = change;
-          const found: Versioned = { key, value, revision };
-          options.tableLearned(tableOf(decodeOwned(found)));
-        }
+        const { key, value, revision } = change;
+        if (value !== undefined) noteChange({ key, value, revision });
         const isLapse = change.key.startsWith(livePrefix) &&
           change.value === undefined;
         if (!isLapse) return;
@@ -170,6 +173,14 @@
     });
   }
 
+  function noteChange(found: Versioned): void {
+    if (found.key === tableKey) {
+      options.tableLearned(tableOf(decodeOwned(found)));
+    } else if (found.key === configurationKey) {
+      options.configurationChanged(found);
+    }
+  }
+
   async function startFollowing(): Promise<void> {
     if (isClosed) return;
     const listed = await store.list(prefix);
@@ -178,6 +189,7 @@
       return;
     }
     follow(listed.value.revision + 1);
+    options.configurationChanged(undefined);
     await removeLapsed();
     await read();
   }
@@ -212,6 +224,10 @@
       if (table !== undefined) options.tableLearned(table);
       return table !== undefined;
     },
+    async remove(incarnations) {
+      const table = await changeTable((now) => without(now, incarnations));
+      if (table !== undefined) options.tableLearned(table);
+    },
     async leave() {
       await changeTable((now) => left(now, member.incarnation));
       this.close();
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -66,6 +66,8 @@
   ): readonly GuardEffect[];
   /** From now on every start is refused. */
   drain(): readonly GuardEffect[];
+  /** Operators take the backend server out of service, or back in. */
+  setDrained(isDrained: boolean): readonly GuardEffect[];
   /** Drops old evidence and starts or refuses what waits. */
   tick(nowMs: number): readonly GuardEffect[];
   /** The hello that opens a stream. */
@@ -86,6 +88,7 @@
   let table: Table = EMPTY_TABLE;
   let announcement: Announcement | undefined;
   let isDraining = false;
+  let isDrained = false;
   let registration = 1;
   let registeredAtMs = -Infinity;
   let isRegistered = false;
@@ -99,7 +102,7 @@
       identity: options.identity,
       registration,
       announcement,
-      draining: isDraining,
+      draining: isDraining || isDrained,
     };
   }
 
@@ -135,7 +138,7 @@
   }
 
   function closedBecause(nowMs: number): RefusedReason | undefined {
-    return isDraining ? "draining" : fencedBecause(nowMs);
+    return isDraining || isDrained ? "draining" : fencedBecause(nowMs);
   }
 
   function slots(): number {
@@ -396,6 +399,11 @@
       isDraining = true;
       return toAllMembers(hello());
     },
+    setDrained(next) {
+      if (isDrained === next) return [];
+      isDrained = next;
+      return toAllMembers(hello());
+    },
     tick(nowMs) {
       evidence.expire(nowMs);
       return startQueued(nowMs);
--- a/packages/side/src/side.ts
+++ b/packages/side/src/side.ts
@@ -3,11 +3,14 @@
  * entry, and runs the starts that its guard lets through.
  */
 import { v4 } from "uuid";
+import { createConfigurationHolder } from "@coltsfootreach/configure";
 import { createGuard, type GuardEffect } from "@coltsfootreach/guard";
+import { parseEstate } from "@coltsfootreach/inventory";
 import type { Log } from "@coltsfootreach/log";
 import type { Target } from "@coltsfootreach/link";
 import type {
   Announcement,
+  Configuration,
   EntryFrame,
   SideFrame,
   SideMessage,
@@ -65,7 +68,12 @@
     maxJobs: options.maxJobs,
   });
   const links = new Map<string, EntryLink>();
+  const holder = createConfigurationHolder({
+    parse: (configuration) => parseEstate(configuration),
+  });
   let runner: Runner | undefined;
+  /** Name of the backend server on this VM, while it is announced. */
+  let server: string | undefined;
   let lastStampMs = 0;
   let flushing = false;
 
@@ -82,7 +90,7 @@
       incarnation,
       stampMs: stamp(),
       tableVersion: guard.table().version,
-      configurationVersion: 0,
+      configurationVersion: holder.version(),
       load: guard.load(),
       held: entry === undefined ? 0 : guard.heldFor(entry),
     };
@@ -115,9 +123,28 @@
   }
 
   function received(frame: EntryFrame): void {
+    for (const message of frame.messages) {
+      if (message.kind === "configuration") configure(message.configuration);
+    }
     apply(guard.receive(frame, stamp()));
   }
 
+  function configure(configuration: Configuration): void {
+    const nowMs = performance.now();
+    const taken = holder.take({ configuration, source: "entry", nowMs });
+    if (taken !== "newer") return;
+    const { version } = configuration;
+    log.info("configuration", { configurationVersion: version });
+    followRules();
+  }
+
+  /** Operators may have taken the backend server out of service. */
+  function followRules(): void {
+    const drained = holder.inForce()?.estate.rules.drained ?? [];
+    const isDrained = server !== undefined && drained.includes(server);
+    apply(guard.setDrained(isDrained));
+  }
+
   function apply(effects: readonly GuardEffect[]): void {
     for (const effect of effects) {
       if (effect.kind === "run") run(effect.start);
@@ -158,7 +185,9 @@
     runner = announcement === undefined
       ? undefined
       : createRunner(announcement);
+    server = announcement?.server;
     apply(guard.announce(announcement, stamp()));
+    followRules();
   }
 
   function isDone(): boolean {
