--- a/packages/configure/src/index.ts
+++ b/packages/configure/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./holder.ts";
 export * from "./keys.ts";
 export * from "./laggard.ts";
+export * from "./lookup.ts";
 export * from "./plan.ts";
 export * from "./record.ts";
 export * from "./repository.ts";
--- /dev/null
+++ b/packages/configure/src/lookup.ts
@@ -0,0 +1,37 @@
+/** Finds tenants and classes of the configuration in force by name. */
+import type { RequestClass, Tenant } from "@coltsfootreach/types";
+import type { ConfigurationHolder } from "./holder.ts";
+
+export interface EstateLookup {
+  /** False while no configuration is in force. */
+  isKnown(): boolean;
+  /** Undefined for a tenant that the configuration does not name. */
+  tenant(name: string): Tenant | undefined;
+  requestClass(name: string): RequestClass | undefined;
+}
+
+export function createEstateLookup(holder: ConfigurationHolder): EstateLookup {
+  let version = 0;
+  let tenants: ReadonlyMap<string, Tenant> = new Map();
+  let classes: ReadonlyMap<string, RequestClass> = new Map();
+
+  function refresh(): void {
+    if (holder.version() === version) return;
+    const { estate } = holder.inForce()!;
+    version = estate.version;
+    tenants = new Map(estate.tenants.map((tenant) => [tenant.name, tenant]));
+    classes = new Map(estate.classes.map((one) => [one.name, one]));
+  }
+
+  return {
+    isKnown: () => holder.version() > 0,
+    tenant(name) {
+      refresh();
+      return tenants.get(name);
+    },
+    requestClass(name) {
+      refresh();
+      return classes.get(name);
+    },
+  };
+}
--- a/packages/coordinate/src/configuration_desk.ts
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -8,13 +8,7 @@
   LAG_BOUND_MS,
   type Taken,
 } from "@coltsfootreach/configure";
-import type {
-  Configuration,
-  Estate,
-  RequestClass,
-  Rules,
-  Tenant,
-} from "@coltsfootreach/types";
+import type { Configuration, Estate, Rules } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
 import type { SideState } from "./sides.ts";
 
@@ -39,9 +33,6 @@
   version(): number;
   estate(): Estate | undefined;
   rules(): Rules;
-  /** Undefined for a tenant that the configuration does not name. */
-  tenant(name: string): Tenant | undefined;
-  requestClass(name: string): RequestClass | undefined;
   /** Tells a side of the version in force unless it was told already. */
   updateSide(side: SideState): void;
   /** Tells an entry that follows an older version. */
@@ -64,14 +55,10 @@
 ): ConfigurationDesk {
   const { sides, connectedPeers, toSide, toPeer } = context;
   const told = new Map<string, number>();
-  let tenants: ReadonlyMap<string, Tenant> = new Map();
-  let classes: ReadonlyMap<string, RequestClass> = new Map();
   let forSides: Configuration | undefined;
 
   function putInForce(): void {
     const { configuration, estate } = holder.inForce()!;
-    tenants = new Map(estate.tenants.map((tenant) => [tenant.name, tenant]));
-    classes = new Map(estate.classes.map((one) => [one.name, one]));
     const { version } = configuration;
     const text = context.options.excerptForSides(estate);
     forSides = { version, text };
@@ -109,8 +96,6 @@
     version: () => holder.version(),
     estate: () => holder.inForce()?.estate,
     rules: () => holder.inForce()?.estate.rules ?? DEFAULT_RULES,
-    tenant: (name) => tenants.get(name),
-    requestClass: (name) => classes.get(name),
     updateSide,
     updatePeer,
     forget(target) {
--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -1,9 +1,25 @@
 /** Runs an entry from its settings. */
 import { serve, type ServerType } from "@hono/node-server";
-import { startEntry } from "@coltsfootreach/entry";
+import {
+  type ConfigurationHolder,
+  createConfigurationHolder,
+  createEstateLookup,
+} from "@coltsfootreach/configure";
+import {
+  assembleTenantTops,
+  createEntryView,
+  type Entry,
+  startEntry,
+} from "@coltsfootreach/entry";
+import { parseEstate } from "@coltsfootreach/inventory";
+import {
+  createManagementApp,
+  type ManagementServer,
+  serveManagement,
+} from "@coltsfootreach/manage";
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createLog } from "@coltsfootreach/log";
-import { createMetrics } from "@coltsfootreach/measure";
+import { createMetrics, type Metrics } from "@coltsfootreach/measure";
 import { createExpectedDelay } from "@coltsfootreach/place";
 import { createApp } from "@coltsfootreach/serve";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
@@ -51,6 +67,10 @@
     watchSilentMs: WATCH_SILENT_MS,
   });
   const metrics = createMetrics();
+  const holder = createConfigurationHolder({
+    parse: (configuration) => parseEstate(configuration),
+  });
+  const estate = createEstateLookup(holder);
   const entry = await startEntry({
     name: settings.name,
     dataCentre: settings.dataCentre,
@@ -73,7 +93,11 @@
       orphanMs: ORPHAN_MS,
     },
     maxActs: limits.acts,
-    createQueue: () => createTenantQueue(),
+    holder,
+    createQueue: () =>
+      createTenantQueue({
+        weightOf: (tenant) => estate.tenant(tenant)?.weight ?? 1,
+      }),
     createPolicy: () => createExpectedDelay({ random: Math.random }),
     credentials: readCredentials(settings.tls),
     log,
@@ -88,8 +112,11 @@
     bodyBytes: limits.bodyBytes,
     tasks: limits.tasks,
     keyLength: limits.keyLength,
-    deadlineMsOf: () => DEFAULT_DEADLINE_MS,
-    isTenant: () => true,
+    deadlineMsOf: (name) =>
+      estate.isKnown()
+        ? estate.requestClass(name)?.deadlineMs
+        : DEFAULT_DEADLINE_MS,
+    isTenant: (name) => !estate.isKnown() || estate.tenant(name) !== undefined,
   });
   const { host: hostname, port } = settings.listen;
   const server = serve({ fetch: app.fetch, hostname, port }, (address) => {
@@ -97,13 +124,42 @@
       address: formatAddress({ host: hostname, port: address.port }),
     });
   });
+  const management = await manage({ settings, entry, holder, metrics });
   stopOnSignal(async () => {
     await entry.stop();
     await closeServer(server);
+    await management?.close();
     await store.close();
   });
 }
 
+interface Managed {
+  readonly settings: EntrySettings;
+  readonly entry: Entry;
+  readonly holder: ConfigurationHolder;
+  readonly metrics: Metrics;
+}
+
+/** The operators' interface; undefined while settings leave it off. */
+async function manage(managed: Managed): Promise<ManagementServer | undefined> {
+  const { settings, entry, holder, metrics } = managed;
+  const { management } = settings;
+  if (management === undefined) return undefined;
+  const view = createEntryView({
+    name: settings.name,
+    incarnation: () => entry.incarnation(),
+    core: () => entry.core(),
+    holder,
+    journal: entry.journal,
+    store: () => entry.storeStatus(),
+    newestVersion: () => entry.newestVersion(),
+    tenants: () =>
+      assembleTenantTops(metrics.flows(), entry.core().records.open()),
+  });
+  const app = createManagementApp({ view, token: management.token });
+  return await serveManagement(app, management.listen);
+}
+
 /** Lets answers that are being written reach their callers. */
 function closeServer(server: ServerType): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,15 +12,19 @@
   type NewAct,
 } from "@coltsfootreach/coordinate";
 import {
+  type ConfigurationHolder,
   createConfigurationFeed,
-  createConfigurationHolder,
   createConfigurationKeys,
 } from "@coltsfootreach/configure";
-import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
+import { excerptForSides } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
 import { listenForLinks, type Target } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
-import { type ActJournal, createActJournal } from "@coltsfootreach/manage";
+import {
+  type ActJournal,
+  createActJournal,
+  type StoreStatus,
+} from "@coltsfootreach/manage";
 import type { Policy } from "@coltsfootreach/place";
 import type { Store } from "@coltsfootreach/store";
 import type { ServerCredentials } from "@grpc/grpc-js";
@@ -32,6 +36,9 @@
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
+/** Digits that tell runs of one entry apart in the names of acts. */
+const ID_DIGITS = 8;
+
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
@@ -54,6 +61,7 @@
   readonly records: RecordOptions;
   /** Records of automatic acts kept. */
   readonly maxActs: number;
+  readonly holder: ConfigurationHolder;
   createQueue(): Queue;
   createPolicy(): Policy;
   readonly credentials?: {
@@ -70,7 +78,10 @@
   /** True while the balancer should send callers here. */
   isReady(): boolean;
   core(): EntryCore;
-  journal(): ActJournal;
+  readonly journal: ActJournal;
+  /** Newest version that any process was heard to have, and since when. */
+  newestVersion(): { readonly version: number; readonly sinceMs: number };
+  storeStatus(): StoreStatus;
   counts(): EntryCounts;
   /** Hands over its jobs, answers what it holds, and leaves. */
   stop(): Promise<void>;
@@ -100,11 +111,9 @@
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { log } = options;
   const pending = new Map<number, Pending>();
-  const holder = createConfigurationHolder({
-    parse: (configuration) => parseEstate(configuration),
-  });
+  const { holder } = options;
   const journal = createActJournal({
-    incarnation: options.name,
+    incarnation: `${options.name}-${v4().slice(0, ID_DIGITS)}`,
     limit: options.maxActs,
   });
   const feed = createConfigurationFeed({
@@ -114,6 +123,7 @@
     learned(configuration, source) {
       const now = performance.now();
       const { version } = configuration;
+      noteVersion(version);
       apply(run, run.core.configurationLearned(configuration, source, now));
       log.info("configuration", { configurationVersion: version });
     },
@@ -122,6 +132,7 @@
     },
   });
   let refreshedAtMs = -Infinity;
+  let newest = { version: 0, sinceMs: performance.now() };
   let requests = 0;
   let isReady = false;
   let isStopping = false;
@@ -172,6 +183,7 @@
   /** Another process has a newer configuration than this one. */
   function noteVersion(version: number): void {
     const nowMs = performance.now();
+    if (version > newest.version) newest = { version, sinceMs: nowMs };
     if (version <= holder.version()) return;
     if (nowMs - refreshedAtMs < REFRESH_PAUSE_MS) return;
     refreshedAtMs = nowMs;
@@ -241,7 +253,10 @@
         configurationVersion: holder.version(),
         ...core.stamps(side),
       }),
-      received: (frame) => apply(own, core.sideFrame(frame, performance.now())),
+      received(frame) {
+        noteVersion(frame.configurationVersion);
+        apply(own, core.sideFrame(frame, performance.now()));
+      },
       closed: (side) => core.sideClosed(side),
     });
     const peers = createPeerStreams({
@@ -336,7 +351,9 @@
     incarnation: () => run.member.incarnation,
     isReady: () => isReady && !isStopping,
     core: () => run.core,
-    journal: () => journal,
+    journal,
+    newestVersion: () => newest,
+    storeStatus: () => run.membership.storeStatus(),
     counts: () => ({
       sides: run.sides.counts(),
       peers: run.peers.counts(),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,2 +1,4 @@
 /** The entry process. */
 export * from "./entry.ts";
+export * from "./tenant_tops.ts";
+export * from "./view.ts";
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -5,6 +5,7 @@
  */
 import { createConfigurationKeys } from "@coltsfootreach/configure";
 import type { Log } from "@coltsfootreach/log";
+import type { StoreStatus } from "@coltsfootreach/manage";
 import { draining, joined, left, without } from "@coltsfootreach/ownership";
 import {
   decodeOwned,
@@ -49,6 +50,8 @@
   /** Gives up this entry's keys; false when the store cannot say so. */
   drain(): Promise<boolean>;
   leave(): Promise<void>;
+  /** Whether the store answered the last read of the table. */
+  storeStatus(): StoreStatus;
   /** Ends without a word to the store, for an entry that was removed. */
   close(): void;
 }
@@ -66,6 +69,7 @@
   let lease: Lease | undefined;
   let watch: Watch | undefined;
   let isClosed = false;
+  let status: StoreStatus = { reachable: true, sinceMs: Date.now() };
   const timers: NodeJS.Timeout[] = [];
 
   /** The table after the change; undefined when that is not certain. */
@@ -126,9 +130,17 @@
     if (renewed.isOk() && !renewed.value) dropLease();
   }
 
+  function noteStore(reachable: boolean): void {
+    if (reachable === status.reachable) return;
+    status = { reachable, sinceMs: Date.now() };
+    if (reachable) log.info("the store answers again");
+    else log.warn("the store does not answer");
+  }
+
   async function read(): Promise<void> {
     const token = options.beginRead();
     const found = await store.read(tableKey);
+    noteStore(found.isOk());
     if (found.isErr() || isClosed) return;
     options.tableRead(tableOf(decodeOwned(found.value)), token);
   }
@@ -233,6 +245,7 @@
       this.close();
       if (lease !== undefined) await store.revoke(lease);
     },
+    storeStatus: () => status,
     close() {
       isClosed = true;
       watch?.close();
--- /dev/null
+++ b/packages/measure/src/flow.ts
@@ -0,0 +1,95 @@
+/** What became of requests, counted per tenant and class. */
+import type { Reply } from "@coltsfootreach/types";
+import { createHistograms, type HistogramBucket } from "./histograms.ts";
+
+/** Most pairs of tenant and class that are counted apart. */
+const MAX_FLOWS = 2000;
+
+export interface AnsweredRequest {
+  readonly tenant: string;
+  readonly class: string;
+  readonly responseMs: number;
+  readonly reply: Reply;
+}
+
+/** One tenant and class. */
+export interface Flow {
+  readonly tenant: string;
+  readonly class: string;
+  readonly ended: number;
+  readonly failed: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly response: ResponseSummary;
+}
+
+export interface ResponseSummary {
+  readonly count: number;
+  readonly p50: number;
+  readonly p99: number;
+  readonly p999: number;
+  readonly max: number;
+  readonly buckets: readonly HistogramBucket[];
+}
+
+export interface Flows {
+  record(request: AnsweredRequest): void;
+  list(): readonly Flow[];
+}
+
+interface Counter {
+  readonly tenant: string;
+  readonly class: string;
+  ended: number;
+  failed: number;
+  late: number;
+  refused: number;
+}
+
+const NO_PERCENTILES = { count: 0, p50: 0, p99: 0, p999: 0, max: 0 };
+
+export function createFlows(): Flows {
+  const counters = new Map<string, Counter>();
+  const histograms = createHistograms(MAX_FLOWS);
+
+  function find(tenant: string, className: string): Counter {
+    const name = nameOf(tenant, className);
+    const known = counters.get(name);
+    if (known !== undefined) return known;
+    const counter: Counter = {
+      tenant,
+      class: className,
+      ended: 0,
+      failed: 0,
+      late: 0,
+      refused: 0,
+    };
+    if (counters.size < MAX_FLOWS) counters.set(name, counter);
+    return counter;
+  }
+
+  return {
+    record({ tenant, class: className, responseMs, reply }) {
+      const counter = find(tenant, className);
+      if (reply.kind === "refused") counter.refused += 1;
+      if (reply.kind !== "answered") return;
+      counter.ended += 1;
+      if (reply.answer.state === "failed") counter.failed += 1;
+      if (reply.answer.late) counter.late += 1;
+      histograms.record(nameOf(tenant, className), responseMs);
+    },
+    list() {
+      return [...counters].map(([name, counter]) => ({
+        ...counter,
+        response: {
+          ...histograms.percentiles(name) ?? NO_PERCENTILES,
+          buckets: histograms.buckets(name),
+        },
+      }));
+    },
+  };
+}
+
+function nameOf(tenant: string, className: string): string {
+  return `${tenant}\n${className}`;
+}
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -20,6 +20,8 @@
   cancelTrial(side: string): void;
   /** Lets a side take work again on an operator's word. */
   readmit(side: string): void;
+  /** Share of a side's recent tasks that failed, 0 to 1. */
+  failureRatio(side: string, nowMs: number): number;
   /** Sides that are ejected now. */
   ejected(): readonly string[];
   forget(side: string): void;
@@ -194,6 +196,13 @@
       return eject(outcome.side, tally, nowMs);
     },
 
+    failureRatio(side, nowMs) {
+      const tally = tallies.get(side);
+      if (tally === undefined) return 0;
+      fade(tally, nowMs);
+      return tally.ended === 0 ? 0 : tally.failed / tally.ended;
+    },
+
     standing(side, nowMs) {
       const ejection = ejections.get(side);
       if (ejection === undefined) return "in";
