Say hello to every entry when a side changes, and take options before two-word commands

An entry whose link was open but had not spoken yet missed a side's announcement, because hellos went to the members by name. The operators' top showed the side without its backend server. A hello is now due on every link and is never repeated from the outbox, where an old one could follow a newer.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -23,6 +23,8 @@
 
 const PROGRAM = "coltsfootreach";
 const SETTINGS_VARIABLE = "COLTSFOOTREACH_SETTINGS";
+/** Options before a command whose value is the next word. */
+const VALUE_OPTIONS = ["--settings", "--author"];
 const DEFAULT_SETTINGS = "coltsfootreach.toml";
 
 /** The process around the command line. */
@@ -115,11 +117,12 @@
 
 /** The library matches one word only, so `config check` becomes one word. */
 function joinWords(args: readonly string[]): readonly string[] {
-  const [first, second, ...rest] = args;
-  if (first !== "config" || second === undefined || second.startsWith("-")) {
-    return args;
-  }
-  return [`${first} ${second}`, ...rest];
+  const at = args.findIndex((word, index) =>
+    word === "config" && !VALUE_OPTIONS.includes(args[index - 1] ?? "")
+  );
+  const second = args[at + 1];
+  if (at < 0 || second === undefined || second.startsWith("-")) return args;
+  return [...args.slice(0, at), `config ${second}`, ...args.slice(at + 2)];
 }
 
 function createContext(world: World, options: Options): Context {
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -243,6 +243,13 @@
     }]);
   });
 
+  it("takes options before a command of two words", async () => {
+    const first = write("a.toml", DELTA);
+    const settings = join(folder, "operator.toml");
+    expect((await run("--settings", settings, "config", "apply", first)).out)
+      .to.equal("accepted as version 1");
+  });
+
   it("shows the loser of a race what the winner changed", async () => {
     await run("config", "apply", write("a.toml", DELTA));
     const text = await show();
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -119,7 +119,7 @@
   for (const { child, origin, management } of fleet.entries) {
     console.log(`${child.name}: callers ${origin}  management ${management}`);
   }
-  console.log(`management token: ${fleet.managementToken}`);
+  console.log(`operator: --settings ${fleet.operatorFile}`);
   console.log(`store: ${fleet.storeAddress}  controls ${fleet.storeControl}`);
   console.log(`settings and logs: ${fleet.folder}`);
   console.log("running until SIGINT");
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -8,7 +8,11 @@
 import { fileURLToPath } from "node:url";
 import { type Child, startChild } from "./process.ts";
 import { findFreePorts } from "./ports.ts";
-import { writeEntryFile, writeSideFile } from "./settings_files.ts";
+import {
+  writeEntryFile,
+  writeOperatorFile,
+  writeSideFile,
+} from "./settings_files.ts";
 
 /** How long a fleet may take until it is ready. */
 const READY_TIMEOUT_MS = 20_000;
@@ -49,6 +53,8 @@
 export interface Fleet {
   readonly folder: string;
   readonly managementToken: string;
+  /** Settings for the operators' command line. */
+  readonly operatorFile: string;
   readonly entries: readonly EntryProcess[];
   readonly sides: readonly Child[];
   readonly backends: readonly Child[];
@@ -139,6 +145,13 @@
     backendOrigins.push(...announced.servers.map(({ origin }) => origin));
   }
 
+  const operatorFile = writeOperatorFile(folder, {
+    entries: entries.map(({ origin }) => origin),
+    managements: entries.map(({ management }) => management),
+    managementToken: MANAGEMENT_TOKEN,
+    storeAddress,
+  });
+
   async function stop(): Promise<boolean> {
     const daemons = [...entries.map(({ child }) => child), ...sides];
     daemons.forEach((child) => child.signal("SIGTERM"));
@@ -153,6 +166,7 @@
   return {
     folder,
     managementToken: MANAGEMENT_TOKEN,
+    operatorFile,
     entries,
     sides,
     backends,
--- a/packages/fleet/src/settings_files.ts
+++ b/packages/fleet/src/settings_files.ts
@@ -50,6 +50,29 @@
   });
 }
 
+export interface OperatorFile {
+  /** Callers' and management origins of the entries. */
+  readonly entries: readonly string[];
+  readonly managements: readonly string[];
+  readonly managementToken: string;
+  readonly storeAddress: string;
+}
+
+export function writeOperatorFile(
+  folder: string,
+  operator: OperatorFile,
+): string {
+  return write(folder, "operator", {
+    role: "operator",
+    entries: operator.entries,
+    store: { endpoints: [operator.storeAddress] },
+    management: {
+      endpoints: operator.managements,
+      token: operator.managementToken,
+    },
+  });
+}
+
 function write(folder: string, name: string, document: object): string {
   const file = join(folder, `${name}.toml`);
   writeFileSync(file, stringify(document));
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -49,6 +49,8 @@
     readonly entry: string;
     readonly message: SideMessage;
   }
+  /** Every entry must hear the side's hello again. */
+  | { readonly kind: "sayHello" }
   | { readonly kind: "tableAdopted"; readonly table: Table };
 
 export interface Guard {
@@ -106,14 +108,6 @@
     };
   }
 
-  function toAllMembers(message: SideMessage): GuardEffect[] {
-    return table.members.map((member) => ({
-      kind: "send",
-      entry: member.incarnation,
-      message,
-    }));
-  }
-
   /**
    * The side takes starts only once every member has heard its registration,
    * so that a member that takes over knows every side that could have started
@@ -328,7 +322,7 @@
     registration = lost + 1;
     registeredAtMs = nowMs;
     isRegistered = false;
-    return toAllMembers(hello());
+    return [{ kind: "sayHello" }];
   }
 
   function handle(
@@ -393,16 +387,16 @@
     },
     announce(next, nowMs) {
       announcement = next;
-      return [...toAllMembers(hello()), ...startQueued(nowMs)];
+      return [{ kind: "sayHello" }, ...startQueued(nowMs)];
     },
     drain() {
       isDraining = true;
-      return toAllMembers(hello());
+      return [{ kind: "sayHello" }];
     },
     setDrained(next) {
       if (isDrained === next) return [];
       isDrained = next;
-      return toAllMembers(hello());
+      return [{ kind: "sayHello" }];
     },
     tick(nowMs) {
       evidence.expire(nowMs);
--- a/packages/side/src/entry_link.ts
+++ b/packages/side/src/entry_link.ts
@@ -27,6 +27,8 @@
 
 export interface EntryLink {
   push(message: SideMessage): void;
+  /** The next frame says hello again. */
+  sayHello(): void;
   /** Sends a frame if something is due. */
   flush(): void;
   /** Which run of an entry answers at this address, once it has spoken. */
@@ -43,6 +45,7 @@
   let sentAtMs = 0;
   let heardAtMs = 0;
   let isClosed = false;
+  let isHelloDue = false;
   let redial: NodeJS.Timeout | undefined;
 
   function open(): void {
@@ -59,7 +62,8 @@
     });
     stream = own;
     outbox.repeat();
-    send([options.hello()]);
+    isHelloDue = true;
+    send();
   }
 
   function replace(): void {
@@ -76,29 +80,35 @@
     options.received(frame);
   }
 
-  function send(first: readonly SideMessage[]): void {
+  function send(): void {
     if (stream === undefined) return;
     sequence += 1;
+    const hello = isHelloDue ? [options.hello()] : [];
+    isHelloDue = false;
     sentAtMs = performance.now();
-    const messages = [...first, ...outbox.take(sequence)];
+    const messages = [...hello, ...outbox.take(sequence)];
     stream.send({ ...options.header(entry), sequence, messages });
   }
 
   function flush(): void {
     const isBlocked = stream === undefined || stream.isSaturated();
-    if (outbox.isDue() && !isBlocked) send([]);
+    if (isBlocked) return;
+    if (isHelloDue || outbox.isDue()) send();
   }
 
   const timer = setInterval(() => {
     const nowMs = performance.now();
     if (stream === undefined) return;
     if (nowMs - heardAtMs > options.silentMs) replace();
-    else if (nowMs - sentAtMs >= options.heartbeatMs) send([]);
+    else if (nowMs - sentAtMs >= options.heartbeatMs) send();
   }, options.heartbeatMs / 4);
 
   open();
   return {
     push: (message) => outbox.push(message),
+    sayHello() {
+      isHelloDue = true;
+    },
     flush,
     entry: () => entry,
     isSettled: () => outbox.isEmpty(),
--- a/packages/side/src/side.ts
+++ b/packages/side/src/side.ts
@@ -150,11 +150,16 @@
       if (effect.kind === "run") run(effect.start);
       else if (effect.kind === "stop") runner?.stop(effect.name);
       else if (effect.kind === "tableAdopted") followMembers();
+      else if (effect.kind === "sayHello") sayHello();
       else send(effect.entry, effect.message);
     }
     scheduleFlush();
   }
 
+  function sayHello(): void {
+    for (const link of links.values()) link.sayHello();
+  }
+
   function send(entry: string, message: SideMessage): void {
     for (const link of links.values()) {
       if (link.entry() === entry) link.push(message);
