--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -2,7 +2,7 @@
  * Callers' requests: served here when this entry owns the job, forwarded to its
  * owner, or held until a takeover has settled.
  */
-import { birthOf } from "@coltsfootreach/admit";
+import { birthOf, type JobRecord } from "@coltsfootreach/admit";
 import { ownerOf } from "@coltsfootreach/ownership";
 import type { JobId, Refusal, Reply } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -75,7 +75,9 @@
     }
     const spentMs = nowMs - entry.receivedAtMs;
     const deadlineMs = ask.job.deadlineMs - spentMs;
-    toPeer(owner, { kind: "submit", request, job: { ...ask.job, deadlineMs } });
+    const { wait } = ask;
+    const sent = { ...ask.job, deadlineMs };
+    toPeer(owner, { kind: "submit", request, job: sent, wait });
   }
 
   /** Sends again what its owner has not taken or can no longer answer. */
@@ -136,8 +138,10 @@
     }
     if (record.answer !== undefined) {
       reply(origin, { kind: "answered", answer: record.answer });
-    } else {
+    } else if (ask.wait) {
       waiters.add(id, origin);
+    } else {
+      reply(origin, pendingOf(record));
     }
   }
 
@@ -148,8 +152,7 @@
     } else if (record.answer !== undefined) {
       reply(origin, { kind: "answered", answer: record.answer });
     } else {
-      const of = record.tasks.length;
-      reply(origin, { kind: "pending", done: of - record.open, of });
+      reply(origin, pendingOf(record));
     }
   }
 
@@ -217,6 +220,11 @@
   };
 }
 
+function pendingOf(record: JobRecord): Reply {
+  const of = record.tasks.length;
+  return { kind: "pending", done: of - record.open, of };
+}
+
 function undecided(reason: string): Refusal {
   return {
     code: "undecided",
--- a/packages/coordinate/src/requests.ts
+++ b/packages/coordinate/src/requests.ts
@@ -6,7 +6,12 @@
 
 /** What a caller asks. */
 export type Ask =
-  | { readonly kind: "submit"; readonly job: Job }
+  | {
+    readonly kind: "submit";
+    readonly job: Job;
+    /** False when the reply is to come as soon as the job is admitted. */
+    readonly wait: boolean;
+  }
   | { readonly kind: "read" }
   | { readonly kind: "cancel" };
 
--- a/packages/coordinate/src/sides.ts
+++ b/packages/coordinate/src/sides.ts
@@ -11,6 +11,7 @@
   SideIdentity,
   Size,
 } from "@coltsfootreach/types";
+import { holds } from "./fit.ts";
 
 /** How long a side is passed over after a refusal, in milliseconds. */
 const PAUSE_MS: Partial<Record<RefusedReason, number>> = {
@@ -60,8 +61,6 @@
   candidates(need: Need, admits: Admits, nowMs: number): readonly Candidate[];
   /** Sides that are not lost. */
   liveCount(): number;
-  /** True when a live side could run the task, busy or not. */
-  canFit(need: Need): boolean;
 }
 
 export interface Need {
@@ -85,9 +84,7 @@
   function fits(side: SideState, need: Need): boolean {
     const offer = side.announcement;
     return offer !== undefined && offer.classes.includes(need.class) &&
-      offer.size.cores >= need.size.cores &&
-      offer.size.memoryMb >= need.size.memoryMb &&
-      offer.size.accelerators >= need.size.accelerators;
+      holds(offer.size, need.size);
   }
 
   return {
@@ -168,12 +165,6 @@
       for (const side of sides.values()) count += side.lost ? 0 : 1;
       return count;
     },
-    canFit(need) {
-      for (const side of sides.values()) {
-        if (!side.lost && fits(side, need)) return true;
-      }
-      return false;
-    },
   };
 }
 
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -134,7 +134,7 @@
       }
       const ask: Ask = snapshot.job === undefined
         ? { kind: "read" }
-        : { kind: "submit", job: snapshot.job };
+        : { kind: "submit", job: snapshot.job, wait: true };
       const receivedAtMs = record.madeAtMs;
       requests.forward(
         { origin, job: record.id, ask, receivedAtMs },
@@ -231,7 +231,7 @@
         const { request } = message;
         const origin: Origin = { kind: "peer", entry, request };
         const ask: Ask = message.kind === "submit"
-          ? { kind: "submit", job: message.job }
+          ? { kind: "submit", job: message.job, wait: message.wait }
           : { kind: message.kind };
         const job = message.kind === "submit"
           ? jobId(message.job)
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -13,6 +13,7 @@
   Start,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
+import { createFit } from "./fit.ts";
 import type { SideState } from "./sides.ts";
 
 export interface TaskDesk {
@@ -51,6 +52,10 @@
   const { me, options, records, sides, settlement, waiters } = context;
   const { toSide, reply, configuration, health } = context;
   const { queue, policy } = options;
+  const fit = createFit({
+    sides: () => sides.all(),
+    estate: () => configuration.estate(),
+  });
   let attempts = 0;
 
   function enqueue(record: JobRecord, nowMs: number): void {
@@ -62,6 +67,12 @@
       if (answer !== undefined) settle(record, answer);
       return;
     }
+    const misfit = fit.findMisfit(job, nowMs);
+    if (misfit !== undefined) {
+      const answer = records.endWaiting(record, misfit, nowMs);
+      if (answer !== undefined) settle(record, answer);
+      return;
+    }
     const waiting: Waiting[] = [];
     record.tasks.forEach((task, index) => {
       if (task.kind === "waiting") waiting.push(waitingOf(record, index));
--- a/packages/serve/src/app.ts
+++ b/packages/serve/src/app.ts
@@ -86,13 +86,9 @@
     }
     const job = readJob(tenant, body);
     if (job.isErr()) return refuse(context, job.error);
-    const ask: Ask = { kind: "submit", job: job.value };
-    const reply = desk.request(jobId(job.value), ask);
-    if (context.req.query("wait") === "0") {
-      const of = job.value.tasks.length;
-      return context.json({ kind: "pending", done: 0, of }, HTTP_ACCEPTED);
-    }
-    const answer = await reply;
+    const wait = context.req.query("wait") !== "0";
+    const ask: Ask = { kind: "submit", job: job.value, wait };
+    const answer = await desk.request(jobId(job.value), ask);
     desk.answered({
       tenant,
       class: job.value.class,
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -212,6 +212,8 @@
   readonly kind: "submit";
   readonly request: number;
   readonly job: Job;
+  /** False when the reply is to come as soon as the job is admitted. */
+  readonly wait: boolean;
 }
 
 export interface ForwardedRead {
