--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -7,6 +7,7 @@
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
+import { LARGEST_PART_BYTES, splitText } from "@coltsfootreach/inventory";
 import { type Owned, type Store, swapOwned } from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationKeys } from "./keys.ts";
@@ -22,7 +23,6 @@
   type Head,
   type ReadFault,
 } from "./repository.ts";
-import { LARGEST_PART_BYTES, splitText } from "./split.ts";
 import { pruneHistory } from "./prune.ts";
 
 /** An edit that an operator wants to be in force. */
@@ -112,7 +112,9 @@
   }
   const parts = splitText(text);
   if (parts.some((part) => Buffer.byteLength(part) > LARGEST_PART_BYTES)) {
-    return err(new InvalidFile("configuration", "text", "has too long a line"));
+    return err(
+      new InvalidFile("configuration", "text", "has too long a table"),
+    );
   }
   return check({ version: baseVersion + 1, text });
 }
--- a/packages/configure/src/holder.ts
+++ b/packages/configure/src/holder.ts
@@ -25,6 +25,8 @@
 
 export interface ConfigurationNews {
   readonly configuration: Configuration;
+  /** What the text says, or why it cannot be used. */
+  readonly estate: Result<Estate, { readonly message: string }>;
   readonly source: ConfigurationSource;
   readonly nowMs: number;
 }
@@ -48,15 +50,7 @@
   rejected(): Rejected | undefined;
 }
 
-export interface HolderOptions {
-  readonly parse: (
-    configuration: Configuration,
-  ) => Result<Estate, { readonly message: string }>;
-}
-
-export function createConfigurationHolder(
-  { parse }: HolderOptions,
-): ConfigurationHolder {
+export function createConfigurationHolder(): ConfigurationHolder {
   let inForce: InForce | undefined;
   let rejected: Rejected | undefined;
 
@@ -68,7 +62,7 @@
     const offered = news.configuration;
     if (offered.version < version()) return "older";
     if (offered.version === version()) return compareText(offered);
-    return parse(offered).match(
+    return news.estate.match(
       (estate) => putInForce(news, estate),
       (fault) => reject(news, fault.message),
     );
--- a/packages/inventory/src/schema.ts
+++ b/packages/inventory/src/schema.ts
@@ -25,7 +25,7 @@
   delay: delay(),
 }).transform(({ delay, ...rest }): DataCentre => ({ ...rest, delayMs: delay }));
 
-const workerSchema = z.strictObject({
+export const workerSchema = z.strictObject({
   name: name(),
   data_centre: name(),
   rack: name(),
@@ -41,7 +41,7 @@
   memoryMb: memory / BYTES_PER_MB,
 }));
 
-const serverSchema = z.strictObject({
+export const serverSchema = z.strictObject({
   name: name(),
   worker: name(),
   slots: z.int().min(1),
--- /dev/null
+++ b/packages/inventory/src/split_test.ts
@@ -0,0 +1,52 @@
+import { Buffer } from "node:buffer";
+import { expect } from "chai";
+import fc from "fast-check";
+import { LARGEST_PART_BYTES, SMALLEST_PART_BYTES, splitText } from "./split.ts";
+
+const SEED = 20_261_204;
+
+function createText(tables: number): string {
+  return Array.from(
+    { length: tables },
+    (_, i) => `[[workers]]\nname = "værk-${i}"\n`,
+  ).join("");
+}
+
+describe("splitting a text", () => {
+  it("loses nothing, whatever the text", () => {
+    const line = fc.constantFrom("[a]\n", "[", "\n", "é = 1\n", "\n[[b]]\n");
+    fc.assert(
+      fc.property(fc.array(line), (lines) => {
+        const text = lines.join("");
+        expect(splitText(text).join("")).to.equal(text);
+      }),
+      { seed: SEED },
+    );
+  });
+
+  it("keeps a short text whole", () => {
+    expect(splitText("a = 1\n[b]\n")).to.deep.equal(["a = 1\n[b]\n"]);
+    expect(splitText("")).to.deep.equal([""]);
+  });
+
+  it("cuts before tables and within bounds", () => {
+    const parts = splitText(createText(60_000));
+    expect(parts.join("")).to.equal(createText(60_000));
+    for (const [position, part] of parts.entries()) {
+      const bytes = Buffer.byteLength(part);
+      expect(part.startsWith("[[workers]]")).to.equal(true);
+      expect(bytes).to.be.at.most(LARGEST_PART_BYTES);
+      if (position < parts.length - 1) {
+        expect(bytes).to.be.at.least(SMALLEST_PART_BYTES);
+      }
+    }
+  });
+
+  it("cuts by content, so that a removal changes few parts", () => {
+    const text = createText(60_000);
+    const before = new Set(splitText(text));
+    const edited = text.replace('[[workers]]\nname = "værk-30000"\n', "");
+    const changed = splitText(edited).filter((part) => !before.has(part));
+    expect(changed.length).to.be.within(1, 2);
+  });
+});
