--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -3,7 +3,9 @@
  * lease in the store, follows the table, and removes members whose lease has
  * lapsed.
  */
+import { createConfigurationKeys } from "@coltsfootreach/configure";
 import type { Log } from "@coltsfootreach/log";
+import type { StoreStatus } from "@coltsfootreach/manage";
 import { draining, joined, left, without } from "@coltsfootreach/ownership";
 import {
   decodeOwned,
@@ -34,16 +36,22 @@
   beginRead(): Token;
   tableRead(table: Table, token: Token): void;
   tableLearned(table: Table): void;
+  /** The configuration's key has changed, or may have. */
+  configurationChanged(found: Versioned | undefined): void;
   /** True when an operator has stopped automatic takeovers. */
   isTakeoverHeld(): boolean;
 }
 
 export interface Membership {
+  /** Removes entries that an operator has declared gone. */
+  remove(incarnations: ReadonlySet<string>): Promise<void>;
   /** Resolves once this entry is a member. */
   join(): Promise<void>;
   /** Gives up this entry's keys; false when the store cannot say so. */
   drain(): Promise<boolean>;
   leave(): Promise<void>;
+  /** Whether the store answered the last read of the table. */
+  storeStatus(): StoreStatus;
   /** Ends without a word to the store, for an entry that was removed. */
   close(): void;
 }
@@ -52,6 +60,7 @@
   options: MembershipOptions<Token>,
 ): Membership {
   const { store, member, log, prefix } = options;
+  const configurationKey = createConfigurationKeys(prefix).head;
   const tableKey = `${prefix}table`;
   const livePrefix = `${prefix}entries/`;
   const liveKey = livePrefix + member.incarnation;
@@ -60,6 +69,7 @@
   let lease: Lease | undefined;
   let watch: Watch | undefined;
   let isClosed = false;
+  let status: StoreStatus = { reachable: true, sinceMs: Date.now() };
   const timers: NodeJS.Timeout[] = [];
 
   /** The table after the change; undefined when that is not certain. */
@@ -120,9 +130,17 @@
     if (renewed.isOk() && !renewed.value) dropLease();
   }
 
+  function noteStore(reachable: boolean): void {
+    if (reachable === status.reachable) return;
+    status = { reachable, sinceMs: Date.now() };
+    if (reachable) log.info("the store answers again");
+    else log.warn("the store does not answer");
+  }
+
   async function read(): Promise<void> {
     const token = options.beginRead();
     const found = await store.read(tableKey);
+    noteStore(found.isOk());
     if (found.isErr() || isClosed) return;
     options.tableRead(tableOf(decodeOwned(found.value)), token);
   }
@@ -153,11 +171,8 @@
     if (isClosed) return;
     watch = store.watch(prefix, from, {
       changed(change) {
-        if (change.key === tableKey && change.value !== undefined) {
-          const { key, value, revision } = change;
-          const found: Versioned = { key, value, revision };
-          options.tableLearned(tableOf(decodeOwned(found)));
-        }
+        const { key, value, revision } = change;
+        if (value !== undefined) noteChange({ key, value, revision });
         const isLapse = change.key.startsWith(livePrefix) &&
           change.value === undefined;
         if (!isLapse) return;
@@ -170,6 +185,14 @@
     });
   }
 
+  function noteChange(found: Versioned): void {
+    if (found.key === tableKey) {
+      options.tableLearned(tableOf(decodeOwned(found)));
+    } else if (found.key === configurationKey) {
+      options.configurationChanged(found);
+    }
+  }
+
   async function startFollowing(): Promise<void> {
     if (isClosed) return;
     const listed = await store.list(prefix);
@@ -178,6 +201,7 @@
       return;
     }
     follow(listed.value.revision + 1);
+    options.configurationChanged(undefined);
     await removeLapsed();
     await read();
   }
@@ -212,11 +236,16 @@
       if (table !== undefined) options.tableLearned(table);
       return table !== undefined;
     },
+    async remove(incarnations) {
+      const table = await changeTable((now) => without(now, incarnations));
+      if (table !== undefined) options.tableLearned(table);
+    },
     async leave() {
       await changeTable((now) => left(now, member.incarnation));
       this.close();
       if (lease !== undefined) await store.revoke(lease);
     },
+    storeStatus: () => status,
     close() {
       isClosed = true;
       watch?.close();
