--- a/packages/configure/src/feed.ts
+++ b/packages/configure/src/feed.ts
@@ -14,6 +14,10 @@
   readonly keys: ConfigurationKeys;
   /** Pause before a failed read is tried again, in milliseconds. */
   readonly retryMs: number;
+  /** Reads a text ahead of `learned`, so that it holds up nothing there. */
+  readonly prepare?:
+    | ((configuration: Configuration) => Promise<void>)
+    | undefined;
   /** Called with versions in any order; a holder passes over older ones. */
   learned(configuration: Configuration, source: ConfigurationSource): void;
   failed(fault: ReadFault): void;
@@ -38,7 +42,8 @@
 
   async function resolve(found: Versioned): Promise<void> {
     const resolved = await repository.resolve(found);
-    resolved.match((configuration) => tell(configuration, "watch"), retry);
+    if (resolved.isOk()) await tell(resolved.value, "watch");
+    else retry(resolved.error);
   }
 
   async function read(): Promise<void> {
@@ -46,15 +51,15 @@
     isReading = true;
     const current = await repository.readCurrent();
     isReading = false;
-    current.match((configuration) => {
-      if (configuration !== undefined) tell(configuration, "read");
-    }, retry);
+    if (current.isErr()) return retry(current.error);
+    if (current.value !== undefined) await tell(current.value, "read");
   }
 
-  function tell(
+  async function tell(
     configuration: Configuration,
     source: ConfigurationSource,
-  ): void {
+  ): Promise<void> {
+    await options.prepare?.(configuration);
     if (!isClosed) learned(configuration, source);
   }
 
--- a/packages/configure/src/holder.ts
+++ b/packages/configure/src/holder.ts
@@ -25,8 +25,6 @@
 
 export interface ConfigurationNews {
   readonly configuration: Configuration;
-  /** What the text says, or why it cannot be used. */
-  readonly estate: Result<Estate, { readonly message: string }>;
   readonly source: ConfigurationSource;
   readonly nowMs: number;
 }
@@ -50,7 +48,15 @@
   rejected(): Rejected | undefined;
 }
 
-export function createConfigurationHolder(): ConfigurationHolder {
+export interface HolderOptions {
+  readonly parse: (
+    configuration: Configuration,
+  ) => Result<Estate, { readonly message: string }>;
+}
+
+export function createConfigurationHolder(
+  { parse }: HolderOptions,
+): ConfigurationHolder {
   let inForce: InForce | undefined;
   let rejected: Rejected | undefined;
 
@@ -62,7 +68,7 @@
     const offered = news.configuration;
     if (offered.version < version()) return "older";
     if (offered.version === version()) return compareText(offered);
-    return news.estate.match(
+    return parse(offered).match(
       (estate) => putInForce(news, estate),
       (fault) => reject(news, fault.message),
     );
--- a/packages/configure/src/holder_test.ts
+++ b/packages/configure/src/holder_test.ts
@@ -8,17 +8,22 @@
 const SEED = 20_261_204;
 
 /** Texts that start with "bad" cannot be used. */
+function createHolder() {
+  return createConfigurationHolder({
+    parse: ({ version, text }) =>
+      text.startsWith("bad")
+        ? err({ message: text })
+        : ok({ version } as Partial<Estate> as Estate),
+  });
+}
+
 function news(version: number, text = `text ${version}`, nowMs = version) {
-  const estate = text.startsWith("bad")
-    ? err({ message: text })
-    : ok({ version } as Partial<Estate> as Estate);
-  const configuration = { version, text };
-  return { configuration, estate, source: "peer", nowMs } as const;
+  return { configuration: { version, text }, source: "peer", nowMs } as const;
 }
 
 describe("the configuration in force", () => {
   it("says what is in force, since when and from where", () => {
-    const holder = createConfigurationHolder();
+    const holder = createHolder();
     expect(holder.inForce()).to.equal(undefined);
     expect(holder.take(news(3, "a", 50))).to.equal("newer");
     expect(holder.take(news(3, "a", 60))).to.equal("same");
@@ -28,7 +33,7 @@
   it("never goes back, whatever the order of arrival", () => {
     fc.assert(
       fc.property(fc.array(fc.nat(20)), (versions) => {
-        const holder = createConfigurationHolder();
+        const holder = createHolder();
         let highest = 0;
         for (const version of versions) {
           holder.take(news(version));
@@ -41,14 +46,14 @@
   });
 
   it("passes over another text under the version in force", () => {
-    const holder = createConfigurationHolder();
+    const holder = createHolder();
     holder.take(news(3, "a"));
     expect(holder.take(news(3, "b"))).to.equal("different");
     expect(holder.inForce()?.configuration.text).to.equal("a");
   });
 
   it("stays on the last good version until a better one comes", () => {
-    const holder = createConfigurationHolder();
+    const holder = createHolder();
     holder.take(news(1));
     expect(holder.take(news(2, "bad key"))).to.equal("invalid");
     expect(holder.version()).to.equal(1);
--- a/packages/inventory/src/parser.ts
+++ b/packages/inventory/src/parser.ts
@@ -1,7 +1,7 @@
 /**
  * Reads configuration texts in a daemon without holding up its other work. A
- * long text is read in parts with a pause after each, and parts that the text
- * before had too are not read again.
+ * long text is read in parts, and parts that the text before had too are not
+ * read again. Preparing a text reads its parts ahead with pauses in between.
  */
 import { setImmediate } from "node:timers/promises";
 import { ok, type Result } from "neverthrow";
@@ -20,8 +20,9 @@
 import { splitText } from "./split.ts";
 
 export interface EstateParser {
-  /** Same result as `parseEstate`. */
-  parse(configuration: Configuration): Promise<Result<Estate, InvalidFile>>;
+  /** Same result as `parseEstate`; quick for what is prepared. */
+  parse(configuration: Configuration): Result<Estate, InvalidFile>;
+  prepare(configuration: Configuration): Promise<void>;
 }
 
 /** One part of a document: its machines checked, all else as it was read. */
@@ -41,32 +42,49 @@
 }));
 
 export function createEstateParser(): EstateParser {
+  /** Parts of the last text. */
   let known: ReadonlyMap<string, Part> = new Map();
+  /** Parts read ahead. */
+  let prepared: ReadonlyMap<string, Part> = new Map();
 
-  async function parse(
+  function findPart(text: string): Part | undefined {
+    return known.get(text) ?? prepared.get(text);
+  }
+
+  async function prepare({ text }: Configuration): Promise<void> {
+    const ahead = new Map<string, Part>();
+    for (const piece of splitText(text)) {
+      if (findPart(piece) !== undefined) continue;
+      await setImmediate();
+      const part = readPart(piece);
+      if (part === undefined) return;
+      ahead.set(piece, part);
+    }
+    prepared = ahead;
+  }
+
+  function parse(
     configuration: Configuration,
-  ): Promise<Result<Estate, InvalidFile>> {
-    const parts: Part[] = [];
-    const read = new Map<string, Part>();
-    for (const text of splitText(configuration.text)) {
-      const part = known.get(text) ?? await readPart(text);
+  ): Result<Estate, InvalidFile> {
+    const parts = new Map<string, Part>();
+    const pieces = splitText(configuration.text);
+    for (const piece of pieces) {
+      const part = findPart(piece) ?? readPart(piece);
       if (part === undefined) return parseEstate(configuration);
-      parts.push(part);
-      read.set(text, part);
+      parts.set(piece, part);
     }
-    known = read;
-    await setImmediate();
-    const estate = assemble(configuration.version, parts);
+    known = parts;
+    const ordered = pieces.map((piece) => parts.get(piece)!);
+    const estate = assemble(configuration.version, ordered);
     // The whole text is read at once to say what is wrong with it.
     return estate === undefined ? parseEstate(configuration) : ok(estate);
   }
 
-  return { parse };
+  return { parse, prepare };
 }
 
 /** Undefined when the part cannot be read by itself. */
-async function readPart(text: string): Promise<Part | undefined> {
-  await setImmediate();
+function readPart(text: string): Part | undefined {
   const part = parseToml("part", text)
     .map((document) => partSchema.safeParse(document));
   return part.isOk() ? part.value.data : undefined;
--- a/packages/inventory/src/parser_test.ts
+++ b/packages/inventory/src/parser_test.ts
@@ -38,7 +38,8 @@
     expect(edited).not.to.equal(text);
     for (const [version, each] of [DELTA, text, edited, text].entries()) {
       const expected = parseEstate({ version, text: each })._unsafeUnwrap();
-      const read = await parser.parse({ version, text: each });
+      if (version % 2 === 1) await parser.prepare({ version, text: each });
+      const read = parser.parse({ version, text: each });
       expect(read._unsafeUnwrap()).to.deep.equal(expected);
     }
   });
@@ -46,7 +47,9 @@
   for (const [what, bad] of Object.entries(broken)) {
     it(`says the same as the plain reader of ${what}`, async () => {
       const expected = parseEstate({ version: 1, text: bad });
-      const read = await createEstateParser().parse({ version: 1, text: bad });
+      const parser = createEstateParser();
+      await parser.prepare({ version: 1, text: bad });
+      const read = parser.parse({ version: 1, text: bad });
       expect(read._unsafeUnwrapErr().message)
         .to.equal(expected._unsafeUnwrapErr().message);
     });
