--- a/packages/trial/src/entry_model.ts
+++ b/packages/trial/src/entry_model.ts
@@ -80,12 +80,21 @@
     if (health.standing(side, nowMs) === "trial") {
       health.startTrial(side, nowMs);
     }
-    const { runMs } = record.job.tasks[task.index]!;
-    const { job, index } = task;
-    options.send(side, { entry: options.number, job, index, runMs });
+    send(record, task, side);
     return true;
   }
 
+  function send(record: JobRecord, task: Waiting, side: string): void {
+    options.send(side, {
+      entry: options.number,
+      job: task.job,
+      index: task.index,
+      of: record.job.tasks.length,
+      declaredMs: task.declaredMs,
+      runMs: record.job.tasks[task.index]!.runMs,
+    });
+  }
+
   function drain(): void {
     if (queue.size() > 0) queue.drain(place, clock.nowMs());
   }
--- a/packages/trial/src/report.ts
+++ b/packages/trial/src/report.ts
@@ -28,6 +28,8 @@
   readonly load: number;
   readonly seed: number;
   readonly jobs: number;
+  /** Jobs that came after the warm-up. */
+  readonly reportedJobs: number;
   readonly tasks: number;
   readonly responseOverIdeal: Quantiles;
   readonly perTenant: Readonly<Record<string, Quantiles>>;
@@ -136,10 +138,16 @@
   return value.toFixed(2).padStart(8);
 }
 
+/** Share of the reported jobs that were refused, failed or late. */
+function lostShare(report: TrialReport): number {
+  const lost = report.refusedJobs + report.failedJobs + report.lateJobs;
+  return lost / Math.max(1, report.reportedJobs);
+}
+
 /** One line per policy, for people. */
 export function formatTable(reports: readonly TrialReport[]): string {
   const head = "policy".padEnd(20) +
-    ["p50", "p99", "p99.9", "goodput", "failed%", "msg/task", "waste"]
+    ["p50", "p99", "p99.9", "goodput", "lost%", "failed%", "msg/task", "waste"]
       .map((name) => name.padStart(9)).join("");
   const lines = reports.map((report) =>
     report.policy.padEnd(20) + [
@@ -147,6 +155,7 @@
       report.responseOverIdeal.p99,
       report.responseOverIdeal.p999,
       report.goodput,
+      100 * lostShare(report),
       100 * report.failedTaskShare,
       report.messagesPerTask,
       report.wastedPerTask,
--- a/packages/trial/src/run_trial.ts
+++ b/packages/trial/src/run_trial.ts
@@ -220,6 +220,7 @@
     load: options.load,
     seed: options.seed,
     jobs: jobs.length,
+    reportedJobs: reported.length,
     tasks,
     responseOverIdeal: quantilesOf(ratios(reported, roundTripMs)),
     perTenant: quantilesBy(reported, roundTripMs, (job) => job.tenant),
--- a/packages/trial/src/workload.ts
+++ b/packages/trial/src/workload.ts
@@ -43,6 +43,9 @@
   readonly workMs: number;
 }
 
+/** Time that callers add to the deadline of their class for each task. */
+const DEADLINE_PER_TASK_MS = 50;
+
 /** Declared times in the scenario `declared-off` are off by up to this. */
 const DECLARED_OFF = 10;
 
@@ -86,13 +89,14 @@
 function drawJob(options: TenantOptions, number: number): TrialJob {
   const { tenant, profile, random } = options;
   const oneClass = pickClass(profile, random);
+  const tasks = drawTasks(options, oneClass);
   return {
     id: `${tenant}\n${number}`,
     tenant,
     class: oneClass.name,
     atMs: 0,
-    deadlineMs: oneClass.deadlineMs,
-    tasks: drawTasks(options, oneClass),
+    deadlineMs: oneClass.deadlineMs + tasks.length * DEADLINE_PER_TASK_MS,
+    tasks,
   };
 }
 
