--- a/packages/cli/src/caller.ts
+++ b/packages/cli/src/caller.ts
@@ -8,7 +8,7 @@
 import type { Context } from "./context.ts";
 import { type HttpAnswer, type HttpRequest, send } from "./http.ts";
 import { CommandFailed, fail, type Report, succeed } from "./report.ts";
-import { formatTable } from "./text.ts";
+import { formatNumber, formatTable } from "./text.ts";
 
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
@@ -85,7 +85,7 @@
         outcome.state,
         outcome.verdict,
         outcome.server,
-        outcome.runMs,
+        outcome.runMs === undefined ? undefined : formatNumber(outcome.runMs),
         outcome.body ?? outcome.reason,
       ]),
     ]),
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -275,7 +275,10 @@
     await run("config", "apply", write("a.toml", DELTA));
     await standin.setFaults({ lostAnswers: 2 });
     const held = await run("hold", "eject");
-    expect(held.out).to.equal("accepted as version 2");
+    expect(held.out).to.equal(
+      "accepted as version 2\n" +
+        "  notice: eject is held: it is not done any more; past ones stand",
+    );
     expect(await show()).to.include('held = ["eject"]');
   });
 
@@ -297,8 +300,11 @@
       .to.include("accepted as version 1\nnot in force everywhere: side-1");
     const status = await run("config", "status");
     expect(status.code).to.equal(1);
-    expect(status.out).to.include("laggard seen by entry-1: side-1");
-    expect(status.out).to.include("misses backend server pot-dispatch-01");
+    expect(status.out).to.include("laggard: side-1 has version 0");
+    expect(status.out).to.include(
+      "expected but not present: pot-dispatch-01\n" +
+        "present but not in the inventory: pot-dispatch-02",
+    );
     entry.sideVersion = 1;
     const again = await run("config", "apply", file, "--wait");
     expect(again.out).to.include("in force everywhere");
@@ -307,13 +313,17 @@
 
   it("edits rules by command, each edit once", async () => {
     await run("config", "apply", write("a.toml", DELTA));
-    expect((await run("drain", "pot-dispatch-02")).code).to.equal(0);
+    expect((await run("drain", "pot-dispatch-02")).out).to.include(
+      "notice: pot-dispatch-02 gets no new work; 2 running tasks end as usual",
+    );
+    expect((await run("drain", "typo")).out)
+      .to.include("warning: typo is drained, but no such backend server");
     expect((await run("drain", "pot-dispatch-02")).out)
       .to.include("unchanged");
     expect((await run("undo", ACT.id)).code).to.equal(0);
     expect((await run("undrain", "pot-dispatch-02")).code).to.equal(0);
     const text = await show();
-    expect(text).to.include("drained = []");
+    expect(text).to.include('drained = ["typo"]');
     expect(text).to.include('never_ejected = ["pot-dispatch-03"]');
   });
 
--- a/packages/cli/src/commands/acts/run.ts
+++ b/packages/cli/src/commands/acts/run.ts
@@ -21,7 +21,8 @@
         act.why,
       ]),
     ]);
+    const shown = acts.length === 0 ? "no automatic acts are on record" : table;
     const silent = failures.map((failure) => `no answer: ${failure}`);
-    return succeed([table, ...silent].join("\n"), { acts, failures });
+    return succeed([shown, ...silent].join("\n"), { acts, failures });
   });
 }
--- a/packages/cli/src/commands/config_plan/run.ts
+++ b/packages/cli/src/commands/config_plan/run.ts
@@ -6,6 +6,7 @@
 import {
   estateOf,
   formatDifference,
+  formatEffect,
   withVersions,
 } from "../../configuration.ts";
 import type { Context } from "../../context.ts";
@@ -55,9 +56,7 @@
   const changes = differences.length === 0
     ? ["nothing changes"]
     : differences.map(formatDifference);
-  const consequences = effects.map(({ severity, subject, text }) =>
-    `  ${severity}: ${subject} ${text}`
-  );
+  const consequences = effects.map(formatEffect);
   return [
     `from version ${fromVersion}:`,
     ...changes,
--- a/packages/cli/src/commands/config_status/run.ts
+++ b/packages/cli/src/commands/config_status/run.ts
@@ -16,7 +16,7 @@
   const text = [
     describeHead(head),
     formatEntries(answers),
-    ...answers.bodies.flatMap(describeTrouble),
+    ...describeTrouble(answers.bodies),
     ...answers.failures.map((failure) => `no answer: ${failure}`),
   ].join("\n");
   const data = {
@@ -53,19 +53,25 @@
 
 function formatEntries({ bodies }: EntryAnswers<StatusReport>): string {
   return formatTable([
-    ["ENTRY", "VERSION", "FROM", "SINCE", "PROCESSES", "LAGGARDS", "STORE"],
+    ["ENTRY", "VERSION", "FROM", "FOR", "PROCESSES", "BEHIND", "STORE"],
     ...bodies.map((status) => [
       status.entry,
       status.configuration.version,
       status.configuration.source,
       sinceOf(status),
       status.processes.length,
-      status.laggards.length,
+      describeLongestLag(status),
       status.store.reachable ? "reachable" : "out of reach",
     ]),
   ]);
 }
 
+function describeLongestLag({ laggards }: StatusReport): string {
+  if (laggards.length === 0) return "0";
+  const longestMs = Math.max(...laggards.map(({ behindMs }) => behindMs));
+  return `${laggards.length} for ${Math.round(longestMs)} ms`;
+}
+
 function sinceOf({ configuration, nowMs }: StatusReport): string {
   const { sinceMs } = configuration;
   return sinceMs === undefined
@@ -73,20 +79,45 @@
     : `${Math.round((nowMs - sinceMs) / 1_000)}s`;
 }
 
-function describeTrouble(status: StatusReport): readonly string[] {
+/** One line for each finding, with the entries that it comes from. */
+function describeTrouble(
+  statuses: readonly StatusReport[],
+): readonly string[] {
+  const entriesByFinding = new Map<string, string[]>();
+  for (const status of statuses) {
+    for (const finding of findTrouble(status)) {
+      const entries = entriesByFinding.get(finding) ?? [];
+      entriesByFinding.set(finding, [...entries, status.entry]);
+    }
+  }
+  return [...entriesByFinding].map(([finding, entries]) =>
+    entries.length === statuses.length
+      ? finding
+      : `${finding} (seen by ${entries.join(", ")})`
+  );
+}
+
+function findTrouble(status: StatusReport): readonly string[] {
   const { entry, configuration, laggards } = status;
   const rejected = configuration.rejected === undefined ? [] : [
     `${entry} cannot use version ${configuration.rejected.version}: ` +
     configuration.rejected.reason,
   ];
   const behind = laggards.map((laggard) =>
-    `laggard seen by ${entry}: ${laggard.process} has version ` +
-    `${laggard.version}, behind for ${laggard.behindMs} ms` +
-    (laggard.overdue ? ", takes no new work" : "")
+    `laggard: ${laggard.process} has version ${laggard.version}` +
+    (laggard.overdue ? " and takes no new work" : "")
   );
-  const missing = status.missingServers
-    .map((name) => `${entry} misses backend server ${name}`);
-  const unexpected = status.unexpectedServers
-    .map((name) => `${entry} sees ${name}, which is not in the inventory`);
-  return [...rejected, ...behind, ...missing, ...unexpected];
+  return [
+    ...rejected,
+    ...behind,
+    ...listNames("expected but not present", status.missingServers),
+    ...listNames("present but not in the inventory", status.unexpectedServers),
+  ];
+}
+
+function listNames(
+  what: string,
+  names: readonly string[],
+): readonly string[] {
+  return names.length === 0 ? [] : [`${what}: ${[...names].sort().join(", ")}`];
 }
--- a/packages/cli/src/commands/edit_rules/run.ts
+++ b/packages/cli/src/commands/edit_rules/run.ts
@@ -3,9 +3,17 @@
  * itself, so after a conflict it is made again on the newer version.
  */
 import { err, ok, type Result } from "neverthrow";
+import {
+  type Effect,
+  planChange,
+  type Running,
+} from "@coltsfootreach/configure";
 import { editRules, type RuleEdit } from "@coltsfootreach/inventory";
+import type { Configuration } from "@coltsfootreach/types";
 import {
   type Edit,
+  estateOf,
+  formatEffect,
   reportOutcome,
   type Versions,
   withVersions,
@@ -14,9 +22,11 @@
 import {
   type CommandError,
   type CommandResult,
+  EXIT_OK,
   type Report,
   succeed,
 } from "../../report.ts";
+import { readRunning } from "../../running.ts";
 import { readVersion } from "../config_show/run.ts";
 
 const ATTEMPTS = 8;
@@ -29,12 +39,17 @@
   context: Context,
   args: EditRulesArguments,
 ): Promise<CommandResult> {
-  return await withVersions(context, (versions) => edit(versions, args));
+  const { running } = await readRunning(context);
+  return await withVersions(
+    context,
+    (versions) => edit(versions, args, running),
+  );
 }
 
 async function edit(
   versions: Versions,
   args: EditRulesArguments,
+  running: Running,
 ): Promise<Result<Report, CommandError>> {
   for (let attempt = 1;; attempt++) {
     const current = await readVersion(versions, undefined);
@@ -54,6 +69,27 @@
     const outcome = await versions.apply(change);
     if (outcome.isErr()) return err(outcome.error);
     if (outcome.value.kind === "conflict" && attempt < ATTEMPTS) continue;
-    return ok(await reportOutcome(versions, change, outcome.value));
+    const report = await reportOutcome(versions, change, outcome.value);
+    const effects = findEffectsOf(current.value, change.text, running);
+    return ok(addEffects(report, effects));
   }
 }
+
+function findEffectsOf(
+  current: Configuration,
+  text: string,
+  running: Running,
+): readonly Effect[] {
+  const next = estateOf({ version: current.version + 1, text });
+  if (next === undefined) return [];
+  return planChange(estateOf(current), next, running).effects;
+}
+
+function addEffects(report: Report, effects: readonly Effect[]): Report {
+  if (report.exitCode !== EXIT_OK) return report;
+  return {
+    ...report,
+    text: [report.text, ...effects.map(formatEffect)].join("\n"),
+    data: { ...(report.data as object), effects },
+  };
+}
--- a/packages/cli/src/commands/top/run.ts
+++ b/packages/cli/src/commands/top/run.ts
@@ -65,15 +65,16 @@
 function formatServers({ servers }: Top): string {
   return formatTable([
     ["SERVER", "WORKER", "STATE", "SLOTS", "RUNNING", "QUEUED", "FAILED %"],
-    ...servers.map((server) => [
-      server.server,
-      server.worker,
-      server.state,
-      server.slots,
-      server.running,
-      server.queued,
-      formatNumber(server.failureRatio * 100),
-    ]),
+    ...servers.toSorted((a, b) => a.server.localeCompare(b.server))
+      .map((server) => [
+        server.server,
+        server.worker,
+        server.state,
+        server.slots,
+        server.running,
+        server.queued,
+        formatNumber(server.failureRatio * 100),
+      ]),
   ]);
 }
 
--- a/packages/cli/src/configuration.ts
+++ b/packages/cli/src/configuration.ts
@@ -7,6 +7,7 @@
   createConfigurationKeys,
   createConfigurationRepository,
   type Difference,
+  type Effect,
   findDifferences,
   type Outcome,
   type ReadFault,
@@ -137,6 +138,10 @@
   return `version ${version} by ${author} at ${formatTime(atMs)}${suffix}`;
 }
 
+export function formatEffect({ severity, subject, text }: Effect): string {
+  return `  ${severity}: ${subject} ${text}`;
+}
+
 const SIGN = { added: "+", removed: "-", changed: "~" } as const;
 
 export function formatDifference(difference: Difference): string {
--- a/packages/inventory/src/edit.ts
+++ b/packages/inventory/src/edit.ts
@@ -42,9 +42,12 @@
 }
 
 function applyEdit(rules: Rules, { list, name, listed }: RuleEdit): Rules {
-  const others = (rules[list] as readonly string[])
-    .filter((item) => item !== name);
-  return { ...rules, [list]: listed ? [...others, name] : others };
+  const names: readonly string[] = rules[list];
+  if (names.includes(name) === listed) return rules;
+  const edited = listed
+    ? [...names, name]
+    : names.filter((item) => item !== name);
+  return { ...rules, [list]: edited };
 }
 
 function writeEdit(
