Keep notRun true when its entry or a side with evidence is lost

Cause: found by going through departures of sides on paper. Evidence leaves with a side that stops, restarts or is given up; if the owner of a job is then lost too, the next owner found no evidence and would start the job again. And an answer that a task was not run was known to its owner alone; after a crash a delayed copy of the submission would have started it.

Change: entries remember the last departure of a side and treat keys born before it as undecided after a takeover; a side notes the end of a job before a caller is told notRun. The allowed clock skew defaults to 5 s, because it widens the gap after such a takeover.

--- a/packages/admit/src/record.ts
+++ b/packages/admit/src/record.ts
@@ -28,6 +28,8 @@
    * for an earlier owner.
    */
   hasGaps: boolean;
+  /** True when a side has noted that the job had ended with its entry. */
+  sealed: boolean;
   /** Incarnations of the sides that were sent a task. */
   readonly sides: Set<string>;
 }
@@ -46,6 +48,7 @@
     open: job.tasks.length,
     answer: undefined,
     hasGaps: false,
+    sealed: false,
     sides: new Set(),
   };
 }
@@ -64,6 +67,7 @@
     open: evidence.of,
     answer: undefined,
     hasGaps: false,
+    sealed: false,
     sides: new Set(),
   };
 }
@@ -93,6 +97,7 @@
     open: tasks.filter((task) => task.kind !== "ended").length,
     answer: snapshot.answer,
     hasGaps: false,
+    sealed: false,
     sides: new Set(),
   };
 }
--- a/packages/admit/src/records.ts
+++ b/packages/admit/src/records.ts
@@ -124,7 +124,9 @@
     job: Job,
     nowMs: number,
   ): Admission {
-    if (record.answer !== undefined) return { kind: "known", record };
+    if (record.answer !== undefined || record.sealed) {
+      return { kind: "known", record };
+    }
     if (record.tasks.length !== job.tasks.length) {
       return {
         kind: "refused",
@@ -163,7 +165,8 @@
 
   function expiryOf(record: JobRecord, nowMs: number): Expiry | undefined {
     if (record.job === undefined) {
-      const isOrphan = nowMs - record.madeAtMs > options.orphanMs;
+      const isOrphan = record.sealed ||
+        nowMs - record.madeAtMs > options.orphanMs;
       return isOrphan ? { record, kind: "orphan" } : undefined;
     }
     const overdueMs = nowMs - record.deadlineAtMs;
@@ -218,6 +221,7 @@
         }
       }
       record.sides.add(side);
+      if (record.job === undefined) record.sealed ||= evidence.sealed;
       close(record, nowMs);
       return record;
     },
--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -110,6 +110,8 @@
       me,
       freshnessMs: options.freshnessMs,
       windowMs: options.records.windowMs,
+      skewMs: options.records.skewMs,
+      wallMs: () => options.wallMs(),
     }),
     waiters: createWaiters(),
     outgoing: createOutgoing(),
--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -136,8 +136,9 @@
       record.hasGaps = isInGap;
       tasks.enqueue(record, nowMs);
     }
-    if (record.answer !== undefined) {
-      reply(origin, { kind: "answered", answer: record.answer });
+    const answer = tasks.answerOf(record);
+    if (answer !== undefined) {
+      reply(origin, { kind: "answered", answer });
     } else if (ask.wait) {
       waiters.add(id, origin);
     } else {
@@ -149,8 +150,11 @@
     const record = records.find(job);
     if (record === undefined) {
       refuse(origin, unknownJob());
-    } else if (record.answer !== undefined) {
-      reply(origin, { kind: "answered", answer: record.answer });
+      return;
+    }
+    const answer = tasks.answerOf(record);
+    if (answer !== undefined) {
+      reply(origin, { kind: "answered", answer });
     } else {
       reply(origin, pendingOf(record));
     }
@@ -163,11 +167,12 @@
       return;
     }
     options.queue.removeJob(job);
-    const answer = records.endWaiting(record, "cancelled", nowMs);
+    const ended = records.endWaiting(record, "cancelled", nowMs);
     tasks.revokeSent(record);
-    if (record.answer === undefined) waiters.add(job, origin);
-    else reply(origin, { kind: "answered", answer: record.answer });
-    if (answer !== undefined) tasks.settle(record, answer);
+    const answer = ended === undefined ? tasks.answerOf(record) : undefined;
+    if (answer === undefined) waiters.add(job, origin);
+    else reply(origin, { kind: "answered", answer });
+    if (ended !== undefined) tasks.settle(record, ended, nowMs);
   }
 
   function routeHeld(): void {
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -75,6 +75,8 @@
         return tasks.takeRefusal(side, message, nowMs);
       case "evidence":
         return tasks.takeEvidence(side, message, nowMs);
+      case "jobSealed":
+        return tasks.takeSealed(message.job);
       case "goodbye":
         settlement.registry.goodbye(side.identity.incarnation);
         tasks.endTasksOn(side, nowMs);
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -158,7 +158,7 @@
     const hadAnswer = known?.answer !== undefined;
     const record = records.take(snapshot, nowMs);
     if (record.answer !== undefined) {
-      if (!hadAnswer) tasks.settle(record, record.answer);
+      if (!hadAnswer) tasks.settle(record, record.answer, nowMs);
       return;
     }
     if (isRepeated) return;
@@ -190,6 +190,7 @@
       tableVersion: version,
       records: batch.records,
       sides: settlement.registry.registrations(),
+      lastDepartureWallMs: settlement.registry.lastDepartureWallMs(),
     });
   }
 
@@ -198,7 +199,9 @@
     message: HandOver,
     nowMs: number,
   ): void {
-    for (const side of message.sides) settlement.registry.hearOf(side);
+    const { registry } = settlement;
+    for (const side of message.sides) registry.hearOf(side);
+    registry.hearOfDeparture(message.lastDepartureWallMs ?? -Infinity);
     for (const snapshot of message.records) takeRecord(snapshot, nowMs);
     settlement.handedOver(entry, message.tableVersion);
     toPeer(entry, { kind: "handOverTaken", batch: message.batch });
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -8,12 +8,14 @@
 import type {
   Answer,
   Evidence,
+  JobId,
   Refused,
   Result,
   Start,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
 import { createFit } from "./fit.ts";
+import { createSeals } from "./seals.ts";
 import type { SideState } from "./sides.ts";
 
 export interface TaskDesk {
@@ -25,8 +27,15 @@
   send(record: JobRecord, index: number, to: SendTo): void;
   /** Takes a running or queued job back from the sides. */
   revokeSent(record: JobRecord): void;
-  /** Tells everyone who waits for a job that it has ended. */
-  settle(record: JobRecord, answer: Answer): void;
+  /**
+   * Tells everyone who waits for a job that it has ended, once a side has
+   * noted that if some of its tasks were not run.
+   */
+  settle(record: JobRecord, answer: Answer, nowMs: number): void;
+  /** The answer of a job, once it may be given. */
+  answerOf(record: JobRecord): Answer | undefined;
+  /** A side has noted the end of a job. */
+  takeSealed(job: JobId): void;
   /** A task sent to this side is no longer counted there. */
   release(side: string): void;
   takeResult(side: SideState, message: Result, nowMs: number): void;
@@ -56,6 +65,7 @@
     sides: () => sides.all(),
     estate: () => configuration.estate(),
   });
+  const seals = createSeals();
   let attempts = 0;
 
   function enqueue(record: JobRecord, nowMs: number): void {
@@ -64,13 +74,13 @@
     if (record.hasGaps) {
       const reason = "a side that is gone may have run this task";
       const answer = records.endWaiting(record, reason, nowMs);
-      if (answer !== undefined) settle(record, answer);
+      if (answer !== undefined) settle(record, answer, nowMs);
       return;
     }
     const misfit = fit.findMisfit(job, nowMs);
     if (misfit !== undefined) {
       const answer = records.endWaiting(record, misfit, nowMs);
-      if (answer !== undefined) settle(record, answer);
+      if (answer !== undefined) settle(record, answer, nowMs);
       return;
     }
     const waiting: Waiting[] = [];
@@ -178,7 +188,36 @@
     });
   }
 
-  function settle(record: JobRecord, answer: Answer): void {
+  function settle(record: JobRecord, answer: Answer, nowMs: number): void {
+    const hasNotRun = answer.outcomes.some((one) => one.verdict === "notRun");
+    const side = hasNotRun ? findNotary(record) : undefined;
+    if (side === undefined) {
+      announce(record, answer);
+      return;
+    }
+    seals.add({ record, answer }, nowMs);
+    const of = record.tasks.length;
+    toSide(side, { kind: "sealJob", job: record.id, of });
+  }
+
+  /** A connected side, if possible one that ran some of the job. */
+  function findNotary(record: JobRecord): string | undefined {
+    for (const side of record.sides) {
+      if (isUsable(sides.find(side))) return side;
+    }
+    for (const side of sides.all()) {
+      if (isUsable(side)) return side.identity.incarnation;
+    }
+    return undefined;
+  }
+
+  function takeSealed(job: JobId): void {
+    const sealed = seals.take(job);
+    if (sealed !== undefined) announce(sealed.record, sealed.answer);
+  }
+
+  /** Tells everyone who waits for a job that it has ended. */
+  function announce(record: JobRecord, answer: Answer): void {
     for (const origin of waiters.take(record.id)) {
       reply(origin, { kind: "answered", answer });
     }
@@ -203,7 +242,7 @@
     }, nowMs);
     judge(side, outcome.state === "failed", nowMs);
     const answer = records.end(record, outcome, nowMs);
-    if (answer !== undefined) settle(record, answer);
+    if (answer !== undefined) settle(record, answer, nowMs);
   }
 
   function release(side: string): void {
@@ -234,7 +273,7 @@
       { index, state: "failed", verdict: "notRun", reason: why },
       nowMs,
     );
-    if (answer !== undefined) settle(record, answer);
+    if (answer !== undefined) settle(record, answer, nowMs);
   }
 
   function takeEvidence(
@@ -252,7 +291,7 @@
       const record = records.learn(evidence, incarnation, nowMs);
       recountOutstanding(side);
       if (before === undefined && record.answer !== undefined) {
-        settle(record, record.answer);
+        settle(record, record.answer, nowMs);
       }
     }
   }
@@ -297,23 +336,30 @@
           reason: "the side that was sent this task is gone",
           server: side.announcement?.server,
         }, nowMs);
-        if (answer !== undefined) settle(record, answer);
+        if (answer !== undefined) settle(record, answer, nowMs);
       });
     }
   }
 
   function expire(nowMs: number): void {
+    for (const { record, answer } of seals.takeOverdue(nowMs)) {
+      announce(record, answer);
+    }
     for (const { record, kind } of records.expire(nowMs)) {
       if (kind === "overdue") {
         endOverdue(record, nowMs);
         continue;
       }
+      if (kind === "orphan") {
+        if (!settlement.isSettled(record.id)) continue;
+        record.hasGaps = settlement.isInGap(record.id, undefined);
+      }
       queue.removeJob(record.id);
       const reason = kind === "deadline"
         ? "the deadline passed before a slot was free"
-        : "its entry was lost and nobody resubmitted the job";
+        : "the job ended with its entry, or nobody resubmitted it";
       const answer = records.endWaiting(record, reason, nowMs);
-      if (answer !== undefined) settle(record, answer);
+      if (answer !== undefined) settle(record, answer, nowMs);
     }
   }
 
@@ -326,7 +372,7 @@
         verdict: "mayHaveRun",
         reason: "no word of this task came long after the deadline",
       }, nowMs);
-      if (answer !== undefined) settle(record, answer);
+      if (answer !== undefined) settle(record, answer, nowMs);
     });
   }
 
@@ -338,6 +384,8 @@
     send,
     revokeSent,
     settle,
+    answerOf: (record) => seals.has(record.id) ? undefined : record.answer,
+    takeSealed,
     release,
     takeResult,
     takeRefusal,
@@ -348,3 +396,7 @@
     expire,
   };
 }
+
+function isUsable(side: SideState | undefined): boolean {
+  return side !== undefined && side.connected && !side.lost && !side.draining;
+}
--- a/packages/guard/src/evidence.ts
+++ b/packages/guard/src/evidence.ts
@@ -28,6 +28,8 @@
   /** The entry that started it last, and that gets its results. */
   sender: string;
   readonly startedAtMs: number;
+  /** True once the owner has said that the job has ended. */
+  sealed: boolean;
   readonly tasks: Map<number, TaskRecord>;
 }
 
@@ -43,7 +45,11 @@
 export interface EvidenceTable {
   find(job: JobId): JobRecord | undefined;
   /** The record of a job, made if absent; undefined when the table is full. */
-  open(start: Start, sender: string, nowMs: number): JobRecord | undefined;
+  open(
+    job: Pick<Start, "job" | "of">,
+    sender: string,
+    nowMs: number,
+  ): JobRecord | undefined;
   jobs(): Iterable<JobRecord>;
   /** The job has ended; its results are kept for a while only. */
   close(job: JobId, nowMs: number): void;
@@ -79,18 +85,19 @@
 
   return {
     find: (job) => records.get(job),
-    open(start, sender, nowMs) {
-      const known = records.get(start.job);
+    open({ job, of }, sender, nowMs) {
+      const known = records.get(job);
       if (known !== undefined) return known;
       if (records.size >= options.maxJobs) return undefined;
       const record: JobRecord = {
-        job: start.job,
-        of: start.of,
+        job,
+        of,
         sender,
         startedAtMs: nowMs,
+        sealed: false,
         tasks: new Map(),
       };
-      records.set(start.job, record);
+      records.set(job, record);
       return record;
     },
     jobs: () => records.values(),
@@ -117,7 +124,8 @@
     const attempt = state === "running" ? task.attempt : 0;
     tasks.push({ index, state, attempt, outcome });
   }
-  return { job: record.job, of: record.of, tasks };
+  const { job, of, sealed } = record;
+  return { job, of, sealed, tasks };
 }
 
 function hasUnfinished(record: JobRecord): boolean {
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -17,6 +17,7 @@
   type Refused,
   type RefusedReason,
   type Revoke,
+  type SealJob,
   type SideIdentity,
   type SideMessage,
   type Start,
@@ -204,7 +205,7 @@
     const known = evidence.find(start.job);
     if (known?.tasks.has(start.index)) return repeat(known, start, frame);
     const { job, index, attempt } = start;
-    const reason = refusalOf(start, frame, nowMs);
+    const reason = known?.sealed ? "revoked" : refusalOf(start, frame, nowMs);
     if (reason !== undefined) {
       return [refuse(frame.entry, { job, index, attempt, reason })];
     }
@@ -317,6 +318,18 @@
     }];
   }
 
+  function seal(
+    message: SealJob,
+    frame: EntryFrame,
+    nowMs: number,
+  ): readonly GuardEffect[] {
+    const record = evidence.open(message, frame.entry, nowMs);
+    if (record === undefined) return [];
+    record.sealed = true;
+    const sealed = { kind: "jobSealed", job: message.job } as const;
+    return [{ kind: "send", entry: frame.entry, message: sealed }];
+  }
+
   function registerAnew(lost: number, nowMs: number): readonly GuardEffect[] {
     if (lost < registration) return [];
     registration = lost + 1;
@@ -341,6 +354,8 @@
         return collect(message, frame);
       case "registrationLost":
         return registerAnew(message.registration, nowMs);
+      case "sealJob":
+        return seal(message, frame, nowMs);
       case "closeJob":
         evidence.close(message.job, nowMs);
         return [];
--- a/packages/settings/src/entry.ts
+++ b/packages/settings/src/entry.ts
@@ -72,7 +72,7 @@
   tasks: z.int().min(1).max(MOST_TASKS).default(MOST_TASKS),
   jobs: z.int().min(1).default(200_000),
   record_window: duration().prefault("10m"),
-  skew: duration().prefault("30s"),
+  skew: duration().prefault("5s"),
   acts: z.int().min(1).default(10_000),
 }).transform((section): EntryLimits => ({
   bodyBytes: section.body,
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -29,13 +29,25 @@
   isLostBy(registration: Registration, by: string): boolean;
   /** The newest table version under which a side has given evidence. */
   evidenceVersionOf(incarnation: string): number;
+  /**
+   * When a side was last given up with the evidence of its starts, in Unix
+   * milliseconds; -Infinity if never.
+   */
+  lastDepartureWallMs(): number;
+  /** Another entry has seen a side depart. */
+  hearOfDeparture(wallMs: number): void;
   /** Sides that have not given evidence under `tableVersion` or a newer one. */
   withoutEvidence(tableVersion: number): readonly string[];
   registrations(): readonly Registration[];
 }
 
-export function createRegistry(): Registry {
+export function createRegistry(wallMs: () => number): Registry {
   const sides = new Map<string, KnownSide>();
+  let lastDepartureWallMs = -Infinity;
+
+  function depart(incarnation: string): void {
+    if (sides.delete(incarnation)) lastDepartureWallMs = wallMs();
+  }
 
   function know(registration: Registration): KnownSide {
     const known = sides.get(registration.incarnation);
@@ -57,7 +69,7 @@
       for (const [incarnation, side] of sides) {
         const isEarlierRun = side.name === name &&
           incarnation !== registration.incarnation;
-        if (isEarlierRun) sides.delete(incarnation);
+        if (isEarlierRun) depart(incarnation);
       }
       know(registration).name = name;
     },
@@ -69,9 +81,7 @@
       if (side === undefined) return;
       side.evidenceVersion = Math.max(side.evidenceVersion, tableVersion);
     },
-    goodbye(incarnation) {
-      sides.delete(incarnation);
-    },
+    goodbye: depart,
     lost(registration, by) {
       const side = sides.get(registration.incarnation);
       const isSame =
@@ -83,7 +93,7 @@
         const isLost = table.members.every((member) =>
           side.lostBy.has(member.incarnation)
         );
-        if (isLost) sides.delete(incarnation);
+        if (isLost) depart(incarnation);
       }
     },
     isLostBy(registration, by) {
@@ -101,6 +111,10 @@
       }
       return missing;
     },
+    lastDepartureWallMs: () => lastDepartureWallMs,
+    hearOfDeparture(at) {
+      lastDepartureWallMs = Math.max(lastDepartureWallMs, at);
+    },
     registrations() {
       return [...sides.values()].map((side) => side.registration);
     },
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -20,6 +20,10 @@
   readonly freshnessMs: number;
   /** How long keys may be resubmitted. */
   readonly windowMs: number;
+  /** Most that clocks of callers and entries may differ. */
+  readonly skewMs: number;
+  /** Unix time in milliseconds. */
+  wallMs(): number;
 }
 
 interface Transition {
@@ -35,7 +39,7 @@
   fencedAtMs: number | undefined;
 }
 
-/** Keys whose tasks may have been started on a side that gave no evidence. */
+/** Keys whose tasks may have been started on a side that is gone. */
 interface Gap {
   readonly from: Table;
   readonly bornBeforeWallMs: number;
@@ -77,7 +81,7 @@
 }
 
 export function createSettlement(options: SettlementOptions): Settlement {
-  const registry = createRegistry();
+  const registry = createRegistry(options.wallMs);
   const followed = new Map<string, number>();
   const gone = new Set<string>();
   let table: Table = EMPTY_TABLE;
@@ -154,17 +158,30 @@
 
   function hasEvidence(transition: Transition, now: Instant): boolean {
     const missing = registry.withoutEvidence(transition.evidenceVersion);
-    if (missing.length === 0) return true;
+    if (missing.length === 0) {
+      noteGap(transition, registry.lastDepartureWallMs(), now);
+      return true;
+    }
     if (!isFenced(transition)) return false;
     transition.fencedAtMs ??= now.nowMs;
     const waitMs = options.freshnessMs * (1 + CLOCK_DRIFT);
     if (now.nowMs - transition.fencedAtMs < waitMs) return false;
+    noteGap(transition, now.wallMs, now);
+    return true;
+  }
+
+  /** Starts up to this time may have left no evidence that could be had. */
+  function noteGap(
+    transition: Transition,
+    lostBeforeWallMs: number,
+    now: Instant,
+  ): void {
+    if (now.wallMs - lostBeforeWallMs > options.windowMs) return;
     gaps.push({
       from: transition.from,
-      bornBeforeWallMs: now.wallMs,
+      bornBeforeWallMs: lostBeforeWallMs + options.skewMs,
       untilMs: now.nowMs + options.windowMs,
     });
-    return true;
   }
 
   function canSettle(transition: Transition, now: Instant): boolean {
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -51,6 +51,17 @@
   readonly stop: boolean;
 }
 
+/**
+ * Asks a side to remember that the job has ended, before its caller is told
+ * that some of its tasks were not run.
+ */
+export interface SealJob {
+  readonly kind: "sealJob";
+  readonly job: JobId;
+  /** Number of tasks in the job. */
+  readonly of: number;
+}
+
 /** The job has ended and its answer is kept by the entry. */
 export interface CloseJob {
   readonly kind: "closeJob";
@@ -89,6 +100,7 @@
   | Start
   | Revoke
   | CloseJob
+  | SealJob
   | Collect
   | RegistrationLost
   | TableNews
@@ -172,6 +184,8 @@
 
 export interface JobEvidence {
   readonly job: JobId;
+  /** True when the job has ended, so that nothing of it may start. */
+  readonly sealed: boolean;
   readonly of: number;
   readonly tasks: readonly TaskEvidence[];
 }
@@ -183,12 +197,24 @@
   readonly jobs: readonly JobEvidence[];
 }
 
+/** The side remembers that the job has ended. */
+export interface JobSealed {
+  readonly kind: "jobSealed";
+  readonly job: JobId;
+}
+
 /** The side will start nothing any more and leaves. */
 export interface Goodbye {
   readonly kind: "goodbye";
 }
 
-export type SideMessage = Hello | Result | Refused | Evidence | Goodbye;
+export type SideMessage =
+  | Hello
+  | Result
+  | Refused
+  | Evidence
+  | JobSealed
+  | Goodbye;
 
 export interface SideFrame {
   readonly side: string;
@@ -248,6 +274,11 @@
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
+  /**
+   * When the sender last saw a side depart with its evidence, in Unix
+   * milliseconds; absent if never.
+   */
+  readonly lastDepartureWallMs?: number | undefined;
 }
 
 /** The receiver holds all records of a batch. */
