--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -305,6 +305,8 @@
       const owner = ownerOf(table, record.job);
       if (owner?.incarnation !== frame.entry) continue;
       record.sender = frame.entry;
+      // Nothing of a job whose waiting starts were dropped has started.
+      if (record.tasks.size === 0 && !record.sealed) continue;
       jobs.push(evidenceOf(record));
     }
     return [{
