--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -300,7 +300,9 @@
       .to.include("accepted as version 1\nnot in force everywhere: side-1");
     const status = await run("config", "status");
     expect(status.code).to.equal(1);
-    expect(status.out).to.include("laggard: side-1 has version 0");
+    expect(status.out).to.include(
+      "laggard: side-1 has version 0 and takes no new work",
+    );
     expect(status.out).to.include(
       "expected but not present: pot-dispatch-01\n" +
         "present but not in the inventory: pot-dispatch-02",
--- a/packages/cli/src/commands/config_status/run.ts
+++ b/packages/cli/src/commands/config_status/run.ts
@@ -25,7 +25,8 @@
     failures: answers.failures,
   };
   const quiet = answers.failures.length === 0 &&
-    answers.bodies.every(({ laggards }) => laggards.length === 0);
+    answers.bodies
+      .every(({ laggards }) => !laggards.some(({ overdue }) => overdue));
   return ok(quiet ? succeed(text, data) : fail(text, data));
 }
 
@@ -103,9 +104,10 @@
     `${entry} cannot use version ${configuration.rejected.version}: ` +
     configuration.rejected.reason,
   ];
-  const behind = laggards.map((laggard) =>
-    `laggard: ${laggard.process} has version ${laggard.version}` +
-    (laggard.overdue ? " and takes no new work" : "")
+  const behind = laggards.map(({ process, version, overdue }) =>
+    overdue
+      ? `laggard: ${process} has version ${version} and takes no new work`
+      : `not yet: ${process} has version ${version}`
   );
   return [
     ...rejected,
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -88,22 +88,29 @@
   return [...begun, ...ended];
 }
 
-function capacityEffects({ to, running }: EffectContext): Effect[] {
-  const drained = new Set(to.rules.drained);
-  const left = running.servers.filter(({ server }) => !drained.has(server));
-  const slots = sum(running.servers.map((server) => server.slots));
-  const slotsLeft = sum(left.map((server) => server.slots));
-  const busy = sum(running.servers.map((server) => server.running));
-  if (slots === 0 || slotsLeft === slots) return [];
+function capacityEffects({ from, to, running }: EffectContext): Effect[] {
+  const slots = countSlots(running.servers, []);
+  const slotsBefore = countSlots(running.servers, from.rules.drained);
+  const slotsLeft = countSlots(running.servers, to.rules.drained);
+  if (slotsLeft >= slotsBefore) return [];
   if (slotsLeft === 0) {
     return [warning("capacity", "no backend server is left to take work")];
   }
+  const busy = sum(running.servers.map((server) => server.running));
   const text = `${slotsLeft} of ${slots} slots stay in use; ${busy} are busy`;
   return [
     busy > slotsLeft ? warning("capacity", text) : notice("capacity", text),
   ];
 }
 
+function countSlots(
+  servers: readonly RunningServer[],
+  drained: readonly string[],
+): number {
+  const left = servers.filter(({ server }) => !drained.includes(server));
+  return sum(left.map(({ slots }) => slots));
+}
+
 function serverEffects({ from, to, running }: EffectContext): Effect[] {
   const after = new Set(to.servers.map(({ name }) => name));
   return from.servers
--- a/packages/configure/src/plan_test.ts
+++ b/packages/configure/src/plan_test.ts
@@ -75,6 +75,16 @@
     expect(first.differences).to.have.lengthOf(3 + 10 + 10 + 2 + 3);
   });
 
+  it("says nothing of slots that were out before", () => {
+    const drained = DELTA.replace(
+      "drained = []",
+      'drained = ["pot-dispatch-01"]',
+    );
+    const held = drained.replace("held = []", 'held = ["eject"]');
+    const { effects } = planChange(parse(drained, 4), parse(held, 5), RUNNING);
+    expect(effects.map(({ subject }) => subject)).to.deep.equal(["eject"]);
+  });
+
   const cases: readonly [string, string, string, string, string][] = [
     [
       "a drained server",
