--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -2,12 +2,14 @@
  * Parses a command line, runs its command and writes what came of it: a report
  * to standard output, or one line to standard error.
  */
+import { existsSync } from "node:fs";
 import { err, type Result } from "neverthrow";
 import { type CAC, cac } from "cac";
-import { type InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
+import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
 import {
   type OperatorSettings,
   readOperatorSettings,
+  WHOLE_DOCUMENT,
 } from "@coltsfootreach/settings";
 import packageFile from "../package.json" with { type: "json" };
 import { COMMANDS, type Options } from "./commands.ts";
@@ -83,7 +85,9 @@
         command.run({ context: createContext(world, options), args, options });
     });
   }
-  parser.help();
+  parser.help((sections) =>
+    sections.filter(({ title }) => !title?.startsWith("For more info"))
+  );
   parser.version(packageFile.version);
   return { parser, found: () => found };
 }
@@ -124,16 +128,26 @@
 
 function createContext(world: World, options: Options): Context {
   const { env } = world;
-  const file = options.settings ?? env[SETTINGS_VARIABLE] ?? DEFAULT_SETTINGS;
+  const file = options.settings ?? env[SETTINGS_VARIABLE];
   const author = options.author ?? env.USER ?? env.LOGNAME ?? "unknown";
   return {
     ...world,
-    settings: (): Result<OperatorSettings, InvalidFile> =>
-      readOperatorSettings(String(file)),
+    settings: () =>
+      file === undefined
+        ? readDefaultSettings()
+        : readOperatorSettings(String(file)),
     author: String(author),
   };
 }
 
+function readDefaultSettings(): Result<OperatorSettings, InvalidFile> {
+  if (existsSync(DEFAULT_SETTINGS)) {
+    return readOperatorSettings(DEFAULT_SETTINGS);
+  }
+  const reason = `not found; give --settings or set ${SETTINGS_VARIABLE}`;
+  return err(new InvalidFile(DEFAULT_SETTINGS, WHOLE_DOCUMENT, reason));
+}
+
 function formatError(error: CommandError): string {
   const line = error.message.replaceAll(/\s*\n\s*/g, " ");
   return error instanceof StoreUnavailable
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -120,12 +120,12 @@
   {
     usage: "hold <kind>",
     description: "Stop a kind of automatic act",
-    run: ({ context, args }) => holdKind(context, args[0]!, true),
+    run: (invocation) => holdKind(invocation, true),
   },
   {
     usage: "release <kind>",
     description: "Allow a kind of automatic act again",
-    run: ({ context, args }) => holdKind(context, args[0]!, false),
+    run: (invocation) => holdKind(invocation, false),
   },
   {
     usage: "drain <server>",
@@ -235,10 +235,10 @@
 }
 
 function holdKind(
-  context: Context,
-  kind: string,
+  { context, args }: Invocation,
   listed: boolean,
 ): CommandResult | Promise<CommandResult> {
+  const kind = args[0]!;
   if (!ACT_KINDS.includes(kind as ActKind)) {
     const kinds = ACT_KINDS.join(", ");
     return err(new UsageError(`"${kind}" is none of ${kinds}`));
--- a/packages/cli/src/commands/config_apply/run.ts
+++ b/packages/cli/src/commands/config_apply/run.ts
@@ -38,7 +38,8 @@
     (versions) => apply(versions, args, read.value),
   );
   if (applied.isErr() || args.waitMs === undefined) return applied;
-  return ok(await waitUntilInForce(context, applied.value, args.waitMs));
+  const wait = { applied: applied.value, waitMs: args.waitMs };
+  return ok(await waitUntilInForce(context, wait));
 }
 
 async function apply(
--- a/packages/cli/src/commands/explain/run.ts
+++ b/packages/cli/src/commands/explain/run.ts
@@ -27,24 +27,27 @@
     return err(new UsageError(`explain ${what} needs --tenant`));
   }
   return what === "job"
-    ? await explainJob(context, tenant, name)
-    : await explainTask(context, tenant, name);
+    ? await explainJob(context, { tenant, name })
+    : await explainTask(context, { tenant, name });
+}
+
+interface NameOfTenant {
+  readonly tenant: string;
+  readonly name: string;
 }
 
 async function explainJob(
   context: Context,
-  tenant: string,
-  key: string,
+  { tenant, name }: NameOfTenant,
 ): Promise<CommandResult> {
-  const path = `/jobs/${encodeURIComponent(tenant)}/${encodeURIComponent(key)}`;
+  const path = `/jobs/${[tenant, name].map(encodeURIComponent).join("/")}`;
   const job = await askAny<JobExplanation>(context, path);
   return job.map((found) => succeed(formatJob(found), found));
 }
 
 async function explainTask(
   context: Context,
-  tenant: string,
-  name: string,
+  { tenant, name }: NameOfTenant,
 ): Promise<CommandResult> {
   const slash = name.lastIndexOf("/");
   const index = name.slice(slash + 1);
--- a/packages/cli/src/wait.ts
+++ b/packages/cli/src/wait.ts
@@ -15,8 +15,7 @@
 /** Adds the result of the wait to the report of an accepted change. */
 export async function waitUntilInForce(
   context: Context,
-  applied: Report,
-  waitMs: number,
+  { applied, waitMs }: { readonly applied: Report; readonly waitMs: number },
 ): Promise<Report> {
   if (applied.exitCode !== EXIT_OK) return applied;
   const data = applied.data as { readonly version: number };
@@ -25,11 +24,10 @@
     const progress = await readProgress(context, data.version);
     const waitedMs = context.now() - startedAtMs;
     if (progress.behind.length + progress.failures.length === 0) {
-      return finish(applied, progress, `in force everywhere`);
+      return finish(applied, progress);
     }
     if (waitedMs >= waitMs) {
-      const lag = [...progress.behind, ...progress.failures].join(", ");
-      return finish(applied, progress, `not in force everywhere: ${lag}`);
+      return finish(applied, progress);
     }
     await context.sleep(POLL_MS);
   }
@@ -62,8 +60,12 @@
   return `${process} has version ${version}`;
 }
 
-function finish(applied: Report, progress: Progress, line: string): Report {
-  const everywhere = progress.behind.length + progress.failures.length === 0;
+function finish(applied: Report, progress: Progress): Report {
+  const lag = [...progress.behind, ...progress.failures];
+  const everywhere = lag.length === 0;
+  const line = everywhere
+    ? "in force everywhere"
+    : `not in force everywhere: ${lag.join(", ")}`;
   return {
     text: `${applied.text}\n${line}`,
     data: { ...(applied.data as object), everywhere, ...progress },
--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -8,7 +8,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
 import { LARGEST_PART_BYTES, splitText } from "@coltsfootreach/inventory";
-import { type Owned, type Store, swapOwned } from "@coltsfootreach/store";
+import {
+  type Owned,
+  type Store,
+  swapOwned,
+  type Write,
+} from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationKeys } from "./keys.ts";
 import {
@@ -140,11 +145,10 @@
 ): Promise<Result<ConfigurationRecord, ReadFault>> {
   if (head !== undefined) {
     const { version } = head.record;
-    const kept = await writeOnce(
-      options.store,
-      options.keys.history(version),
-      formatRecord(head.record),
-    );
+    const kept = await writeOnce(options.store, {
+      key: options.keys.history(version),
+      value: formatRecord(head.record),
+    });
     if (kept.isErr()) return err(kept.error);
   }
   const body = await writeText(options, change, head);
@@ -183,7 +187,10 @@
     const reference = present.get(digest) ??
       { key: keys.part(token, position), digest };
     if (!present.has(digest)) {
-      const written = await writeOnce(store, reference.key, part);
+      const written = await writeOnce(store, {
+        key: reference.key,
+        value: part,
+      });
       if (written.isErr()) return err(written.error);
     }
     parts.push(reference);
@@ -194,11 +201,10 @@
 /** Writes a key whose value never changes; present already is as good. */
 async function writeOnce(
   store: Store,
-  key: string,
-  value: string,
+  entry: Pick<Write, "key" | "value">,
 ): Promise<Result<void, StoreUnavailable>> {
   for (let attempt = 1;; attempt++) {
-    const swap = await store.swap({ key, value, expectedRevision: 0 });
+    const swap = await store.swap({ ...entry, expectedRevision: 0 });
     if (swap.isOk()) return ok(undefined);
     if (attempt === SWAP_ATTEMPTS) {
       return err(new StoreUnavailable("notRun", swap.error.message));
--- a/packages/configure/src/difference.ts
+++ b/packages/configure/src/difference.ts
@@ -25,6 +25,14 @@
   readonly fields: readonly FieldDifference[];
 }
 
+const ITEM_SECTIONS = [
+  "dataCentres",
+  "workers",
+  "servers",
+  "tenants",
+  "classes",
+] as const;
+
 interface Named {
   readonly name: string;
 }
@@ -35,19 +43,19 @@
   to: Estate,
 ): readonly Difference[] {
   return [
-    ...compareSection("dataCentres", from?.dataCentres, to.dataCentres),
-    ...compareSection("workers", from?.workers, to.workers),
-    ...compareSection("servers", from?.servers, to.servers),
-    ...compareSection("tenants", from?.tenants, to.tenants),
-    ...compareSection("classes", from?.classes, to.classes),
+    ...ITEM_SECTIONS.flatMap((section) =>
+      compareSection(section, { from: from?.[section] ?? [], to: to[section] })
+    ),
     ...compareRules(from, to),
   ];
 }
 
-function compareSection<Item extends Named>(
+function compareSection(
   section: Section,
-  from: readonly Item[] = [],
-  to: readonly Item[],
+  { from, to }: {
+    readonly from: readonly Named[];
+    readonly to: readonly Named[];
+  },
 ): readonly Difference[] {
   const before = new Map(from.map((item) => [item.name, item]));
   const after = new Set(to.map((item) => item.name));
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -2,7 +2,7 @@
  * What a change of configuration does to running work, in the words that an
  * operator reads before applying it.
  */
-import type { Estate, Rules } from "@coltsfootreach/types";
+import type { Estate } from "@coltsfootreach/types";
 
 /** What runs and waits at the moment, as the entries report it. */
 export interface Running {
@@ -71,8 +71,9 @@
   return { severity: "warning", subject, text };
 }
 
-function drainEffects({ from, to, running }: EffectContext): Effect[] {
-  const { added, removed } = compareLists(from.rules, to.rules, "drained");
+function drainEffects(context: EffectContext): Effect[] {
+  const { running } = context;
+  const { added, removed } = compareLists(context, "drained");
   const begun = added.map((name) => {
     const server = running.servers.find((item) => item.server === name);
     if (server === undefined) {
@@ -192,9 +193,10 @@
   });
 }
 
-function ruleEffects({ from, to, running }: EffectContext): Effect[] {
-  const held = compareLists(from.rules, to.rules, "held");
-  const gone = compareLists(from.rules, to.rules, "gone");
+function ruleEffects(context: EffectContext): Effect[] {
+  const { running } = context;
+  const held = compareLists(context, "held");
+  const gone = compareLists(context, "gone");
   return [
     ...held.added.map((kind) =>
       notice(kind, "is held: it is not done any more; past ones stand")
@@ -215,9 +217,12 @@
   readonly removed: readonly string[];
 }
 
-function compareLists(from: Rules, to: Rules, list: RuleList): ListComparison {
-  const before: readonly string[] = from[list];
-  const after: readonly string[] = to[list];
+function compareLists(
+  { from, to }: EffectContext,
+  list: RuleList,
+): ListComparison {
+  const before: readonly string[] = from.rules[list];
+  const after: readonly string[] = to.rules[list];
   return {
     added: after.filter((item) => !before.includes(item)),
     removed: before.filter((item) => !after.includes(item)),
--- a/packages/log/src/redact.ts
+++ b/packages/log/src/redact.ts
@@ -18,6 +18,10 @@
 /** Nesting below this is left out; log fields are meant to be flat. */
 const DEEPEST = 6;
 
+function isSecret(key: string): boolean {
+  return SECRET_KEYS.has(key.toLowerCase());
+}
+
 export interface Redaction {
   /** The value with its secrets replaced; the argument stays as it is. */
   redact(value: unknown): unknown;
@@ -34,11 +38,6 @@
     );
   }
 
-  function redactField(key: string, value: unknown, depth: number): unknown {
-    if (SECRET_KEYS.has(key.toLowerCase())) return REDACTED;
-    return redactValue(value, depth);
-  }
-
   function redactValue(value: unknown, depth: number): unknown {
     if (typeof value === "string") return redactText(value);
     if (typeof value === "bigint") return value.toString();
@@ -50,7 +49,7 @@
     }
     const fields = Object.entries(value).map(([key, item]) => [
       redactText(key),
-      redactField(key, item, depth + 1),
+      isSecret(key) ? REDACTED : redactValue(item, depth + 1),
     ]);
     return Object.fromEntries(fields);
   }
--- a/packages/settings/src/unit.ts
+++ b/packages/settings/src/unit.ts
@@ -43,33 +43,29 @@
 
 /** A duration longer than zero, in milliseconds. */
 export function duration() {
-  return quantity("duration", parseDuration, [...MS_PER_UNIT.keys()])
+  return quantity("duration", MS_PER_UNIT)
     .refine((ms) => ms > 0, "must be longer than zero");
 }
 
 /** A duration of zero or more, in milliseconds. */
 export function delay() {
-  return quantity("duration", parseDuration, [...MS_PER_UNIT.keys()]);
+  return quantity("duration", MS_PER_UNIT);
 }
 
 /** A size greater than zero, in bytes. */
 export function size() {
-  return quantity("size", parseSize, [...BYTES_PER_UNIT.keys()])
+  return quantity("size", BYTES_PER_UNIT)
     .refine((bytes) => bytes > 0, "must be greater than zero");
 }
 
-function quantity(
-  noun: string,
-  parse: (text: string) => number | undefined,
-  units: readonly string[],
-) {
+function quantity(noun: string, units: ReadonlyMap<string, number>) {
   return z.string().transform((text, context) => {
-    const value = parse(text);
+    const value = parseQuantity(text, units);
     if (value !== undefined) return value;
     context.addIssue({
       code: "custom",
       message: `"${text}" is no ${noun}; write a number and one of ${
-        units.join(", ")
+        [...units.keys()].join(", ")
       }`,
     });
     return z.NEVER;
