Keep lists of candidates while nothing changes who may take work

Cause: each placement walked over all sides and made an object for each. Job records count their waiting tasks, which the policy is told in place of all open ones.

--- a/packages/admit/src/record.ts
+++ b/packages/admit/src/record.ts
@@ -22,12 +22,16 @@
   readonly tasks: TaskState[];
   /** Tasks that have not ended. */
   open: number;
+  /** Tasks that have neither ended nor been sent. */
+  waiting: number;
   answer: Answer | undefined;
   /**
    * True when sides that could not be asked may have started some of the tasks
    * for an earlier owner.
    */
   hasGaps: boolean;
+  /** Longest declared run time of its tasks, once it has been asked for. */
+  longestMs: number | undefined;
   /** True when a side has noted that the job had ended with its entry. */
   sealed: boolean;
   /** Incarnations of the sides that were sent a task. */
@@ -46,9 +50,11 @@
     deadlineAtMs: nowMs + job.deadlineMs,
     tasks: job.tasks.map(() => ({ kind: "waiting" })),
     open: job.tasks.length,
+    waiting: job.tasks.length,
     answer: undefined,
     hasGaps: false,
     sealed: false,
+    longestMs: undefined,
     sides: new Set(),
   };
 }
@@ -65,9 +71,11 @@
     deadlineAtMs: nowMs,
     tasks: Array.from({ length: evidence.of }, () => ({ kind: "waiting" })),
     open: evidence.of,
+    waiting: evidence.of,
     answer: undefined,
     hasGaps: false,
     sealed: false,
+    longestMs: undefined,
     sides: new Set(),
   };
 }
@@ -95,20 +103,33 @@
     deadlineAtMs: nowMs + snapshot.leftMs,
     tasks,
     open: tasks.filter((task) => task.kind !== "ended").length,
+    waiting: tasks.filter((task) => task.kind === "waiting").length,
     answer: snapshot.answer,
     hasGaps: false,
     sealed: false,
+    longestMs: undefined,
     sides: new Set(),
   };
 }
 
+/** Moves one task to another state; an ended one stays as it is. */
+export function setTask(
+  record: JobRecord,
+  index: number,
+  state: TaskState,
+): boolean {
+  const before = record.tasks[index];
+  if (before === undefined || before.kind === "ended") return false;
+  record.tasks[index] = state;
+  if (before.kind === "waiting") record.waiting -= 1;
+  if (state.kind === "waiting") record.waiting += 1;
+  if (state.kind === "ended") record.open -= 1;
+  return true;
+}
+
 /** Ends one task; false when it had ended before. */
 export function endTask(record: JobRecord, outcome: TaskOutcome): boolean {
-  const task = record.tasks[outcome.index];
-  if (task === undefined || task.kind === "ended") return false;
-  record.tasks[outcome.index] = { kind: "ended", outcome };
-  record.open -= 1;
-  return true;
+  return setTask(record, outcome.index, { kind: "ended", outcome });
 }
 
 /** Ends every task that waits, with a true `notRun` unless sides are missing. */
--- a/packages/admit/src/records.ts
+++ b/packages/admit/src/records.ts
@@ -23,6 +23,7 @@
   failWaiting,
   type JobRecord,
   recordFromSnapshot,
+  setTask,
   snapshotOf,
 } from "./record.ts";
 
@@ -189,14 +190,13 @@
     },
     find: (id) => records.get(id),
     sent(record, index, to) {
-      record.tasks[index] = { kind: "sent", ...to };
+      setTask(record, index, { kind: "sent", ...to });
       record.sides.add(to.side);
     },
     refused(record, index, attempt) {
       const task = record.tasks[index];
       if (task?.kind !== "sent" || task.attempt !== attempt) return false;
-      record.tasks[index] = { kind: "waiting" };
-      return true;
+      return setTask(record, index, { kind: "waiting" });
     },
     end(record, outcome, nowMs) {
       return endTask(record, outcome) ? close(record, nowMs) : undefined;
@@ -217,7 +217,7 @@
           endTask(record, forgottenResult(task.index));
         } else {
           const { attempt } = task;
-          record.tasks[task.index] = { kind: "sent", side, attempt };
+          setTask(record, task.index, { kind: "sent", side, attempt });
         }
       }
       record.sides.add(side);
@@ -263,8 +263,7 @@
   snapshot.tasks.forEach((task, index) => {
     const known: TaskState | undefined = record.tasks[index];
     if (known?.kind !== "waiting" || task.kind === "waiting") return;
-    if (task.kind === "ended") endTask(record, task.outcome);
-    else record.tasks[index] = task;
+    setTask(record, index, task);
   });
 }
 
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -114,7 +114,7 @@
   }
 
   function loseSide(side: SideState): void {
-    side.lost = true;
+    sides.lose(side);
     const registration = {
       incarnation: side.identity.incarnation,
       registration: side.registration,
--- a/packages/coordinate/src/sides.ts
+++ b/packages/coordinate/src/sides.ts
@@ -1,7 +1,6 @@
 /**
- * The sides as an entry sees them, and the candidates for a task among them.
+ * The sides as an entry sees them.
  */
-import type { Candidate } from "@coltsfootreach/place";
 import type {
   Announcement,
   Hello,
@@ -9,9 +8,7 @@
   RefusedReason,
   SideFrame,
   SideIdentity,
-  Size,
 } from "@coltsfootreach/types";
-import { holds } from "./fit.ts";
 
 /** How long a side is passed over after a refusal, in milliseconds. */
 const PAUSE_MS: Partial<Record<RefusedReason, number>> = {
@@ -57,39 +54,23 @@
   refused(side: SideState, reason: RefusedReason, nowMs: number): void;
   remove(incarnation: string): void;
   all(): Iterable<SideState>;
-  /** Sides that may be sent a task now, of those that `admits` lets pass. */
-  candidates(need: Need, admits: Admits, nowMs: number): readonly Candidate[];
+  /** Gives up a side that has been silent for too long. */
+  lose(side: SideState): void;
+  /** Rises when a side may have begun or ceased to take work. */
+  revision(): number;
   /** Sides that are not lost. */
   liveCount(): number;
 }
 
-export interface Need {
-  readonly class: string;
-  readonly size: Size;
-  /** The side must follow this version of the table. */
-  readonly tableVersion: number;
-}
-
-/** Whether a side may take work at all now. */
-export type Admits = (side: SideState) => boolean;
-
 export function createSides(): Sides {
   const sides = new Map<string, SideState>();
 
-  function isLive(side: SideState): boolean {
-    return side.connected && !side.lost && !side.draining &&
-      side.announcement !== undefined;
-  }
-
-  function fits(side: SideState, need: Need): boolean {
-    const offer = side.announcement;
-    return offer !== undefined && offer.classes.includes(need.class) &&
-      holds(offer.size, need.size);
-  }
+  let revision = 0;
 
   return {
     hello(hello, nowMs) {
       const { identity, registration, announcement, draining } = hello;
+      revision += 1;
       const known = sides.get(identity.incarnation);
       if (known !== undefined) {
         known.registration = registration;
@@ -132,6 +113,9 @@
     heard(side, frame, nowMs) {
       side.lastHeardMs = nowMs;
       side.stampMs = Math.max(side.stampMs, frame.stampMs);
+      const isSame = side.tableVersion === frame.tableVersion &&
+        side.configurationVersion === frame.configurationVersion;
+      if (!isSame) revision += 1;
       side.tableVersion = frame.tableVersion;
       side.configurationVersion = frame.configurationVersion;
       side.load = frame.load;
@@ -141,25 +125,24 @@
     closed(incarnation) {
       const side = sides.get(incarnation);
       if (side !== undefined) side.connected = false;
+      revision += 1;
     },
     refused(side, reason, nowMs) {
+      revision += 1;
       if (reason === "draining") side.draining = true;
       const pauseMs = PAUSE_MS[reason];
       if (pauseMs !== undefined) side.pausedUntilMs = nowMs + pauseMs;
     },
     remove(incarnation) {
       sides.delete(incarnation);
+      revision += 1;
     },
     all: () => sides.values(),
-    candidates(need, admits, nowMs) {
-      const found: Candidate[] = [];
-      for (const side of sides.values()) {
-        if (!isLive(side) || side.pausedUntilMs > nowMs) continue;
-        if (side.tableVersion !== need.tableVersion) continue;
-        if (fits(side, need) && admits(side)) found.push(candidateOf(side));
-      }
-      return found;
+    lose(side) {
+      side.lost = true;
+      revision += 1;
     },
+    revision: () => revision,
     liveCount() {
       let count = 0;
       for (const side of sides.values()) count += side.lost ? 0 : 1;
@@ -167,22 +150,3 @@
     },
   };
 }
-
-/** A view that stays current while the core places several tasks. */
-function candidateOf(side: SideState): Candidate {
-  const offer = side.announcement!;
-  return {
-    side: side.identity.incarnation,
-    server: offer.server,
-    dataCentre: side.identity.dataCentre,
-    slots: Math.min(offer.slots, offer.connections),
-    get outstanding() {
-      return side.outstanding;
-    },
-    load: side.load,
-    loadAtMs: side.loadAtMs,
-    outstandingAtLoad: side.held,
-    classes: offer.classes,
-    size: offer.size,
-  };
-}
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -14,6 +14,7 @@
   Start,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
+import { createCandidates } from "./candidates.ts";
 import { createFit } from "./fit.ts";
 import { createSeals } from "./seals.ts";
 import type { SideState } from "./sides.ts";
@@ -66,6 +67,11 @@
     estate: () => configuration.estate(),
   });
   const seals = createSeals();
+  const candidates = createCandidates({
+    sides,
+    tableVersion: () => settlement.table().version,
+    admits: mayTakeWork,
+  });
   let attempts = 0;
 
   function enqueue(record: JobRecord, nowMs: number): void {
@@ -110,21 +116,18 @@
     if (state?.kind !== "waiting") return true;
     const job = record.job!;
     const leftMs = record.deadlineAtMs - nowMs;
-    const need = {
+    const placing = {
       class: job.class,
       size: task.size,
-      tableVersion: settlement.table().version,
-    };
-    const placing = {
-      ...need,
       tenant: job.tenant,
       declaredMs: task.declaredMs,
-      unplaced: record.open,
+      unplaced: record.waiting,
+      longestMs: longestOf(record),
+      ageMs: nowMs - record.madeAtMs,
       leftMs,
     };
-    const admits = (side: SideState) => mayTakeWork(side, nowMs);
-    const candidates = sides.candidates(need, admits, nowMs);
-    const side = policy.choose(placing, candidates, nowMs);
+    const found = candidates.find(placing, nowMs);
+    const side = policy.choose(placing, found, nowMs);
     if (side === undefined) return false;
     noteTrial(sides.find(side)!, nowMs);
     send(record, waiting.index, { side, leftMs });
@@ -143,6 +146,7 @@
     const { server } = side.announcement!;
     if (health.standing(server, nowMs) === "trial") {
       health.startTrial(server, nowMs);
+      candidates.changed();
     }
   }
 
@@ -150,7 +154,9 @@
     const server = side.announcement?.server;
     if (server === undefined) return;
     const act = health.observe({ side: server, failed }, nowMs);
-    if (act !== undefined) context.act(act);
+    if (act === undefined) return;
+    context.act(act);
+    candidates.changed();
   }
 
   function send(
@@ -400,3 +406,11 @@
 function isUsable(side: SideState | undefined): boolean {
   return side !== undefined && side.connected && !side.lost && !side.draining;
 }
+
+/** The longest declared run time of a job's tasks, in milliseconds. */
+function longestOf(record: JobRecord): number {
+  record.longestMs ??= Math.max(
+    ...record.job!.tasks.map((task) => task.declaredMs),
+  );
+  return record.longestMs;
+}
