--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -2,7 +2,7 @@
  * Callers' requests: served here when this entry owns the job, forwarded to its
  * owner, or held until a takeover has settled.
  */
-import { birthOf } from "@coltsfootreach/admit";
+import { birthOf, type JobRecord } from "@coltsfootreach/admit";
 import { ownerOf } from "@coltsfootreach/ownership";
 import type { JobId, Refusal, Reply } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -75,7 +75,9 @@
     }
     const spentMs = nowMs - entry.receivedAtMs;
     const deadlineMs = ask.job.deadlineMs - spentMs;
-    toPeer(owner, { kind: "submit", request, job: { ...ask.job, deadlineMs } });
+    const { wait } = ask;
+    const sent = { ...ask.job, deadlineMs };
+    toPeer(owner, { kind: "submit", request, job: sent, wait });
   }
 
   /** Sends again what its owner has not taken or can no longer answer. */
@@ -134,10 +136,13 @@
       record.hasGaps = isInGap;
       tasks.enqueue(record, nowMs);
     }
-    if (record.answer !== undefined) {
-      reply(origin, { kind: "answered", answer: record.answer });
-    } else {
+    const answer = tasks.answerOf(record);
+    if (answer !== undefined) {
+      reply(origin, { kind: "answered", answer });
+    } else if (ask.wait) {
       waiters.add(id, origin);
+    } else {
+      reply(origin, pendingOf(record));
     }
   }
 
@@ -145,11 +150,13 @@
     const record = records.find(job);
     if (record === undefined) {
       refuse(origin, unknownJob());
-    } else if (record.answer !== undefined) {
-      reply(origin, { kind: "answered", answer: record.answer });
+      return;
+    }
+    const answer = tasks.answerOf(record);
+    if (answer !== undefined) {
+      reply(origin, { kind: "answered", answer });
     } else {
-      const of = record.tasks.length;
-      reply(origin, { kind: "pending", done: of - record.open, of });
+      reply(origin, pendingOf(record));
     }
   }
 
@@ -160,11 +167,12 @@
       return;
     }
     options.queue.removeJob(job);
-    const answer = records.endWaiting(record, "cancelled", nowMs);
+    const ended = records.endWaiting(record, "cancelled", nowMs);
     tasks.revokeSent(record);
-    if (record.answer === undefined) waiters.add(job, origin);
-    else reply(origin, { kind: "answered", answer: record.answer });
-    if (answer !== undefined) tasks.settle(record, answer);
+    const answer = ended === undefined ? tasks.answerOf(record) : undefined;
+    if (answer === undefined) waiters.add(job, origin);
+    else reply(origin, { kind: "answered", answer });
+    if (ended !== undefined) tasks.settle(record, ended, nowMs);
   }
 
   function routeHeld(): void {
@@ -217,6 +225,11 @@
   };
 }
 
+function pendingOf(record: JobRecord): Reply {
+  const of = record.tasks.length;
+  return { kind: "pending", done: of - record.open, of };
+}
+
 function undecided(reason: string): Refusal {
   return {
     code: "undecided",
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -17,6 +17,7 @@
   type Refused,
   type RefusedReason,
   type Revoke,
+  type SealJob,
   type SideIdentity,
   type SideMessage,
   type Start,
@@ -49,6 +50,8 @@
     readonly entry: string;
     readonly message: SideMessage;
   }
+  /** Every entry must hear the side's hello again. */
+  | { readonly kind: "sayHello" }
   | { readonly kind: "tableAdopted"; readonly table: Table };
 
 export interface Guard {
@@ -106,14 +109,6 @@
     };
   }
 
-  function toAllMembers(message: SideMessage): GuardEffect[] {
-    return table.members.map((member) => ({
-      kind: "send",
-      entry: member.incarnation,
-      message,
-    }));
-  }
-
   /**
    * The side takes starts only once every member has heard its registration,
    * so that a member that takes over knows every side that could have started
@@ -210,7 +205,7 @@
     const known = evidence.find(start.job);
     if (known?.tasks.has(start.index)) return repeat(known, start, frame);
     const { job, index, attempt } = start;
-    const reason = refusalOf(start, frame, nowMs);
+    const reason = known?.sealed ? "revoked" : refusalOf(start, frame, nowMs);
     if (reason !== undefined) {
       return [refuse(frame.entry, { job, index, attempt, reason })];
     }
@@ -310,6 +305,8 @@
       const owner = ownerOf(table, record.job);
       if (owner?.incarnation !== frame.entry) continue;
       record.sender = frame.entry;
+      // Nothing of a job whose waiting starts were dropped has started.
+      if (record.tasks.size === 0 && !record.sealed) continue;
       jobs.push(evidenceOf(record));
     }
     return [{
@@ -323,12 +320,24 @@
     }];
   }
 
+  function seal(
+    message: SealJob,
+    frame: EntryFrame,
+    nowMs: number,
+  ): readonly GuardEffect[] {
+    const record = evidence.open(message, frame.entry, nowMs);
+    if (record === undefined) return [];
+    record.sealed = true;
+    const sealed = { kind: "jobSealed", job: message.job } as const;
+    return [{ kind: "send", entry: frame.entry, message: sealed }];
+  }
+
   function registerAnew(lost: number, nowMs: number): readonly GuardEffect[] {
     if (lost < registration) return [];
     registration = lost + 1;
     registeredAtMs = nowMs;
     isRegistered = false;
-    return toAllMembers(hello());
+    return [{ kind: "sayHello" }];
   }
 
   function handle(
@@ -347,6 +356,8 @@
         return collect(message, frame);
       case "registrationLost":
         return registerAnew(message.registration, nowMs);
+      case "sealJob":
+        return seal(message, frame, nowMs);
       case "closeJob":
         evidence.close(message.job, nowMs);
         return [];
@@ -393,16 +404,16 @@
     },
     announce(next, nowMs) {
       announcement = next;
-      return [...toAllMembers(hello()), ...startQueued(nowMs)];
+      return [{ kind: "sayHello" }, ...startQueued(nowMs)];
     },
     drain() {
       isDraining = true;
-      return toAllMembers(hello());
+      return [{ kind: "sayHello" }];
     },
     setDrained(next) {
       if (isDrained === next) return [];
       isDrained = next;
-      return toAllMembers(hello());
+      return [{ kind: "sayHello" }];
     },
     tick(nowMs) {
       evidence.expire(nowMs);
