--- a/packages/coordinate/src/configuration_desk.ts
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -8,22 +8,15 @@
   LAG_BOUND_MS,
   type Taken,
 } from "@coltsfootreach/configure";
-import type { Configuration, Estate, Rules } from "@coltsfootreach/types";
+import {
+  type Configuration,
+  DEFAULT_RULES,
+  type Estate,
+  type Rules,
+} from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
 import type { SideState } from "./sides.ts";
 
-/** Rules that hold while no configuration is in force. */
-const DEFAULT_RULES: Rules = {
-  held: [],
-  drained: [],
-  neverEjected: [],
-  gone: [],
-  ejectFailureRatio: 0.5,
-  ejectAtMost: 0.3,
-  probationMs: 10_000,
-  retryShare: 0.2,
-};
-
 export interface ConfigurationDesk {
   take(
     configuration: Configuration,
--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -11,7 +11,7 @@
   type Entry,
   startEntry,
 } from "@coltsfootreach/entry";
-import { parseEstate } from "@coltsfootreach/inventory";
+import { createEstateParser } from "@coltsfootreach/inventory";
 import {
   createManagementApp,
   type ManagementServer,
@@ -67,9 +67,8 @@
     watchSilentMs: WATCH_SILENT_MS,
   });
   const metrics = createMetrics();
-  const holder = createConfigurationHolder({
-    parse: (configuration) => parseEstate(configuration),
-  });
+  const parser = createEstateParser();
+  const holder = createConfigurationHolder({ parse: parser.parse });
   const estate = createEstateLookup(holder);
   const entry = await startEntry({
     name: settings.name,
@@ -94,6 +93,7 @@
     },
     maxActs: limits.acts,
     holder,
+    prepareConfiguration: parser.prepare,
     createQueue: () =>
       createTenantQueue({
         weightOf: (tenant) => estate.tenant(tenant)?.weight ?? 1,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -28,7 +28,12 @@
 import type { Policy } from "@coltsfootreach/place";
 import type { Store } from "@coltsfootreach/store";
 import type { ServerCredentials } from "@grpc/grpc-js";
-import type { JobId, Member, Reply } from "@coltsfootreach/types";
+import type {
+  Configuration,
+  JobId,
+  Member,
+  Reply,
+} from "@coltsfootreach/types";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
@@ -62,6 +67,8 @@
   /** Records of automatic acts kept. */
   readonly maxActs: number;
   readonly holder: ConfigurationHolder;
+  /** Does the slow part of reading a configuration before it is learned. */
+  prepareConfiguration(configuration: Configuration): Promise<void>;
   createQueue(): Queue;
   createPolicy(): Policy;
   readonly credentials?: {
@@ -120,6 +127,7 @@
     store: options.store,
     keys: createConfigurationKeys(options.prefix),
     retryMs: REFRESH_PAUSE_MS,
+    prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
       const { version } = configuration;
--- a/packages/inventory/src/schema.ts
+++ b/packages/inventory/src/schema.ts
@@ -3,10 +3,17 @@
  * text. The schema reads the TOML names and yields the names of the code.
  */
 import { z } from "zod";
-import { delay, duration, name, size } from "@coltsfootreach/settings";
+import {
+  delay,
+  duration,
+  formatDuration,
+  name,
+  size,
+} from "@coltsfootreach/settings";
 import {
   ACT_KINDS,
   type DataCentre,
+  DEFAULT_RULES,
   type Estate,
   type RequestClass,
   type Rules,
@@ -75,10 +82,12 @@
   drained: z.array(name()).default([]),
   never_ejected: z.array(name()).default([]),
   gone: z.array(IDENTITY).default([]),
-  eject_failure_ratio: share().default(0.5),
-  eject_at_most: share().default(0.3),
-  probation: duration().prefault("30s"),
-  retry_share: share().default(0.1),
+  eject_failure_ratio: share().default(DEFAULT_RULES.ejectFailureRatio),
+  eject_at_most: share().default(DEFAULT_RULES.ejectAtMost),
+  probation: duration().prefault(
+    formatDuration(DEFAULT_RULES.probationMs),
+  ),
+  retry_share: share().default(DEFAULT_RULES.retryShare),
 }).transform((rules): Rules => ({
   held: rules.held,
   drained: rules.drained,
--- a/packages/types/src/estate.ts
+++ b/packages/types/src/estate.ts
@@ -75,6 +75,18 @@
   readonly retryShare: number;
 }
 
+/** Rules that hold where the configuration says nothing. */
+export const DEFAULT_RULES: Rules = {
+  held: [],
+  drained: [],
+  neverEjected: [],
+  gone: [],
+  ejectFailureRatio: 0.5,
+  ejectAtMost: 0.3,
+  probationMs: 30_000,
+  retryShare: 0.1,
+};
+
 export interface Estate {
   readonly version: number;
   readonly dataCentres: readonly DataCentre[];
