--- /dev/null
+++ b/packages/chaos/src/index.ts
@@ -0,0 +1,5 @@
+/** Random faults on a fleet of real processes, and the check of its promises. */
+export * from "./act.ts";
+export * from "./check.ts";
+export * from "./schedule.ts";
+export * from "./workload.ts";
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -37,6 +37,8 @@
   readonly dataCentres: readonly string[];
   /** Processes that the backend servers are spread over. */
   readonly backendProcesses: number;
+  /** Gives the address under which others reach an entry's link. */
+  advertise?(link: string): Promise<string>;
 }
 
 export interface EntryProcess {
@@ -83,13 +85,20 @@
   );
 
   const entryPorts = await findFreePorts(options.entries * 3);
-  const entries = Array.from({ length: options.entries }, (_, index) => {
-    const [callerPort, linkPort, managementPort] = entryPorts.slice(index * 3);
+  const links = await Promise.all(
+    Array.from({ length: options.entries }, async (_, index) => {
+      const listen = `127.0.0.1:${entryPorts[index * 3 + 1]}`;
+      const advertise = await options.advertise?.(listen) ?? listen;
+      return { listen, advertise };
+    }),
+  );
+  const entries = links.map((link, index) => {
+    const [callerPort, , managementPort] = entryPorts.slice(index * 3);
     const file = writeEntryFile(folder, {
       name: `entry-${index}`,
       dataCentre: options.dataCentres[index % options.dataCentres.length]!,
       callerPort: callerPort!,
-      linkPort: linkPort!,
+      link,
       managementPort: managementPort!,
       managementToken: MANAGEMENT_TOKEN,
       storeAddress,
@@ -98,7 +107,7 @@
       child: start(`entry-${index}`, [DAEMON, "entry", "--settings", file]),
       origin: `http://127.0.0.1:${callerPort}`,
       management: `http://127.0.0.1:${managementPort}`,
-      link: `127.0.0.1:${linkPort}`,
+      link: link.advertise,
     };
   });
 
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -33,6 +33,7 @@
     });
     const log = createWriteStream(command.logFile, { flags: "a" });
     started.stderr!.pipe(log);
+    log.write(`{"message":"started","pid":${started.pid}}\n`);
     return started;
   }
 
@@ -60,8 +61,10 @@
       if (!isRunning()) child = start();
     },
     async ended() {
-      if (isRunning()) await once(child, "exit");
-      return child.exitCode;
+      // A restart must not change whose end is reported.
+      const own = child;
+      if (isRunning()) await once(own, "exit");
+      return own.exitCode;
     },
   };
 }
--- a/packages/fleet/src/settings_files.ts
+++ b/packages/fleet/src/settings_files.ts
@@ -7,7 +7,7 @@
   readonly name: string;
   readonly dataCentre: string;
   readonly callerPort: number;
-  readonly linkPort: number;
+  readonly link: { readonly listen: string; readonly advertise: string };
   readonly managementPort: number;
   readonly managementToken: string;
   readonly storeAddress: string;
@@ -23,13 +23,12 @@
 }
 
 export function writeEntryFile(folder: string, entry: EntryFile): string {
-  const link = `127.0.0.1:${entry.linkPort}`;
   return write(folder, entry.name, {
     role: "entry",
     name: entry.name,
     data_centre: entry.dataCentre,
     listen: `127.0.0.1:${entry.callerPort}`,
-    link: { listen: link, advertise: link },
+    link: entry.link,
     store: { endpoints: [entry.storeAddress] },
     management: {
       listen: `127.0.0.1:${entry.managementPort}`,
--- a/packages/trial/src/index.ts
+++ b/packages/trial/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./report.ts";
 export * from "./run_trial.ts";
 export * from "./scenario.ts";
+export * from "./random.ts";
