--- a/packages/chaos/src/inject.ts
+++ b/packages/chaos/src/inject.ts
@@ -5,6 +5,7 @@
 import type { Act, Victim } from "./act.ts";
 import { NO_STORE_FAULT, noBackendFault } from "./fault.ts";
 import type { Relay } from "./relay.ts";
+import { setFaults } from "./controls.ts";
 
 /** How long a process may take to end after SIGTERM; above its drain bound. */
 const STOP_BOUND_MS = 40_000;
@@ -87,7 +88,7 @@
   }
 
   function setBackend(side: number, faults: object): void {
-    void post(`${fleet.backendOrigins[side]}/standin/faults`, faults);
+    void setFaults(fleet.backendOrigins[side]!, faults);
   }
 
   function endBackendFault(side: number): void {
@@ -95,7 +96,7 @@
   }
 
   function setStore(faults: object): void {
-    void post(`${fleet.storeControl}/standin/faults`, faults);
+    void setFaults(fleet.storeControl, faults);
   }
 
   async function killWorker(side: number, backAfterMs: number): Promise<void> {
@@ -161,7 +162,7 @@
     ];
     children.forEach((child) => child.signal("SIGCONT"));
     relays.forEach((relay) => relay.setMode("pass"));
-    await post(`${fleet.storeControl}/standin/faults`, NO_STORE_FAULT);
+    await setFaults(fleet.storeControl, NO_STORE_FAULT);
     fleet.sides.forEach((_, side) => endBackendFault(side));
     for (const child of children) {
       await stopping.get(child);
@@ -174,12 +175,3 @@
 
   return { carryOut, endAll, stops: () => stops };
 }
-
-async function post(url: string, body: object): Promise<void> {
-  const answer = await fetch(url, {
-    method: "POST",
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(body),
-  });
-  if (!answer.ok) throw new Error(`${url}: ${await answer.text()}`);
-}
--- a/packages/chaos/src/run.ts
+++ b/packages/chaos/src/run.ts
@@ -10,9 +10,9 @@
   check,
   type Copy,
   type JobTrace,
-  type Starts,
   type Verdicts,
 } from "./check.ts";
+import { readStarts } from "./controls.ts";
 import { createInjector, type Stop } from "./inject.ts";
 import type { Plan } from "./plans.ts";
 import { planActs } from "./plans.ts";
@@ -100,7 +100,7 @@
     const ended = await traces.ended;
     clearTimeout(bound);
     const settledMs = Math.round(performance.now() - faultsEndedAtMs);
-    const starts = await readStarts(fleet);
+    const starts = await readStarts(fleet.backendOrigins);
     const verdicts = check(ended, { starts, lateMarginMs: LATE_MARGIN_MS });
     return {
       verdicts,
@@ -161,22 +161,6 @@
   }
 }
 
-interface StartLog {
-  readonly counts: Readonly<Record<string, number>>;
-}
-
-async function readStarts(fleet: Fleet): Promise<Starts> {
-  const starts = new Map<string, number>();
-  for (const origin of fleet.backendOrigins) {
-    const answer = await fetch(`${origin}/standin/starts`);
-    const { counts } = await answer.json() as StartLog;
-    for (const [id, count] of Object.entries(counts)) {
-      starts.set(id, (starts.get(id) ?? 0) + count);
-    }
-  }
-  return starts;
-}
-
 async function closeAll(parts: {
   readonly balancer: Balancer;
   readonly callers: Callers;
