--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -75,6 +75,8 @@
         return tasks.takeRefusal(side, message, nowMs);
       case "evidence":
         return tasks.takeEvidence(side, message, nowMs);
+      case "jobSealed":
+        return tasks.takeSealed(message.job);
       case "goodbye":
         settlement.registry.goodbye(side.identity.incarnation);
         tasks.endTasksOn(side, nowMs);
@@ -112,7 +114,7 @@
   }
 
   function loseSide(side: SideState): void {
-    side.lost = true;
+    sides.lose(side);
     const registration = {
       incarnation: side.identity.incarnation,
       registration: side.registration,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -12,19 +12,28 @@
   type NewAct,
 } from "@coltsfootreach/coordinate";
 import {
+  type ConfigurationHolder,
   createConfigurationFeed,
-  createConfigurationHolder,
   createConfigurationKeys,
 } from "@coltsfootreach/configure";
-import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
+import { excerptForSides } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
 import { listenForLinks, type Target } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
-import { type ActJournal, createActJournal } from "@coltsfootreach/manage";
+import {
+  type ActJournal,
+  createActJournal,
+  type StoreStatus,
+} from "@coltsfootreach/manage";
 import type { Policy } from "@coltsfootreach/place";
 import type { Store } from "@coltsfootreach/store";
 import type { ServerCredentials } from "@grpc/grpc-js";
-import type { JobId, Member, Reply } from "@coltsfootreach/types";
+import type {
+  Configuration,
+  JobId,
+  Member,
+  Reply,
+} from "@coltsfootreach/types";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
@@ -32,6 +41,9 @@
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
+/** Digits that tell runs of one entry apart in the names of acts. */
+const ID_DIGITS = 8;
+
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
@@ -54,6 +66,9 @@
   readonly records: RecordOptions;
   /** Records of automatic acts kept. */
   readonly maxActs: number;
+  readonly holder: ConfigurationHolder;
+  /** Does the slow part of reading a configuration before it is learned. */
+  prepareConfiguration(configuration: Configuration): Promise<void>;
   createQueue(): Queue;
   createPolicy(): Policy;
   readonly credentials?: {
@@ -70,7 +85,10 @@
   /** True while the balancer should send callers here. */
   isReady(): boolean;
   core(): EntryCore;
-  journal(): ActJournal;
+  readonly journal: ActJournal;
+  /** Newest version that any process was heard to have, and since when. */
+  newestVersion(): { readonly version: number; readonly sinceMs: number };
+  storeStatus(): StoreStatus;
   counts(): EntryCounts;
   /** Hands over its jobs, answers what it holds, and leaves. */
   stop(): Promise<void>;
@@ -100,20 +118,20 @@
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { log } = options;
   const pending = new Map<number, Pending>();
-  const holder = createConfigurationHolder({
-    parse: (configuration) => parseEstate(configuration),
-  });
+  const { holder } = options;
   const journal = createActJournal({
-    incarnation: options.name,
+    incarnation: `${options.name}-${v4().slice(0, ID_DIGITS)}`,
     limit: options.maxActs,
   });
   const feed = createConfigurationFeed({
     store: options.store,
     keys: createConfigurationKeys(options.prefix),
     retryMs: REFRESH_PAUSE_MS,
+    prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
       const { version } = configuration;
+      noteVersion(version);
       apply(run, run.core.configurationLearned(configuration, source, now));
       log.info("configuration", { configurationVersion: version });
     },
@@ -122,6 +140,7 @@
     },
   });
   let refreshedAtMs = -Infinity;
+  let newest = { version: 0, sinceMs: performance.now() };
   let requests = 0;
   let isReady = false;
   let isStopping = false;
@@ -172,6 +191,7 @@
   /** Another process has a newer configuration than this one. */
   function noteVersion(version: number): void {
     const nowMs = performance.now();
+    if (version > newest.version) newest = { version, sinceMs: nowMs };
     if (version <= holder.version()) return;
     if (nowMs - refreshedAtMs < REFRESH_PAUSE_MS) return;
     refreshedAtMs = nowMs;
@@ -241,7 +261,10 @@
         configurationVersion: holder.version(),
         ...core.stamps(side),
       }),
-      received: (frame) => apply(own, core.sideFrame(frame, performance.now())),
+      received(frame) {
+        noteVersion(frame.configurationVersion);
+        apply(own, core.sideFrame(frame, performance.now()));
+      },
       closed: (side) => core.sideClosed(side),
     });
     const peers = createPeerStreams({
@@ -336,7 +359,9 @@
     incarnation: () => run.member.incarnation,
     isReady: () => isReady && !isStopping,
     core: () => run.core,
-    journal: () => journal,
+    journal,
+    newestVersion: () => newest,
+    storeStatus: () => run.membership.storeStatus(),
     counts: () => ({
       sides: run.sides.counts(),
       peers: run.peers.counts(),
