Send fewer heartbeats and store calls, and find ended entries by refused connections

Cause: at 174 tasks/s (3 entries, 10 sides, jobs of 1 to 12 tasks, 20 s) 0.117 frames a task on side links carried neither a start nor a result, 0.026 calls a task went to the store; mostly heartbeats of idle pairs, lease renewals every second and table reads every 2 s. Change: heartbeats every 1.4 s, answered by the entry at once in place of its own; leases of 5 s renewed every 2 s; the table is read every 10 s while every member is heard, each second otherwise. So that a longer lease does not make a crash cost more, an entry whose address refuses connections twice is removed at once, and a restarted entry removes its earlier run when it joins.

--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -65,6 +65,8 @@
   dispatch(nowMs: number): readonly EntryEffect[];
   tick(now: { nowMs: number; wallMs: number }): readonly EntryEffect[];
   table(): Table;
+  /** How many other entries there is a stream to. */
+  connectedPeers(): number;
   /** The freshness stamps for the next frame to a side. */
   stamps(side: string): SideStamps;
   /** True when nothing of a caller or of a job is left here. */
@@ -159,6 +161,7 @@
       return flush();
     },
     table: () => settlement.table(),
+    connectedPeers: () => context.connectedPeers.size,
     stamps(incarnation) {
       const side = sides.find(incarnation);
       return {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,6 +41,11 @@
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
+/** Renewals of a lease within its life. */
+const RENEWALS_PER_LEASE = 2.5;
+
+const MS_PER_SECOND = 1000;
+
 /** Digits that tell runs of one entry apart in the names of acts. */
 const ID_DIGITS = 8;
 
@@ -100,6 +105,15 @@
   readonly store: ReturnType<Store["calls"]>;
 };
 
+/**
+ * True when every member is heard and follows this table, so that sides are
+ * confirmed without reads of the store.
+ */
+function hasQuietMajority(core: EntryCore): boolean {
+  const { members } = core.table();
+  return core.connectedPeers() === members.length - 1;
+}
+
 interface Pending {
   readonly job: JobId;
   readonly ask: Ask;
@@ -281,13 +295,15 @@
       down: (entry) => core.peerDown(entry),
       received: (frame) =>
         followTable(own, core.peerFrame(frame, performance.now())),
+      refused: (entry) => void own.membership.removeEnded(entry),
     });
     const membership = createMembership({
       store: options.store,
       prefix: options.prefix,
       member,
       leaseSeconds: options.leaseSeconds,
-      renewMs: options.heartbeatMs,
+      renewMs: (options.leaseSeconds * MS_PER_SECOND) / RENEWALS_PER_LEASE,
+      isQuiet: () => hasQuietMajority(core),
       log,
       beginRead: () => core.beginTableRead(),
       tableRead: (table, token) =>
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -19,8 +19,11 @@
 import { EMPTY_TABLE, type Member, type Table } from "@coltsfootreach/types";
 import { err, ok } from "neverthrow";
 
-/** How often the table is read again, whatever the watch says. */
-const READ_INTERVAL_MS = 2000;
+/** How often the table is read while sides need it to be confirmed. */
+const READ_INTERVAL_MS = 1000;
+
+/** Reads that are left out between two while all is quiet. */
+const QUIET_SKIPS = 9;
 
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
@@ -38,11 +41,15 @@
   tableLearned(table: Table): void;
   /** The configuration's key has changed, or may have. */
   configurationChanged(found: Versioned | undefined): void;
+  /** True while sides are confirmed without reads of the store. */
+  isQuiet(): boolean;
   /** True when an operator has stopped automatic takeovers. */
   isTakeoverHeld(): boolean;
 }
 
 export interface Membership {
+  /** Removes an entry whose process has ended, unless takeovers are held. */
+  removeEnded(entry: string): Promise<void>;
   /** Removes entries that an operator has declared gone. */
   remove(incarnations: ReadonlySet<string>): Promise<void>;
   /** Resolves once this entry is a member. */
@@ -69,6 +76,7 @@
   let lease: Lease | undefined;
   let watch: Watch | undefined;
   let isClosed = false;
+  let skipped = 0;
   let status: StoreStatus = { reachable: true, sinceMs: Date.now() };
   const timers: NodeJS.Timeout[] = [];
 
@@ -145,6 +153,13 @@
     options.tableRead(tableOf(decodeOwned(found.value)), token);
   }
 
+  async function readIfNeeded(): Promise<void> {
+    skipped += 1;
+    if (options.isQuiet() && skipped <= QUIET_SKIPS) return;
+    skipped = 0;
+    await read();
+  }
+
   /** Removes the members of the table that hold no lease. */
   async function removeLapsed(): Promise<void> {
     if (options.isTakeoverHeld()) return;
@@ -226,7 +241,7 @@
       log.info("joined", { tableVersion: table.version });
       options.tableLearned(table);
       repeat(renew, options.renewMs);
-      repeat(read, READ_INTERVAL_MS);
+      repeat(readIfNeeded, READ_INTERVAL_MS);
       void startFollowing();
     },
     async drain() {
@@ -236,6 +251,11 @@
       if (table !== undefined) options.tableLearned(table);
       return table !== undefined;
     },
+    async removeEnded(entry) {
+      if (options.isTakeoverHeld()) return;
+      log.warn("removing an entry whose process has ended", { entry });
+      await this.remove(new Set([entry]));
+    },
     async remove(incarnations) {
       const table = await changeTable((now) => without(now, incarnations));
       if (table !== undefined) options.tableLearned(table);
--- a/packages/entry/src/peer_streams.ts
+++ b/packages/entry/src/peer_streams.ts
@@ -9,10 +9,16 @@
   type Target,
 } from "@coltsfootreach/link";
 import type { Member, PeerFrame, PeerMessage } from "@coltsfootreach/types";
+import { isRefused } from "./probe.ts";
 
 /** Pause before a stream that ended is opened again. */
 const REDIAL_MS = 100;
 
+/** Refused connections after which a process counts as ended. */
+const PROBES = 2;
+
+const PROBE_PAUSE_MS = 100;
+
 export interface PeerStreamsOptions {
   /** Incarnation of this entry. */
   readonly me: string;
@@ -23,6 +29,8 @@
   up(entry: string): void;
   down(entry: string): void;
   received(frame: PeerFrame): void;
+  /** Nothing listens any more where this entry was reached. */
+  refused(entry: string): void;
 }
 
 export interface PeerStreams {
@@ -76,6 +84,18 @@
     streams.delete(own.entry);
     options.down(own.entry);
     planDial(own.entry, REDIAL_MS);
+    void probe(own.entry);
+  }
+
+  /** Finds out whether the process at the other end has ended. */
+  async function probe(entry: string): Promise<void> {
+    for (let attempt = 0; attempt < PROBES; attempt++) {
+      await new Promise((wake) => setTimeout(wake, PROBE_PAUSE_MS));
+      const member = members.find((one) => one.incarnation === entry);
+      if (isClosed || member === undefined || streams.has(entry)) return;
+      if (!(await isRefused(member.address))) return;
+    }
+    options.refused(entry);
   }
 
   function planDial(entry: string, afterMs: number): void {
--- a/packages/entry/src/side_streams.ts
+++ b/packages/entry/src/side_streams.ts
@@ -99,6 +99,9 @@
     const hasResult = frame.messages.some((one) => one.kind === "result");
     if (!hasResult) counts.receivedWithoutResult += 1;
     options.received(frame);
+    const idleMs = own.heardAtMs - own.sentAtMs;
+    const isHeartbeat = frame.messages.length === 0;
+    if (isHeartbeat && idleMs >= options.heartbeatMs / 2) send(own);
   }
 
   function send(own: SideStream): void {
--- a/packages/ownership/src/change.ts
+++ b/packages/ownership/src/change.ts
@@ -7,13 +7,24 @@
 /** Removals that the table remembers. */
 const MAX_REMOVALS = 64;
 
-/** Adds a member; the same table when it is a member already. */
+/**
+ * Adds a member; the same table when it is a member already. A member at the
+ * same address is an earlier run, which is over.
+ */
 export function joined(table: Table, member: Member): Table {
   const present = table.members.some(
     (other) => other.incarnation === member.incarnation,
   );
   if (present) return table;
-  return next(table, [...table.members, member]);
+  const earlier = table.members
+    .filter((other) => other.address === member.address)
+    .map((other) => other.incarnation);
+  const { members, removals } = without(table, new Set(earlier));
+  return {
+    version: table.version + 1,
+    members: [...members, member],
+    removals,
+  };
 }
 
 /** Marks a member as draining; the same table when there is nothing to do. */
--- a/packages/settings/src/section.ts
+++ b/packages/settings/src/section.ts
@@ -100,8 +100,8 @@
 
 export const timeoutsSection = z.strictObject({
   freshness: duration().prefault("3s"),
-  lease: duration().prefault("3s"),
-  heartbeat: duration().prefault("1s"),
+  lease: duration().prefault("5s"),
+  heartbeat: duration().prefault("1400ms"),
   side_lost: duration().prefault("3s"),
   drain: duration().prefault("30s"),
 }).refine((section) => section.lease % ONE_SECOND_MS === 0, {
