Select the entry's placement in settings, and count empty frames

Tools compare policies over daemons, so the entry's settings take placement; the default stays expected-delay. The counters of frames say how many carried no message, and how many between entries carried no request, so that wasted messages can be told by kind.

--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -4,7 +4,7 @@
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createLog } from "@coltsfootreach/log";
 import { createMetrics } from "@coltsfootreach/measure";
-import { createExpectedDelay } from "@coltsfootreach/place";
+import { createPlacement } from "@coltsfootreach/place";
 import { createApp } from "@coltsfootreach/serve";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 import { createEtcdStore } from "@coltsfootreach/store";
@@ -73,7 +73,8 @@
       orphanMs: ORPHAN_MS,
     },
     createQueue: () => createTenantQueue(),
-    createPolicy: () => createExpectedDelay({ random: Math.random }),
+    createPolicy: () =>
+      createPlacement(settings.placement, { random: Math.random }),
     credentials: readCredentials(settings.tls),
     log,
   });
--- a/packages/entry/src/peer_streams.ts
+++ b/packages/entry/src/peer_streams.ts
@@ -37,6 +37,9 @@
 
 export interface PeerCounts {
   readonly sent: number;
+  /** Sent frames that carried no forwarded submission and no reply. */
+  readonly sentWithoutRequest: number;
+  /** Sent frames that carried no message at all. */
   readonly sentEmpty: number;
 }
 
@@ -53,7 +56,7 @@
   const redials = new Map<string, NodeJS.Timeout>();
   let members: readonly Member[] = [];
   let isClosed = false;
-  const counts = { sent: 0, sentEmpty: 0 };
+  const counts = { sent: 0, sentWithoutRequest: 0, sentEmpty: 0 };
 
   function begin(entry: string, stream: Stream<PeerFrame>): PeerStream {
     const earlier = streams.get(entry);
@@ -114,6 +117,10 @@
     own.due = [];
     own.sentAtMs = performance.now();
     counts.sent += 1;
+    const hasRequest = messages.some(({ kind }) =>
+      kind === "submit" || kind === "reply"
+    );
+    if (!hasRequest) counts.sentWithoutRequest += 1;
     if (messages.length === 0) counts.sentEmpty += 1;
     own.stream.send({ ...options.header(), messages });
   }
--- a/packages/entry/src/side_streams.ts
+++ b/packages/entry/src/side_streams.ts
@@ -36,8 +36,12 @@
   readonly received: number;
   /** Sent frames that carried no start. */
   readonly sentWithoutStart: number;
+  /** Sent frames that carried no message at all. */
+  readonly sentEmpty: number;
   /** Received frames that carried no result. */
   readonly receivedWithoutResult: number;
+  /** Received frames that carried no message at all. */
+  readonly receivedEmpty: number;
 }
 
 interface SideStream {
@@ -58,7 +62,9 @@
     sent: 0,
     received: 0,
     sentWithoutStart: 0,
+    sentEmpty: 0,
     receivedWithoutResult: 0,
+    receivedEmpty: 0,
   };
 
   function open(
@@ -98,6 +104,7 @@
     counts.received += 1;
     const hasResult = frame.messages.some((one) => one.kind === "result");
     if (!hasResult) counts.receivedWithoutResult += 1;
+    if (frame.messages.length === 0) counts.receivedEmpty += 1;
     options.received(frame);
   }
 
@@ -110,6 +117,7 @@
     counts.sent += 1;
     const hasStart = messages.some((one) => one.kind === "start");
     if (!hasStart) counts.sentWithoutStart += 1;
+    if (messages.length === 0) counts.sentEmpty += 1;
     const { ack, incarnation } = own;
     own.stream.send({
       ...options.header(incarnation),
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -37,6 +37,8 @@
   readonly dataCentres: readonly string[];
   /** Processes that the backend servers are spread over. */
   readonly backendProcesses: number;
+  /** The entries' placement policy; their default when absent. */
+  readonly placement?: string | undefined;
 }
 
 export interface EntryProcess {
@@ -44,6 +46,8 @@
   /** Where callers submit, as an HTTP origin. */
   readonly origin: string;
   readonly management: string;
+  /** Where sides reach it, as `IP:port`. */
+  readonly link: string;
 }
 
 export interface Fleet {
@@ -93,6 +97,7 @@
       managementPort: managementPort!,
       managementToken: MANAGEMENT_TOKEN,
       storeAddress,
+      placement: options.placement,
     });
     return {
       child: start(`entry-${index}`, [DAEMON, "entry", "--settings", file]),
--- a/packages/fleet/src/settings_files.ts
+++ b/packages/fleet/src/settings_files.ts
@@ -11,6 +11,7 @@
   readonly managementPort: number;
   readonly managementToken: string;
   readonly storeAddress: string;
+  readonly placement?: string | undefined;
 }
 
 export interface SideFile {
@@ -31,6 +32,7 @@
     listen: `127.0.0.1:${entry.callerPort}`,
     link: { listen: link, advertise: link },
     store: { endpoints: [entry.storeAddress] },
+    ...(entry.placement === undefined ? {} : { placement: entry.placement }),
     management: {
       listen: `127.0.0.1:${entry.managementPort}`,
       token: entry.managementToken,
--- a/packages/place/src/index.ts
+++ b/packages/place/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./expected_delay.ts";
 export * from "./baselines.ts";
 export * from "./health.ts";
+export * from "./placement.ts";
--- /dev/null
+++ b/packages/place/src/placement.ts
@@ -0,0 +1,40 @@
+/** The placement policies by the names that settings and tools use. */
+import {
+  createRandomChoice,
+  createRoundRobin,
+  createTwoChoices,
+} from "./baselines.ts";
+import {
+  createExpectedDelay,
+  type ExpectedDelayOptions,
+} from "./expected_delay.ts";
+import { createLeastOutstanding } from "./least_outstanding.ts";
+import type { Policy } from "./policy.ts";
+
+export const PLACEMENTS = [
+  "expected-delay",
+  "least-outstanding",
+  "two-choices",
+  "round-robin",
+  "random",
+] as const;
+
+export type Placement = typeof PLACEMENTS[number];
+
+export function createPlacement(
+  placement: Placement,
+  options: ExpectedDelayOptions,
+): Policy {
+  switch (placement) {
+    case "expected-delay":
+      return createExpectedDelay(options);
+    case "least-outstanding":
+      return createLeastOutstanding(options.random);
+    case "two-choices":
+      return createTwoChoices(options.random);
+    case "round-robin":
+      return createRoundRobin();
+    case "random":
+      return createRandomChoice(options.random);
+  }
+}
--- a/packages/settings/src/entry.ts
+++ b/packages/settings/src/entry.ts
@@ -1,5 +1,6 @@
 /** Settings of an entry. */
 import { z } from "zod";
+import { type Placement, PLACEMENTS } from "@coltsfootreach/place";
 import { type Address, listenAddress, remoteAddress } from "./address.ts";
 import {
   logSection,
@@ -50,6 +51,8 @@
   readonly link: LinkSettings;
   readonly store: StoreSettings;
   readonly limits: EntryLimits;
+  /** Which policy places tasks; for comparisons. */
+  readonly placement: Placement;
   readonly timeouts: Timeouts;
   readonly log: LogSettings;
   /** The operators' interface is off while this is absent. */
@@ -93,6 +96,7 @@
   link: linkSection,
   store: storeSection,
   limits: limitsSection.prefault({}),
+  placement: z.enum(PLACEMENTS).default("expected-delay"),
   timeouts: timeoutsSection.prefault({}),
   log: logSection.prefault({}),
   management: managementSection.optional(),
