--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,7 @@
 /** Fleets of processes on loopback. */
 export * from "./fleet.ts";
-export type { Child } from "./process.ts";
+export { type Child, type Command, startChild } from "./process.ts";
+export * from "./ports.ts";
+export * from "./settings_files.ts";
+export * from "./usage.ts";
+export * from "./side_standins.ts";
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -21,3 +21,8 @@
   createBackendStandin,
 } from "./backend/backend_standin.ts";
 export type { StartRecord } from "./backend/task_log.ts";
+export {
+  createSideStandin,
+  type SideStandin,
+  type SideStandinOptions,
+} from "./side/side_standin.ts";
