--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -20,7 +20,7 @@
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createLog } from "@coltsfootreach/log";
 import { createMetrics, type Metrics } from "@coltsfootreach/measure";
-import { createExpectedDelay } from "@coltsfootreach/place";
+import { createPlacement } from "@coltsfootreach/place";
 import { createApp } from "@coltsfootreach/serve";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 import { createEtcdStore } from "@coltsfootreach/store";
@@ -98,7 +98,8 @@
       createTenantQueue({
         weightOf: (tenant) => estate.tenant(tenant)?.weight ?? 1,
       }),
-    createPolicy: () => createExpectedDelay({ random: Math.random }),
+    createPolicy: () =>
+      createPlacement(settings.placement, { random: Math.random }),
     credentials: readCredentials(settings.tls),
     log,
   });
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -43,6 +43,8 @@
   readonly backendProcesses: number;
   /** Gives the address under which others reach an entry's link. */
   advertise?(link: string): Promise<string>;
+  /** The entries' placement policy; their default when absent. */
+  readonly placement?: string | undefined;
 }
 
 export interface EntryProcess {
@@ -50,6 +52,8 @@
   /** Where callers submit, as an HTTP origin. */
   readonly origin: string;
   readonly management: string;
+  /** Where sides reach it, as `IP:port`. */
+  readonly link: string;
 }
 
 export interface Fleet {
@@ -108,6 +112,7 @@
       managementPort: managementPort!,
       managementToken: MANAGEMENT_TOKEN,
       storeAddress,
+      placement: options.placement,
     });
     return {
       child: start(`entry-${index}`, [DAEMON, "entry", "--settings", file]),
