--- a/packages/slopes/src/entries_main.ts
+++ b/packages/slopes/src/entries_main.ts
@@ -6,6 +6,8 @@
 import process from "node:process";
 import { cac } from "cac";
 import { startEntry } from "@coltsfootreach/entry";
+import { createConfigurationHolder } from "@coltsfootreach/configure";
+import { parseEstate } from "@coltsfootreach/inventory";
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createLog } from "@coltsfootreach/log";
 import { createLeastOutstanding } from "@coltsfootreach/place";
@@ -53,6 +55,9 @@
       overdueMs: WINDOW_MS,
       orphanMs: WINDOW_MS,
     },
+    maxActs: 1,
+    holder: createConfigurationHolder({ parse: parseEstate }),
+    prepareConfiguration: () => Promise.resolve(),
     createQueue: () => createTenantQueue(),
     createPolicy: () => createLeastOutstanding(Math.random),
     log: createLog({
--- a/packages/slopes/src/made_up.ts
+++ b/packages/slopes/src/made_up.ts
@@ -1,5 +1,7 @@
 /** Made-up jobs, sides and cores for measurements without processes. */
 import { createEntryCore, type EntryCore } from "@coltsfootreach/coordinate";
+import { createConfigurationHolder } from "@coltsfootreach/configure";
+import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createExpectedDelay } from "@coltsfootreach/place";
 import type {
@@ -75,6 +77,8 @@
     queue: createTenantQueue(),
     policy: createExpectedDelay({ random: Math.random }),
     wallMs: () => Date.now(),
+    holder: createConfigurationHolder({ parse: parseEstate }),
+    excerptForSides,
     freshnessMs: FRESHNESS_MS,
     sideLostMs: WINDOW_MS,
     doubtMs: WINDOW_MS,
--- a/packages/slopes/src/memory_main.ts
+++ b/packages/slopes/src/memory_main.ts
@@ -39,7 +39,7 @@
   for (let number = 0; number < count; number++) {
     const job = createJob(number, TASKS);
     const id = jobId(job);
-    const ask = { kind: "submit", job } as const;
+    const ask = { kind: "submit", job, wait: true } as const;
     core.request({ request: number, job: id, ask }, 0);
     if (!isKept) continue;
     core.dispatch(0);
--- a/packages/slopes/src/placement.ts
+++ b/packages/slopes/src/placement.ts
@@ -42,7 +42,7 @@
 
   function placeJob(number: number): void {
     const job = createJob(number, TASKS);
-    const ask = { kind: "submit", job } as const;
+    const ask = { kind: "submit", job, wait: true } as const;
     core.request({ request: number, job: jobId(job), ask }, 0);
     for (const effect of core.dispatch(0)) {
       if (effect.kind !== "toSide" || effect.message.kind !== "start") continue;
--- a/packages/slopes/src/takeover.ts
+++ b/packages/slopes/src/takeover.ts
@@ -48,7 +48,7 @@
       state: "running" as const,
       attempt: 1,
     }));
-    jobs.push({ job, of: TASKS, tasks });
+    jobs.push({ job, of: TASKS, sealed: false, tasks });
   }
   return jobs;
 }
@@ -100,7 +100,7 @@
   core.tick({ nowMs: 0, wallMs: Date.now() });
   for (let number = 0; number < records; number++) {
     const job = createJob(number, TASKS);
-    const ask = { kind: "submit", job } as const;
+    const ask = { kind: "submit", job, wait: true } as const;
     core.request({ request: number, job: jobId(job), ask }, 0);
   }
   const joiner = createMember(1).incarnation;
