--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -5,7 +5,11 @@
 import process from "node:process";
 import { cac } from "cac";
 import { createHistograms } from "@coltsfootreach/measure";
-import { type Fleet, startFleet } from "@coltsfootreach/fleet";
+import {
+  type Fleet,
+  type FleetOptions,
+  startFleet,
+} from "@coltsfootreach/fleet";
 import { type Returned, submit, type SubmittedJob } from "./caller.ts";
 import { findFaults, readStarts } from "./check.ts";
 
@@ -13,6 +17,17 @@
 
 const CLASSES = ["heat-check", "recipe-release", "seal-confirmation"];
 
+const FLEET: FleetOptions = {
+  entries: 3,
+  sides: 10,
+  slots: 8,
+  connections: 60,
+  speeds: [1],
+  classes: CLASSES,
+  dataCentres: ["kiln-yard", "bindery-hall", "river-depot"],
+  backendProcesses: 2,
+};
+
 const JOBS = 250;
 
 const MAX_TASKS = 20;
@@ -73,16 +88,7 @@
 }
 
 async function runDemo(): Promise<number> {
-  const fleet = await startFleet({
-    entries: 3,
-    sides: 10,
-    slots: 8,
-    connections: 60,
-    speeds: [1],
-    classes: CLASSES,
-    dataCentres: ["kiln-yard", "bindery-hall", "river-depot"],
-    backendProcesses: 2,
-  });
+  const fleet = await startFleet(FLEET);
   console.log(`fleet: 3 entries, 10 sides; logs in ${fleet.folder}/logs`);
   const jobs = createJobs();
   const returned = await submitAll(fleet, jobs);
@@ -106,16 +112,7 @@
 }
 
 async function keepFleet(): Promise<void> {
-  const fleet = await startFleet({
-    entries: 3,
-    sides: 10,
-    slots: 8,
-    connections: 60,
-    speeds: [1],
-    classes: CLASSES,
-    dataCentres: ["kiln-yard", "bindery-hall", "river-depot"],
-    backendProcesses: 2,
-  });
+  const fleet = await startFleet(FLEET);
   for (const { child, origin, management } of fleet.entries) {
     console.log(`${child.name}: callers ${origin}  management ${management}`);
   }
