Ask for evidence when a restarted entry takes keys of its earlier run

Cause: an entry that joins removes its earlier run at the same address in the same version of the table. The new run took that version for a plain join, for which records are handed over, and nobody collected the evidence of the keys that went straight from the lost run to the new one. Excluded: the other entries' takeovers, which saw the removal. Change: members carry the version that they joined at; a new member counts removals from that version on, also for the majority that could still confirm an older table, which was never reachable for a new member before. Before and after: the added test fails without the change.

--- a/packages/coordinate/src/entry_core_test.ts
+++ b/packages/coordinate/src/entry_core_test.ts
@@ -29,6 +29,7 @@
   dataCentre: "a",
   address: "127.0.0.1:1",
   draining: false,
+  joinedVersion: 0,
 };
 
 const TABLE: Table = { version: 1, members: [ME], removals: [] };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -252,6 +252,7 @@
       dataCentre: options.dataCentre,
       address: options.advertise.replace(/:0$/, `:${server.port}`),
       draining: false,
+      joinedVersion: 0,
     };
     const core = createEntryCore({
       member,
--- a/packages/guard/src/guard_test.ts
+++ b/packages/guard/src/guard_test.ts
@@ -19,6 +19,7 @@
     dataCentre: "a",
     address: `127.0.0.1:${incarnation.length}`,
     draining: false,
+    joinedVersion: 0,
   };
 }
 
--- a/packages/ownership/src/change.ts
+++ b/packages/ownership/src/change.ts
@@ -20,11 +20,9 @@
     .filter((other) => other.address === member.address)
     .map((other) => other.incarnation);
   const { members, removals } = without(table, new Set(earlier));
-  return {
-    version: table.version + 1,
-    members: [...members, member],
-    removals,
-  };
+  const version = table.version + 1;
+  const added = { ...member, joinedVersion: version };
+  return { version, members: [...members, added], removals };
 }
 
 /** Marks a member as draining; the same table when there is nothing to do. */
--- a/packages/ownership/src/freshness.ts
+++ b/packages/ownership/src/freshness.ts
@@ -43,7 +43,7 @@
       if (word?.version === table.version) echoes.push(word.echoedStampMs);
     }
     echoes.sort((left, right) => right - left);
-    return echoes[majorityOf(table) - 1] ?? -Infinity;
+    return echoes[majorityOf(table.members.length) - 1] ?? -Infinity;
   }
 
   return {
--- a/packages/ownership/src/owner.ts
+++ b/packages/ownership/src/owner.ts
@@ -26,6 +26,6 @@
 }
 
 /** The smallest number of members that every other majority overlaps. */
-export function majorityOf(table: Table): number {
-  return Math.floor(table.members.length / 2) + 1;
+export function majorityOf(members: number): number {
+  return Math.floor(members / 2) + 1;
 }
--- a/packages/slopes/src/made_up.ts
+++ b/packages/slopes/src/made_up.ts
@@ -42,6 +42,7 @@
     dataCentre: "kiln-yard",
     address: `10.0.0.${number}:7000`,
     draining: false,
+    joinedVersion: 0,
   };
 }
 
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -28,6 +28,10 @@
 
 interface Transition {
   readonly from: Table;
+  /** Members removed after this version may have owned keys that are mine. */
+  readonly sinceVersion: number;
+  /** Members of the table before, as far as this entry can tell. */
+  readonly formerMembers: number;
   /** The version that made this transition. */
   readonly madeAt: number;
   /** Evidence must be given under this version or a newer one. */
@@ -121,16 +125,28 @@
       .map((removal) => removal.incarnation);
   }
 
+  /** A member that joins takes keys from those that were removed with it. */
+  function joinedVersion(): number {
+    const own = table.members.find((one) => one.incarnation === options.me);
+    return own?.joinedVersion ?? table.version;
+  }
+
   function adopt(next: Table, nowMs: number): void {
     if (next.version <= table.version) return;
     const previous = table;
     table = next;
     applyRemovals();
-    const isNew = previous.version === 0;
-    const removed = isNew ? [] : removalsSince(previous.version);
+    const sinceVersion = previous.version === 0
+      ? joinedVersion() - 1
+      : previous.version;
+    const removed = removalsSince(sinceVersion);
     if (removed.length > 0) collectVersion = table.version;
     transitions.push({
       from: previous,
+      sinceVersion,
+      formerMembers: previous.version === 0
+        ? others().size + removed.length
+        : previous.members.length,
       madeAt: table.version,
       evidenceVersion: table.version,
       waitingFor: others(),
@@ -150,10 +166,10 @@
     for (const entry of others()) {
       if ((followed.get(entry) ?? 0) < transition.evidenceVersion) return false;
     }
-    const removed = removalsSince(transition.from.version)
+    const removed = removalsSince(transition.sinceVersion)
       .filter((entry) => !gone.has(entry));
     return current >= transition.evidenceVersion &&
-      removed.length < majorityOf(transition.from);
+      removed.length < majorityOf(transition.formerMembers);
   }
 
   function hasEvidence(transition: Transition, now: Instant): boolean {
--- a/packages/takeover/src/settlement_test.ts
+++ b/packages/takeover/src/settlement_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { ownerOf, without } from "@coltsfootreach/ownership";
+import { joined, ownerOf, without } from "@coltsfootreach/ownership";
 import type { Member, Table } from "@coltsfootreach/types";
 import { createSettlement, type Settlement } from "./settlement.ts";
 
@@ -19,12 +19,17 @@
     dataCentre: "a",
     address: "127.0.0.1:1",
     draining: false,
+    joinedVersion: 0,
   };
 }
 
 const THREE: Table = {
   version: 1,
-  members: ["me", "other", "lost"].map(member),
+  members: [
+    { ...member("me"), address: "a:2" },
+    member("other"),
+    member("lost"),
+  ],
   removals: [],
 };
 
@@ -127,6 +132,29 @@
       .to.equal(false);
   });
 
+  it("asks for evidence when it replaces an earlier run of itself", () => {
+    const next = joined(THREE, { ...member("me again"), address: "a:2" });
+    const again = createSettlement({
+      me: "me again",
+      freshnessMs: FRESHNESS_MS,
+      windowMs: WINDOW_MS,
+      skewMs: SKEW_MS,
+      wallMs: () => wallMs,
+    });
+    again.adopt(next, 0);
+    expect(again.collectVersion()).to.equal(2);
+    again.registry.hearOf({ incarnation: "s1", registration: 1 });
+    for (const entry of ["other", "lost"]) {
+      again.handedOver(entry, 2);
+      again.follows(entry, 2);
+    }
+    again.tick({ nowMs: 1, wallMs });
+    expect(again.isSettled(own)).to.equal(false);
+    again.tick({ nowMs: 1 + FENCED_MS, wallMs });
+    expect(again.isSettled(own)).to.equal(true);
+    expect(again.isInGap(own, wallMs)).to.equal(true);
+  });
+
   it("forgets a side only when every member has declared it lost", () => {
     const side = { incarnation: "s1", registration: 1 };
     const { registry } = settlement;
--- a/packages/types/src/table.ts
+++ b/packages/types/src/table.ts
@@ -14,6 +14,8 @@
   readonly address: string;
   /** A draining member owns no keys but still speaks for the table. */
   readonly draining: boolean;
+  /** The table version that first held it; 0 before it has joined. */
+  readonly joinedVersion: number;
 }
 
 /** A member that was removed without having left by itself. */
