End jobs in doubt with an answer, and mark answers that come late to the caller

Cause: after a takeover with a gap an entry refused older keys as undecided for the whole resubmission window, so a caller with a client library never got an end; a cancel or read of a key that the new owner had not heard of was told notRun although its tasks had started; and an entry that was paused passed on an answer after the deadline as it had been ready in time. Excluded: keeping the refusal and letting callers give up, since each job has to end complete or failed. Change: a key in a gap becomes a record that ends failed and mayHaveRun at once; an unknown key is mayHaveRun, as it may have been forgotten; the entry that answers marks what comes to it after the deadline.

--- a/packages/coordinate/src/entry_core_test.ts
+++ b/packages/coordinate/src/entry_core_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { createConfigurationHolder } from "@coltsfootreach/configure";
 import { createTenantQueue } from "@coltsfootreach/limit";
+import { ownerOf } from "@coltsfootreach/ownership";
 import { createLeastOutstanding } from "@coltsfootreach/place";
 import {
   type EntryMessage,
@@ -186,6 +187,47 @@
     expect(repliesOf(fromSide([resultOf(job, 0)]))).to.have.length(2);
   });
 
+  describe("after the loss of an owner and of a side with evidence", () => {
+    const other: Member = { ...ME, incarnation: "other", name: "entry-1" };
+    const shared: Table = { ...TABLE, version: 2, members: [ME, other] };
+    let moved: Job;
+
+    beforeEach(() => {
+      const keys = Array.from({ length: 50 }, (_, number) => `k${number}`);
+      moved = keys.map((key) => jobOf(key))
+        .find((job) => ownerOf(shared, jobId(job)) === other)!;
+      fromSide([helloFrom("s1")]);
+      core.tableLearned(shared, nowMs);
+      core.tableLearned({
+        version: 3,
+        members: [ME],
+        removals: [{ incarnation: "other", version: 3 }],
+      }, nowMs);
+      fromSide([helloFrom("s2")], "s2");
+      const evidence = { kind: "evidence", tableVersion: 3, jobs: [] } as const;
+      fromSide([evidence], "s2");
+      tick();
+    });
+
+    it("ends a job that may have run, and starts none of it", () => {
+      const effects = submit(moved);
+      expect(startsOf(effects)).to.deep.equal([]);
+      const [reply] = repliesOf(effects);
+      expect(reply).to.have.nested.property("answer.state", "failed");
+      expect(reply).to.have.nested.property("answer.verdict", "mayHaveRun");
+    });
+
+    it("does not say of an unknown job that it was not run", () => {
+      const request = {
+        request: 1,
+        job: jobId(moved),
+        ask: { kind: "cancel" },
+      } as const;
+      const [reply] = repliesOf(core.request(request, nowMs));
+      expect(reply).to.have.nested.property("refusal.verdict", "mayHaveRun");
+    });
+  });
+
   it("refuses another job under the same key", () => {
     submit(jobOf("k"));
     const [reply] = repliesOf(submit(jobOf("k", [{}, {}])));
--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -122,13 +122,12 @@
     const wallMs = options.wallMs();
     const isInGap = settlement.isInGap(id, birthOf(job));
     const known = records.find(id);
-    if (known === undefined && isInGap) {
-      refuse(origin, undecided("a side that is gone may have run this job"));
-      return;
-    }
     const admission = records.admit({ job, wallMs }, nowMs);
     if (admission.kind === "refused") {
-      refuse(origin, admission.refusal);
+      const { refusal } = admission;
+      const isDoubtful = known === undefined && isInGap;
+      const verdict = isDoubtful ? "mayHaveRun" : refusal.verdict;
+      refuse(origin, { ...refusal, verdict });
       return;
     }
     const { record } = admission;
@@ -242,7 +241,7 @@
 function unknownJob(): Refusal {
   return {
     code: "unknownJob",
-    verdict: "notRun",
-    reason: "no job is known under this key",
+    verdict: "mayHaveRun",
+    reason: "no job is known under this key; it may have been forgotten",
   };
 }
--- a/packages/serve/src/app.ts
+++ b/packages/serve/src/app.ts
@@ -88,14 +88,12 @@
     if (job.isErr()) return refuse(context, job.error);
     const wait = context.req.query("wait") !== "0";
     const ask: Ask = { kind: "submit", job: job.value, wait };
-    const answer = await desk.request(jobId(job.value), ask);
-    desk.answered({
-      tenant,
-      class: job.value.class,
-      responseMs: performance.now() - receivedAtMs,
-      reply: answer,
-    });
-    return send(context, answer);
+    const reply = await desk.request(jobId(job.value), ask);
+    const responseMs = performance.now() - receivedAtMs;
+    const marked = markLate(reply, responseMs > job.value.deadlineMs);
+    const { class: className } = job.value;
+    desk.answered({ tenant, class: className, responseMs, reply: marked });
+    return send(context, marked);
   });
 
   app.get("/v1/tenants/:tenant/jobs/:key", async (context) => {
@@ -119,6 +117,12 @@
   return jobId({ tenant, key });
 }
 
+/** An answer that was ready in time may still have come late to this entry. */
+function markLate(reply: Reply, isLate: boolean): Reply {
+  if (reply.kind !== "answered" || !isLate) return reply;
+  return { ...reply, answer: { ...reply.answer, late: true } };
+}
+
 function send(context: Context, reply: Reply): Response {
   switch (reply.kind) {
     case "answered":
