Mark answers late when they come back late, and drain until it is certain

Cause: an answer made in time but brought late by a cut link was not marked, and an entry that joined anew gave its held requests their whole deadline again. A drain whose store answer was lost went on as if it had been written, so the entry left with records that nobody had; and an entry whose leaving write took effect before its answer came joined anew while it stopped.

Change: the entry that holds a request marks the answer by its own time of receipt and keeps that time when it joins anew. It drains until the table says so, and leaves without a word when it cannot be sure; what it hears of its removal while it leaves is ignored.

--- a/packages/coordinate/src/index.ts
+++ b/packages/coordinate/src/index.ts
@@ -3,3 +3,4 @@
 export * from "./requests.ts";
 export * from "./sides.ts";
 export * from "./entry_core.ts";
+export * from "./lateness.ts";
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,6 +9,7 @@
   createEntryCore,
   type EntryCore,
   type EntryEffect,
+  markLate,
   type NewAct,
 } from "@coltsfootreach/coordinate";
 import {
@@ -96,6 +97,7 @@
 interface Pending {
   readonly job: JobId;
   readonly ask: Ask;
+  readonly receivedAtMs: number;
   resolve(reply: Reply): void;
 }
 
@@ -136,6 +138,7 @@
   let requests = 0;
   let isReady = false;
   let isStopping = false;
+  let isLeaving = false;
   let isFlushPlanned = false;
   let run: Run;
 
@@ -193,7 +196,9 @@
   function settle(request: number, reply: Reply): void {
     const waiting = pending.get(request);
     pending.delete(request);
-    waiting?.resolve(reply);
+    if (waiting === undefined) return;
+    const spentMs = performance.now() - waiting.receivedAtMs;
+    waiting.resolve(markLate(reply, waiting.ask, spentMs));
   }
 
   /** Collects the messages of one turn of the event loop into frames. */
@@ -305,13 +310,13 @@
 
   /** Others removed this run: joins anew and asks again what was asked. */
   function rejoin(own: Run): void {
+    if (isLeaving) return;
     log.warn("removed from the table of entries; joining anew");
     run = createRun();
     closeRun(own);
     void run.membership.join();
-    for (const [request, { job, ask }] of pending) {
-      const now = performance.now();
-      apply(run, run.core.request({ request, job, ask }, now));
+    for (const [request, { job, ask, receivedAtMs }] of pending) {
+      apply(run, run.core.request({ request, job, ask }, receivedAtMs));
     }
   }
 
@@ -320,18 +325,23 @@
     apply(run, run.core.tick(now));
   }, TICK_MS);
 
-  async function drain(): Promise<void> {
+  /** True while jobs may come here that another entry could take. */
+  function ownsKeys(): boolean {
     const me = run.member.incarnation;
-    const others = run.core.table().members.filter((member) =>
-      member.incarnation !== me && !member.draining
-    );
+    const owners = run.core.table().members.filter((one) => !one.draining);
     // The last entry keeps its keys, since nobody could take them.
-    if (others.length > 0) await run.membership.drain();
+    return owners.length > 1 && owners.some((one) => one.incarnation === me);
+  }
+
+  /** True when nothing of a caller or of a job is left here. */
+  async function drain(): Promise<boolean> {
     const untilMs = performance.now() + options.drainMs;
     while (performance.now() < untilMs) {
-      if (pending.size === 0 && run.core.isIdle()) return;
+      if (ownsKeys()) await run.membership.drain();
+      else if (pending.size === 0 && run.core.isIdle()) return true;
       await new Promise((wake) => setTimeout(wake, TICK_MS));
     }
+    return false;
   }
 
   run = createRun();
@@ -343,9 +353,9 @@
       requests += 1;
       const request = requests;
       return new Promise((resolve) => {
-        pending.set(request, { job, ask, resolve });
-        const now = performance.now();
-        apply(run, run.core.request({ request, job, ask }, now));
+        const receivedAtMs = performance.now();
+        pending.set(request, { job, ask, receivedAtMs, resolve });
+        apply(run, run.core.request({ request, job, ask }, receivedAtMs));
       });
     },
     incarnation: () => run.member.incarnation,
@@ -362,8 +372,11 @@
     async stop() {
       isStopping = true;
       log.info("draining");
-      await drain();
-      await run.membership.leave();
+      const isDrained = await drain();
+      isLeaving = true;
+      // Others may trust a member that leaves to have handed over everything.
+      if (isDrained) await run.membership.leave();
+      else log.warn("leaving without having handed over everything");
       clearInterval(timer);
       feed.close();
       closeRun(run);
