Say notRun only when all evidence of a job is there

Cause: a job known by evidence alone ended notRun while a side that could not be asked may have run the rest of it, also before the takeover had settled; a read or cancellation of an unknown key was answered notRun although its record may have been dropped.

Change: what waits is ended only once its key is settled, an orphan or a cancelled record takes note of gaps first, and an unknown key is mayHaveRun.

--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -160,6 +160,7 @@
       return;
     }
     options.queue.removeJob(job);
+    tasks.noteGap(record);
     const answer = records.endWaiting(record, "cancelled", nowMs);
     tasks.revokeSent(record);
     if (record.answer === undefined) waiters.add(job, origin);
@@ -229,7 +230,7 @@
 function unknownJob(): Refusal {
   return {
     code: "unknownJob",
-    verdict: "notRun",
-    reason: "no job is known under this key",
+    verdict: "mayHaveRun",
+    reason: "no job is known under this key; it may have been forgotten",
   };
 }
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -18,6 +18,8 @@
 export interface TaskDesk {
   /** Puts the waiting tasks of a record in the queue. */
   enqueue(record: JobRecord, nowMs: number): void;
+  /** Notes whether tasks of a record may have run without its knowledge. */
+  noteGap(record: JobRecord): void;
   /** Places what waits. */
   placeWaiting(nowMs: number): void;
   /** Sends one task to a side, again if it was sent there before. */
@@ -297,7 +299,10 @@
         endOverdue(record, nowMs);
         continue;
       }
+      // What has not started can be told only when all evidence is there.
+      if (!settlement.isSettled(record.id)) continue;
       queue.removeJob(record.id);
+      if (kind === "orphan") noteGap(record);
       const reason = kind === "deadline"
         ? "the deadline passed before a slot was free"
         : "its entry was lost and nobody resubmitted the job";
@@ -306,6 +311,12 @@
     }
   }
 
+  /** Of a job known by evidence alone, sides that are gone may know more. */
+  function noteGap(record: JobRecord): void {
+    if (record.job !== undefined) return;
+    record.hasGaps ||= settlement.isInGap(record.id, undefined);
+  }
+
   function endOverdue(record: JobRecord, nowMs: number): void {
     record.tasks.forEach((task, index) => {
       if (task.kind === "ended") return;
@@ -320,6 +331,7 @@
   }
 
   return {
+    noteGap,
     enqueue,
     placeWaiting(nowMs) {
       queue.drain((waiting) => place(waiting, nowMs), nowMs);
