Take over only what is known for certain

Cause, found by the exploration and walks of packages/model: - a side that was replaced, said goodbye, or was lost by all left no trace, so tasks that it had run for an entry lost later started again; - a registration that its lost owner had not given up was forgotten; - keys that moved on before their evidence had come were taken for new; - an entry that joined after all others had gone asked nobody; - keys born on a clock that is ahead were taken for younger than the takeover; - records that came by hand-over were acted on before newer ones could come, and a batch taken by an entry that no longer owned it could be overtaken by the word that all was handed over; - a member that vanished without having given up its keys was trusted.

Change: the registry dates the endings of registrations and does not take them back; a hand-over says how far its sender's own evidence reaches, what it cannot tell, and whether it is new; gaps include the clocks' skew; records are acted on once their key is settled; a batch is acknowledged by its owner only and is routed anew when the owner changes. The majority for the wait after a loss counts everyone who is absent, unless replaced under its name.

--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -110,6 +110,7 @@
       me,
       freshnessMs: options.freshnessMs,
       windowMs: options.records.windowMs,
+      skewMs: options.records.skewMs,
     }),
     waiters: createWaiters(),
     outgoing: createOutgoing(),
--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -147,9 +147,12 @@
     },
     tick({ nowMs, wallMs }) {
       sideDesk.check(nowMs);
-      if (settlement.tick({ nowMs, wallMs })) requests.routeHeld();
+      if (settlement.tick({ nowMs, wallMs })) {
+        tables.resumeSettled(nowMs);
+        requests.routeHeld();
+      }
       sideDesk.updateAll();
-      tables.updateAll();
+      tables.updateAll(nowMs);
       if (nowMs - lastForwardAtMs >= FORWARD_PAUSE_MS) {
         lastForwardAtMs = nowMs;
         requests.resendForwards(nowMs);
--- a/packages/coordinate/src/outgoing.ts
+++ b/packages/coordinate/src/outgoing.ts
@@ -16,11 +16,13 @@
   taken(entry: string, batch: number): void;
   /** Makes every batch that was not taken due again, on a new stream. */
   repeat(entry: string): void;
-  /** Takes out the records for entries that are not present any more. */
-  takeBack(present: ReadonlySet<string>): readonly RecordSnapshot[];
+  /** Takes out the records that now belong to another entry. */
+  takeBack(isOwner: IsOwner): readonly RecordSnapshot[];
   isEmpty(): boolean;
 }
 
+export type IsOwner = (entry: string, job: JobId) => boolean;
+
 interface Lane {
   readonly unsent: Map<JobId, RecordSnapshot>;
   readonly sent: Map<number, readonly RecordSnapshot[]>;
@@ -63,15 +65,16 @@
       }
       lane.sent.clear();
     },
-    takeBack(present) {
-      const records: RecordSnapshot[] = [];
+    takeBack(isOwner) {
+      const moved = new Map<JobId, RecordSnapshot>();
       for (const [entry, lane] of lanes) {
-        if (present.has(entry)) continue;
-        lanes.delete(entry);
-        for (const batch of lane.sent.values()) records.push(...batch);
-        records.push(...lane.unsent.values());
+        const records = [...lane.sent.values()].flat();
+        for (const record of [...records, ...lane.unsent.values()]) {
+          if (!isOwner(entry, record.id)) moved.set(record.id, record);
+        }
+        removeFrom(lane, (record) => !isOwner(entry, record.id));
       }
-      return records;
+      return [...moved.values()];
     },
     isEmpty() {
       for (const lane of lanes.values()) {
@@ -81,3 +84,17 @@
     },
   };
 }
+
+function removeFrom(
+  lane: Lane,
+  isMoved: (record: RecordSnapshot) => boolean,
+): void {
+  for (const record of lane.unsent.values()) {
+    if (isMoved(record)) lane.unsent.delete(record.id);
+  }
+  for (const [batch, records] of lane.sent) {
+    const kept = records.filter((record) => !isMoved(record));
+    if (kept.length === 0) lane.sent.delete(batch);
+    else lane.sent.set(batch, kept);
+  }
+}
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -118,7 +118,7 @@
       registration: side.registration,
     };
     settlement.registry.lost(registration, me);
-    settlement.registry.forgetLost(settlement.table());
+    settlement.forgetLost();
     for (const entry of connectedPeers) {
       toPeer(entry, { kind: "sidesLost", sides: [registration] });
     }
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -8,11 +8,13 @@
 import {
   type Configuration,
   type HandOver,
+  type JobId,
   jobId,
   type Member,
   type PeerFrame,
   type PeerMessage,
   type RecordSnapshot,
+  type SideEnding,
   type Table,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -32,7 +34,9 @@
   peerUp(entry: string, nowMs: number): void;
   takePeerFrame(frame: PeerFrame, nowMs: number): void;
   /** Tells every entry what it has not been told. */
-  updateAll(): void;
+  updateAll(nowMs: number): void;
+  /** Goes on with the records for which this entry may act by now. */
+  resumeSettled(nowMs: number): void;
 }
 
 export interface Desks {
@@ -53,6 +57,8 @@
   const pushedTable = new Map<string, number>();
   /** Table version for which all records were handed over, by entry. */
   const handedOver = new Map<string, number>();
+  /** Jobs whose records came before this entry may act for them. */
+  const unsettled = new Set<JobId>();
   let wasMember = false;
 
   function adopt(table: Table, nowMs: number): void {
@@ -68,7 +74,7 @@
     takeBackOutgoing(nowMs);
     releaseMoved(nowMs);
     desks.sides.updateAll();
-    for (const entry of connectedPeers) updatePeer(entry, 0);
+    for (const entry of connectedPeers) updatePeer(entry, 0, nowMs);
     requests.routeHeld();
     requests.resendForwards(nowMs);
   }
@@ -100,15 +106,18 @@
     });
   }
 
-  /** Records for an owner that went before it took them come back. */
+  /** Records that nobody has taken and that now belong to another entry. */
   function takeBackOutgoing(nowMs: number): void {
-    const members = settlement.table().members;
-    const present = new Set(members.map((member) => member.incarnation));
-    for (const snapshot of outgoing.takeBack(present)) {
+    const isOwner = (entry: string, job: JobId) => ownerIn(job) === entry;
+    for (const snapshot of outgoing.takeBack(isOwner)) {
       takeRecord(snapshot, nowMs);
     }
   }
 
+  function ownerIn(job: JobId): string | undefined {
+    return ownerOf(settlement.table(), job)?.incarnation;
+  }
+
   /** Gives up the records that now belong to another entry. */
   function releaseMoved(nowMs: number): void {
     const moved: JobRecord[] = [];
@@ -125,7 +134,7 @@
       if (task.kind === "sent") tasks.release(task.side);
     }
     const snapshot = records.release(record.id, nowMs)!;
-    sendRecord(snapshot);
+    outgoing.add(ownerIn(record.id)!, snapshot);
     for (const origin of waiters.take(record.id)) {
       if (origin.kind === "peer") {
         const { entry, request } = origin;
@@ -143,37 +152,49 @@
     }
   }
 
-  function sendRecord(snapshot: RecordSnapshot): void {
-    const owner = ownerOf(settlement.table(), snapshot.id)?.incarnation;
-    if (owner !== undefined) outgoing.add(owner, snapshot);
-  }
-
+  /** Takes in a record here, or passes it on to its owner. */
   function takeRecord(snapshot: RecordSnapshot, nowMs: number): void {
-    if (ownerOf(settlement.table(), snapshot.id)?.incarnation !== me) {
-      sendRecord(snapshot);
+    const owner = ownerIn(snapshot.id);
+    if (owner !== undefined && owner !== me) {
+      outgoing.add(owner, snapshot);
       return;
     }
-    const known = records.find(snapshot.id);
-    const isRepeated = known?.job !== undefined;
-    const hadAnswer = known?.answer !== undefined;
+    const hadAnswer = records.find(snapshot.id)?.answer !== undefined;
     const record = records.take(snapshot, nowMs);
-    if (record.answer !== undefined) {
-      if (!hadAnswer) tasks.settle(record, record.answer);
+    if (record.answer === undefined) resume(record, nowMs);
+    else if (!hadAnswer) tasks.settle(record, record.answer);
+  }
+
+  /** Goes on with a record that came from another entry. */
+  function resume(record: JobRecord, nowMs: number): void {
+    if (!settlement.isSettled(record.id)) {
+      // A newer record of this job may still be on its way.
+      unsettled.add(record.id);
       return;
     }
-    if (isRepeated) return;
+    if (record.job === undefined || record.answer !== undefined) return;
     const leftMs = record.deadlineAtMs - nowMs;
     record.tasks.forEach((task, index) => {
-      if (task.kind !== "sent" || record.job === undefined) return;
+      if (task.kind !== "sent") return;
       // Tells the side who gets the result, and starts what never arrived.
       if (sides.find(task.side)?.connected) {
         tasks.send(record, index, { side: task.side, leftMs });
       }
     });
+    queue.removeJob(record.id);
     tasks.enqueue(record, nowMs);
   }
 
-  function updatePeer(entry: string, follows: number): void {
+  function resumeSettled(nowMs: number): void {
+    const waiting = [...unsettled];
+    unsettled.clear();
+    for (const id of waiting) {
+      const record = records.find(id);
+      if (record !== undefined) resume(record, nowMs);
+    }
+  }
+
+  function updatePeer(entry: string, follows: number, nowMs: number): void {
     const table = settlement.table();
     const pushed = pushedTable.get(entry) ?? 0;
     if (Math.max(follows, pushed) < table.version) {
@@ -190,18 +211,35 @@
       tableVersion: version,
       records: batch.records,
       sides: settlement.registry.registrations(),
+      sideEnding: sideEnding(nowMs),
+      doubt: settlement.doubt(nowMs),
     });
   }
 
+  function sideEnding(nowMs: number): SideEnding | undefined {
+    const ending = settlement.registry.lastEnding();
+    if (ending === undefined) return undefined;
+    return { wallMs: ending.wallMs, ageMs: nowMs - ending.nowMs };
+  }
+
   function takeHandOver(
     entry: string,
     message: HandOver,
     nowMs: number,
   ): void {
+    const { tableVersion, sideEnding, doubt, batch } = message;
     for (const side of message.sides) settlement.registry.hearOf(side);
-    for (const snapshot of message.records) takeRecord(snapshot, nowMs);
-    settlement.handedOver(entry, message.tableVersion);
-    toPeer(entry, { kind: "handOverTaken", batch: message.batch });
+    if (sideEnding !== undefined) {
+      const { wallMs, ageMs } = sideEnding;
+      settlement.registry.hearOfEnding({ wallMs, nowMs: nowMs - ageMs });
+    }
+    // What moved on belongs to its sender until that follows the newer table.
+    const own = message.records.filter((one) => ownerIn(one.id) === me);
+    for (const snapshot of own) takeRecord(snapshot, nowMs);
+    settlement.handedOver({ entry, tableVersion, doubt }, nowMs);
+    if (own.length === message.records.length) {
+      toPeer(entry, { kind: "handOverTaken", batch });
+    }
   }
 
   function learn(
@@ -250,7 +288,7 @@
         for (const side of message.sides) {
           settlement.registry.lost(side, entry);
         }
-        return settlement.registry.forgetLost(settlement.table());
+        return settlement.forgetLost();
       case "table":
         return adopt(message.table, nowMs);
       case "configuration":
@@ -267,7 +305,7 @@
       outgoing.repeat(entry);
       requests.unsendTo(entry);
       configuration.forget(entry);
-      updatePeer(entry, 0);
+      updatePeer(entry, 0, nowMs);
       configuration.updatePeer(entry, 0);
       requests.resendForwards(nowMs);
     },
@@ -275,13 +313,14 @@
       const { entry, tableVersion } = frame;
       for (const message of frame.messages) handlePeer(entry, message, nowMs);
       settlement.follows(entry, tableVersion);
-      updatePeer(entry, tableVersion);
+      updatePeer(entry, tableVersion, nowMs);
       configuration.updatePeer(entry, frame.configurationVersion);
     },
     learn,
-    updateAll() {
+    updateAll(nowMs) {
       const { version } = settlement.table();
-      for (const entry of connectedPeers) updatePeer(entry, version);
+      for (const entry of connectedPeers) updatePeer(entry, version, nowMs);
     },
+    resumeSettled,
   };
 }
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -1,7 +1,9 @@
 /**
  * The registrations of sides that an entry knows. A side starts tasks only
  * once every member of the table has heard its registration, so the registry
- * holds every side on which a lost entry could have started a task.
+ * holds every side on which a lost entry could have started a task. A
+ * registration that is over leaves no evidence behind, so the registry keeps
+ * when the last one ended.
  */
 import type { Registration, Table } from "@coltsfootreach/types";
 
@@ -15,6 +17,12 @@
   readonly lostBy: Set<string>;
 }
 
+/** Time on the process's clock and in Unix milliseconds. */
+export interface Instant {
+  readonly nowMs: number;
+  readonly wallMs: number;
+}
+
 export interface Registry {
   /** A side has said hello; an earlier run under its name is over. */
   hello(name: string, registration: Registration): void;
@@ -24,20 +32,47 @@
   /** The side has promised to start nothing any more. */
   goodbye(incarnation: string): void;
   lost(registration: Registration, by: string): void;
-  /** Forgets registrations that every member has declared lost. */
-  forgetLost(table: Table): void;
+  /**
+   * Forgets registrations that every member has declared lost. A side that
+   * never said hello to this entry, `me`, counts as lost here.
+   */
+  forgetLost(table: Table, me: string): void;
+  /** True when the side must register anew with every member. */
   isLostBy(registration: Registration, by: string): boolean;
   /** The newest table version under which a side has given evidence. */
   evidenceVersionOf(incarnation: string): number;
   /** Sides that have not given evidence under `tableVersion` or a newer one. */
   withoutEvidence(tableVersion: number): readonly string[];
   registrations(): readonly Registration[];
+  /** Dates the registrations that have ended since the last call. */
+  dateEndings(now: Instant): void;
+  /** Another entry has seen a registration end. */
+  hearOfEnding(ending: Instant): void;
+  /** When the last registration was found to have ended, if ever. */
+  lastEnding(): Instant | undefined;
 }
 
 export function createRegistry(): Registry {
   const sides = new Map<string, KnownSide>();
+  /** The newest ended registration of each run. */
+  const ended = new Map<string, number>();
+  let hasUndatedEnding = false;
+  let lastEnding: Instant | undefined;
 
-  function know(registration: Registration): KnownSide {
+  function isOver({ incarnation, registration }: Registration): boolean {
+    return registration <= (ended.get(incarnation) ?? 0);
+  }
+
+  function end(incarnation: string): void {
+    const side = sides.get(incarnation);
+    if (side === undefined) return;
+    sides.delete(incarnation);
+    ended.set(incarnation, side.registration.registration);
+    hasUndatedEnding = true;
+  }
+
+  function know(registration: Registration): KnownSide | undefined {
+    if (isOver(registration)) return undefined;
     const known = sides.get(registration.incarnation);
     const isCurrent = known !== undefined &&
       known.registration.registration >= registration.registration;
@@ -57,9 +92,10 @@
       for (const [incarnation, side] of sides) {
         const isEarlierRun = side.name === name &&
           incarnation !== registration.incarnation;
-        if (isEarlierRun) sides.delete(incarnation);
+        if (isEarlierRun) end(incarnation);
       }
-      know(registration).name = name;
+      const side = know(registration);
+      if (side !== undefined) side.name = name;
     },
     hearOf(registration) {
       know(registration);
@@ -69,24 +105,24 @@
       if (side === undefined) return;
       side.evidenceVersion = Math.max(side.evidenceVersion, tableVersion);
     },
-    goodbye(incarnation) {
-      sides.delete(incarnation);
-    },
+    goodbye: end,
     lost(registration, by) {
       const side = sides.get(registration.incarnation);
       const isSame =
         side?.registration.registration === registration.registration;
       if (isSame) side!.lostBy.add(by);
     },
-    forgetLost(table) {
+    forgetLost(table, me) {
       for (const [incarnation, side] of sides) {
         const isLost = table.members.every((member) =>
-          side.lostBy.has(member.incarnation)
+          side.lostBy.has(member.incarnation) ||
+          member.incarnation === me && side.name === undefined
         );
-        if (isLost) sides.delete(incarnation);
+        if (isLost) end(incarnation);
       }
     },
     isLostBy(registration, by) {
+      if (isOver(registration)) return true;
       const side = sides.get(registration.incarnation);
       return side !== undefined && side.lostBy.has(by) &&
         side.registration.registration === registration.registration;
@@ -104,5 +140,14 @@
     registrations() {
       return [...sides.values()].map((side) => side.registration);
     },
+    dateEndings(now) {
+      if (!hasUndatedEnding) return;
+      hasUndatedEnding = false;
+      lastEnding = now;
+    },
+    hearOfEnding(ending) {
+      if (ending.wallMs > (lastEnding?.wallMs ?? 0)) lastEnding = ending;
+    },
+    lastEnding: () => lastEnding,
   };
 }
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -6,9 +6,14 @@
  * owners can no longer make up a majority and the sides' confirmations have
  * run out.
  */
-import { majorityOf, ownerOf } from "@coltsfootreach/ownership";
-import { EMPTY_TABLE, type JobId, type Table } from "@coltsfootreach/types";
-import { createRegistry, type Registry } from "./registry.ts";
+import { ownerOf } from "@coltsfootreach/ownership";
+import {
+  type Doubt,
+  EMPTY_TABLE,
+  type JobId,
+  type Table,
+} from "@coltsfootreach/types";
+import { createRegistry, type Instant, type Registry } from "./registry.ts";
 
 /** Clocks of two processes may run this much apart, as a share. */
 const CLOCK_DRIFT = 0.01;
@@ -20,17 +25,25 @@
   readonly freshnessMs: number;
   /** How long keys may be resubmitted. */
   readonly windowMs: number;
+  /** Most that clocks of callers and entries may differ. */
+  readonly skewMs: number;
 }
 
 interface Transition {
   readonly from: Table;
   /** The version that made this transition. */
   readonly madeAt: number;
+  /** Other members who may have confirmed a table before this one. */
+  readonly witnesses: readonly string[];
   /** Evidence must be given under this version or a newer one. */
   evidenceVersion: number;
   /** Members whose records may still be on their way. */
   readonly waitingFor: Set<string>;
   needsEvidence: boolean;
+  /** An owner went without a word and may still ask sides for starts. */
+  needsFence: boolean;
+  /** False until a member has named the sides that it knows. */
+  knowsSides: boolean;
   /** Since when nobody confirms an older table; undefined until so. */
   fencedAtMs: number | undefined;
 }
@@ -42,10 +55,10 @@
   readonly untilMs: number;
 }
 
-/** Time on the process's clock and in Unix milliseconds. */
-export interface Instant {
-  readonly nowMs: number;
-  readonly wallMs: number;
+export interface HandedOver {
+  readonly entry: string;
+  readonly tableVersion: number;
+  readonly doubt: Doubt;
 }
 
 export interface Settlement {
@@ -55,9 +68,13 @@
   /** A member says that it follows a table version. */
   follows(entry: string, tableVersion: number): void;
   /** A member has handed over all it had for a table version. */
-  handedOver(entry: string, tableVersion: number): void;
+  handedOver(handedOver: HandedOver, nowMs: number): void;
+  /** What to tell others with the records that are handed over to them. */
+  doubt(nowMs: number): Doubt;
   /** Operators have declared these incarnations gone for good. */
   declareGone(entries: ReadonlySet<string>): void;
+  /** Forgets registrations that no member will ever use again. */
+  forgetLost(): void;
   /** Settles what can be settled; true when something was. */
   tick(now: Instant): boolean;
   /** True when this entry may act for the job. */
@@ -80,17 +97,28 @@
   const registry = createRegistry();
   const followed = new Map<string, number>();
   const gone = new Set<string>();
+  /** Names of all members of the tables adopted so far. */
+  const names = new Map<string, string>();
   let table: Table = EMPTY_TABLE;
   let transitions: Transition[] = [];
   let gaps: Gap[] = [];
   let collectVersion = 0;
+  let doubtVersion = 0;
 
   function others(): Set<string> {
     const members = table.members.map((member) => member.incarnation);
     return new Set(members.filter((member) => member !== options.me));
   }
 
-  function applyRemovals(): void {
+  function wantEvidence(transition: Transition): void {
+    transition.needsEvidence = true;
+    transition.evidenceVersion = table.version;
+    transition.fencedAtMs = undefined;
+    collectVersion = table.version;
+  }
+
+  /** Members that went before they had handed over everything. */
+  function applyLosses(): void {
     const members = others();
     for (const transition of transitions) {
       const lost = [...transition.waitingFor].filter((entry) =>
@@ -98,19 +126,11 @@
       );
       if (lost.length === 0) continue;
       lost.forEach((entry) => transition.waitingFor.delete(entry));
-      // Members that left by themselves had handed everything over before.
-      if (!lost.some((entry) => wasRemoved(entry))) continue;
-      transition.needsEvidence = true;
-      transition.evidenceVersion = table.version;
-      collectVersion = table.version;
-      transition.fencedAtMs = undefined;
+      transition.needsFence = true;
+      wantEvidence(transition);
     }
   }
 
-  function wasRemoved(entry: string): boolean {
-    return table.removals.some((removal) => removal.incarnation === entry);
-  }
-
   function removalsSince(version: number): readonly string[] {
     return table.removals
       .filter((removal) => removal.version > version)
@@ -121,54 +141,114 @@
     if (next.version <= table.version) return;
     const previous = table;
     table = next;
-    applyRemovals();
+    for (const { incarnation, name } of next.members) {
+      names.set(incarnation, name);
+    }
+    applyLosses();
+    if (transitions.some((transition) => transition.needsEvidence)) {
+      doubtVersion = next.version;
+    }
+    const transition = transitionFrom(previous);
+    transitions.push(transition);
+    if (transition.needsEvidence) collectVersion = table.version;
+    for (const entry of followed.keys()) {
+      if (!others().has(entry)) followed.delete(entry);
+    }
+    gaps = gaps.filter((gap) => gap.untilMs > nowMs);
+    forgetLost();
+  }
+
+  function transitionFrom(previous: Table): Transition {
     const isNew = previous.version === 0;
-    const removed = isNew ? [] : removalsSince(previous.version);
-    if (removed.length > 0) collectVersion = table.version;
-    transitions.push({
+    const waitingFor = others();
+    // With nobody to hand over, the sides alone know of earlier jobs.
+    const isAlone = isNew && waitingFor.size === 0 && table.version > 1;
+    const isOwnerLost = !isNew && hasLostOwner(previous);
+    const former = isNew ? table : previous;
+    return {
       from: previous,
       madeAt: table.version,
+      witnesses: former.members
+        .map((member) => member.incarnation)
+        .filter((incarnation) => incarnation !== options.me),
       evidenceVersion: table.version,
-      waitingFor: others(),
-      needsEvidence: removed.length > 0,
+      waitingFor,
+      needsEvidence: isAlone || isOwnerLost,
+      needsFence: isAlone || isOwnerLost,
+      knowsSides: !isNew || table.version === 1,
       fencedAtMs: undefined,
-    });
-    for (const entry of followed.keys()) {
-      if (!others().has(entry)) followed.delete(entry);
-    }
-    gaps = gaps.filter((gap) => gap.untilMs > nowMs);
-    registry.forgetLost(table);
+    };
   }
 
-  /** True when no majority of the earlier table can confirm it any more. */
+  /** True when a member has gone that had not given up its keys. */
+  function hasLostOwner(previous: Table): boolean {
+    const present = new Set(table.members.map((one) => one.incarnation));
+    const hasVanished = previous.members.some((member) =>
+      !member.draining && !present.has(member.incarnation)
+    );
+    return hasVanished || removalsSince(previous.version).length > 0;
+  }
+
+  /** True when another run of the same entry shows that this one is over. */
+  function isReplaced(entry: string): boolean {
+    const name = names.get(entry);
+    return table.members.some((member) =>
+      member.name === name && member.incarnation !== entry
+    );
+  }
+
+  /** True when no majority of any earlier table can confirm it any more. */
   function isFenced(transition: Transition): boolean {
-    const current = table.version;
-    for (const entry of others()) {
+    const members = others();
+    for (const entry of members) {
       if ((followed.get(entry) ?? 0) < transition.evidenceVersion) return false;
     }
-    const removed = removalsSince(transition.from.version)
-      .filter((entry) => !gone.has(entry));
-    return current >= transition.evidenceVersion &&
-      removed.length < majorityOf(transition.from);
+    const { witnesses, from } = transition;
+    const present = witnesses.filter((entry) => members.has(entry)).length;
+    const silent = new Set([...witnesses, ...removalsSince(from.version)]);
+    const absent =
+      [...silent].filter((entry) =>
+        !members.has(entry) && !gone.has(entry) && !isReplaced(entry)
+      ).length;
+    const me = from.version === 0 ? 0 : 1;
+    const majority = Math.floor((present + absent + me) / 2) + 1;
+    return absent < majority;
   }
 
   function hasEvidence(transition: Transition, now: Instant): boolean {
     const missing = registry.withoutEvidence(transition.evidenceVersion);
-    if (missing.length === 0) return true;
-    if (!isFenced(transition)) return false;
+    if (missing.length === 0 && transition.knowsSides) {
+      noteEndedSides(transition);
+      return true;
+    }
+    if (transition.needsFence && !isFenced(transition)) return false;
     transition.fencedAtMs ??= now.nowMs;
     const waitMs = options.freshnessMs * (1 + CLOCK_DRIFT);
     if (now.nowMs - transition.fencedAtMs < waitMs) return false;
-    gaps.push({
-      from: transition.from,
-      bornBeforeWallMs: now.wallMs,
-      untilMs: now.nowMs + options.windowMs,
-    });
+    addGap(transition.from, now);
     return true;
   }
 
+  /** What ran on a side that has ended since cannot be told any more. */
+  function noteEndedSides(transition: Transition): void {
+    const ending = registry.lastEnding();
+    if (ending !== undefined) addGap(transition.from, ending);
+  }
+
+  function addGap(from: Table, at: Instant): void {
+    const { skewMs, windowMs } = options;
+    const bornBeforeWallMs = at.wallMs + skewMs;
+    const untilMs = at.nowMs + windowMs + 2 * skewMs;
+    gaps.push({ from, bornBeforeWallMs, untilMs });
+  }
+
   function canSettle(transition: Transition, now: Instant): boolean {
     if (transition.waitingFor.size > 0) return false;
+    if (!transition.knowsSides && !transition.needsEvidence) {
+      // Only other new members were there: the sides alone know.
+      transition.needsFence = true;
+      wantEvidence(transition);
+    }
     return !transition.needsEvidence || hasEvidence(transition, now);
   }
 
@@ -176,6 +256,27 @@
     return ownerOf(from, job)?.incarnation === options.me;
   }
 
+  /** Registrations are kept while a lost owner may have used them. */
+  function forgetLost(): void {
+    const isOpen = transitions.some((transition) => transition.needsEvidence);
+    if (!isOpen) registry.forgetLost(table, options.me);
+  }
+
+  function takeDoubt(
+    transition: Transition,
+    { doubt }: HandedOver,
+    nowMs: number,
+  ): void {
+    const { bornBeforeWallMs, leftMs } = doubt;
+    if (leftMs > 0) {
+      const untilMs = nowMs + leftMs;
+      gaps.push({ from: transition.from, bornBeforeWallMs, untilMs });
+    }
+    if (doubt.tableVersion <= transition.from.version) return;
+    if (transition.madeAt < table.version) doubtVersion = table.version;
+    wantEvidence(transition);
+  }
+
   return {
     registry,
     adopt,
@@ -184,16 +285,33 @@
       const known = followed.get(entry) ?? 0;
       followed.set(entry, Math.max(known, tableVersion));
     },
-    handedOver(entry, tableVersion) {
+    handedOver(handedOver, nowMs) {
+      const { entry, tableVersion } = handedOver;
       for (const transition of transitions) {
         if (tableVersion < transition.madeAt) continue;
-        transition.waitingFor.delete(entry);
+        if (!transition.waitingFor.delete(entry)) continue;
+        transition.knowsSides ||= !handedOver.doubt.isNew;
+        takeDoubt(transition, handedOver, nowMs);
       }
     },
+    doubt(nowMs) {
+      const open = gaps.filter((gap) => gap.untilMs > nowMs);
+      return {
+        tableVersion: doubtVersion,
+        bornBeforeWallMs: Math.max(
+          0,
+          ...open.map((gap) => gap.bornBeforeWallMs),
+        ),
+        leftMs: Math.max(0, ...open.map((gap) => gap.untilMs - nowMs)),
+        isNew: transitions[0]?.from.version === 0,
+      };
+    },
     declareGone(entries) {
       entries.forEach((entry) => gone.add(entry));
     },
+    forgetLost,
     tick(now) {
+      registry.dateEndings(now);
       const before = transitions.length;
       transitions = transitions.filter((transition) =>
         !canSettle(transition, now)
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -246,9 +246,34 @@
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
+  /** When the last registration known to the sender ended, if ever. */
+  readonly sideEnding?: SideEnding | undefined;
+  readonly doubt: Doubt;
 }
 
-/** The receiver holds all records of a batch. */
+/** When a registration of a side was found to have ended. */
+export interface SideEnding {
+  /** In Unix milliseconds. */
+  readonly wallMs: number;
+  readonly ageMs: number;
+}
+
+/** What an entry cannot tell of the keys that it gives up. */
+export interface Doubt {
+  /**
+   * The newest table that it adopted before it had all evidence of the keys
+   * it owned; 0 if never.
+   */
+  readonly tableVersion: number;
+  /** Keys that it does not know and that were born before may have run. */
+  readonly bornBeforeWallMs: number;
+  /** How much longer that holds in milliseconds. */
+  readonly leftMs: number;
+  /** It has just joined and knows nothing of its own. */
+  readonly isNew: boolean;
+}
+
+/** The receiver owns and holds all records of a batch. */
 export interface HandOverTaken {
   readonly kind: "handOverTaken";
   readonly batch: number;
