--- /dev/null
+++ b/packages/scenario/src/membership_fake.ts
@@ -0,0 +1,129 @@
+/**
+ * Keeps a simulated entry in the table of entries, as the membership task of a
+ * real one does, over the fake store.
+ */
+import { draining, joined, left, without } from "@coltsfootreach/ownership";
+import type { TableReadToken } from "@coltsfootreach/coordinate";
+import type { Member, Table } from "@coltsfootreach/types";
+import type { Host } from "./host.ts";
+import type { Limits } from "./settings.ts";
+import type { StoreWatch, TableStore } from "./table_store.ts";
+
+export interface FakeMembershipOptions {
+  readonly host: Host;
+  readonly store: TableStore;
+  readonly limits: Limits;
+  readonly member: Member;
+  beginRead(): TableReadToken;
+  tableRead(table: Table, token: TableReadToken): void;
+  tableLearned(table: Table): void;
+}
+
+export interface FakeMembership {
+  join(): void;
+  isJoined(): boolean;
+  drain(done: (isCertain: boolean) => void): void;
+  leave(done: () => void): void;
+  close(): void;
+}
+
+export function createFakeMembership(
+  options: FakeMembershipOptions,
+): FakeMembership {
+  const { host, store, limits, member } = options;
+  const { incarnation } = member;
+  let isHolding = false;
+  let isJoined = false;
+  let isClosed = false;
+
+  function renew(done?: () => void): void {
+    store.renew(host, incarnation, (isKnown) => {
+      if (isKnown !== undefined) {
+        isHolding = true;
+        done?.();
+      } else if (done !== undefined && !isHolding) {
+        host.after(limits.retryMs, () => renew(done));
+      }
+    });
+  }
+
+  function enter(): void {
+    store.change(host, (table) => joined(table, member), (table) => {
+      if (isClosed) return;
+      if (table === undefined) host.after(limits.retryMs, enter);
+      else joinedAs(table);
+    });
+  }
+
+  function joinedAs(table: Table): void {
+    isJoined = true;
+    options.tableLearned(table);
+    host.every(limits.heartbeatMs, () => {
+      if (!isClosed) renew();
+    });
+    host.every(limits.readIntervalMs, read);
+    store.watch(host, watch);
+    catchUp();
+  }
+
+  function read(): void {
+    if (isClosed) return;
+    const token = options.beginRead();
+    store.read(host, (table) => {
+      if (table !== undefined && !isClosed) options.tableRead(table, token);
+    });
+  }
+
+  function removeLapsed(): void {
+    if (isClosed) return;
+    store.read(host, (table) => {
+      if (table === undefined) return;
+      store.live(host, (live) => {
+        if (live !== undefined) removeAllBut(table, live);
+      });
+    });
+  }
+
+  function removeAllBut(table: Table, live: ReadonlySet<string>): void {
+    const lapsed = table.members
+      .map((one) => one.incarnation)
+      .filter((one) => one !== incarnation && !live.has(one));
+    if (lapsed.length === 0) return;
+    store.change(host, (now) => without(now, new Set(lapsed)), (changed) => {
+      if (changed !== undefined && !isClosed) options.tableLearned(changed);
+    });
+  }
+
+  function catchUp(): void {
+    removeLapsed();
+    read();
+  }
+
+  const watch: StoreWatch = {
+    tableChanged: (table) => options.tableLearned(table),
+    lapsed: removeLapsed,
+    restarted: catchUp,
+  };
+
+  return {
+    join: () => renew(enter),
+    isJoined: () => isJoined,
+    drain(done) {
+      store.change(host, (now) => draining(now, incarnation), (table) => {
+        if (table !== undefined) options.tableLearned(table);
+        done(table !== undefined);
+      });
+    },
+    leave(done) {
+      store.change(host, (now) => left(now, incarnation), () => {
+        this.close();
+        store.revoke(incarnation);
+        done();
+      });
+    },
+    close() {
+      isClosed = true;
+      store.unwatch(watch);
+    },
+  };
+}
