Keep evidence that an entry gave up, and judge leases with care

Cause: a side left out of its evidence the jobs that the asking entry had started itself, also when that entry had given them up since; after an outage of the store every entry removed every other one, and one that had been removed itself went on doing so; an entry cut off from the store said notRun of tasks that its successor had started.

Change: an entry says since when it has kept its keys. Lapsed entries are removed only by a member that holds its lease, and after an outage only when they had a lease's time to come back. notRun is said of what waits only while the entry's own lease is certain.

--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -32,6 +32,8 @@
   readonly configuration: ConfigurationDesk;
   readonly health: Health;
   readonly connectedPeers: Set<string>;
+  /** How long this entry is a member for certain, by its own lease. */
+  readonly membership: { certainUntilMs: number };
   toSide(side: string, message: EntryMessage, lazy?: boolean): void;
   toPeer(entry: string, message: PeerMessage): void;
   reply(origin: Origin, answer: Reply): void;
@@ -117,6 +119,7 @@
     configuration,
     health,
     connectedPeers,
+    membership: { certainUntilMs: Infinity },
     toSide,
     toPeer,
     reply,
--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -52,6 +52,8 @@
   peerUp(entry: string, nowMs: number): readonly EntryEffect[];
   peerDown(entry: string): void;
   peerFrame(frame: PeerFrame, nowMs: number): readonly EntryEffect[];
+  /** The lease of this entry cannot lapse before this time. */
+  leaseHeld(untilMs: number): void;
   beginTableRead(): TableReadToken;
   tableRead(read: TableRead, nowMs: number): readonly EntryEffect[];
   tableLearned(table: Table, nowMs: number): readonly EntryEffect[];
@@ -117,6 +119,9 @@
       tables.takePeerFrame(frame, nowMs);
       return flush();
     },
+    leaseHeld(untilMs) {
+      context.membership.certainUntilMs = untilMs;
+    },
     beginTableRead() {
       const stamps = new Map<string, number>();
       for (const side of sides.all()) {
--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -160,7 +160,7 @@
       return;
     }
     options.queue.removeJob(job);
-    tasks.noteGap(record);
+    tasks.noteGap(record, nowMs);
     const answer = records.endWaiting(record, "cancelled", nowMs);
     tasks.revokeSent(record);
     if (record.answer === undefined) waiters.add(job, origin);
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -97,7 +97,8 @@
     if (given >= wanted || collected.get(incarnation) === wanted) return;
     if (!side.connected) return;
     collected.set(incarnation, wanted);
-    toSide(incarnation, { kind: "collect", tableVersion: wanted });
+    const keptSince = settlement.keptSince();
+    toSide(incarnation, { kind: "collect", tableVersion: wanted, keptSince });
   }
 
   function checkSides(nowMs: number): void {
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -19,7 +19,7 @@
   /** Puts the waiting tasks of a record in the queue. */
   enqueue(record: JobRecord, nowMs: number): void;
   /** Notes whether tasks of a record may have run without its knowledge. */
-  noteGap(record: JobRecord): void;
+  noteGap(record: JobRecord, nowMs: number): void;
   /** Places what waits. */
   placeWaiting(nowMs: number): void;
   /** Sends one task to a side, again if it was sent there before. */
@@ -220,9 +220,11 @@
     const why = reason === "revoked"
       ? "cancelled"
       : "the deadline passed before a slot was free";
+    noteGap(record, nowMs);
+    const verdict = record.hasGaps ? "mayHaveRun" : "notRun";
     const answer = records.end(
       record,
-      { index, state: "failed", verdict: "notRun", reason: why },
+      { index, state: "failed", verdict, reason: why },
       nowMs,
     );
     if (answer !== undefined) settle(record, answer);
@@ -302,7 +304,7 @@
       // What has not started can be told only when all evidence is there.
       if (!settlement.isSettled(record.id)) continue;
       queue.removeJob(record.id);
-      if (kind === "orphan") noteGap(record);
+      noteGap(record, nowMs);
       const reason = kind === "deadline"
         ? "the deadline passed before a slot was free"
         : "its entry was lost and nobody resubmitted the job";
@@ -311,10 +313,14 @@
     }
   }
 
-  /** Of a job known by evidence alone, sides that are gone may know more. */
-  function noteGap(record: JobRecord): void {
-    if (record.job !== undefined) return;
-    record.hasGaps ||= settlement.isInGap(record.id, undefined);
+  /**
+   * An entry whose lease may have lapsed may have a successor that starts its
+   * tasks. Of a job known by evidence alone, sides that are gone may know more.
+   */
+  function noteGap(record: JobRecord, nowMs: number): void {
+    const isOrphan = record.job === undefined;
+    record.hasGaps ||= nowMs > context.membership.certainUntilMs ||
+      isOrphan && settlement.isInGap(record.id, undefined);
   }
 
   function endOverdue(record: JobRecord, nowMs: number): void {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -34,6 +34,11 @@
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
 
+const MS_PER_SECOND = 1000;
+
+/** The store's clock may run this much faster than ours, as a share. */
+const CLOCK_DRIFT = 0.01;
+
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
@@ -112,6 +117,7 @@
 
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { log } = options;
+  const leaseMs = options.leaseSeconds * MS_PER_SECOND * (1 - CLOCK_DRIFT);
   const pending = new Map<number, Pending>();
   const { holder } = options;
   const journal = createActJournal({
@@ -286,6 +292,7 @@
       leaseSeconds: options.leaseSeconds,
       renewMs: options.heartbeatMs,
       log,
+      leaseHeld: (askedAtMs) => core.leaseHeld(askedAtMs + leaseMs),
       beginRead: () => core.beginTableRead(),
       tableRead: (table, token) =>
         followTable(own, core.tableRead({ table, token }, performance.now())),
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -6,7 +6,13 @@
 import { createConfigurationKeys } from "@coltsfootreach/configure";
 import type { Log } from "@coltsfootreach/log";
 import type { StoreStatus } from "@coltsfootreach/manage";
-import { draining, joined, left, without } from "@coltsfootreach/ownership";
+import {
+  draining,
+  isMember,
+  joined,
+  left,
+  without,
+} from "@coltsfootreach/ownership";
 import {
   decodeOwned,
   type Lease,
@@ -22,6 +28,8 @@
 /** How often the table is read again, whatever the watch says. */
 const READ_INTERVAL_MS = 2000;
 
+const MS_PER_SECOND = 1000;
+
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
 
@@ -33,6 +41,8 @@
   readonly renewMs: number;
   readonly log: Log;
   /** Called before a read begins; its result is given back with the table. */
+  /** The lease cannot lapse within this time from when it was asked for. */
+  leaseHeld(askedAtMs: number): void;
   beginRead(): Token;
   tableRead(table: Table, token: Token): void;
   tableLearned(table: Table): void;
@@ -104,6 +114,8 @@
   }
 
   async function hold(): Promise<void> {
+    const askedAtMs = performance.now();
+    const isNew = granted === undefined;
     if (granted === undefined) {
       const answer = await store.grant(options.leaseSeconds);
       if (answer.isErr()) return;
@@ -117,6 +129,7 @@
     });
     // A conflict means that an earlier write took effect without an answer.
     if (written.isOk()) lease = granted;
+    if (lease !== undefined && isNew) options.leaseHeld(askedAtMs);
   }
 
   function dropLease(): void {
@@ -126,8 +139,11 @@
 
   async function renew(): Promise<void> {
     if (lease === undefined) return await hold();
+    const askedAtMs = performance.now();
     const renewed = await store.renew(lease);
-    if (renewed.isOk() && !renewed.value) dropLease();
+    if (renewed.isErr()) return;
+    if (renewed.value) options.leaseHeld(askedAtMs);
+    else dropLease();
   }
 
   function noteStore(reachable: boolean): void {
@@ -159,11 +175,14 @@
       .filter((incarnation) =>
         incarnation !== member.incarnation && !names.has(incarnation)
       );
-    if (lapsed.length === 0) return;
+    // Whoever has lost its own lease cannot judge the others'.
+    if (lapsed.length === 0 || !names.has(member.incarnation)) return;
     log.warn("removing entries whose lease has lapsed", {
       figures: { entries: lapsed.length },
     });
-    const changed = await changeTable((now) => without(now, new Set(lapsed)));
+    const changed = await changeTable((now) =>
+      isMember(now, member.incarnation) ? without(now, new Set(lapsed)) : now
+    );
     if (changed !== undefined) options.tableLearned(changed);
   }
 
@@ -202,8 +221,9 @@
     }
     follow(listed.value.revision + 1);
     options.configurationChanged(undefined);
-    await removeLapsed();
     await read();
+    // After an outage the others need time to take their leases again.
+    timers.push(setTimeout(removeLapsed, options.leaseSeconds * MS_PER_SECOND));
   }
 
   function repeat(task: () => Promise<void>, everyMs: number): void {
--- a/packages/guard/src/evidence.ts
+++ b/packages/guard/src/evidence.ts
@@ -27,6 +27,8 @@
   readonly of: number;
   /** The entry that started it last, and that gets its results. */
   sender: string;
+  /** The side's table when the sender was noted. */
+  senderVersion: number;
   readonly startedAtMs: number;
   readonly tasks: Map<number, TaskRecord>;
 }
@@ -87,6 +89,7 @@
         job: start.job,
         of: start.of,
         sender,
+        senderVersion: 0,
         startedAtMs: nowMs,
         tasks: new Map(),
       };
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -171,6 +171,11 @@
     return runningFor.length + queue.length < room ? undefined : "queueFull";
   }
 
+  function noteSender(record: JobRecord, entry: string): void {
+    record.sender = entry;
+    record.senderVersion = table.version;
+  }
+
   /** Answers a start of a task that this side knows already. */
   function repeat(
     record: JobRecord,
@@ -180,7 +185,7 @@
     const isOwner = frame.tableVersion === table.version &&
       ownerOf(table, start.job)?.incarnation === frame.entry;
     if (!isOwner) return [];
-    record.sender = frame.entry;
+    noteSender(record, frame.entry);
     const task = record.tasks.get(start.index)!;
     if (task.state === "queued") task.queued.start = start;
     if (task.state === "running") {
@@ -213,7 +218,7 @@
       const full = { job, index, attempt, reason: "evidenceFull" } as const;
       return [refuse(frame.entry, full)];
     }
-    record.sender = frame.entry;
+    noteSender(record, frame.entry);
     const queued: QueuedStart = { record, start, queuedAtMs: nowMs };
     record.tasks.set(index, { state: "queued", queued });
     queue.push(queued);
@@ -300,10 +305,12 @@
     if (message.tableVersion > table.version) return [];
     const jobs = [];
     for (const record of evidence.jobs()) {
-      if (record.sender === frame.entry) continue;
+      const isKnown = record.sender === frame.entry &&
+        record.senderVersion >= message.keptSince;
+      if (isKnown) continue;
       const owner = ownerOf(table, record.job);
       if (owner?.incarnation !== frame.entry) continue;
-      record.sender = frame.entry;
+      noteSender(record, frame.entry);
       jobs.push(evidenceOf(record));
     }
     return [{
--- a/packages/scenario/src/entry_process.ts
+++ b/packages/scenario/src/entry_process.ts
@@ -353,6 +353,7 @@
       store: options.store,
       limits,
       member,
+      leaseHeld: (untilMs) => core.leaseHeld(untilMs),
       beginRead: () => core.beginTableRead(),
       tableRead(table, token) {
         const effects = core.tableRead({ table, token }, host.nowMs());
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -91,6 +91,8 @@
    * side that returns late is still asked.
    */
   collectVersion(): number;
+  /** The newest table by which this entry gave up keys; 0 if never. */
+  keptSince(): number;
 }
 
 export function createSettlement(options: SettlementOptions): Settlement {
@@ -104,6 +106,7 @@
   let gaps: Gap[] = [];
   let collectVersion = 0;
   let doubtVersion = 0;
+  let keptSince = 0;
 
   function others(): Set<string> {
     const members = table.members.map((member) => member.incarnation);
@@ -144,6 +147,7 @@
     for (const { incarnation, name } of next.members) {
       names.set(incarnation, name);
     }
+    if (givesUpKeys(previous)) keptSince = next.version;
     applyLosses();
     if (transitions.some((transition) => transition.needsEvidence)) {
       doubtVersion = next.version;
@@ -158,6 +162,16 @@
     forgetLost();
   }
 
+  /** True when an owner has come, or this entry is none any more. */
+  function givesUpKeys(previous: Table): boolean {
+    const owners = previous.members.filter((member) => !member.draining);
+    const isOwner = ({ incarnation }: { readonly incarnation: string }) =>
+      owners.some((owner) => owner.incarnation === incarnation);
+    const now = table.members.filter((member) => !member.draining);
+    const isNone = !now.some((member) => member.incarnation === options.me);
+    return isNone || now.some((member) => !isOwner(member));
+  }
+
   function transitionFrom(previous: Table): Transition {
     const isNew = previous.version === 0;
     const waitingFor = others();
@@ -332,5 +346,6 @@
       return transitions[0]?.madeAt ?? table.version;
     },
     collectVersion: () => collectVersion,
+    keptSince: () => keptSince,
   };
 }
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -64,6 +64,11 @@
 export interface Collect {
   readonly kind: "collect";
   readonly tableVersion: number;
+  /**
+   * The newest table by which the entry gave up keys. It knows the jobs that
+   * it has started since, so the side leaves them out.
+   */
+  readonly keptSince: number;
 }
 
 /**
