Address a side's messages to the run of the entry they are for

Cause: a side repeats what was not acknowledged over its next stream, also when a new run of the entry answers there. A refusal meant for the earlier run had the attempt number of a start that ran elsewhere, and the task started twice.

Change: frames name the run they are for, and a refusal counts only from the side that the task was sent to.

--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -125,6 +125,11 @@
     }
   }
 
+  /** What a side repeats for an earlier run of this entry means nothing. */
+  function isForMe({ to }: SideFrame, { kind }: SideMessage): boolean {
+    return to === undefined || to === me || kind === "goodbye";
+  }
+
   return {
     take(frame, nowMs) {
       const hello = frame.messages.find((one) => one.kind === "hello");
@@ -133,7 +138,9 @@
       if (side === undefined) return;
       sides.heard(side, frame, nowMs);
       if (side.lost) askToRegister(side);
-      for (const message of frame.messages) handleSide(side, message, nowMs);
+      for (const message of frame.messages) {
+        if (isForMe(frame, message)) handleSide(side, message, nowMs);
+      }
       updateSide(side);
     },
     updateAll() {
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -206,6 +206,10 @@
     const record = records.find(message.job);
     if (record === undefined) return;
     const { index, attempt, reason } = message;
+    const task = record.tasks[index];
+    const isHere = task?.kind === "sent" &&
+      task.side === side.identity.incarnation;
+    if (!isHere) return;
     if (!records.refused(record, index, attempt)) return;
     release(side.identity.incarnation);
     sides.refused(side, reason, nowMs);
--- a/packages/scenario/src/side_process.ts
+++ b/packages/scenario/src/side_process.ts
@@ -85,6 +85,7 @@
     return {
       side: host.name,
       incarnation,
+      to: entry,
       stampMs: stamp(),
       tableVersion: guard.table().version,
       configurationVersion: 0,
--- a/packages/side/src/side.ts
+++ b/packages/side/src/side.ts
@@ -88,6 +88,7 @@
     return {
       side,
       incarnation,
+      to: entry,
       stampMs: stamp(),
       tableVersion: guard.table().version,
       configurationVersion: holder.version(),
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -198,6 +198,8 @@
 export interface SideFrame {
   readonly side: string;
   readonly incarnation: string;
+  /** The run of the entry that the messages are for, once it has spoken. */
+  readonly to?: string | undefined;
   /** Rises with each frame to this entry over all their streams. */
   readonly sequence: number;
   /** The side's own monotonic clock in milliseconds. */
