--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -166,6 +166,7 @@
       return;
     }
     options.queue.removeJob(job);
+    tasks.noteGap(record, nowMs);
     const ended = records.endWaiting(record, "cancelled", nowMs);
     tasks.revokeSent(record);
     const answer = ended === undefined ? tasks.answerOf(record) : undefined;
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -99,7 +99,8 @@
     if (given >= wanted || collected.get(incarnation) === wanted) return;
     if (!side.connected) return;
     collected.set(incarnation, wanted);
-    toSide(incarnation, { kind: "collect", tableVersion: wanted });
+    const keptSince = settlement.keptSince();
+    toSide(incarnation, { kind: "collect", tableVersion: wanted, keptSince });
   }
 
   function checkSides(nowMs: number): void {
@@ -120,12 +121,17 @@
       registration: side.registration,
     };
     settlement.registry.lost(registration, me);
-    settlement.registry.forgetLost(settlement.table());
+    settlement.forgetLost();
     for (const entry of connectedPeers) {
       toPeer(entry, { kind: "sidesLost", sides: [registration] });
     }
   }
 
+  /** What a side repeats for an earlier run of this entry means nothing. */
+  function isForMe({ to }: SideFrame, { kind }: SideMessage): boolean {
+    return to === undefined || to === me || kind === "goodbye";
+  }
+
   return {
     take(frame, nowMs) {
       const hello = frame.messages.find((one) => one.kind === "hello");
@@ -134,7 +140,9 @@
       if (side === undefined) return;
       sides.heard(side, frame, nowMs);
       if (side.lost) askToRegister(side);
-      for (const message of frame.messages) handleSide(side, message, nowMs);
+      for (const message of frame.messages) {
+        if (isForMe(frame, message)) handleSide(side, message, nowMs);
+      }
       updateSide(side);
     },
     updateAll() {
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -6,7 +6,14 @@
 import { createConfigurationKeys } from "@coltsfootreach/configure";
 import type { Log } from "@coltsfootreach/log";
 import type { StoreStatus } from "@coltsfootreach/manage";
-import { draining, joined, left, without } from "@coltsfootreach/ownership";
+import {
+  draining,
+  isMember,
+  joined,
+  left,
+  without,
+  withoutEarlierRuns,
+} from "@coltsfootreach/ownership";
 import {
   decodeOwned,
   type Lease,
@@ -25,6 +32,8 @@
 /** Reads that are left out between two while all is quiet. */
 const QUIET_SKIPS = 9;
 
+const MS_PER_SECOND = 1000;
+
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
 
@@ -36,6 +45,8 @@
   readonly renewMs: number;
   readonly log: Log;
   /** Called before a read begins; its result is given back with the table. */
+  /** The lease cannot lapse within this time from when it was asked for. */
+  leaseHeld(askedAtMs: number): void;
   beginRead(): Token;
   tableRead(table: Table, token: Token): void;
   tableLearned(table: Table): void;
@@ -112,6 +123,8 @@
   }
 
   async function hold(): Promise<void> {
+    const askedAtMs = performance.now();
+    const isNew = granted === undefined;
     if (granted === undefined) {
       const answer = await store.grant(options.leaseSeconds);
       if (answer.isErr()) return;
@@ -125,6 +138,7 @@
     });
     // A conflict means that an earlier write took effect without an answer.
     if (written.isOk()) lease = granted;
+    if (lease !== undefined && isNew) options.leaseHeld(askedAtMs);
   }
 
   function dropLease(): void {
@@ -134,8 +148,11 @@
 
   async function renew(): Promise<void> {
     if (lease === undefined) return await hold();
+    const askedAtMs = performance.now();
     const renewed = await store.renew(lease);
-    if (renewed.isOk() && !renewed.value) dropLease();
+    if (renewed.isErr()) return;
+    if (renewed.value) options.leaseHeld(askedAtMs);
+    else dropLease();
   }
 
   function noteStore(reachable: boolean): void {
@@ -174,11 +191,14 @@
       .filter((incarnation) =>
         incarnation !== member.incarnation && !names.has(incarnation)
       );
-    if (lapsed.length === 0) return;
+    // Whoever has lost its own lease cannot judge the others'.
+    if (lapsed.length === 0 || !names.has(member.incarnation)) return;
     log.warn("removing entries whose lease has lapsed", {
       figures: { entries: lapsed.length },
     });
-    const changed = await changeTable((now) => without(now, new Set(lapsed)));
+    const changed = await changeTable((now) =>
+      isMember(now, member.incarnation) ? without(now, new Set(lapsed)) : now
+    );
     if (changed !== undefined) options.tableLearned(changed);
   }
 
@@ -217,8 +237,9 @@
     }
     follow(listed.value.revision + 1);
     options.configurationChanged(undefined);
-    await removeLapsed();
     await read();
+    // After an outage the others need time to take their leases again.
+    timers.push(setTimeout(removeLapsed, options.leaseSeconds * MS_PER_SECOND));
   }
 
   function repeat(task: () => Promise<void>, everyMs: number): void {
@@ -237,6 +258,8 @@
         await hold();
         if (lease === undefined) await sleep(RETRY_MS);
       }
+      // Others take over from an earlier run before this one joins them.
+      await persist((now) => withoutEarlierRuns(now, member));
       const table = await persist((now) => joined(now, member));
       log.info("joined", { tableVersion: table.version });
       options.tableLearned(table);
--- a/packages/guard/src/guard_test.ts
+++ b/packages/guard/src/guard_test.ts
@@ -19,7 +19,6 @@
     dataCentre: "a",
     address: `127.0.0.1:${incarnation.length}`,
     draining: false,
-    joinedVersion: 0,
   };
 }
 
@@ -173,7 +172,11 @@
     expect(guard.load()).to.deep.equal({ running: 1, queued: 1 });
     follow(2, "e2");
     expect(guard.load()).to.deep.equal({ running: 1, queued: 0 });
-    const collect: EntryMessage = { kind: "collect", tableVersion: 2 };
+    const collect: EntryMessage = {
+      kind: "collect",
+      tableVersion: 2,
+      keptSince: 0,
+    };
     const [effect] = guard.receive(frame("e2", 2, [collect]), 2);
     expect(effect).to.deep.include({ kind: "send", entry: "e2" });
     const { message } = effect as Extract<GuardEffect, { kind: "send" }>;
--- a/packages/slopes/src/takeover.ts
+++ b/packages/slopes/src/takeover.ts
@@ -32,6 +32,13 @@
 const MEMBERS = 3;
 
 /** Jobs that fall to the first member when the last one is lost. */
+const NO_DOUBT = {
+  tableVersion: 0,
+  bornBeforeWallMs: 0,
+  leftMs: 0,
+  isNew: false,
+};
+
 function lostJobs(count: number): readonly JobEvidence[] {
   const before = createTable(1, MEMBERS);
   const after = withoutLast(before);
@@ -60,7 +67,7 @@
   core.tableLearned(table, 0);
   for (const { incarnation: entry } of table.members.slice(1)) {
     const handOver = { kind: "handOver", batch: 1, tableVersion: 1 } as const;
-    const message = { ...handOver, records: [], sides: [] };
+    const message = { ...handOver, records: [], sides: [], doubt: NO_DOUBT };
     const header = { entry, tableVersion: 1, configurationVersion: 1 };
     core.peerFrame({ ...header, messages: [message] }, 0);
   }
