Add admission, usage, quotas and retry budgets; eject on the latest outcomes

Cause: past capacity the queue admits what expires later; a tenant at ten times its share fills every slot; a busy side that begins to fail needed some 80 failures per entry to be ejected; a tenant's line could be lost for good when a task was put back and its job ended in the same drain. Change: createAdmission refuses what cannot end in time, from the tenant's own work ahead and its measured rate; createUsage lets the policy keep a tenant far over its share from the last free slots; createQuota, createRetryBudget; createHealth counts the latest 16 outcomes; drains end when no side has room; the queue cleans ended jobs off a line before it compares its head.

--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -2,3 +2,7 @@
 export * from "./queue.ts";
 export * from "./tenant_queue.ts";
 export * from "./heap.ts";
+export * from "./admission.ts";
+export * from "./quota.ts";
+export * from "./retry_budget.ts";
+export * from "./usage.ts";
--- a/packages/limit/src/tenant_queue.ts
+++ b/packages/limit/src/tenant_queue.ts
@@ -6,6 +6,7 @@
  * cannot be placed holds up only its own class, and only after a few tries.
  */
 import type { JobId } from "@coltsfootreach/types";
+import { type Backlog, createBacklog } from "./backlog.ts";
 import { createHeap, type Heap } from "./heap.ts";
 import type { Queue, Waiting } from "./queue.ts";
 
@@ -26,6 +27,38 @@
   /** Slots that serve this queue, for the order `leastWork`. */
   readonly slots?: (() => number) | undefined;
   readonly order?: JobOrder | undefined;
+  /** False when no side takes any task now, so that a drain can end. */
+  readonly hasRoom?: ((nowMs: number) => boolean) | undefined;
+  /** When a tenant's next task may start; not after `nowMs` means now. */
+  readonly startableAtMs?:
+    | ((tenant: string, nowMs: number) => number)
+    | undefined;
+}
+
+/** A job that might come. */
+export interface Prospect {
+  readonly tenant: string;
+  /** Expected slot time of all its tasks together. */
+  readonly workMs: number;
+  readonly deadlineMs: number;
+}
+
+/** What a job that came now would meet. */
+export interface Outlook {
+  /** Slot time of the tenant's own tasks that would go before it. */
+  readonly aheadMs: number;
+  /** Share of the slots that the tenant has while all that wait want theirs. */
+  readonly share: number;
+  /**
+   * Slot time per millisecond that the tenant got lately, given what to expect
+   * before it got any.
+   */
+  servedPerMs(expected: number): number;
+}
+
+/** A queue that also tells what admission needs to know. */
+export interface TenantQueue extends Queue {
+  outlook(prospect: Prospect, nowMs: number): Outlook;
 }
 
 /** Slot time by which a tenant of weight 1 may be ahead of its share. */
@@ -35,7 +68,10 @@
 const MIN_WEIGHT = 0.01;
 
 /** Jobs of one class that are refused in a drain before the class waits. */
-const MAX_REFUSALS = 4;
+const MAX_REFUSALS = 8;
+
+/** Jobs of one tenant and class that are refused before they wait. */
+const MAX_LINE_REFUSALS = 2;
 
 /** Tenants ahead of their share that a drain lets compete for the rest. */
 const MAX_ADMITTED = 8;
@@ -54,6 +90,12 @@
 
 type Place = (task: Waiting) => boolean;
 
+/** A task and the slot time that it is counted with. */
+interface Queued {
+  readonly task: Waiting;
+  readonly costMs: number;
+}
+
 /** The tasks of one job that wait, shortest first. */
 interface Group {
   readonly job: JobId;
@@ -62,8 +104,11 @@
   readonly deadlineAtMs: number;
   readonly sequence: number;
   readonly pushedAtMs: number;
-  readonly tasks: Waiting[];
+  readonly tasks: Queued[];
+  /** Work of the tasks that wait. */
   workMs: number;
+  /** The rank under which its work is counted in the backlog. */
+  countedRank: number;
   /** Set when a task was put back: the job goes before the others. */
   first: boolean;
   removed: boolean;
@@ -75,6 +120,7 @@
   readonly groups: Heap<Group>;
   /** The entry of the class heap that stands for this line; older ones lapse. */
   entry: number;
+  refusals: number;
 }
 
 interface Entry {
@@ -92,9 +138,12 @@
   readonly tenant: string;
   readonly lines: Map<string, Line>;
   size: number;
+  /** The weight with which it counts while it has work. */
+  weight: number;
   /** Slot time taken over weight, on the scale of the virtual time. */
   servedMs: number;
   parked: boolean;
+  readonly backlog: Backlog;
 }
 
 interface Offer {
@@ -103,15 +152,21 @@
   readonly classLines: ClassLines;
 }
 
-export function createTenantQueue(options: TenantQueueOptions = {}): Queue {
+export function createTenantQueue(
+  options: TenantQueueOptions = {},
+): TenantQueue {
   const costOf = options.costOf ?? ((task: Waiting) => task.declaredMs);
   const slots = options.slots ?? (() => DEFAULT_SLOTS);
   const order = options.order ?? "leastWork";
   const accounts = new Map<string, Account>();
   const groups = new Map<JobId, Group>();
   const classes = new Map<string, ClassLines>();
+  /** Tenants ahead of their share, by the slot time that they have had. */
   const parked = createHeap<Account>();
+  /** Tenants whose quota is used up, by the time at which they may go on. */
+  const overQuota = createHeap<Account>();
   const aside: Group[] = [];
+  const refusedLines: Line[] = [];
   const admitted: Account[] = [];
   let byDeadline = createHeap<Group>();
   let virtualMs = 0;
@@ -121,17 +176,41 @@
   let entries = 0;
   let latestMs = 0;
 
-  function weightOf(account: Account): number {
-    return Math.max(MIN_WEIGHT, options.weightOf?.(account.tenant) ?? 1);
+  function weightOf(tenant: string): number {
+    return Math.max(MIN_WEIGHT, options.weightOf?.(tenant) ?? 1);
   }
 
-  function rankOf(group: Group): number {
-    if (group.first) return -1;
+  /** Counts a tenant's weight, or its new one, among those that have work. */
+  function countWeight(account: Account, weight: number): void {
+    activeWeight = Math.max(0, activeWeight + weight - account.weight);
+    account.weight = weight;
+  }
+
+  /** How much later than it came a job ranks. */
+  function setbackMs(workMs: number, deadlineMs: number): number {
+    const shareMs = workMs / Math.max(1, slots());
+    return Math.min(MAX_SETBACK_SHARE * deadlineMs, WORK_FACTOR * shareMs);
+  }
+
+  function plainRankOf(group: Group): number {
     if (order === "arrival") return group.sequence;
     if (order === "deadline") return group.deadlineAtMs;
-    const shareMs = group.workMs / Math.max(1, slots());
-    const most = MAX_SETBACK_SHARE * (group.deadlineAtMs - group.pushedAtMs);
-    return group.pushedAtMs + Math.min(most, WORK_FACTOR * shareMs);
+    const deadlineMs = group.deadlineAtMs - group.pushedAtMs;
+    return group.pushedAtMs + setbackMs(group.workMs, deadlineMs);
+  }
+
+  /** The rank that a job would have if it came now. */
+  function rankOfProspect(
+    { workMs, deadlineMs }: Prospect,
+    nowMs: number,
+  ): number {
+    if (order === "arrival") return sequence;
+    if (order === "deadline") return nowMs + deadlineMs;
+    return nowMs + setbackMs(workMs, deadlineMs);
+  }
+
+  function rankOf(group: Group): number {
+    return group.first ? -1 : plainRankOf(group);
   }
 
   function accountOf(tenant: string): Account {
@@ -141,8 +220,10 @@
         tenant,
         lines: new Map(),
         size: 0,
+        weight: 0,
         servedMs: 0,
         parked: false,
+        backlog: createBacklog(),
       };
       accounts.set(tenant, account);
     }
@@ -161,7 +242,7 @@
   function lineOf(account: Account, className: string): Line {
     let line = account.lines.get(className);
     if (line === undefined) {
-      line = { account, groups: createHeap(), entry: 0 };
+      line = { account, groups: createHeap(), entry: 0, refusals: 0 };
       account.lines.set(className, line);
     }
     return line;
@@ -187,7 +268,7 @@
   function addGroup(group: Group): void {
     const line = lineOf(accountOf(group.tenant), group.class);
     line.groups.push(rankOf(group), group);
-    if (line.groups.peek() === group) enter(line);
+    if (headOf(line) === group) enter(line);
   }
 
   function openGroup(task: Waiting): Group {
@@ -200,6 +281,7 @@
       pushedAtMs: latestMs,
       tasks: [],
       workMs: 0,
+      countedRank: 0,
       first: false,
       removed: false,
     };
@@ -220,8 +302,9 @@
 
   function grow(account: Account, count: number): void {
     if (account.size === 0) {
-      activeWeight += weightOf(account);
+      countWeight(account, weightOf(account.tenant));
       account.servedMs = Math.max(account.servedMs, virtualMs);
+      account.backlog.open(latestMs);
     }
     account.size += count;
     total += count;
@@ -231,40 +314,62 @@
     account.size -= count;
     total -= count;
     if (account.size > 0) return;
-    activeWeight = Math.max(0, activeWeight - weightOf(account));
+    countWeight(account, 0);
     if (account.servedMs <= virtualMs) accounts.delete(account.tenant);
   }
 
   function add(group: Group, tasks: readonly Waiting[]): void {
+    let workMs = 0;
     for (const task of tasks) {
-      group.tasks.push(task);
-      group.workMs += costOf(task);
+      const costMs = costOf(task);
+      group.tasks.push({ task, costMs });
+      workMs += costMs;
     }
-    grow(accountOf(group.tenant), tasks.length);
+    const account = accountOf(group.tenant);
+    grow(account, tasks.length);
+    const isNew = group.workMs === 0;
+    group.workMs += workMs;
+    if (isNew) group.countedRank = plainRankOf(group);
+    account.backlog.add(group.countedRank, workMs);
   }
 
-  function charge(account: Account, cost: number): void {
-    account.servedMs += cost / weightOf(account);
-    virtualMs += cost / Math.max(MIN_WEIGHT, activeWeight);
+  function charge(account: Account, costMs: number): void {
+    if (account.size > 0) countWeight(account, weightOf(account.tenant));
+    account.servedMs += costMs / weightOf(account.tenant);
+    virtualMs += costMs / Math.max(MIN_WEIGHT, activeWeight);
     parkIfAhead(account);
   }
 
   /** Parks a tenant whose lead has grown too long. */
   function parkIfAhead(account: Account): void {
     if (account.parked || account.servedMs <= virtualMs + MAX_LEAD_MS) return;
+    park(account, parked, account.servedMs);
+  }
+
+  function park(account: Account, heap: Heap<Account>, rank: number): void {
     account.parked = true;
     for (const line of account.lines.values()) line.entry = 0;
-    parked.push(account.servedMs, account);
+    heap.push(rank, account);
   }
 
-  function unpark(): void {
-    const account = parked.pop()!;
+  function unpark(account: Account): void {
     account.parked = false;
     for (const line of account.lines.values()) enter(line);
   }
 
   function unparkDue(): void {
-    while (parked.lowestRank() <= virtualMs + MAX_LEAD_MS) unpark();
+    while (overQuota.lowestRank() <= latestMs) unpark(overQuota.pop()!);
+    while (parked.lowestRank() <= virtualMs + MAX_LEAD_MS) {
+      unpark(parked.pop()!);
+    }
+  }
+
+  /** Whether the quota lets a tenant go on; parks it if not. */
+  function isInQuota(account: Account): boolean {
+    const atMs = options.startableAtMs?.(account.tenant, latestMs) ?? 0;
+    if (atMs <= latestMs) return true;
+    park(account, overQuota, atMs);
+    return false;
   }
 
   /**
@@ -273,8 +378,9 @@
    */
   function admitParked(): boolean {
     if (parked.size() === 0 || admitted.length >= MAX_ADMITTED) return false;
-    admitted.push(parked.peek()!);
-    unpark();
+    const account = parked.pop()!;
+    admitted.push(account);
+    unpark(account);
     return true;
   }
 
@@ -310,22 +416,21 @@
       const rank = classLines.lines.lowestRank();
       const { line } = classLines.lines.pop()!;
       const group = headOf(line);
-      if (group !== undefined && rankOf(group) <= rank) {
-        return { line, group, classLines };
-      }
+      const isDue = group !== undefined && rankOf(group) <= rank;
+      if (isDue && isInQuota(line.account)) return { line, group, classLines };
       enter(line);
       classLines = nextClass();
     }
     return undefined;
   }
 
-  function take(group: Group, task: Waiting): void {
-    const cost = costOf(task);
+  function take(group: Group, { costMs }: Queued): void {
     const account = accountOf(group.tenant);
-    group.workMs = Math.max(0, group.workMs - cost);
+    group.workMs = Math.max(0, group.workMs - costMs);
+    account.backlog.take(group.countedRank, costMs, true);
     group.first = false;
     if (group.tasks.length === 0) closeGroup(group);
-    charge(account, cost);
+    charge(account, costMs);
     shrink(account, 1);
     parkAdmitted();
   }
@@ -333,13 +438,13 @@
   /** Offers the longest task of a job and, if that is refused, the shortest. */
   function offerGroup(group: Group, place: Place): boolean {
     const longest = group.tasks.at(-1)!;
-    if (place(longest)) {
+    if (place(longest.task)) {
       group.tasks.pop();
       take(group, longest);
       return true;
     }
     const shortest = group.tasks[0]!;
-    if (shortest === longest || !place(shortest)) return false;
+    if (shortest === longest || !place(shortest.task)) return false;
     group.tasks.shift();
     take(group, shortest);
     return true;
@@ -348,15 +453,31 @@
   function makeOffer({ line, group, classLines }: Offer, place: Place): void {
     if (!offerGroup(group, place)) {
       classLines.refusals++;
+      if (line.refusals++ === 0) refusedLines.push(line);
       line.groups.pop();
       aside.push(group);
     }
-    enter(line);
+    if (line.refusals < MAX_LINE_REFUSALS) enter(line);
+  }
+
+  /** Whether a drain may go on after its latest offer. */
+  function mayGoOn(): boolean {
+    if (aside.length === 0) return true;
+    return options.hasRoom?.(latestMs) ?? true;
   }
 
   function restore(): void {
-    for (const group of aside) addGroup(group);
+    for (const group of aside) {
+      if (group.removed) continue;
+      const line = lineOf(accountOf(group.tenant), group.class);
+      line.groups.push(rankOf(group), group);
+    }
+    for (const line of refusedLines) {
+      line.refusals = 0;
+      enter(line);
+    }
     aside.length = 0;
+    refusedLines.length = 0;
     parkAdmitted();
     for (const [name, one] of classes) {
       one.refusals = 0;
@@ -368,8 +489,10 @@
     const group = groups.get(job);
     if (group === undefined) return [];
     closeGroup(group);
-    shrink(accountOf(group.tenant), group.tasks.length);
-    return group.tasks;
+    const account = accountOf(group.tenant);
+    account.backlog.take(group.countedRank, group.workMs, false);
+    shrink(account, group.tasks.length);
+    return group.tasks.map(({ task }) => task);
   }
 
   return {
@@ -399,6 +522,7 @@
       let offer = nextOffer();
       while (offer !== undefined || admitParked()) {
         if (offer !== undefined) makeOffer(offer, place);
+        if (!mayGoOn()) break;
         offer = nextOffer();
       }
       restore();
@@ -406,6 +530,22 @@
 
     removeJob,
 
+    outlook(prospect, nowMs) {
+      const { tenant } = prospect;
+      latestMs = Math.max(latestMs, nowMs);
+      const account = accounts.get(tenant);
+      const own = weightOf(tenant);
+      const rank = rankOfProspect(prospect, nowMs);
+      return {
+        aheadMs: account?.backlog.upTo(rank) ?? 0,
+        share: own / (activeWeight - (account?.weight ?? 0) + own),
+        servedPerMs: (expected) => {
+          if (account === undefined || account.size === 0) return expected;
+          return account.backlog.servedPerMs(expected, nowMs);
+        },
+      };
+    },
+
     removeExpired(nowMs) {
       const expired: Waiting[] = [];
       while (byDeadline.lowestRank() <= nowMs) {
--- a/packages/limit/src/tenant_queue_test.ts
+++ b/packages/limit/src/tenant_queue_test.ts
@@ -33,6 +33,11 @@
 /** Tasks of 100 ms in the lead that a tenant of weight 1 may have. */
 const LEAD_TASKS = 41;
 
+function createRandomNumbers(seed: number): () => number {
+  let state = seed;
+  return () => (state = (state * 48_271) % 2_147_483_647) / 2_147_483_647;
+}
+
 describe("createTenantQueue", () => {
   it("serves tenants by weight while all have work", () => {
     const queue = createTenantQueue({ weightOf: (t) => t === "a" ? 3 : 1 });
@@ -107,4 +112,53 @@
       expect(take(queue, 1)[0]!.job).to.equal("j2");
     }
   });
+
+  it("holds back a tenant over its quota and no other", () => {
+    const startableAtMs = (tenant: string, nowMs: number) =>
+      tenant === "a" ? Math.max(50, nowMs) : nowMs;
+    const queue = createTenantQueue({ startableAtMs });
+    queue.push(tasksOf("j1", 2, { tenant: "a" }));
+    queue.push(tasksOf("j2", 2, { tenant: "b" }));
+    expect(take(queue, 9).map((task) => task.tenant)).to.deep.equal(["b", "b"]);
+    const later: Waiting[] = [];
+    queue.drain((task) => later.push(task) > 0, 50);
+    expect(later.map((task) => task.tenant)).to.deep.equal(["a", "a"]);
+  });
+
+  it("keeps every task exactly once through random use", () => {
+    const random = createRandomNumbers(7);
+    const hasRoom = () => random() < 0.9;
+    const queue = createTenantQueue({ hasRoom, slots: () => 4 });
+    const inside = new Map<string, Waiting>();
+    const name = (task: Waiting) => `${task.job} ${task.index}`;
+    for (let step = 0; step < 3_000; step++) {
+      const tenant = `t${Math.floor(random() * 5)}`;
+      const tasks = tasksOf(`j${step}`, 1 + Math.floor(random() * 4), {
+        tenant,
+        class: `c${Math.floor(random() * 3)}`,
+        deadlineAtMs: step + Math.floor(random() * 400),
+        declaredMs: 1 + 500 * random(),
+      });
+      queue.push(tasks);
+      for (const task of tasks) inside.set(name(task), task);
+      const taken: Waiting[] = [];
+      queue.drain((task) => random() < 0.4 && taken.push(task) > 0, step);
+      for (const task of taken) {
+        expect(inside.delete(name(task))).to.equal(true);
+      }
+      if (taken[0] !== undefined && random() < 0.3) {
+        queue.putBack(taken[0]);
+        inside.set(name(taken[0]), taken[0]);
+      }
+      const dropped = [...queue.removeExpired(step)];
+      if (random() < 0.1) dropped.push(...queue.removeJob(`j${step - 9}`));
+      for (const task of dropped) {
+        expect(inside.delete(name(task))).to.equal(true);
+      }
+      expect(queue.size()).to.equal(inside.size);
+      if (step % 50 > 0) continue;
+      queue.drain((task) => inside.delete(name(task)), step);
+      expect(inside.size, `left after step ${step}`).to.equal(0);
+    }
+  });
 });
--- a/packages/place/src/expected_delay.ts
+++ b/packages/place/src/expected_delay.ts
@@ -7,16 +7,24 @@
  * up its job, because a longer one runs beside it, takes the slowest side that
  * still ends it in time, so that fast slots are left to tasks that need them.
  * Jobs with many tasks left also leave some slots of each side free, which
- * small jobs then find without waiting.
+ * small jobs then find without waiting; so do all jobs of a tenant that takes far
+ * more than its share.
  */
 import type { Candidate, Placing, Policy, Random } from "./policy.ts";
-import { createRunTimes, type Forecast } from "./run_times.ts";
+import {
+  createRunTimes,
+  type Forecast,
+  meanOf,
+  type RunTimes,
+} from "./run_times.ts";
 import { createSideEstimates } from "./side_estimate.ts";
 
 export interface ExpectedDelayOptions {
   readonly random: Random;
   /** One-way delay to a data centre in milliseconds; 0 when not given. */
   readonly delayMsTo?: ((dataCentre: string) => number) | undefined;
+  /** Learned run times; the policy teaches them, others may read them. */
+  readonly runTimes?: RunTimes | undefined;
 }
 
 /** Candidates that are looked at for one decision. */
@@ -37,6 +45,15 @@
 /** Share of a side's slots that the biggest jobs leave to smaller ones. */
 const MAX_RESERVE_SHARE = 0.3;
 
+/** Share of a side's slots that a tenant far over its share leaves free. */
+const MAX_TENANT_RESERVE_SHARE = 0.4;
+
+/** Usage over the fair share from which a tenant reserves. */
+const TENANT_RESERVE_FROM = 1.25;
+
+/** Usage over the fair share from which a tenant reserves most. */
+const TENANT_RESERVE_FULL = 1.75;
+
 /** Share of its time to the deadline after which a job reserves less. */
 const RESERVE_FADE = 0.6;
 
@@ -75,15 +92,18 @@
  * What a job leaves of each side's slots: the more, the more tasks it has left,
  * and nothing when its deadline draws near.
  */
-function reserveShareOf({ unplaced, ageMs, leftMs }: Placing): number {
+function jobReserve({ unplaced, ageMs, leftMs }: Placing): number {
   const size = Math.min(1, Math.log(unplaced) / Math.log(BIGGEST_JOB));
   const age = (ageMs ?? 0) / Math.max(1, (ageMs ?? 0) + leftMs);
   const kept = (RESERVE_END - age) / (RESERVE_END - RESERVE_FADE);
   return MAX_RESERVE_SHARE * size * Math.min(1, Math.max(0, kept));
 }
 
-function meanOf({ logMs, spread }: Forecast): number {
-  return Math.exp(logMs + (spread * spread) / 2);
+/** What a tenant over its share leaves of each side's slots. */
+function tenantReserve({ usageRatio }: Placing): number {
+  const over = ((usageRatio ?? 0) - TENANT_RESERVE_FROM) /
+    (TENANT_RESERVE_FULL - TENANT_RESERVE_FROM);
+  return MAX_TENANT_RESERVE_SHARE * Math.min(1, Math.max(0, over));
 }
 
 function upperOf({ logMs, spread }: Forecast): number {
@@ -93,7 +113,7 @@
 export function createExpectedDelay(options: ExpectedDelayOptions): Policy {
   const { random } = options;
   const delayMsTo = options.delayMsTo ?? (() => 0);
-  const runTimes = createRunTimes();
+  const runTimes = options.runTimes ?? createRunTimes();
   const estimates = createSideEstimates();
   let declined = 0;
   let declinedAtMs = -1;
@@ -144,7 +164,7 @@
     const drainMs = ((task.unplaced - 1) * runMs) / (SHARE_OF_JOB * rate);
     const longestMs = task.longestMs ?? task.declaredMs;
     if (longestMs <= task.declaredMs) return drainMs;
-    const longest = meanOf(runTimes.forecast(task.class, longestMs));
+    const longest = runTimes.expectedMs(task.class, longestMs);
     return Math.max(drainMs, longest * fastest - (task.ageMs ?? 0));
   }
 
@@ -188,7 +208,7 @@
   ): string | undefined {
     const forecast = runTimes.forecast(task.class, task.declaredMs);
     const runMs = meanOf(forecast);
-    const reserveShare = reserveShareOf(task);
+    const reserveShare = Math.max(jobReserve(task), tenantReserve(task));
     const found = evaluateAll(candidates, { runMs, reserveShare, nowMs });
     const best = earliest(found);
     if (best === undefined) return undefined;
@@ -208,6 +228,13 @@
       return side;
     },
 
+    hasRoom(candidates, nowMs) {
+      if (candidates.length > MAX_SAMPLE) return true;
+      return candidates.some((candidate) =>
+        estimates.busy(candidate, nowMs).mean + 1 - candidate.slots <= MAX_OVER
+      );
+    },
+
     observe(observation) {
       if (observation.failed || observation.runMs === undefined) return;
       runTimes.observe({ ...observation, runMs: observation.runMs });
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -48,8 +48,11 @@
 /** Ended tasks that a failure ratio must rest on. */
 const MIN_SAMPLE = 8;
 
-/** Time after which an outcome counts half. */
-const HALF_LIFE_MS = 10_000;
+/** Latest outcomes of a side that are remembered. */
+const MEMORY = 16;
+
+/** Silence after which the outcomes of a side are forgotten. */
+const MAX_SILENCE_MS = 60_000;
 
 /** A side must fail this many times as often as the other sides do. */
 const MIN_EXCESS = 2;
@@ -57,10 +60,9 @@
 /** Most times a probation is doubled. */
 const MAX_DOUBLINGS = 5;
 
-/** Outcomes of a side, faded with age. */
+/** The latest outcomes of a side, newest first; true stands for a failure. */
 interface Tally {
-  ended: number;
-  failed: number;
+  outcomes: readonly boolean[];
   atMs: number;
 }
 
@@ -71,51 +73,54 @@
   trialUnderWay: boolean;
 }
 
-function createTally(nowMs: number): Tally {
-  return { ended: 0, failed: 0, atMs: nowMs };
-}
-
-function fade(tally: Tally, nowMs: number): void {
-  const factor = 0.5 ** (Math.max(0, nowMs - tally.atMs) / HALF_LIFE_MS);
-  tally.ended *= factor;
-  tally.failed *= factor;
+function count(tally: Tally, failed: boolean, nowMs: number): void {
+  const isStale = nowMs - tally.atMs > MAX_SILENCE_MS;
+  const earlier = isStale ? [] : tally.outcomes;
+  tally.outcomes = [failed, ...earlier.slice(0, MEMORY - 1)];
   tally.atMs = nowMs;
 }
 
-function count(tally: Tally, failed: boolean, nowMs: number): void {
-  fade(tally, nowMs);
-  tally.ended += 1;
-  tally.failed += failed ? 1 : 0;
+function failuresOf({ outcomes }: Tally): number {
+  return outcomes.reduce((sum, failed) => sum + (failed ? 1 : 0), 0);
 }
 
-/** Failures per ended task on all sides but one. */
-function ratioOfOthers(all: Tally, own: Tally): number {
-  const ended = all.ended - own.ended;
-  return ended < 1 ? 0 : Math.max(0, all.failed - own.failed) / ended;
+/** Failures per ended task. */
+function ratioOf(tallies: readonly Tally[]): number {
+  let ended = 0;
+  let failed = 0;
+  for (const tally of tallies) {
+    ended += tally.outcomes.length;
+    failed += failuresOf(tally);
+  }
+  return ended === 0 ? 0 : failed / ended;
 }
 
 export function createHealth(options: HealthOptions): Health {
   const { rules, sides, nextId } = options;
   const tallies = new Map<string, Tally>();
   const ejections = new Map<string, Ejection>();
-  let all = createTally(0);
 
   function tallyOf(side: string, nowMs: number): Tally {
     let tally = tallies.get(side);
     if (tally === undefined) {
-      tally = createTally(nowMs);
+      tally = { outcomes: [], atMs: nowMs };
       tallies.set(side, tally);
     }
     return tally;
   }
 
+  function ratioOfOthers(own: Tally): number {
+    return ratioOf([...tallies.values()].filter((tally) => tally !== own));
+  }
+
   function mayEject(tally: Tally): boolean {
     const { held, ejectFailureRatio, ejectAtMost } = rules();
-    if (held.includes("eject") || tally.ended < MIN_SAMPLE) return false;
+    if (held.includes("eject")) return false;
+    if (tally.outcomes.length < MIN_SAMPLE) return false;
     if (ejections.size + 1 > ejectAtMost * sides()) return false;
-    const ratio = tally.failed / tally.ended;
+    const ratio = ratioOf([tally]);
     return ratio >= ejectFailureRatio &&
-      ratio >= MIN_EXCESS * ratioOfOthers(all, tally);
+      ratio >= MIN_EXCESS * ratioOfOthers(tally);
   }
 
   function eject(side: string, tally: Tally, nowMs: number): Act {
@@ -126,9 +131,9 @@
       subject: side,
       why: "it failed too large a share of the tasks it started",
       figures: {
-        failureRatio: tally.failed / tally.ended,
-        ended: tally.ended,
-        failureRatioOfOthers: ratioOfOthers(all, tally),
+        failureRatio: ratioOf([tally]),
+        ended: tally.outcomes.length,
+        failureRatioOfOthers: ratioOfOthers(tally),
         ejectFailureRatio,
         ejected: ejections.size + 1,
         sides: sides(),
@@ -189,7 +194,6 @@
       }
       const tally = tallyOf(outcome.side, nowMs);
       count(tally, outcome.failed, nowMs);
-      count(all, outcome.failed, nowMs);
       if (!outcome.failed || !mayEject(tally)) return undefined;
       return eject(outcome.side, tally, nowMs);
     },
@@ -224,7 +228,6 @@
     forget(side) {
       ejections.delete(side);
       tallies.delete(side);
-      if (tallies.size === 0) all = createTally(0);
     },
   };
 }
--- a/packages/place/src/health_test.ts
+++ b/packages/place/src/health_test.ts
@@ -39,6 +39,13 @@
     expect(health.standing("good", 1)).to.equal("in");
   });
 
+  it("ejects a busy side soon after it began to fail", () => {
+    const health = create();
+    end(health, "good", false, 500);
+    end(health, "bad", false, 500);
+    expect(end(health, "bad", true, 10)).to.have.length(1);
+  });
+
   it("ejects nobody when all sides fail alike", () => {
     const health = create();
     for (let step = 0; step < 50; step++) {
--- a/packages/place/src/policy.ts
+++ b/packages/place/src/policy.ts
@@ -31,6 +31,8 @@
   readonly unplaced: number;
   /** The longest declared run time of the job's tasks. */
   readonly longestMs?: number | undefined;
+  /** Slot time that the tenant took lately over its fair share. */
+  readonly usageRatio?: number | undefined;
   /** Time since the job was accepted in milliseconds. */
   readonly ageMs?: number | undefined;
   /** Time left until the deadline in milliseconds. */
@@ -57,6 +59,8 @@
     candidates: readonly Candidate[],
     nowMs: number,
   ): string | undefined;
+  /** False when no task at all would be placed now; true when in doubt. */
+  hasRoom?(candidates: readonly Candidate[], nowMs: number): boolean;
   /** Takes in how a task ended. */
   observe(observation: Observation, nowMs: number): void;
   /** Forgets a side that is gone for good. */
--- a/packages/place/src/run_times.ts
+++ b/packages/place/src/run_times.ts
@@ -13,10 +13,17 @@
   readonly spread: number;
 }
 
+/** The mean run time of a forecast in milliseconds. */
+export function meanOf({ logMs, spread }: Forecast): number {
+  return Math.exp(logMs + (spread * spread) / 2);
+}
+
 export interface RunTimes {
   /** Takes in a run of `runMs` that was declared as `declaredMs`. */
   observe(run: Run): void;
   forecast(className: string, declaredMs: number): Forecast;
+  /** Mean run time in milliseconds on a side of slowness 1. */
+  expectedMs(className: string, declaredMs: number): number;
   /** How many times longer a task runs on this side than on an average one. */
   slowness(side: string): number;
   /** Drops what is known of a side. */
@@ -123,6 +130,18 @@
     return model;
   }
 
+  function forecast(className: string, declaredMs: number): Forecast {
+    const model = classes.get(className);
+    const logDeclared = logOf(declaredMs);
+    if (model === undefined) {
+      return { logMs: logDeclared, spread: Math.sqrt(PRIOR_VARIANCE_REST) };
+    }
+    return {
+      logMs: predict(model, logDeclared),
+      spread: Math.sqrt(model.varianceRest),
+    };
+  }
+
   return {
     observe(run) {
       const logDeclared = logOf(run.declaredMs);
@@ -141,16 +160,10 @@
       side.uncertainty *= 1 - gain;
     },
 
-    forecast(className, declaredMs) {
-      const model = classes.get(className);
-      const logDeclared = logOf(declaredMs);
-      if (model === undefined) {
-        return { logMs: logDeclared, spread: Math.sqrt(PRIOR_VARIANCE_REST) };
-      }
-      return {
-        logMs: predict(model, logDeclared),
-        spread: Math.sqrt(model.varianceRest),
-      };
+    forecast,
+
+    expectedMs(className, declaredMs) {
+      return meanOf(forecast(className, declaredMs));
     },
 
     slowness(side) {
--- a/packages/trial/src/entry_model.ts
+++ b/packages/trial/src/entry_model.ts
@@ -1,6 +1,17 @@
 /** An entry: owns jobs, queues their tasks and places them by a policy. */
-import type { Queue, Waiting } from "@coltsfootreach/limit";
-import type { Candidate, Health, Policy } from "@coltsfootreach/place";
+import type {
+  Admission,
+  Queue,
+  Submission,
+  Usage,
+  Waiting,
+} from "@coltsfootreach/limit";
+import type {
+  Candidate,
+  Health,
+  Policy,
+  RunTimes,
+} from "@coltsfootreach/place";
 import type { Clock } from "./clock.ts";
 import type { LoadFrame, StartFrame } from "./side_model.ts";
 import type { TrialJob } from "./workload.ts";
@@ -14,6 +25,8 @@
 export interface EntryModel {
   submit(job: TrialJob): void;
   receive(frame: LoadFrame): void;
+  /** False when no side takes any task now. */
+  hasRoom(): boolean;
   /** Drops expired tasks and offers waiting ones again. */
   tick(): void;
 }
@@ -24,8 +37,10 @@
   readonly policy: Policy;
   readonly queue: Queue;
   readonly health: Health;
-  /** Says whether a job may be admitted. */
-  readonly admits: (job: TrialJob, queue: Queue) => boolean;
+  readonly admission: Admission;
+  readonly usage: Usage;
+  /** Learned here for admission and for what tasks cost their tenant. */
+  readonly runTimes: RunTimes;
   readonly candidates: readonly Candidate[];
   readonly send: (side: string, start: StartFrame) => void;
   readonly onEnd: (end: JobEnd) => void;
@@ -69,6 +84,7 @@
         unplaced: record.unplaced,
         leftMs: task.deadlineAtMs - nowMs,
         longestMs: record.longestMs,
+        usageRatio: options.usage.ratio(task.tenant, nowMs),
         ageMs: nowMs - record.job.atMs,
       },
       live(),
@@ -80,6 +96,8 @@
     if (health.standing(side, nowMs) === "trial") {
       health.startTrial(side, nowMs);
     }
+    const costMs = options.runTimes.expectedMs(task.class, task.declaredMs);
+    options.usage.start(task.tenant, costMs, nowMs);
     send(record, task, side);
     return true;
   }
@@ -127,13 +145,14 @@
     const record = records.get(start.job)!;
     const declaredMs = record.job.tasks[start.index]!.declaredMs;
     const failed = frame.kind === "failure";
-    policy.observe({
+    const run = {
       side: frame.side,
       class: record.job.class,
       declaredMs,
-      runMs: frame.runMs,
-      failed,
-    }, clock.nowMs());
+      runMs: frame.runMs!,
+    };
+    policy.observe({ ...run, failed }, clock.nowMs());
+    if (!failed) options.runTimes.observe(run);
     health.observe({ side: frame.side, failed }, clock.nowMs());
     endTask(record, failed);
   }
@@ -145,12 +164,27 @@
     queue.putBack(waitingOf(record.job, start.index));
   }
 
+  function submissionOf(job: TrialJob): Submission {
+    let workMs = 0;
+    let longestMs = 0;
+    for (const { declaredMs } of job.tasks) {
+      const runMs = options.runTimes.expectedMs(job.class, declaredMs);
+      workMs += runMs;
+      longestMs = Math.max(longestMs, runMs);
+    }
+    const { tenant, deadlineMs } = job;
+    return { tenant, tasks: job.tasks.length, workMs, longestMs, deadlineMs };
+  }
+
   return {
     submit(job) {
-      if (!options.admits(job, queue)) {
+      const submission = submissionOf(job);
+      const refusal = options.admission.judge(submission, clock.nowMs());
+      if (refusal !== undefined) {
         options.onEnd({ job, state: "refused", endedAtMs: clock.nowMs() });
         return;
       }
+      options.admission.admit(submission, clock.nowMs());
       records.set(job.id, {
         job,
         longestMs: Math.max(...job.tasks.map((task) => task.declaredMs)),
@@ -175,6 +209,10 @@
       drain();
     },
 
+    hasRoom() {
+      return policy.hasRoom?.(live(), clock.nowMs()) ?? true;
+    },
+
     tick() {
       for (const task of queue.removeExpired(clock.nowMs())) {
         endTask(records.get(task.job)!, true);
--- a/packages/trial/src/report.ts
+++ b/packages/trial/src/report.ts
@@ -32,6 +32,8 @@
   readonly reportedJobs: number;
   readonly tasks: number;
   readonly responseOverIdeal: Quantiles;
+  /** Jobs of all tenants but the first, which some scenarios make busy. */
+  readonly othersOverIdeal: Quantiles;
   readonly perTenant: Readonly<Record<string, Quantiles>>;
   /** By number of tasks in the job. */
   readonly perSize: Readonly<Record<string, Quantiles>>;
@@ -147,13 +149,24 @@
 /** One line per policy, for people. */
 export function formatTable(reports: readonly TrialReport[]): string {
   const head = "policy".padEnd(20) +
-    ["p50", "p99", "p99.9", "goodput", "lost%", "failed%", "msg/task", "waste"]
+    [
+      "p50",
+      "p99",
+      "p99.9",
+      "others99",
+      "goodput",
+      "lost%",
+      "failed%",
+      "msg/task",
+      "waste",
+    ]
       .map((name) => name.padStart(9)).join("");
   const lines = reports.map((report) =>
     report.policy.padEnd(20) + [
       report.responseOverIdeal.p50,
       report.responseOverIdeal.p99,
       report.responseOverIdeal.p999,
+      report.othersOverIdeal.p99,
       report.goodput,
       100 * lostShare(report),
       100 * report.failedTaskShare,
--- a/packages/trial/src/run_trial.ts
+++ b/packages/trial/src/run_trial.ts
@@ -1,8 +1,14 @@
 /** Runs one policy on one workload and reports what came of it. */
-import { createTenantQueue, type JobOrder } from "@coltsfootreach/limit";
+import {
+  createAdmission,
+  createTenantQueue,
+  createUsage,
+  type JobOrder,
+} from "@coltsfootreach/limit";
 import {
   type Candidate,
   createHealth,
+  createRunTimes,
   type Policy,
   type Random,
 } from "@coltsfootreach/place";
@@ -10,6 +16,7 @@
 import {
   createEntryModel,
   type EntryModel,
+  type EntryModelOptions,
   type JobEnd,
 } from "./entry_model.ts";
 import { capacityOf, LOCAL_DELAY_MS, type Profile } from "./profile.ts";
@@ -58,6 +65,12 @@
 /** Time after the last arrival in which jobs may still end. */
 const COOL_DOWN_MS = 60_000;
 
+/** Tasks of one tenant that may wait in one entry. */
+const MAX_QUEUED_PER_TENANT = 4_000;
+
+/** Tasks that may wait in one entry. */
+const MAX_QUEUED = 20_000;
+
 const RULES = {
   held: [],
   ejectFailureRatio: 0.5,
@@ -68,6 +81,11 @@
 
 const SIZE = { cores: 16, memoryMb: 65_536, accelerators: 0 };
 
+type Cores = Pick<
+  EntryModelOptions,
+  "runTimes" | "queue" | "admission" | "usage" | "health" | "policy"
+>;
+
 interface Fleet {
   readonly entries: readonly EntryModel[];
   readonly counts: Map<SideFrameKind | "start", number>;
@@ -92,12 +110,51 @@
   }));
 }
 
+/** What the cores of an entry need to know of what is around them. */
+interface EntryLinks {
+  readonly delayMsTo: (dataCentre: string) => number;
+  readonly hasRoom: () => boolean;
+}
+
+/** The decision cores of one entry. */
+function createCores(
+  { profile, seed, order, createPolicy }: TrialOptions,
+  entry: number,
+  links: EntryLinks,
+): Cores {
+  const runTimes = createRunTimes();
+  const slots = (profile.slots * profile.speeds.length) / profile.entries;
+  let acts = 0;
+  const queue = createTenantQueue({
+    order,
+    slots: () => slots,
+    hasRoom: links.hasRoom,
+    costOf: (task) => runTimes.expectedMs(task.class, task.declaredMs),
+  });
+  const admission = createAdmission({
+    outlook: queue.outlook,
+    queued: queue.size,
+    maxQueuedOf: () => MAX_QUEUED_PER_TENANT,
+    maxQueued: MAX_QUEUED,
+    slots: () => slots,
+  });
+  const health = createHealth({
+    rules: () => RULES,
+    sides: () => profile.speeds.length,
+    nextId: () => `${entry}-${acts++}`,
+  });
+  const random = createRandom(seed * 1_000 + entry);
+  const policy = createPolicy({ random, delayMsTo: links.delayMsTo });
+  const usage = createUsage({ slots: () => slots });
+  return { runTimes, queue, admission, usage, health, policy };
+}
+
 function createFleet(
   options: TrialOptions,
   clock: Clock,
   onEnd: (end: JobEnd) => void,
 ): Fleet {
-  const { profile, scenario, seed } = options;
+  const { profile, scenario } = options;
   const candidates = candidatesOf(profile);
   const counts: Fleet["counts"] = new Map();
   const sides = new Map<string, SideModel>();
@@ -136,25 +193,13 @@
   });
 
   for (let entry = 0; entry < profile.entries; entry++) {
-    const random = createRandom(seed * 1_000 + entry);
-    let acts = 0;
     const model = createEntryModel({
-      number: entry,
-      clock,
-      policy: options.createPolicy({
-        random,
+      ...createCores(options, entry, {
         delayMsTo: (dataCentre) => delayMs(entry, dataCentre),
+        hasRoom: () => entries[entry]!.hasRoom(),
       }),
-      queue: createTenantQueue({
-        order: options.order,
-        slots: () => capacityOf(profile),
-      }),
-      health: createHealth({
-        rules: () => RULES,
-        sides: () => candidates.length,
-        nextId: () => `${entry}-${acts++}`,
-      }),
-      admits: () => true,
+      number: entry,
+      clock,
       candidates,
       send(side, start) {
         count("start");
@@ -204,6 +249,8 @@
   const { profile } = options;
   const roundTripMs = 2 * profile.delayMs;
   const reported = ends.filter((end) => end.job.atMs >= WARM_UP_MS);
+  const [firstTenant] = profile.tenants;
+  const others = reported.filter((end) => end.job.tenant !== firstTenant);
   const inTime = reported.filter(isInTime);
   const tasks = jobs.reduce((sum, job) => sum + job.tasks.length, 0);
   const started = counts.get("start") ?? 0;
@@ -223,6 +270,7 @@
     reportedJobs: reported.length,
     tasks,
     responseOverIdeal: quantilesOf(ratios(reported, roundTripMs)),
+    othersOverIdeal: quantilesOf(ratios(others, roundTripMs)),
     perTenant: quantilesBy(reported, roundTripMs, (job) => job.tenant),
     perSize: bySize(reported, roundTripMs),
     goodput: work / (spanMs * capacityOf(profile)),
