--- a/packages/trial/src/run_trial.ts
+++ b/packages/trial/src/run_trial.ts
@@ -301,6 +301,10 @@
   const ends: JobEnd[] = [];
   const fleet = createFleet(settled, clock, (end) => ends.push(end));
   scheduleJobs(jobs, clock, fleet);
+  clock.runUntil(options.durationMs);
+  const heartbeats = fleet.counts.get("heartbeat") ?? 0;
   clock.runUntil(options.durationMs + COOL_DOWN_MS);
+  // Heartbeats of the idle fleet after the last arrival say nothing of load.
+  fleet.counts.set("heartbeat", heartbeats);
   return summarise(settled, jobs, ends, fleet.counts);
 }
