--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -41,6 +41,7 @@
     if (!isNewStream) return;
     pushedTable.delete(incarnation);
     collected.delete(incarnation);
+    context.configuration.forget(incarnation);
     tasks.resendStarts(side, nowMs);
   }
 
@@ -57,6 +58,7 @@
     options.policy.forget(incarnation);
     pushedTable.delete(incarnation);
     collected.delete(incarnation);
+    context.configuration.forget(incarnation);
   }
 
   function handleSide(
@@ -73,6 +75,8 @@
         return tasks.takeRefusal(side, message, nowMs);
       case "evidence":
         return tasks.takeEvidence(side, message, nowMs);
+      case "jobSealed":
+        return tasks.takeSealed(message.job);
       case "goodbye":
         settlement.registry.goodbye(side.identity.incarnation);
         tasks.endTasksOn(side, nowMs);
@@ -89,6 +93,7 @@
       pushedTable.set(incarnation, table.version);
       toSide(incarnation, { kind: "table", table });
     }
+    context.configuration.updateSide(side);
     const wanted = settlement.collectVersion();
     const given = settlement.registry.evidenceVersionOf(incarnation);
     if (given >= wanted || collected.get(incarnation) === wanted) return;
@@ -109,7 +114,7 @@
   }
 
   function loseSide(side: SideState): void {
-    side.lost = true;
+    sides.lose(side);
     const registration = {
       incarnation: side.identity.incarnation,
       registration: side.registration,
--- a/packages/slopes/src/configuration.ts
+++ b/packages/slopes/src/configuration.ts
@@ -5,11 +5,11 @@
  */
 import { Packr } from "msgpackr";
 import {
+  createEstateParser,
   excerptForSides,
   formatEstate,
   parseEstate,
 } from "@coltsfootreach/inventory";
-import type { Estate } from "@coltsfootreach/types";
 import { createEstate } from "./made_up.ts";
 import { createSeries, type Series } from "./series.ts";
 import { median } from "./watched.ts";
@@ -30,10 +30,6 @@
   return median(Array.from({ length: ROUNDS }, measure));
 }
 
-function textOf(estate: Estate): string {
-  return formatEstate(estate);
-}
-
 /** Milliseconds to encode a frame with the excerpt for each side. */
 function measurePush(sides: number, text: string): number {
   const packr = new Packr({ useRecords: true });
@@ -45,10 +41,44 @@
   });
 }
 
-export function measureConfiguration(): readonly Series[] {
+/** Milliseconds of a daemon to read a version that changes one worker. */
+async function measureEdit(workers: number): Promise<number> {
+  const parser = createEstateParser();
+  const estate = createEstate(workers);
+  const first = { version: 1, text: formatEstate(estate) };
+  await parser.prepare(first);
+  parser.parse(first)._unsafeUnwrap();
+  const [edited, ...others] = estate.workers;
+  const changed = [{ ...edited!, cores: edited!.cores + 1 }, ...others];
+  const text = formatEstate({ ...estate, workers: changed });
+  const startedAtMs = performance.now();
+  await parser.prepare({ version: 2, text });
+  parser.parse({ version: 2, text })._unsafeUnwrap();
+  return performance.now() - startedAtMs;
+}
+
+async function measureEdits(): Promise<Series> {
+  const points = [];
+  for (const workers of WORKERS) {
+    const rounds: number[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+      rounds.push(await measureEdit(workers));
+    }
+    points.push({ x: workers, y: median(rounds) });
+  }
+  return createSeries({
+    name: "configuration.edit",
+    y: "time of a daemon to read an edit of one worker, ms",
+    x: "workers",
+    subject: "core",
+    points,
+  });
+}
+
+export async function measureConfiguration(): Promise<readonly Series[]> {
   const texts = WORKERS.map((workers) => ({
     workers,
-    text: textOf(createEstate(workers)),
+    text: formatEstate(createEstate(workers)),
   }));
   const excerpt = excerptForSides(createEstate(WORKERS[0]!));
   const subject = "core" as const;
@@ -76,6 +106,7 @@
         ),
       })),
     }),
+    await measureEdits(),
     createSeries({
       name: "configuration.push.bytes",
       y: "bytes of the sides' excerpt over all sides",
