--- a/packages/entry/src/side_streams.ts
+++ b/packages/entry/src/side_streams.ts
@@ -106,6 +106,9 @@
     if (!hasResult) counts.receivedWithoutResult += 1;
     if (frame.messages.length === 0) counts.receivedEmpty += 1;
     options.received(frame);
+    const idleMs = own.heardAtMs - own.sentAtMs;
+    const isHeartbeat = frame.messages.length === 0;
+    if (isHeartbeat && idleMs >= options.heartbeatMs / 2) send(own);
   }
 
   function send(own: SideStream): void {
