--- a/packages/bench/src/open_loop.ts
+++ b/packages/bench/src/open_loop.ts
@@ -2,6 +2,7 @@
  * Submits jobs at their scheduled times, whatever is still unanswered. The
  * response time runs from the scheduled time, so a late submission counts.
  */
+import { setMaxListeners } from "node:events";
 import { Agent } from "undici";
 import type { Answer, Refusal } from "@coltsfootreach/types";
 import type { TrialJob } from "@coltsfootreach/trial";
@@ -37,6 +38,7 @@
   // Without a bound on connections, no job waits behind another one here.
   const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0 });
   const over = new AbortController();
+  setMaxListeners(0, over.signal);
   const startedAtMs = performance.now();
 
   async function submit(job: TrialJob, origin: string): Promise<End> {
