--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -15,6 +15,7 @@
   readonly json: boolean;
   readonly throughput: boolean;
   readonly tasks: number;
+  readonly cpuProfiles?: string;
 }
 
 function policiesOf(name: string): readonly Placement[] {
@@ -24,8 +25,13 @@
 }
 
 async function run(flags: Flags): Promise<void> {
+  const { cpuProfiles } = flags;
+  const entryFlags = cpuProfiles === undefined
+    ? []
+    : ["--cpu-prof", `--cpu-prof-dir=${cpuProfiles}`];
   if (flags.throughput) {
-    console.log(JSON.stringify(await measureThroughput(Number(flags.tasks))));
+    const tasks = Number(flags.tasks);
+    console.log(JSON.stringify(await measureThroughput(tasks, entryFlags)));
     return;
   }
   const profile = PROFILES.find(({ name }) => name === flags.profile);
@@ -40,6 +46,7 @@
       load: Number(flags.load),
       seed: Number(flags.seed),
       seconds: Number(flags.seconds),
+      entryFlags,
     });
     reports.push(report);
     if (flags.json) console.log(JSON.stringify(report));
@@ -63,6 +70,7 @@
   .option("--tasks <number>", "Tasks of a job, for --throughput", {
     default: 30,
   })
+  .option("--cpu-profiles <folder>", "Takes processor profiles of the entries")
   .action(run);
 program.help();
 program.parse();
--- a/packages/bench/src/run_bench.ts
+++ b/packages/bench/src/run_bench.ts
@@ -44,6 +44,7 @@
   readonly seed: number;
   /** Length of the counted arrivals. */
   readonly seconds: number;
+  readonly entryFlags: readonly string[];
 }
 
 export interface BenchReport {
@@ -88,6 +89,7 @@
     ),
     backendProcesses: BACKEND_PROCESSES,
     placement: options.policy,
+    entryFlags: options.entryFlags,
   });
   try {
     return await runLoad(fleet, options);
--- a/packages/bench/src/throughput.ts
+++ b/packages/bench/src/throughput.ts
@@ -52,6 +52,7 @@
 
 export async function measureThroughput(
   tasksPerJob: number,
+  entryFlags: readonly string[],
 ): Promise<ThroughputReport> {
   const fleet = await startFleet({
     entries: 1,
@@ -62,6 +63,7 @@
     classes: [CLASS],
     dataCentres: ["data-centre-0"],
     backendProcesses: 1,
+    entryFlags,
   });
   const sides = await startSideStandins({
     folder: `${fleet.folder}/logs`,
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -43,6 +43,8 @@
   readonly backendProcesses: number;
   /** Gives the address under which others reach an entry's link. */
   advertise?(link: string): Promise<string>;
+  /** Options of Node.js for the entries, such as `--cpu-prof`. */
+  readonly entryFlags?: readonly string[] | undefined;
   /** The entries' placement policy; their default when absent. */
   readonly placement?: string | undefined;
 }
@@ -115,7 +117,13 @@
       placement: options.placement,
     });
     return {
-      child: start(`entry-${index}`, [DAEMON, "entry", "--settings", file]),
+      child: start(`entry-${index}`, [
+        ...options.entryFlags ?? [],
+        DAEMON,
+        "entry",
+        "--settings",
+        file,
+      ]),
       origin: `http://127.0.0.1:${callerPort}`,
       management: `http://127.0.0.1:${managementPort}`,
       link: link.advertise,
