Count a side's tasks once for each word of evidence

Cause: after a takeover an entry counted the tasks of a side anew for each job in its evidence, so the time grew with the square of the jobs. Change: one count after the whole evidence.

--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -289,17 +289,19 @@
   ): void {
     const incarnation = side.identity.incarnation;
     settlement.registry.evidence(incarnation, message.tableVersion);
+    let hasLearned = false;
     for (const evidence of message.jobs) {
       if (ownerOf(settlement.table(), evidence.job)?.incarnation !== me) {
         continue;
       }
       const before = records.find(evidence.job)?.answer;
       const record = records.learn(evidence, incarnation, nowMs);
-      recountOutstanding(side);
+      hasLearned = true;
       if (before === undefined && record.answer !== undefined) {
         settle(record, record.answer, nowMs);
       }
     }
+    if (hasLearned) recountOutstanding(side);
   }
 
   function recountOutstanding(side: SideState): void {
