--- a/packages/slopes/src/limit_table.ts
+++ b/packages/slopes/src/limit_table.ts
@@ -181,7 +181,7 @@
       reachedAt: crossing(slopes, "core.cpu.owner", workUs),
       unit: "entries a table",
       target: split.entries,
-      mechanism: "to be built: hash of a member kept, mixed with the key's",
+      mechanism: "in code: hash of a member kept, mixed with the key's",
     },
   ];
 }
