--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -8,10 +8,11 @@
 import {
   type Fleet,
   type FleetOptions,
+  readStarts,
   startFleet,
 } from "@coltsfootreach/fleet";
 import { type Returned, submit, type SubmittedJob } from "./caller.ts";
-import { findFaults, readStarts } from "./check.ts";
+import { findFaults } from "./check.ts";
 
 const TENANTS = ["kiln-crews", "bindery-desks", "river-carts"];
 
--- a/packages/slopes/src/memory_main.ts
+++ b/packages/slopes/src/memory_main.ts
@@ -15,14 +15,15 @@
   createJob,
   createTable,
 } from "./made_up.ts";
-
-const TASKS = 3;
+import { createGuardWithJobs } from "./made_up_side.ts";
 
 const cli = cac("memory");
 cli.option("--kind <name>", "live, kept, tenants or sides");
 cli.option("--count <n>", "How many");
+cli.option("--tasks <n>", "Tasks of each job", { default: 3 });
 const { options } = cli.parse();
 const count = Number(options.count);
+const tasks = Number(options.tasks);
 
 function heapBytes(): number {
   globalThis.gc!();
@@ -37,13 +38,13 @@
   core.tick({ nowMs: 0, wallMs: Date.now() });
   addSides(core, 1);
   for (let number = 0; number < count; number++) {
-    const job = createJob(number, TASKS);
+    const job = createJob(number, tasks);
     const id = jobId(job);
     const ask = { kind: "submit", job, wait: true } as const;
     core.request({ request: number, job: id, ask }, 0);
     if (!isKept) continue;
     core.dispatch(0);
-    for (let index = 0; index < TASKS; index++) {
+    for (let index = 0; index < tasks; index++) {
       const outcome = {
         index,
         state: "complete",
@@ -84,11 +85,17 @@
   return core;
 }
 
+/** A side that ran one task of each job and keeps the evidence. */
+function fillEvidence(): unknown {
+  return createGuardWithJobs(count);
+}
+
 const FILL: Readonly<Record<string, () => unknown>> = {
   live: () => fillRecords(false),
   kept: () => fillRecords(true),
   tenants: fillTenants,
   sides: fillSides,
+  evidence: fillEvidence,
 };
 
 const before = heapBytes();
