Keep living entries after a store outage, and name laggards whatever else is edited

Entries now wait one lease and one renewal after the store answers again before they remove lapsed members. - A removed entry that could not rejoin during an outage stayed ready; it is not ready now until it is a member, nor while it lags for 3 s. - An entry that left by itself could begin to join anew while it stopped. - A check for lapsed leases whose reads failed was not made again. - A side was overdue only 3 s after the newest version, so a stuck one was never named while edits came more often. It counts from the first version that the side lacks. - A new run of an entry told sides nothing of the version its process had. - A held takeover is carried out once it is released. Logs carry the run of the process, and each version once it is in force.

--- a/packages/configure/src/holder_test.ts
+++ b/packages/configure/src/holder_test.ts
@@ -4,6 +4,7 @@
 import type { Estate } from "@coltsfootreach/types";
 import { createConfigurationHolder } from "./holder.ts";
 import { LAG_BOUND_MS, laggards } from "./laggard.ts";
+import { createVersionTimes } from "./version_times.ts";
 
 const SEED = 20_261_204;
 
@@ -80,4 +81,22 @@
     const earlier = laggards(statuses, known, 99 + LAG_BOUND_MS);
     expect(earlier.some((item) => item.overdue)).to.equal(false);
   });
+
+  it("are overdue however often newer versions come", () => {
+    const times = createVersionTimes();
+    for (let version = 1; version <= 100; version++) {
+      times.note(version, version * 1_000);
+    }
+    const behindSinceMs = times.firstAbove(90);
+    expect(behindSinceMs).to.equal(91_000);
+    expect(times.firstAbove(1)).to.be.lessThan(91_000);
+    expect(times.firstAbove(100)).to.equal(undefined);
+    const known = { version: 100, sinceMs: 100_000 };
+    const [late] = laggards(
+      [{ ...status("a", 90), behindSinceMs }],
+      known,
+      100_001,
+    );
+    expect(late).to.include({ behindMs: 9_001, overdue: true });
+  });
 });
--- a/packages/configure/src/index.ts
+++ b/packages/configure/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./plan.ts";
 export * from "./record.ts";
 export * from "./repository.ts";
+export * from "./version_times.ts";
--- a/packages/configure/src/laggard.ts
+++ b/packages/configure/src/laggard.ts
@@ -8,6 +8,8 @@
   readonly version: number;
   /** When it last said so, on the observer's clock. */
   readonly heardAtMs: number;
+  /** Since when the observer has had a newer version in force. */
+  readonly behindSinceMs?: number | undefined;
 }
 
 /** A version and when the observer first knew of it. */
@@ -31,14 +33,13 @@
   known: KnownVersion,
   nowMs: number,
 ): readonly Laggard[] {
-  const behindMs = Math.max(0, nowMs - known.sinceMs);
   return statuses
     .filter((status) => status.version < known.version)
-    .map((status) => ({
-      ...status,
-      behindMs,
-      overdue: behindMs >= LAG_BOUND_MS,
-    }))
+    .map((status) => {
+      const sinceMs = status.behindSinceMs ?? known.sinceMs;
+      const behindMs = Math.max(0, nowMs - sinceMs);
+      return { ...status, behindMs, overdue: behindMs >= LAG_BOUND_MS };
+    })
     .sort((a, b) =>
       a.version - b.version || a.process.localeCompare(b.process)
     );
--- a/packages/coordinate/src/configuration_desk.ts
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -5,6 +5,7 @@
 import {
   type ConfigurationHolder,
   type ConfigurationSource,
+  createVersionTimes,
   LAG_BOUND_MS,
   type Taken,
 } from "@coltsfootreach/configure";
@@ -32,6 +33,8 @@
   updatePeer(entry: string, follows: number): void;
   /** A new stream: whatever was sent on the former one may be lost. */
   forget(target: string): void;
+  /** Since when a version newer than this one is in force here. */
+  behindSince(version: number): number | undefined;
   /** True when a side may take no new work until it has caught up. */
   isLagging(side: SideState, nowMs: number): boolean;
 }
@@ -48,13 +51,22 @@
 ): ConfigurationDesk {
   const { sides, connectedPeers, toSide, toPeer } = context;
   const told = new Map<string, number>();
+  const times = createVersionTimes();
   let forSides: Configuration | undefined;
 
-  function putInForce(): void {
-    const { configuration, estate } = holder.inForce()!;
+  // A new run of an entry goes on with what its process has in force.
+  if (holder.inForce() !== undefined) prepareForSides();
+
+  function prepareForSides(): void {
+    const { configuration, estate, sinceMs } = holder.inForce()!;
     const { version } = configuration;
+    times.note(version, sinceMs);
     const text = context.options.excerptForSides(estate);
     forSides = { version, text };
+  }
+
+  function putInForce(): void {
+    prepareForSides();
     for (const side of sides.all()) updateSide(side);
     for (const entry of connectedPeers) updatePeer(entry, 0);
   }
@@ -94,11 +106,10 @@
     forget(target) {
       told.delete(target);
     },
+    behindSince: (version) => times.firstAbove(version),
     isLagging(side, nowMs) {
-      const inForce = holder.inForce();
-      if (inForce === undefined) return false;
-      if (side.configurationVersion >= holder.version()) return false;
-      return nowMs - inForce.sinceMs >= LAG_BOUND_MS;
+      const sinceMs = times.firstAbove(side.configurationVersion);
+      return sinceMs !== undefined && nowMs - sinceMs >= LAG_BOUND_MS;
     },
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -15,6 +15,7 @@
   type ConfigurationHolder,
   createConfigurationFeed,
   createConfigurationKeys,
+  LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 import { excerptForSides } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
@@ -113,6 +114,7 @@
   readonly sides: SideStreams;
   readonly peers: PeerStreams;
   readonly membership: Membership;
+  readonly log: Log;
 }
 
 export async function startEntry(options: EntryOptions): Promise<Entry> {
@@ -130,10 +132,8 @@
     prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
-      const { version } = configuration;
-      noteVersion(version);
+      noteVersion(configuration.version);
       apply(run, run.core.configurationLearned(configuration, source, now));
-      log.info("configuration", { configurationVersion: version });
     },
     failed(fault) {
       log.warn("the configuration cannot be read", { reason: fault.message });
@@ -141,9 +141,14 @@
   });
   let refreshedAtMs = -Infinity;
   let newest = { version: 0, sinceMs: performance.now() };
+  /** Newest version that another process has in force. */
+  let elsewhere = newest;
+  let loggedVersion = holder.version();
   let requests = 0;
   let isReady = false;
   let isStopping = false;
+  /** Set when this entry takes itself out of the table. */
+  let isLeaving = false;
   let isFlushPlanned = false;
   let run: Run;
 
@@ -156,6 +161,7 @@
 
   function apply(own: Run, effects: readonly EntryEffect[]): void {
     if (own !== run) return;
+    noteInForce(own);
     for (const effect of effects) {
       if (effect.kind === "toSide") {
         own.sides.push(effect.side, effect.message, effect.lazy);
@@ -180,7 +186,7 @@
       if (ejection !== undefined) journal.markUndone(ejection.id, act.atMs);
     }
     const { id } = journal.record(act);
-    log.warn("automatic act", {
+    run.log.warn("automatic act", {
       act: `${act.kind} ${act.subject} ${id}`,
       reason: act.why,
       figures: act.figures,
@@ -188,7 +194,37 @@
     });
   }
 
-  /** Another process has a newer configuration than this one. */
+  /** Logs a version that has come into force, wherever it came from. */
+  function noteInForce(own: Run): void {
+    const configurationVersion = holder.version();
+    if (configurationVersion === loggedVersion) return;
+    loggedVersion = configurationVersion;
+    own.log.info("configuration", { configurationVersion });
+    own.membership.rulesChanged();
+  }
+
+  /** Another process has a version in force that is newer than this one's. */
+  function heardVersion(version: number): void {
+    noteVersion(version);
+    if (version <= elsewhere.version) return;
+    const sinceMs = elsewhere.version <= holder.version()
+      ? performance.now()
+      : elsewhere.sinceMs;
+    elsewhere = { version, sinceMs };
+  }
+
+  /** False after a removal until the entry has joined anew. */
+  function isMember(): boolean {
+    return run.core.table().version > 0;
+  }
+
+  /** A version that others use and this entry cannot get or read. */
+  function isLagging(): boolean {
+    return elsewhere.version > holder.version() &&
+      performance.now() - elsewhere.sinceMs >= LAG_BOUND_MS;
+  }
+
+  /** There is a version that may be newer than the one in force here. */
   function noteVersion(version: number): void {
     const nowMs = performance.now();
     if (version > newest.version) newest = { version, sinceMs: nowMs };
@@ -232,6 +268,7 @@
 
   function createRun(): Run {
     const incarnation = v4();
+    const log = options.log.with({ incarnation });
     const member: Member = {
       incarnation,
       name: options.name,
@@ -262,7 +299,7 @@
         ...core.stamps(side),
       }),
       received(frame) {
-        noteVersion(frame.configurationVersion);
+        heardVersion(frame.configurationVersion);
         apply(own, core.sideFrame(frame, performance.now()));
       },
       closed: (side) => core.sideClosed(side),
@@ -279,8 +316,10 @@
       }),
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
-      received: (frame) =>
-        followTable(own, core.peerFrame(frame, performance.now())),
+      received(frame) {
+        heardVersion(frame.configurationVersion);
+        followTable(own, core.peerFrame(frame, performance.now()));
+      },
     });
     const membership = createMembership({
       store: options.store,
@@ -301,7 +340,7 @@
       isTakeoverHeld: () =>
         core.configuration.rules().held.includes("takeOver"),
     });
-    const own: Run = { member, core, sides, peers, membership };
+    const own: Run = { member, core, sides, peers, membership, log };
     return own;
   }
 
@@ -313,6 +352,7 @@
 
   /** Others removed this run: joins anew and asks again what was asked. */
   function rejoin(own: Run): void {
+    if (isLeaving) return;
     log.warn("removed from the table of entries; joining anew");
     run = createRun();
     closeRun(own);
@@ -342,6 +382,7 @@
     }
   }
 
+  log.info("entry starting");
   run = createRun();
   await run.membership.join();
   isReady = true;
@@ -357,7 +398,7 @@
       });
     },
     incarnation: () => run.member.incarnation,
-    isReady: () => isReady && !isStopping,
+    isReady: () => isReady && !isStopping && isMember() && !isLagging(),
     core: () => run.core,
     journal,
     newestVersion: () => newest,
@@ -371,6 +412,7 @@
       isStopping = true;
       log.info("draining");
       await drain();
+      isLeaving = true;
       await run.membership.leave();
       clearInterval(timer);
       feed.close();
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -25,6 +25,8 @@
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
 
+const MS_PER_SECOND = 1000;
+
 export interface MembershipOptions<Token> {
   readonly store: Store;
   readonly prefix: string;
@@ -50,6 +52,8 @@
   /** Gives up this entry's keys; false when the store cannot say so. */
   drain(): Promise<boolean>;
   leave(): Promise<void>;
+  /** A held takeover that has been released since is carried out. */
+  rulesChanged(): void;
   /** Whether the store answered the last read of the table. */
   storeStatus(): StoreStatus;
   /** Ends without a word to the store, for an entry that was removed. */
@@ -70,6 +74,10 @@
   let watch: Watch | undefined;
   let isClosed = false;
   let status: StoreStatus = { reachable: true, sinceMs: Date.now() };
+  let lapseCheck: NodeJS.Timeout | undefined;
+  let isTakeoverDue = false;
+  /** After an outage others get this long to renew their leases. */
+  const graceMs = options.leaseSeconds * MS_PER_SECOND + options.renewMs;
   const timers: NodeJS.Timeout[] = [];
 
   /** The table after the change; undefined when that is not certain. */
@@ -147,10 +155,16 @@
 
   /** Removes the members of the table that hold no lease. */
   async function removeLapsed(): Promise<void> {
-    if (options.isTakeoverHeld()) return;
+    if (isClosed) return;
+    isTakeoverDue = options.isTakeoverHeld();
+    if (isTakeoverDue) return;
+    const graceLeftMs = status.reachable
+      ? status.sinceMs + graceMs - Date.now()
+      : graceMs;
+    if (graceLeftMs > 0) return planLapseCheck(graceLeftMs);
     const table = await store.read(tableKey);
     const live = await store.list(livePrefix);
-    if (table.isErr() || live.isErr()) return;
+    if (table.isErr() || live.isErr()) return planLapseCheck(RETRY_MS);
     const names = new Set(
       live.value.values.map(({ key }) => key.slice(livePrefix.length)),
     );
@@ -164,7 +178,13 @@
       figures: { entries: lapsed.length },
     });
     const changed = await changeTable((now) => without(now, new Set(lapsed)));
-    if (changed !== undefined) options.tableLearned(changed);
+    if (changed === undefined) planLapseCheck(RETRY_MS);
+    else options.tableLearned(changed);
+  }
+
+  function planLapseCheck(afterMs: number): void {
+    clearTimeout(lapseCheck);
+    lapseCheck = setTimeout(() => void removeLapsed(), afterMs);
   }
 
   function follow(from: number): void {
@@ -222,6 +242,7 @@
         await hold();
         if (lease === undefined) await sleep(RETRY_MS);
       }
+      status = { reachable: true, sinceMs: Date.now() };
       const table = await persist((now) => joined(now, member));
       log.info("joined", { tableVersion: table.version });
       options.tableLearned(table);
@@ -245,9 +266,13 @@
       this.close();
       if (lease !== undefined) await store.revoke(lease);
     },
+    rulesChanged() {
+      if (isTakeoverDue && !options.isTakeoverHeld()) void removeLapsed();
+    },
     storeStatus: () => status,
     close() {
       isClosed = true;
+      clearTimeout(lapseCheck);
       watch?.close();
       for (const timer of timers) clearTimeout(timer);
     },
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -59,6 +59,7 @@
           role: "side" as const,
           version: side.configurationVersion,
           heardAtMs: wallOf(side.lastHeardMs),
+          behindSinceMs: behindSince(core, side),
         })),
       ],
       table: core.table(),
@@ -68,6 +69,11 @@
     };
   }
 
+  function behindSince(core: EntryCore, side: SideState): number | undefined {
+    const since = core.configuration.behindSince(side.configurationVersion);
+    return since === undefined ? undefined : wallOf(since);
+  }
+
   function job(tenant: string, key: string): JobExplanation | undefined {
     const core = options.core();
     const record = core.records.find(jobId({ tenant, key }));
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -13,6 +13,8 @@
   /** The job's name across tenants. */
   readonly job?: string | undefined;
   readonly index?: number | undefined;
+  /** Run of the process; goes before the one that the log was made with. */
+  readonly incarnation?: string | undefined;
   readonly tenant?: string | undefined;
   readonly class?: string | undefined;
   readonly side?: string | undefined;
@@ -86,14 +88,14 @@
         level: entry.type,
         role,
         name,
-        incarnation,
+        incarnation: fields?.incarnation ?? incarnation,
         message,
       }));
     },
   };
 }
 
-interface Line extends LogFields {
+interface Line extends Omit<LogFields, "incarnation"> {
   readonly time: string;
   readonly level: string;
   readonly role: string;
--- a/packages/side/src/side.ts
+++ b/packages/side/src/side.ts
@@ -56,8 +56,8 @@
 }
 
 export async function startSide(options: SideOptions): Promise<Side> {
-  const { log } = options;
   const incarnation = v4();
+  const log = options.log.with({ incarnation });
   const { name: side, dataCentre, rack, worker } = options;
   const guard = createGuard({
     identity: { side, incarnation, dataCentre, rack, worker },
