Add the measurement of how fast configurations come into force

It exits with 1 when one takes more than 3 s, goes back, or lags without being named. A fresh side gets the version from an entry while the store is out. A fresh entry does not join then, since it needs a lease. Limit: a version that no entry heard before the store fell silent is known to nobody until the store answers; no laggard can be named for it.

--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -48,6 +48,8 @@
   /** Where callers submit, as an HTTP origin. */
   readonly origin: string;
   readonly management: string;
+  /** Where sides and other entries connect. */
+  readonly link: string;
 }
 
 export interface Fleet {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,4 @@
 /** Fleets of processes on loopback. */
 export * from "./fleet.ts";
-export type { Child } from "./process.ts";
+export { findFreePorts } from "./ports.ts";
+export { type Child, startChild } from "./process.ts";
--- /dev/null
+++ b/packages/propagation/src/index.ts
@@ -0,0 +1,3 @@
+/** Measures how fast configuration versions come into force. */
+export * from "./version_log.ts";
+export * from "./delay.ts";
