Record drains, refusals and returns as acts, and let undo take a server in again

Drains of entries and backend servers and runs of refusals are on record with their figures; an act is marked as undone when the entry or server returns, the refusals end, or an operator lists the server in never_ejected. That rule was read by nobody before.

--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -15,10 +15,13 @@
   type ConfigurationDesk,
   createConfigurationDesk,
 } from "./configuration_desk.ts";
-import type { EntryEffect, EntryOptions, NewAct } from "./effect.ts";
+import { createDepartures, type Departures } from "./departures.ts";
+import type { EntryEffect, EntryOptions, NewAct, UndoneAct } from "./effect.ts";
 import { createOutgoing, type Outgoing } from "./outgoing.ts";
 import { createWaiters, type Origin, type Waiters } from "./requests.ts";
+import { createShedding, type Shedding } from "./shedding.ts";
 import { createSides, type Sides } from "./sides.ts";
+import { createStandingActs } from "./standing_acts.ts";
 
 export interface EntryContext {
   /** Incarnation of this entry. */
@@ -39,6 +42,10 @@
   emit(effect: EntryEffect): void;
   /** Records something that the core did by itself. */
   act(act: ActDescription): void;
+  /** Records that an act no longer stands. */
+  undone(act: UndoneAct): void;
+  readonly departures: Departures;
+  readonly shedding: Shedding;
   /** Takes out the messages to send. */
   flush(): readonly EntryEffect[];
 }
@@ -101,18 +108,31 @@
     });
   }
 
+  function undone(undoneAct: UndoneAct): void {
+    const atMs = options.wallMs();
+    effects.push({ kind: "actUndone", act: undoneAct, atMs });
+  }
+
+  const settlement = createSettlement({
+    me,
+    freshnessMs: options.freshnessMs,
+    windowMs: options.records.windowMs,
+    skewMs: options.records.skewMs,
+    wallMs: () => options.wallMs(),
+  });
+  const acts = createStandingActs({ act, undone });
+  const departures = createDepartures({
+    acts,
+    sidesKnown: () => settlement.registry.registrations().length,
+    rules: () => configuration.rules(),
+  });
+
   return {
     me,
     options,
     records: createRecords(options.records),
     sides,
-    settlement: createSettlement({
-      me,
-      freshnessMs: options.freshnessMs,
-      windowMs: options.records.windowMs,
-      skewMs: options.records.skewMs,
-      wallMs: () => options.wallMs(),
-    }),
+    settlement,
     waiters: createWaiters(),
     outgoing: createOutgoing(),
     configuration,
@@ -124,6 +144,9 @@
     refuse,
     emit: (effect) => effects.push(effect),
     act,
+    undone,
+    departures,
+    shedding: createShedding(acts),
     flush,
   };
 }
--- a/packages/coordinate/src/effect.ts
+++ b/packages/coordinate/src/effect.ts
@@ -9,6 +9,7 @@
   Act,
   EntryMessage,
   Estate,
+  Figures,
   Member,
   PeerMessage,
   Reply,
@@ -37,6 +38,11 @@
   /** This run of the entry is no longer a member and must join anew. */
   | { readonly kind: "removed" }
   | { readonly kind: "act"; readonly act: NewAct }
+  | {
+    readonly kind: "actUndone";
+    readonly act: UndoneAct;
+    readonly atMs: number;
+  }
   /** An operator has declared these entries gone for good. */
   | {
     readonly kind: "removeMembers";
@@ -46,6 +52,12 @@
 /** Something the core did by itself; the journal gives it its identity. */
 export type NewAct = Omit<Act, "id" | "undoneAtMs">;
 
+/** Names the act that stands by what was done to whom. */
+export interface UndoneAct extends Pick<Act, "kind" | "subject"> {
+  /** What came to light while it stood. */
+  readonly figures: Figures;
+}
+
 export interface EntryOptions {
   readonly member: Member;
   readonly records: RecordOptions;
--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -158,6 +158,7 @@
       }
       tasks.expire(nowMs);
       requests.expire(nowMs);
+      context.shedding.check(nowMs);
       return flush();
     },
     table: () => settlement.table(),
--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -4,7 +4,7 @@
  */
 import { birthOf, type JobRecord } from "@coltsfootreach/admit";
 import { ownerOf } from "@coltsfootreach/ownership";
-import type { JobId, Refusal, Reply } from "@coltsfootreach/types";
+import type { Job, JobId, Refusal, Reply } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
 import type { Ask, Forward, Held, Origin } from "./requests.ts";
 import type { TaskDesk } from "./task_desk.ts";
@@ -128,6 +128,7 @@
     }
     const admission = records.admit({ job, wallMs }, nowMs);
     if (admission.kind === "refused") {
+      noteRefusal(job, admission.refusal, nowMs);
       refuse(origin, admission.refusal);
       return;
     }
@@ -146,6 +147,12 @@
     }
   }
 
+  function noteRefusal(job: Job, refusal: Refusal, nowMs: number): void {
+    const { tenant, tasks } = job;
+    const count = { tasks: tasks.length, records: records.size() };
+    context.shedding.refused({ tenant, refusal, ...count }, nowMs);
+  }
+
   function read(origin: Origin, job: JobId): void {
     const record = records.find(job);
     if (record === undefined) {
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -4,6 +4,7 @@
  */
 import type { Hello, SideFrame, SideMessage } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
+import { offerOf } from "./departures.ts";
 import type { SideState } from "./sides.ts";
 import type { TaskDesk } from "./task_desk.ts";
 
@@ -35,8 +36,11 @@
       forgetSide(earlier);
     }
     settlement.registry.hello(identity.side, known);
-    const isNewStream = sides.find(incarnation)?.connected !== true;
+    const before = sides.find(incarnation);
+    const offered = offerOf(before);
+    const isNewStream = before?.connected !== true;
     const side = sides.hello(hello, nowMs);
+    context.departures.noteSide(offered, side);
     if (settlement.registry.isLostBy(known, me)) askToRegister(side);
     if (!isNewStream) return;
     pushedTable.delete(incarnation);
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -9,7 +9,6 @@
   type Configuration,
   type HandOver,
   jobId,
-  type Member,
   type PeerFrame,
   type PeerMessage,
   type RecordSnapshot,
@@ -74,32 +73,15 @@
   }
 
   function noteRemovals(table: Table): void {
+    context.departures.noteTable(settlement.table(), table);
     const present = new Set(table.members.map((one) => one.incarnation));
     for (const member of settlement.table().members) {
       if (present.has(member.incarnation)) continue;
-      noteTakeover(table, member);
       waiters.dropPeer(member.incarnation);
       requests.unsendTo(member.incarnation);
     }
   }
 
-  function noteTakeover(table: Table, lost: Member): void {
-    const isRemoved = table.removals.some((removal) =>
-      removal.incarnation === lost.incarnation
-    );
-    if (!isRemoved) return;
-    context.act({
-      kind: "takeOver",
-      subject: lost.name,
-      why: "its lease lapsed, so its keys go to the other entries",
-      figures: {
-        tableVersion: table.version,
-        entriesLeft: table.members.length,
-        sidesKnown: settlement.registry.registrations().length,
-      },
-    });
-  }
-
   /** Records for an owner that went before it took them come back. */
   function takeBackOutgoing(nowMs: number): void {
     const members = settlement.table().members;
@@ -213,6 +195,7 @@
     nowMs: number,
   ): void {
     if (configuration.take(next, source, nowMs) !== "newer") return;
+    tasks.followRules();
     const gone = new Set(configuration.rules().gone);
     settlement.declareGone(gone);
     const isPresent = settlement.table().members.some((member) =>
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -48,6 +48,8 @@
   resendStarts(side: SideState, nowMs: number): void;
   /** Ends the tasks of a side whose word will never come. */
   endTasksOn(side: SideState, nowMs: number): void;
+  /** Operators may have taken ejected backend servers in again. */
+  followRules(): void;
   /** Ends what has waited or run for too long. */
   expire(nowMs: number): void;
 }
@@ -138,7 +140,20 @@
     const { server } = side.announcement!;
     if (configuration.rules().drained.includes(server)) return false;
     if (configuration.isLagging(side, nowMs)) return false;
-    return health.standing(server, nowMs) !== "out";
+    return isNeverEjected(server) || health.standing(server, nowMs) !== "out";
+  }
+
+  function isNeverEjected(server: string): boolean {
+    return configuration.rules().neverEjected.includes(server);
+  }
+
+  function followRules(): void {
+    for (const server of health.ejected()) {
+      if (!isNeverEjected(server)) continue;
+      health.readmit(server);
+      context.undone({ kind: "eject", subject: server, figures: {} });
+    }
+    candidates.changed();
   }
 
   /** A side on probation gets one task, whose outcome decides. */
@@ -152,7 +167,7 @@
 
   function judge(side: SideState, failed: boolean, nowMs: number): void {
     const server = side.announcement?.server;
-    if (server === undefined) return;
+    if (server === undefined || isNeverEjected(server)) return;
     const act = health.observe({ side: server, failed }, nowMs);
     if (act === undefined) return;
     context.act(act);
@@ -399,6 +414,7 @@
     recountOutstanding,
     resendStarts,
     endTasksOn,
+    followRules,
     expire,
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -187,6 +187,11 @@
         return rejoin(own);
       } else if (effect.kind === "removeMembers") {
         void own.membership.remove(effect.incarnations);
+      } else if (effect.kind === "actUndone") {
+        const { kind, subject, figures } = effect.act;
+        const standing = journal.findStanding(kind, subject);
+        const { atMs } = effect;
+        if (standing) journal.markUndone(standing.id, { atMs, figures });
       } else {
         recordAct(effect.act);
       }
@@ -197,7 +202,7 @@
   function recordAct(act: NewAct): void {
     if (act.kind === "readmit") {
       const ejection = journal.findStanding("eject", act.subject);
-      if (ejection !== undefined) journal.markUndone(ejection.id, act.atMs);
+      if (ejection !== undefined) journal.markUndone(ejection.id, act);
     }
     const { id } = journal.record(act);
     run.log.warn("automatic act", {
--- a/packages/manage/src/app_test.ts
+++ b/packages/manage/src/app_test.ts
@@ -128,10 +128,12 @@
   it("marks acts as undone, once", () => {
     const journal = createActJournal({ incarnation: "i", limit: 3 });
     const { id } = journal.record(ACT);
-    journal.markUndone(id, 50);
-    journal.markUndone(id, 60);
-    journal.markUndone("gone", 60);
+    journal.markUndone(id, { atMs: 50, figures: { refusedJobs: 3 } });
+    journal.markUndone(id, { atMs: 60 });
+    journal.markUndone("gone", { atMs: 60 });
     expect(journal.find(id)?.undoneAtMs).to.equal(50);
+    expect(journal.find(id)?.figures)
+      .to.deep.equal({ failureRatio: 0.9, refusedJobs: 3 });
   });
 
   it("finds the act that stands", () => {
@@ -141,9 +143,9 @@
     const first = journal.record(ACT);
     const second = journal.record(ACT);
     expect(standing()?.id).to.equal(second.id);
-    journal.markUndone(second.id, 1);
+    journal.markUndone(second.id, { atMs: 1 });
     expect(standing()?.id).to.equal(first.id);
-    journal.markUndone(first.id, 1);
+    journal.markUndone(first.id, { atMs: 1 });
     expect(standing()).to.equal(undefined);
   });
 });
--- a/packages/manage/src/journal.ts
+++ b/packages/manage/src/journal.ts
@@ -2,7 +2,7 @@
  * Keeps records of what an entry did by itself. The oldest are dropped beyond
  * a bound.
  */
-import type { Act } from "@coltsfootreach/types";
+import type { Act, Figures } from "@coltsfootreach/types";
 
 /** An act as its decider describes it; the journal gives it its identity. */
 export type NewAct = Omit<Act, "id" | "undoneAtMs">;
@@ -10,7 +10,7 @@
 export interface ActJournal {
   record(act: NewAct): Act;
   /** Marks an act as undone; an act that is gone or undone stays as it is. */
-  markUndone(id: string, atMs: number): void;
+  markUndone(id: string, undoing: Undoing): void;
   /** From the oldest to the newest. */
   list(): readonly Act[];
   find(id: string): Act | undefined;
@@ -18,6 +18,12 @@
   findStanding(kind: Act["kind"], subject: string): Act | undefined;
 }
 
+/** When an act ceased to stand, and what came to light until then. */
+export interface Undoing {
+  readonly atMs: number;
+  readonly figures?: Figures | undefined;
+}
+
 export interface JournalOptions {
   /** Goes into each act's name, so that names differ between entries. */
   readonly incarnation: string;
@@ -45,10 +51,14 @@
     if (oldest !== undefined) acts.delete(oldest);
   }
 
-  function markUndone(id: string, atMs: number): void {
+  function markUndone(id: string, { atMs, figures }: Undoing): void {
     const act = acts.get(id);
     if (act === undefined || act.undoneAtMs !== undefined) return;
-    acts.set(id, { ...act, undoneAtMs: atMs });
+    acts.set(id, {
+      ...act,
+      figures: { ...act.figures, ...figures },
+      undoneAtMs: atMs,
+    });
   }
 
   function findStanding(kind: Act["kind"], subject: string): Act | undefined {
--- a/packages/propagation/src/main.ts
+++ b/packages/propagation/src/main.ts
@@ -8,6 +8,7 @@
 import {
   editQuietly,
   failStore,
+  holdTakeover,
   learnFromPeer,
   loseAnswer,
   pauseSide,
@@ -38,6 +39,7 @@
   await failStore(trial);
   await learnFromPeer(trial);
   await pauseSide(trial);
+  await holdTakeover(trial);
 }
 
 async function measure(flags: Flags): Promise<number> {
--- a/packages/propagation/src/operator.ts
+++ b/packages/propagation/src/operator.ts
@@ -8,8 +8,9 @@
   findDifferences,
   type Outcome,
 } from "@coltsfootreach/configure";
-import { parseEstate } from "@coltsfootreach/inventory";
+import { editRules, parseEstate } from "@coltsfootreach/inventory";
 import { createEtcdStore } from "@coltsfootreach/store";
+import type { ActKind } from "@coltsfootreach/types";
 import { v4 } from "uuid";
 
 const EXAMPLE = new URL("../../../examples/delta.toml", import.meta.url);
@@ -20,11 +21,10 @@
 
 const WATCH_SILENT_MS = 60_000;
 
-export interface Edit {
-  /** Tenant whose share is changed. */
-  readonly tenant: string;
-  readonly weight: number;
-}
+/** Changes the share of a tenant, or holds or releases a kind of act. */
+export type Edit =
+  | { readonly tenant: string; readonly weight: number }
+  | { readonly kind: ActKind; readonly held: boolean };
 
 export interface Accepted {
   readonly version: number;
@@ -65,10 +65,10 @@
 
   async function applyOn(base: Base, edit: Edit): Promise<Outcome> {
     const applied = await applyChange({ store, keys, check: parseEstate }, {
-      text: setWeight(base.text, edit),
+      text: editText(base, edit),
       baseVersion: base.version,
       author,
-      note: `weight of ${edit.tenant}`,
+      note: "propagation",
       token: v4(),
       atMs: Date.now(),
     });
@@ -97,7 +97,13 @@
   };
 }
 
-function setWeight(text: string, { tenant, weight }: Edit): string {
+function editText(base: Base, edit: Edit): string {
+  if ("held" in edit) {
+    const { kind, held } = edit;
+    const change = { list: "held", name: kind, listed: held } as const;
+    return editRules(base, change)._unsafeUnwrap();
+  }
+  const { tenant, weight } = edit;
   const line = new RegExp(`(name = "${tenant}"\\nweight = )[0-9]+`);
-  return text.replace(line, `$1${weight}`);
+  return base.text.replace(line, `$1${weight}`);
 }
--- a/packages/propagation/src/phases.ts
+++ b/packages/propagation/src/phases.ts
@@ -18,12 +18,15 @@
 
 const UNREADY_CHECK_MS = 2000;
 
+/** Longer than the lease of an entry and what follows on its lapse. */
+const LAPSED_MS = 8000;
+
 export interface Trial {
   readonly bed: Bed;
   readonly checks: Checks;
   readonly operator: Operator;
   readonly rival: Operator;
-  nextEdit(): Edit;
+  nextEdit(): Extract<Edit, { weight: number }>;
 }
 
 async function editAndWait(trial: Trial, phase: Phase): Promise<Accepted> {
@@ -217,3 +220,43 @@
   side.signal("SIGCONT");
   await checks.awaitInForce(phase, accepted, { dueFromMs });
 }
+
+/** A held takeover is not done anywhere, and is done once released. */
+export async function holdTakeover(trial: Trial): Promise<void> {
+  const { bed, checks, operator } = trial;
+  const phase = checks.begin("takeoverHeld");
+  const held = await operator.apply({ kind: "takeOver", held: true });
+  await checks.awaitInForce(phase, held);
+  const lost = bed.fleet.entries[2]!.child;
+  const isListed = async () => {
+    const status = await bed.status(0);
+    return status?.table.members.some(({ name }) => name === lost.name) ?? true;
+  };
+  lost.signal("SIGKILL");
+  await lost.ended();
+  await sleep(LAPSED_MS);
+  checks.expect(await isListed(), "a held takeover was carried out");
+  await operator.apply({ kind: "takeOver", held: false });
+  const releasedAtMs = performance.now();
+  const isRemoved = await until(
+    async () => !(await isListed()),
+    LAPSED_MS,
+  );
+  checks.expect(isRemoved, "a released takeover was not carried out");
+  phase.notes.takenOverAfterReleaseMs = Math.round(
+    performance.now() - releasedAtMs,
+  );
+  const acts = await bed.acts(0);
+  const takeover = acts.find(({ kind, subject, undoneAtMs }) =>
+    kind === "takeOver" && subject === lost.name && undoneAtMs === undefined
+  );
+  checks.expect(takeover !== undefined, "the takeover is not on record");
+  await startAgain(trial, lost);
+  await awaitReady(trial, 2);
+  const undone = await until(async () => {
+    const now = await bed.acts(0);
+    return now.find(({ id }) => id === takeover?.id)?.undoneAtMs !== undefined;
+  }, LAG_BOUND_MS);
+  checks.expect(undone, "the takeover stands after the entry's return");
+  await editAndWait(trial, phase);
+}
--- a/packages/types/src/estate.ts
+++ b/packages/types/src/estate.ts
@@ -97,6 +97,9 @@
   readonly rules: Rules;
 }
 
+/** Numbers by name. */
+export type Figures = Readonly<Record<string, number>>;
+
 /** A record of something the system did by itself. */
 export interface Act {
   readonly id: string;
@@ -105,7 +108,7 @@
   readonly subject: string;
   readonly why: string;
   /** The figures behind the decision, by name. */
-  readonly figures: Readonly<Record<string, number>>;
+  readonly figures: Figures;
   readonly configurationVersion: number;
   readonly atMs: number;
   readonly undoneAtMs?: number | undefined;
