--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -42,7 +42,7 @@
   args: readonly string[],
   world: World,
 ): Promise<ExitCode> {
-  const parser = createParser();
+  const parser = createParser(args);
   const run = parse(parser, args);
   if (run === undefined) return EXIT_OK;
   const json = parser.parser.options.json === true;
@@ -68,7 +68,7 @@
   found(): Run | undefined;
 }
 
-function createParser(): Parser {
+function createParser(words: readonly string[]): Parser {
   const parser = cac(PROGRAM);
   let found: Run | undefined;
   parser.option("--settings <file>", "Settings of the command line");
@@ -80,7 +80,7 @@
       added.option(option.name, option.description);
     }
     added.action((...values: unknown[]) => {
-      const options = values.at(-1) as Options;
+      const options = restoreTexts(values.at(-1) as Options, words);
       const args = values.slice(0, -1)
         .filter((value) => value !== undefined).map(String);
       found = (world) =>
@@ -94,6 +94,24 @@
   return { parser, found: () => found };
 }
 
+/** The library makes numbers of values such as `007`; this undoes that. */
+function restoreTexts(options: Options, words: readonly string[]): Options {
+  const texts = Object.entries(options).map(([name, value]) =>
+    [name, typeof value === "number" ? findText(name, words) : value] as const
+  );
+  return Object.fromEntries(texts);
+}
+
+/** The last value of an option as it was typed. */
+function findText(name: string, words: readonly string[]): string | undefined {
+  const flag = `--${name}`;
+  const at = words.findLastIndex((word) =>
+    word === flag || word.startsWith(`${flag}=`)
+  );
+  const word = words[at] ?? "";
+  return word === flag ? words[at + 1] : word.slice(flag.length + 1);
+}
+
 /** Undefined after help or version has been shown. */
 function parse(
   { parser, found }: Parser,
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -113,11 +113,15 @@
     },
 };
 
+/** Tenants that jobs were submitted for. */
+const tenants: string[] = [];
+
 /** The callers' interface, as far as the commands use it. */
 function createCallersApp(received: unknown[]): Hono {
   const app = new Hono();
   app.post("/v1/tenants/:tenant/jobs", async (context) => {
     received.push(await context.req.json());
+    tenants.push(context.req.param("tenant"));
     if (context.req.param("tenant") !== "kiln-crews") {
       return context.json({
         code: "unknownTenant",
@@ -373,6 +377,10 @@
     const refused = await run("submit", file, "--tenant", "nobody");
     expect(refused.code).to.equal(1);
     expect(refused.out).to.include("refused: unknownTenant: no such tenant");
+    const odd = await run("submit", file, "--tenant", "007", "--key=1e3");
+    expect(odd.code).to.equal(1);
+    expect(tenants.at(-1)).to.equal("007");
+    expect(received.at(-1)).to.include({ key: "1e3" });
     const name = ["k1", "--tenant", "kiln-crews"];
     expect((await run("read", ...name)).code).to.equal(0);
     expect((await run("cancel", ...name)).code).to.equal(0);
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -290,7 +290,6 @@
     : ok(waitMs);
 }
 
-/** The library turns values that look like numbers into numbers. */
 function textOf(value: unknown): string | undefined {
   return value === undefined ? undefined : String(value);
 }
--- a/packages/cli/src/commands/config_status/run.ts
+++ b/packages/cli/src/commands/config_status/run.ts
@@ -99,7 +99,8 @@
 }
 
 function findTrouble(status: StatusReport): readonly string[] {
-  const { entry, configuration, laggards } = status;
+  const { entry, configuration, laggards, store } = status;
+  const outage = store.reachable ? [] : ["the store is out of reach"];
   const rejected = configuration.rejected === undefined ? [] : [
     `${entry} cannot use version ${configuration.rejected.version}: ` +
     configuration.rejected.reason,
@@ -110,6 +111,7 @@
       : `not yet: ${process} has version ${version}`
   );
   return [
+    ...outage,
     ...rejected,
     ...behind,
     ...listNames("expected but not present", status.missingServers),
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -2,7 +2,7 @@
  * What a change of configuration does to running work, in the words that an
  * operator reads before applying it.
  */
-import type { Estate } from "@coltsfootreach/types";
+import type { ActKind, Estate } from "@coltsfootreach/types";
 
 /** What runs and waits at the moment, as the entries report it. */
 export interface Running {
@@ -198,9 +198,7 @@
   const held = compareLists(context, "held");
   const gone = compareLists(context, "gone");
   return [
-    ...held.added.map((kind) =>
-      notice(kind, "is held: it is not done any more; past ones stand")
-    ),
+    ...held.added.map((kind) => HELD_EFFECTS[kind as ActKind]),
     ...held.removed.map((kind) => notice(kind, "may be done again")),
     ...gone.added.map((entry) =>
       running.entries.includes(entry)
@@ -210,6 +208,21 @@
   ];
 }
 
+const HELD_EFFECTS: Readonly<Record<ActKind, Effect>> = {
+  eject: notice("eject", "is held: it is not done any more; past ones stand"),
+  readmit: notice("readmit", "is held: what is ejected stays out"),
+  takeOver: warning(
+    "takeOver",
+    "is held: jobs of an entry that is lost get no answer until its release",
+  ),
+  shed: notice("shed", "is held; the bound on job records stays"),
+  moveQuota: notice("moveQuota", "is held: shares of quotas stay as they are"),
+  drain: warning(
+    "drain",
+    "cannot be held: a process that is told to stop drains all the same",
+  ),
+};
+
 type RuleList = "drained" | "held" | "gone";
 
 interface ListComparison {
