--- a/packages/cli/src/commands/explain/run.ts
+++ b/packages/cli/src/commands/explain/run.ts
@@ -71,7 +71,9 @@
 }
 
 function formatJob(job: JobExplanation): string {
-  const left = job.leftMs >= 0
+  const left = job.state === "ended"
+    ? `${Math.round(job.ageMs)} ms since it was admitted`
+    : job.leftMs >= 0
     ? `${Math.round(job.leftMs)} ms left`
     : `${Math.round(-job.leftMs)} ms past its deadline`;
   return [
@@ -85,12 +87,13 @@
 
 function formatTasks(tasks: readonly TaskExplanation[]): string {
   return formatTable([
-    ["TASK", "STATE", "ATTEMPTS", "SIDE", "VERDICT", "WHY"],
+    ["TASK", "STATE", "ATTEMPTS", "SIDE", "SERVER", "VERDICT", "WHY"],
     ...tasks.map((task) => [
       task.index,
       task.state,
       task.attempts,
       task.side,
+      task.outcome?.server,
       task.outcome?.verdict,
       task.why,
     ]),
--- a/packages/manage/src/app_test.ts
+++ b/packages/manage/src/app_test.ts
@@ -136,6 +136,13 @@
       .to.deep.equal({ failureRatio: 0.9, refusedJobs: 3 });
   });
 
+  it("gives each act its own name, whatever its maker called it", () => {
+    const journal = createActJournal({ incarnation: "i", limit: 3 });
+    const named: Act = { ...ACT, id: "" };
+    expect(journal.record(named).id).to.equal("i-1");
+    expect(journal.record(named).id).to.equal("i-2");
+  });
+
   it("finds the act that stands", () => {
     const journal = createActJournal({ incarnation: "i", limit: 9 });
     const standing = (): Act | undefined =>
--- a/packages/manage/src/journal.ts
+++ b/packages/manage/src/journal.ts
@@ -40,7 +40,7 @@
 
   function record(act: NewAct): Act {
     count++;
-    const recorded: Act = { id: `${incarnation}-${count}`, ...act };
+    const recorded: Act = { ...act, id: `${incarnation}-${count}` };
     acts.set(recorded.id, recorded);
     if (acts.size > limit) dropOldest();
     return recorded;
