--- a/packages/cli/src/commands/explain/run.ts
+++ b/packages/cli/src/commands/explain/run.ts
@@ -100,9 +100,14 @@
   ]);
 }
 
+/** Three digits after the point at most. */
+function formatFigure(value: number): string {
+  return String(Math.round(value * 1000) / 1000);
+}
+
 function formatAct(act: Act): string {
   const figures = Object.entries(act.figures)
-    .map(([name, value]) => `  ${name} = ${value}`);
+    .map(([name, value]) => `  ${name} = ${formatFigure(value)}`);
   const undone = act.undoneAtMs === undefined
     ? "stands"
     : `undone at ${formatTime(act.undoneAtMs)}`;
@@ -111,6 +116,9 @@
     act.why,
     ...figures,
     `under configuration version ${act.configurationVersion}`,
+    ...act.kind === "eject" && act.undoneAtMs === undefined
+      ? [`to take it back for good: coltsfootreach undo ${act.id}`]
+      : [],
     `to stop this kind of act: coltsfootreach hold ${act.kind}`,
   ].join("\n");
 }
