--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -122,14 +122,14 @@
     const wallMs = options.wallMs();
     const isInGap = settlement.isInGap(id, birthOf(job));
     const known = records.find(id);
-    if (known === undefined && isInGap) {
-      refuse(origin, undecided("a side that is gone may have run this job"));
-      return;
-    }
     const admission = records.admit({ job, wallMs }, nowMs);
     if (admission.kind === "refused") {
       noteRefusal(job, admission.refusal, nowMs);
       refuse(origin, admission.refusal);
+      const { refusal } = admission;
+      const isDoubtful = known === undefined && isInGap;
+      const verdict = isDoubtful ? "mayHaveRun" : refusal.verdict;
+      refuse(origin, { ...refusal, verdict });
       return;
     }
     const { record } = admission;
@@ -249,7 +249,7 @@
 function unknownJob(): Refusal {
   return {
     code: "unknownJob",
-    verdict: "notRun",
-    reason: "no job is known under this key",
+    verdict: "mayHaveRun",
+    reason: "no job is known under this key; it may have been forgotten",
   };
 }
