Find an ended entry also while a new stream to it is being dialled

Cause: the probe gave up when a stream existed, and the redial makes one at the same moment, heard or not. In one of two tries against the demo a killed entry was so removed by its lease only. Change: only a stream that was heard counts.

--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -125,7 +125,6 @@
     const admission = records.admit({ job, wallMs }, nowMs);
     if (admission.kind === "refused") {
       noteRefusal(job, admission.refusal, nowMs);
-      refuse(origin, admission.refusal);
       const { refusal } = admission;
       const isDoubtful = known === undefined && isInGap;
       const verdict = isDoubtful ? "mayHaveRun" : refusal.verdict;
--- a/packages/entry/src/peer_streams.ts
+++ b/packages/entry/src/peer_streams.ts
@@ -57,10 +57,12 @@
   due: PeerMessage[];
   sentAtMs: number;
   heardAtMs: number;
+  isHeard: boolean;
 }
 
 export function createPeerStreams(options: PeerStreamsOptions): PeerStreams {
   const streams = new Map<string, PeerStream>();
+  const probing = new Set<string>();
   const redials = new Map<string, NodeJS.Timeout>();
   let members: readonly Member[] = [];
   let isClosed = false;
@@ -76,6 +78,7 @@
       due: [],
       sentAtMs: nowMs,
       heardAtMs: nowMs,
+      isHeard: false,
     };
     streams.set(entry, own);
     return own;
@@ -92,13 +95,23 @@
 
   /** Finds out whether the process at the other end has ended. */
   async function probe(entry: string): Promise<void> {
+    if (probing.has(entry)) return;
+    probing.add(entry);
+    const isOver = await hasEnded(entry);
+    probing.delete(entry);
+    if (isOver) options.refused(entry);
+  }
+
+  /** A stream that was dialled and not heard yet tells nothing. */
+  async function hasEnded(entry: string): Promise<boolean> {
     for (let attempt = 0; attempt < PROBES; attempt++) {
       await new Promise((wake) => setTimeout(wake, PROBE_PAUSE_MS));
       const member = members.find((one) => one.incarnation === entry);
-      if (isClosed || member === undefined || streams.has(entry)) return;
-      if (!(await isRefused(member.address))) return;
+      if (isClosed || member === undefined) return false;
+      if (streams.get(entry)?.isHeard) return false;
+      if (!(await isRefused(member.address))) return false;
     }
-    options.refused(entry);
+    return true;
   }
 
   function planDial(entry: string, afterMs: number): void {
@@ -129,6 +142,7 @@
 
   function take(own: PeerStream, frame: PeerFrame): void {
     own.heardAtMs = performance.now();
+    own.isHeard = true;
     options.received(frame);
   }
 
