--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -5,6 +5,7 @@
 import { entrySchema, type EntrySettings } from "./entry.ts";
 import { operatorSchema, type OperatorSettings } from "./operator.ts";
 import { sideSchema, type SideSettings } from "./side.ts";
+import { checkTlsFiles } from "./tls_files.ts";
 
 export type DaemonSettings = EntrySettings | SideSettings;
 
@@ -34,9 +35,18 @@
   );
 }
 
-/** Reads and checks settings of whichever role the file names. */
+/**
+ * Reads and checks settings of whichever role the file names, and the files
+ * that they name.
+ */
 export function readAnySettings(file: string): Result<Settings, InvalidFile> {
-  return readText(file).andThen((text) => parseSettings(file, text));
+  return readText(file)
+    .andThen((text) => parseSettings(file, text))
+    .andThen((settings) =>
+      settings.role === "operator" || settings.tls === undefined
+        ? ok(settings)
+        : checkTlsFiles(file, settings.tls).map(() => settings)
+    );
 }
 
 /** Checks settings text; `file` is only used to name the source in errors. */
