--- /dev/null
+++ b/packages/daemon/src/management.ts
@@ -0,0 +1,41 @@
+/** Serves the operators' interface of an entry. */
+import type { ConfigurationHolder } from "@coltsfootreach/configure";
+import {
+  assembleTenantTops,
+  createEntryView,
+  type Entry,
+} from "@coltsfootreach/entry";
+import {
+  createManagementApp,
+  type ManagementServer,
+  serveManagement,
+} from "@coltsfootreach/manage";
+import type { Metrics } from "@coltsfootreach/measure";
+import type { EntrySettings } from "@coltsfootreach/settings";
+
+export interface Managed {
+  readonly entry: Entry;
+  readonly holder: ConfigurationHolder;
+  readonly metrics: Metrics;
+}
+
+/** Undefined while settings leave the interface off. */
+export async function serveOperators(
+  { name, management }: EntrySettings,
+  { entry, holder, metrics }: Managed,
+): Promise<ManagementServer | undefined> {
+  if (management === undefined) return undefined;
+  const view = createEntryView({
+    name,
+    incarnation: () => entry.incarnation(),
+    core: () => entry.core(),
+    holder,
+    journal: entry.journal,
+    store: () => entry.storeStatus(),
+    newestVersion: () => entry.newestVersion(),
+    tenants: () =>
+      assembleTenantTops(metrics.flows(), entry.core().records.open()),
+  });
+  const app = createManagementApp({ view, token: management.token });
+  return await serveManagement(app, management.listen);
+}
