--- a/packages/ownership/src/owner_test.ts
+++ b/packages/ownership/src/owner_test.ts
@@ -14,7 +14,6 @@
     dataCentre: "kiln-yard",
     address: "10.0.0.1:7000",
     draining: false,
-    joinedVersion: 1,
   }));
   return { version: 1, members, removals: [] };
 }
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -21,7 +21,7 @@
   /** Lets a side take work again on an operator's word. */
   readmit(side: string): void;
   /** Share of a side's recent tasks that failed, 0 to 1. */
-  failureRatio(side: string, nowMs: number): number;
+  failureRatio(side: string): number;
   /** Sides that are ejected now. */
   ejected(): readonly string[];
   forget(side: string): void;
@@ -200,11 +200,9 @@
       return eject(outcome.side, tally, nowMs);
     },
 
-    failureRatio(side, nowMs) {
+    failureRatio(side) {
       const tally = tallies.get(side);
-      if (tally === undefined) return 0;
-      fade(tally, nowMs);
-      return tally.ended === 0 ? 0 : tally.failed / tally.ended;
+      return tally === undefined ? 0 : ratioOf([tally]);
     },
 
     standing(side, nowMs) {
