Give evidence also of jobs that the asking entry had started itself

Cause: a side left out of its evidence the jobs whose last known sender was the entry that asked. That entry may have handed such a job over to an entry that joined and was lost before it spoke to the side; it then owned the job again, knew nothing of it, and started it a second time. Change: a side gives the evidence of every job that the asking entry owns. Cost: larger evidence after a takeover; steady state is unchanged.

--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -301,7 +301,6 @@
     if (message.tableVersion > table.version) return [];
     const jobs = [];
     for (const record of evidence.jobs()) {
-      if (record.sender === frame.entry) continue;
       const owner = ownerOf(table, record.job);
       if (owner?.incarnation !== frame.entry) continue;
       record.sender = frame.entry;
--- a/packages/guard/src/guard_test.ts
+++ b/packages/guard/src/guard_test.ts
@@ -185,6 +185,20 @@
     }]);
   });
 
+  it("gives evidence to an owner that had handed the job over before", () => {
+    follow(1, "e1");
+    guard.receive(frame("e1", 1, [start()]), 1);
+    follow(2, "e2");
+    follow(3, "e1");
+    const collect: EntryMessage = { kind: "collect", tableVersion: 3 };
+    const [effect] = guard.receive(frame("e1", 3, [collect]), 2);
+    expect(effect).to.have.nested.property("message.kind", "evidence");
+    expect(effect).to.have.nested.property(
+      "message.jobs[0].job",
+      "tenant\njob",
+    );
+  });
+
   it("drops a frame that comes after a newer one", () => {
     follow(1, "e1");
     const early = frame("e1", 1, [start()]);
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -70,7 +70,8 @@
 
 /**
  * Asks for the evidence of all jobs that the asking entry owns under
- * `tableVersion` and that another entry started.
+ * `tableVersion`, also of those that it started itself: it may have handed
+ * them over since to an entry that is lost.
  */
 export interface Collect {
   readonly kind: "collect";
