--- a/packages/chaos/src/check.ts
+++ b/packages/chaos/src/check.ts
@@ -27,8 +27,15 @@
   readonly cancels: readonly Attempt[];
 }
 
-/** Starts of each task by its id, over all backend servers. */
-export type Starts = ReadonlyMap<string, number>;
+/** Where each task was started, by its id; one place for each start. */
+export type Starts = ReadonlyMap<string, readonly StartedAt[]>;
+
+export interface StartedAt {
+  /** Place of the backend server among all. */
+  readonly side: number;
+  /** On the clock of the backend server's process, in milliseconds. */
+  readonly atMs: number;
+}
 
 export const PROMISES = [
   "doubleStarts",
@@ -71,10 +78,10 @@
 ): Verdicts {
   const findings = traces.flatMap((trace) => checkJob(trace, options));
   const known = new Set(traces.flatMap(({ job }) => taskIds(job)));
-  for (const [id, count] of options.starts) {
+  for (const [id, starts] of options.starts) {
     const job = nameOf(id);
-    if (count > 1) {
-      const detail = `task ${indexOf(id)} started ${count} times`;
+    if (starts.length > 1) {
+      const detail = `task ${indexOf(id)} started at ${JSON.stringify(starts)}`;
       findings.push({ promise: "doubleStarts", job, detail });
     }
     if (!known.has(id)) {
@@ -118,8 +125,8 @@
     const wrong = wrongIn(answer, job, options.starts);
     if (wrong !== undefined) find("wrongAnswers", wrong);
     for (const { index, verdict } of answer.outcomes) {
-      const starts = options.starts.get(taskId(job, index)) ?? 0;
-      if (verdict !== "notRun" || starts === 0) continue;
+      const hasStarted = options.starts.has(taskId(job, index));
+      if (verdict !== "notRun" || !hasStarted) continue;
       find("falseNotRun", `outcome of task ${index}`);
     }
   }
--- a/packages/chaos/src/controls.ts
+++ b/packages/chaos/src/controls.ts
@@ -3,10 +3,10 @@
  * the faults they make may silence those that are open.
  */
 import { Client } from "undici";
-import type { Starts } from "./check.ts";
+import type { StartedAt, Starts } from "./check.ts";
 
 interface StartLog {
-  readonly counts: Readonly<Record<string, number>>;
+  readonly starts: readonly { readonly id: string; readonly atMs: number }[];
 }
 
 export async function setFaults(origin: string, faults: object): Promise<void> {
@@ -16,13 +16,14 @@
 
 /** Starts of each task over all backend servers. */
 export async function readStarts(origins: readonly string[]): Promise<Starts> {
-  const starts = new Map<string, number>();
-  for (const origin of origins) {
+  const starts = new Map<string, StartedAt[]>();
+  for (const [side, origin] of origins.entries()) {
     const path = "/standin/starts";
     const text = await call(origin, { method: "GET", path });
-    const { counts } = JSON.parse(text) as StartLog;
-    for (const [id, count] of Object.entries(counts)) {
-      starts.set(id, (starts.get(id) ?? 0) + count);
+    const log = JSON.parse(text) as StartLog;
+    for (const { id, atMs } of log.starts) {
+      const earlier = starts.get(id) ?? [];
+      starts.set(id, [...earlier, { side, atMs: Math.round(atMs) }]);
     }
   }
   return starts;
--- a/packages/chaos/src/main.ts
+++ b/packages/chaos/src/main.ts
@@ -47,6 +47,9 @@
 cli.option("--plan <name>", `One of ${PLANS.join(", ")}`, {
   default: "random",
 });
+cli.option("--settle <s>", "Bound on settling after the faults", {
+  default: 90,
+});
 cli.option("--json", "Print only the closing line on standard output");
 cli.help();
 const { options } = cli.parse();
@@ -62,6 +65,7 @@
   const result = await runChaos({
     seed,
     lengthMs: Number(options.seconds) * MS_PER_SECOND,
+    settleMs: Number(options.settle) * MS_PER_SECOND,
     plan,
     print,
   });
--- a/packages/chaos/src/run.ts
+++ b/packages/chaos/src/run.ts
@@ -19,9 +19,6 @@
 import { type Relay, startRelay } from "./relay.ts";
 import { CLASSES, drawWorkload, type PlannedJob } from "./workload.ts";
 
-/** Bound on settling after the last fault has ended. */
-const SETTLE_MS = 90_000;
-
 /** What an answer may take from an entry to the check. */
 const LATE_MARGIN_MS = 1000;
 
@@ -36,6 +33,8 @@
 export interface RunOptions {
   readonly seed: number;
   readonly lengthMs: number;
+  /** Bound on settling after the last fault has ended. */
+  readonly settleMs: number;
   readonly plan: Plan;
   readonly print: (line: string) => void;
 }
@@ -96,7 +95,7 @@
     await injector.endAll();
     const faultsEndedAtMs = performance.now();
     print("all faults have ended");
-    const bound = setTimeout(() => callers.giveUp(), SETTLE_MS);
+    const bound = setTimeout(() => callers.giveUp(), options.settleMs);
     const ended = await traces.ended;
     clearTimeout(bound);
     const settledMs = Math.round(performance.now() - faultsEndedAtMs);
