Turn callers' open connections away from an entry that drains

An entry that drained kept callers' connections open, so a caller with a connection of its own went on sending to it until it closed; and a request that came between its leaving the table and the end of its HTTP server was given to a closed core and was never answered. Excluded: refusing requests while draining, since they can still be forwarded. Change: answers carry connection: close while the entry is not ready, and what comes after it has left is answered 503 draining, mayHaveRun, to be submitted elsewhere.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -52,6 +52,17 @@
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
+/** Given to requests that come on open connections after the entry has left. */
+const LEFT: Reply = {
+  kind: "refused",
+  refusal: {
+    code: "draining",
+    verdict: "mayHaveRun",
+    reason: "this entry has stopped; submit the same job to another entry",
+    retryAfterMs: 0,
+  },
+};
+
 export interface EntryOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -158,6 +169,7 @@
   let requests = 0;
   let isReady = false;
   let isStopping = false;
+  let hasLeft = false;
   let isFlushPlanned = false;
   let run: Run;
 
@@ -365,6 +377,7 @@
 
   return {
     request(job, ask) {
+      if (hasLeft) return Promise.resolve(LEFT);
       requests += 1;
       const request = requests;
       return new Promise((resolve) => {
@@ -388,6 +401,7 @@
       isStopping = true;
       log.info("draining");
       await drain();
+      hasLeft = true;
       await run.membership.leave();
       clearInterval(timer);
       feed.close();
--- a/packages/serve/src/app.ts
+++ b/packages/serve/src/app.ts
@@ -64,6 +64,12 @@
   const readJob = createJobReader(options);
   const app = new Hono();
 
+  app.use(async (context, next) => {
+    await next();
+    // Callers that keep connections open move on to another entry.
+    if (!desk.isReady()) context.header("connection", "close");
+  });
+
   app.get("/livez", (context) => context.text("ok"));
   app.get("/readyz", (context) => {
     return desk.isReady() ? context.text("ok") : context.text("not ready", 503);
--- a/packages/serve/src/app_test.ts
+++ b/packages/serve/src/app_test.ts
@@ -21,11 +21,11 @@
     answered = [];
   });
 
-  async function submit(deadlineMs: number, reply: () => Promise<Reply>) {
-    const app = createApp({
+  function appOf(reply: () => Promise<Reply>, isReady = true) {
+    return createApp({
       desk: {
         request: reply,
-        isReady: () => true,
+        isReady: () => isReady,
         metrics: () => "",
         answered: (done) => answered.push(done),
       },
@@ -35,6 +35,10 @@
       deadlineMsOf: () => 1000,
       isTenant: () => true,
     });
+  }
+
+  async function submit(deadlineMs: number, reply: () => Promise<Reply>) {
+    const app = appOf(reply);
     const body = { key: "k", class: "c", deadlineMs, tasks: [{ body: "b" }] };
     const response = await app.request("/v1/tenants/t/jobs", {
       method: "POST",
@@ -56,4 +60,13 @@
     expect(answer.late).to.equal(true);
     expect(answered[0]!.reply).to.have.nested.property("answer.late", true);
   });
+
+  it("asks callers to close their connections while it drains", async () => {
+    const path = "/v1/tenants/t/jobs/k";
+    const ready = await appOf(() => Promise.resolve(REPLY)).request(path);
+    expect(ready.headers.get("connection")).to.equal(null);
+    const draining = appOf(() => Promise.resolve(REPLY), false);
+    const answer = await draining.request(path);
+    expect(answer.headers.get("connection")).to.equal("close");
+  });
 });
