--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -32,6 +32,8 @@
   readonly configuration: ConfigurationDesk;
   readonly health: Health;
   readonly connectedPeers: Set<string>;
+  /** How long this entry is a member for certain, by its own lease. */
+  readonly membership: { certainUntilMs: number };
   toSide(side: string, message: EntryMessage, lazy?: boolean): void;
   toPeer(entry: string, message: PeerMessage): void;
   reply(origin: Origin, answer: Reply): void;
@@ -111,13 +113,13 @@
       freshnessMs: options.freshnessMs,
       windowMs: options.records.windowMs,
       skewMs: options.records.skewMs,
-      wallMs: () => options.wallMs(),
     }),
     waiters: createWaiters(),
     outgoing: createOutgoing(),
     configuration,
     health,
     connectedPeers,
+    membership: { certainUntilMs: Infinity },
     toSide,
     toPeer,
     reply,
