Tell other entries which registrations of sides are over

Cause: an entry that joined, or met an entry again, learned of registrations of runs that had ended; it had never heard them itself and nobody told it of their end, so it waited for their evidence for ever, and held every key that it had taken over. Excluded: dropping an older run when a newer one says hello, since the order in which an entry learns of two runs is not their own. Change: a hand-over names the registrations that its sender knows to be over, and is sent again when there are new ones.

--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -14,6 +14,7 @@
   type PeerFrame,
   type PeerMessage,
   type RecordSnapshot,
+  type Registration,
   type SideEnding,
   type Table,
 } from "@coltsfootreach/types";
@@ -59,6 +60,8 @@
   const handedOver = new Map<string, number>();
   /** Jobs whose records came before this entry may act for them. */
   const unsettled = new Set<JobId>();
+  /** Endings of sides that were told on the current stream, by entry. */
+  const toldEndings = new Map<string, readonly Registration[]>();
   let wasMember = false;
 
   function adopt(table: Table, nowMs: number): void {
@@ -203,14 +206,19 @@
     }
     const version = settlement.handOverVersion();
     const batch = outgoing.nextBatch(entry);
-    if (handedOver.get(entry) === version && batch.records.length === 0) return;
+    const endings = settlement.registry.endings();
+    const isTold = handedOver.get(entry) === version &&
+      toldEndings.get(entry) === endings;
+    if (isTold && batch.records.length === 0) return;
     handedOver.set(entry, version);
+    toldEndings.set(entry, endings);
     toPeer(entry, {
       kind: "handOver",
       batch: batch.number,
       tableVersion: version,
       records: batch.records,
       sides: settlement.registry.registrations(),
+      endedSides: settlement.registry.endings(),
       sideEnding: sideEnding(nowMs),
       doubt: settlement.doubt(nowMs),
     });
@@ -229,6 +237,7 @@
   ): void {
     const { tableVersion, sideEnding, doubt, batch } = message;
     for (const side of message.sides) settlement.registry.hearOf(side);
+    message.endedSides.forEach(settlement.registry.endedElsewhere);
     if (sideEnding !== undefined) {
       const { wallMs, ageMs } = sideEnding;
       settlement.registry.hearOfEnding({ wallMs, nowMs: nowMs - ageMs });
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -17,6 +17,9 @@
   readonly lostBy: Set<string>;
 }
 
+/** Endings that are told to other entries. */
+const MAX_ENDINGS = 256;
+
 /** Time on the process's clock and in Unix milliseconds. */
 export interface Instant {
   readonly nowMs: number;
@@ -44,6 +47,10 @@
   /** Sides that have not given evidence under `tableVersion` or a newer one. */
   withoutEvidence(tableVersion: number): readonly string[];
   registrations(): readonly Registration[];
+  /** The newest ended registrations, for entries that still wait for them. */
+  endings(): readonly Registration[];
+  /** Another entry knows that this registration is over. */
+  endedElsewhere(registration: Registration): void;
   /** Dates the registrations that have ended since the last call. */
   dateEndings(now: Instant): void;
   /** Another entry has seen a registration end. */
@@ -56,6 +63,7 @@
   const sides = new Map<string, KnownSide>();
   /** The newest ended registration of each run. */
   const ended = new Map<string, number>();
+  let endings: readonly Registration[] = [];
   let hasUndatedEnding = false;
   let lastEnding: Instant | undefined;
 
@@ -68,6 +76,7 @@
     if (side === undefined) return;
     sides.delete(incarnation);
     ended.set(incarnation, side.registration.registration);
+    endings = [...endings, side.registration].slice(-MAX_ENDINGS);
     hasUndatedEnding = true;
   }
 
@@ -137,6 +146,12 @@
       }
       return missing;
     },
+    endings: () => endings,
+    endedElsewhere({ incarnation, registration }) {
+      const side = sides.get(incarnation);
+      if (side === undefined) return;
+      if (side.registration.registration <= registration) end(incarnation);
+    },
     registrations() {
       return [...sides.values()].map((side) => side.registration);
     },
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -282,6 +282,8 @@
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
+  /** Registrations that the sender knows to be over. */
+  readonly endedSides: readonly Registration[];
   /** When the last registration known to the sender ended, if ever. */
   readonly sideEnding?: SideEnding | undefined;
   readonly doubt: Doubt;
