End a side's run that this entry never heard once a later run is alive

Cause: with its own entry gone too, nobody is left who saw the end of a side's run. Entries that know it by hand-over alone waited for its evidence for ever when most entries of the table had gone, since only a hello names a run's side. Excluded: declaring unheard runs lost, which does not end a takeover after the loss of most entries. Change: a registration carries its side's name; a later run that says hello, or is heard longer than side_lost after the entry learned of the other, ends it.

--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -34,7 +34,7 @@
       tasks.endTasksOn(earlier, nowMs);
       forgetSide(earlier);
     }
-    settlement.registry.hello(identity.side, known);
+    settlement.registry.hello(identity.side, known, nowMs);
     const isNewStream = sides.find(incarnation)?.connected !== true;
     const side = sides.hello(hello, nowMs);
     if (settlement.registry.isLostBy(known, me)) askToRegister(side);
@@ -139,6 +139,8 @@
       const side = sides.find(frame.incarnation);
       if (side === undefined) return;
       sides.heard(side, frame, nowMs);
+      const sinceMs = nowMs - options.sideLostMs;
+      settlement.registry.noteAlive(frame.side, frame.incarnation, sinceMs);
       if (side.lost) askToRegister(side);
       for (const message of frame.messages) {
         if (isForMe(frame, message)) handleSide(side, message, nowMs);
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -236,7 +236,7 @@
     nowMs: number,
   ): void {
     const { tableVersion, sideEnding, doubt, batch } = message;
-    for (const side of message.sides) settlement.registry.hearOf(side);
+    for (const side of message.sides) settlement.registry.hearOf(side, nowMs);
     message.endedSides.forEach(settlement.registry.endedElsewhere);
     if (sideEnding !== undefined) {
       const { wallMs, ageMs } = sideEnding;
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -9,6 +9,8 @@
 
 interface KnownSide {
   readonly registration: Registration;
+  /** When this entry learned of it, by a hello or from another entry. */
+  readonly learnedAtMs: number;
   /** The side's name in its settings, once it has said hello here. */
   name: string | undefined;
   /** The newest table version under which it has given evidence. */
@@ -28,9 +30,14 @@
 
 export interface Registry {
   /** A side has said hello; an earlier run under its name is over. */
-  hello(name: string, registration: Registration): void;
+  hello(name: string, registration: Registration, nowMs: number): void;
   /** Another entry knows this registration. */
-  hearOf(registration: Registration): void;
+  hearOf(registration: Registration, nowMs: number): void;
+  /**
+   * This run is alive, so other runs under its name are over unless this entry
+   * learned of them after `sinceMs`, when they may be newer.
+   */
+  noteAlive(name: string, incarnation: string, sinceMs: number): void;
   evidence(incarnation: string, tableVersion: number): void;
   /** The side has promised to start nothing any more. */
   goodbye(incarnation: string): void;
@@ -80,7 +87,10 @@
     hasUndatedEnding = true;
   }
 
-  function know(registration: Registration): KnownSide | undefined {
+  function know(
+    registration: Registration,
+    nowMs: number,
+  ): KnownSide | undefined {
     if (isOver(registration)) return undefined;
     const known = sides.get(registration.incarnation);
     const isCurrent = known !== undefined &&
@@ -88,6 +98,7 @@
     if (isCurrent) return known;
     const side: KnownSide = {
       registration,
+      learnedAtMs: known?.learnedAtMs ?? nowMs,
       name: known?.name,
       evidenceVersion: known?.evidenceVersion ?? 0,
       lostBy: new Set(),
@@ -97,17 +108,23 @@
   }
 
   return {
-    hello(name, registration) {
+    hello(name, registration, nowMs) {
       for (const [incarnation, side] of sides) {
-        const isEarlierRun = side.name === name &&
+        const isEarlierRun = nameOf(side) === name &&
           incarnation !== registration.incarnation;
         if (isEarlierRun) end(incarnation);
       }
-      const side = know(registration);
+      const side = know(registration, nowMs);
       if (side !== undefined) side.name = name;
     },
-    hearOf(registration) {
-      know(registration);
+    hearOf(registration, nowMs) {
+      know(registration, nowMs);
+    },
+    noteAlive(name, alive, sinceMs) {
+      for (const [incarnation, side] of sides) {
+        const isOther = nameOf(side) === name && incarnation !== alive;
+        if (isOther && side.learnedAtMs < sinceMs) end(incarnation);
+      }
     },
     evidence(incarnation, tableVersion) {
       const side = sides.get(incarnation);
@@ -153,7 +170,10 @@
       if (side.registration.registration <= registration) end(incarnation);
     },
     registrations() {
-      return [...sides.values()].map((side) => side.registration);
+      return [...sides.values()].map((side) => ({
+        ...side.registration,
+        side: nameOf(side),
+      }));
     },
     dateEndings(now) {
       if (!hasUndatedEnding) return;
@@ -166,3 +186,7 @@
     lastEnding: () => lastEnding,
   };
 }
+
+function nameOf(side: KnownSide): string | undefined {
+  return side.name ?? side.registration.side;
+}
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -327,6 +327,8 @@
 export interface Registration {
   readonly incarnation: string;
   readonly registration: number;
+  /** Name of the side, which its later runs share; absent if not known. */
+  readonly side?: string | undefined;
 }
 
 export type PeerMessage =
