Adapt tests to registrations that carry their side's name

The settlement test compared a registration whole; it now also expects the name, which a hand-over needs to end runs that nobody alive has heard.

--- a/packages/slopes/src/takeover.ts
+++ b/packages/slopes/src/takeover.ts
@@ -67,7 +67,13 @@
   core.tableLearned(table, 0);
   for (const { incarnation: entry } of table.members.slice(1)) {
     const handOver = { kind: "handOver", batch: 1, tableVersion: 1 } as const;
-    const message = { ...handOver, records: [], sides: [], doubt: NO_DOUBT };
+    const message = {
+      ...handOver,
+      records: [],
+      sides: [],
+      endedSides: [],
+      doubt: NO_DOUBT,
+    };
     const header = { entry, tableVersion: 1, configurationVersion: 1 };
     core.peerFrame({ ...header, messages: [message] }, 0);
   }
--- a/packages/takeover/src/settlement_test.ts
+++ b/packages/takeover/src/settlement_test.ts
@@ -64,7 +64,7 @@
     settlement.adopt(THREE, 0);
     handOver("other", 1);
     handOver("lost", 1);
-    settlement.registry.hello("s", { incarnation: "s1", registration: 1 });
+    settlement.registry.hello("s", { incarnation: "s1", registration: 1 }, 0);
     settlement.tick({ nowMs: 0, wallMs });
   });
 
@@ -129,7 +129,7 @@
   });
 
   it("does not trust a former run of a side to have started nothing", () => {
-    settlement.registry.hello("s", { incarnation: "s2", registration: 1 });
+    settlement.registry.hello("s", { incarnation: "s2", registration: 1 }, 1);
     const departedAt = wallMs;
     tick(5);
     wallMs += 50;
@@ -148,7 +148,8 @@
     registry.lost(side, "me");
     registry.lost(side, "other");
     registry.forgetLost(THREE, "me");
-    expect(registry.registrations()).to.deep.equal([side]);
+    expect(registry.registrations())
+      .to.deep.equal([{ ...side, side: "s" }]);
     registry.lost(side, "lost");
     registry.forgetLost(THREE, "me");
     expect(registry.registrations()).to.deep.equal([]);
