Exit with 0 on a signal that comes before an entry has joined

Cause: the handler of signals was set up only once the entry had joined, so one that waited for the store was ended by the signal itself. Excluded: draining first, since an entry that has not joined holds nothing. After: an entry whose store refuses connections exits with 0 on SIGTERM (by hand).

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,6 +4,7 @@
 import { readSettings } from "@coltsfootreach/settings";
 import { runEntry } from "./run_entry.ts";
 import { runSide } from "./run_side.ts";
+import { handleSignals } from "./signals.ts";
 
 const VERSION = "0.1.0";
 
@@ -28,6 +29,7 @@
   if (value.role !== role) {
     fail(`${flags.settings}: role: is "${value.role}"`, EXIT_FAILED);
   }
+  handleSignals();
   if (value.role === "entry") await runEntry(value);
   else await runSide(value);
 }
