--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -67,6 +67,9 @@
   },
 };
 
+/** How often an entry says what its takeovers wait for. */
+const REPORT_MS = 5000;
+
 export interface EntryOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -360,6 +363,16 @@
     }
   }
 
+  const report = setInterval(() => {
+    for (const change of run.core.settlement.openChanges()) {
+      const { tableVersion, entries, sides } = change;
+      log.warn("keys wait for a change of the table to settle", {
+        tableVersion,
+        reason: `entries: ${entries.join(" ")}; sides: ${sides.join(" ")}`,
+      });
+    }
+  }, REPORT_MS);
+
   const timer = setInterval(() => {
     const now = { nowMs: performance.now(), wallMs: Date.now() };
     apply(run, run.core.tick(now));
@@ -419,6 +432,7 @@
       if (isDrained) await run.membership.leave();
       else log.warn("leaving without having handed over everything");
       clearInterval(timer);
+      clearInterval(report);
       feed.close();
       closeRun(run);
       server.close();
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -91,10 +91,21 @@
    * side that returns late is still asked.
    */
   collectVersion(): number;
+  /** Changes of the table after which keys still wait, oldest first. */
+  openChanges(): readonly OpenChange[];
   /** The newest table by which this entry gave up keys; 0 if never. */
   keptSince(): number;
 }
 
+/** What a change of the table still waits for. */
+export interface OpenChange {
+  readonly tableVersion: number;
+  /** Incarnations of entries that have not handed over. */
+  readonly entries: readonly string[];
+  /** Incarnations of sides that have not given the evidence that is needed. */
+  readonly sides: readonly string[];
+}
+
 export function createSettlement(options: SettlementOptions): Settlement {
   const registry = createRegistry();
   const followed = new Map<string, number>();
@@ -347,5 +358,14 @@
     },
     collectVersion: () => collectVersion,
     keptSince: () => keptSince,
+    openChanges() {
+      return transitions.map((transition) => ({
+        tableVersion: transition.madeAt,
+        entries: [...transition.waitingFor],
+        sides: transition.needsEvidence
+          ? registry.withoutEvidence(transition.evidenceVersion)
+          : [],
+      }));
+    },
   };
 }
