End tasks at their deadline that were sent to a run of a side that is over

Cause: a record that came by hand-over may name a run that ended before this entry knew it; nothing then ended its task until a minute after the deadline. Excluded: ending it at once, since the run may be known by a later hand-over. Change: past the deadline, a task on a run that neither this entry nor another knows ends as mayHaveRun.

--- a/packages/coordinate/src/entry_core_test.ts
+++ b/packages/coordinate/src/entry_core_test.ts
@@ -228,6 +228,43 @@
     });
   });
 
+  it("ends what a former owner sent to a side that is over", () => {
+    const other: Member = { ...ME, incarnation: "other", name: "entry-1" };
+    const members = [ME, { ...other, draining: true }];
+    core.tableLearned({ ...TABLE, version: 2, members }, nowMs);
+    const job = jobOf("k");
+    core.peerFrame({
+      entry: "other",
+      tableVersion: 2,
+      configurationVersion: 0,
+      messages: [{
+        kind: "handOver",
+        batch: 1,
+        tableVersion: 2,
+        records: [{
+          id: jobId(job),
+          job,
+          ageMs: 0,
+          leftMs: job.deadlineMs,
+          tasks: [{ kind: "sent", side: "gone", attempt: 1 }],
+        }],
+        sides: [],
+        endedSides: [{ incarnation: "gone", registration: 1 }],
+        doubt: {
+          tableVersion: 0,
+          bornBeforeWallMs: 0,
+          leftMs: 0,
+          isNew: false,
+        },
+      }],
+    }, nowMs);
+    tick();
+    expect(repliesOf(submit(job))).to.deep.equal([]);
+    nowMs += job.deadlineMs + 1;
+    const [reply] = repliesOf(tick());
+    expect(reply).to.have.nested.property("answer.verdict", "mayHaveRun");
+  });
+
   it("refuses another job under the same key", () => {
     submit(jobOf("k"));
     const [reply] = repliesOf(submit(jobOf("k", [{}, {}])));
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -373,9 +373,25 @@
         : "the job ended with its entry, or nobody resubmitted it";
       const answer = records.endWaiting(record, reason, nowMs);
       if (answer !== undefined) settle(record, answer, nowMs);
+      else endUnheard(record, nowMs);
     }
   }
 
+  /** Ends what was sent to runs of sides that are over for every entry. */
+  function endUnheard(record: JobRecord, nowMs: number): void {
+    record.tasks.forEach((task, index) => {
+      if (task.kind !== "sent" || sides.find(task.side) !== undefined) return;
+      if (settlement.registry.isKnown(task.side)) return;
+      const answer = records.end(record, {
+        index,
+        state: "failed",
+        verdict: "mayHaveRun",
+        reason: "the side that was sent this task is gone",
+      }, nowMs);
+      if (answer !== undefined) settle(record, answer, nowMs);
+    });
+  }
+
   /**
    * An entry whose lease may have lapsed may have a successor that starts its
    * tasks. Of a job known by evidence alone, sides that are gone may know more.
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -47,6 +47,8 @@
    * never said hello to this entry, `me`, counts as lost here.
    */
   forgetLost(table: Table, me: string): void;
+  /** False for a run of a side that is over, or that nobody has named. */
+  isKnown(incarnation: string): boolean;
   /** True when the side must register anew with every member. */
   isLostBy(registration: Registration, by: string): boolean;
   /** The newest table version under which a side has given evidence. */
@@ -147,6 +149,7 @@
         if (isLost) end(incarnation);
       }
     },
+    isKnown: (incarnation) => sides.has(incarnation),
     isLostBy(registration, by) {
       if (isOver(registration)) return true;
       const side = sides.get(registration.incarnation);
