--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -57,6 +57,20 @@
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
+/** Given to requests that come on open connections after the entry has left. */
+const LEFT: Reply = {
+  kind: "refused",
+  refusal: {
+    code: "draining",
+    verdict: "mayHaveRun",
+    reason: "this entry has stopped; submit the same job to another entry",
+    retryAfterMs: 0,
+  },
+};
+
+/** How often an entry says what its takeovers wait for. */
+const REPORT_MS = 5000;
+
 export interface EntryOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -392,6 +406,16 @@
     }
   }
 
+  const report = setInterval(() => {
+    for (const change of run.core.settlement.openChanges()) {
+      const { tableVersion, entries, sides } = change;
+      log.warn("keys wait for a change of the table to settle", {
+        tableVersion,
+        reason: `entries: ${entries.join(" ")}; sides: ${sides.join(" ")}`,
+      });
+    }
+  }, REPORT_MS);
+
   const timer = setInterval(() => {
     const now = { nowMs: performance.now(), wallMs: Date.now() };
     apply(run, run.core.tick(now));
@@ -423,6 +447,7 @@
 
   return {
     request(job, ask) {
+      if (isLeaving) return Promise.resolve(LEFT);
       requests += 1;
       const request = requests;
       return new Promise((resolve) => {
@@ -451,6 +476,7 @@
       if (isDrained) await run.membership.leave();
       else log.warn("leaving without having handed over everything");
       clearInterval(timer);
+      clearInterval(report);
       feed.close();
       closeRun(run);
       server.close();
