--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -15,10 +15,13 @@
   type ConfigurationDesk,
   createConfigurationDesk,
 } from "./configuration_desk.ts";
-import type { EntryEffect, EntryOptions, NewAct } from "./effect.ts";
+import { createDepartures, type Departures } from "./departures.ts";
+import type { EntryEffect, EntryOptions, NewAct, UndoneAct } from "./effect.ts";
 import { createOutgoing, type Outgoing } from "./outgoing.ts";
 import { createWaiters, type Origin, type Waiters } from "./requests.ts";
+import { createShedding, type Shedding } from "./shedding.ts";
 import { createSides, type Sides } from "./sides.ts";
+import { createStandingActs } from "./standing_acts.ts";
 
 export interface EntryContext {
   /** Incarnation of this entry. */
@@ -32,6 +35,8 @@
   readonly configuration: ConfigurationDesk;
   readonly health: Health;
   readonly connectedPeers: Set<string>;
+  /** How long this entry is a member for certain, by its own lease. */
+  readonly membership: { certainUntilMs: number };
   toSide(side: string, message: EntryMessage, lazy?: boolean): void;
   toPeer(entry: string, message: PeerMessage): void;
   reply(origin: Origin, answer: Reply): void;
@@ -39,6 +44,10 @@
   emit(effect: EntryEffect): void;
   /** Records something that the core did by itself. */
   act(act: ActDescription): void;
+  /** Records that an act no longer stands. */
+  undone(act: UndoneAct): void;
+  readonly departures: Departures;
+  readonly shedding: Shedding;
   /** Takes out the messages to send. */
   flush(): readonly EntryEffect[];
 }
@@ -101,29 +110,45 @@
     });
   }
 
+  function undone(undoneAct: UndoneAct): void {
+    const atMs = options.wallMs();
+    effects.push({ kind: "actUndone", act: undoneAct, atMs });
+  }
+
+  const settlement = createSettlement({
+    me,
+    freshnessMs: options.freshnessMs,
+    windowMs: options.records.windowMs,
+    skewMs: options.records.skewMs,
+  });
+  const acts = createStandingActs({ act, undone });
+  const departures = createDepartures({
+    acts,
+    sidesKnown: () => settlement.registry.registrations().length,
+    rules: () => configuration.rules(),
+  });
+
   return {
     me,
     options,
     records: createRecords(options.records),
     sides,
-    settlement: createSettlement({
-      me,
-      freshnessMs: options.freshnessMs,
-      windowMs: options.records.windowMs,
-      skewMs: options.records.skewMs,
-      wallMs: () => options.wallMs(),
-    }),
+    settlement,
     waiters: createWaiters(),
     outgoing: createOutgoing(),
     configuration,
     health,
     connectedPeers,
+    membership: { certainUntilMs: Infinity },
     toSide,
     toPeer,
     reply,
     refuse,
     emit: (effect) => effects.push(effect),
     act,
+    undone,
+    departures,
+    shedding: createShedding(acts),
     flush,
   };
 }
--- a/packages/coordinate/src/index.ts
+++ b/packages/coordinate/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./candidates.ts";
 export * from "./sides.ts";
 export * from "./entry_core.ts";
+export * from "./lateness.ts";
--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -4,6 +4,7 @@
  */
 import type { Hello, SideFrame, SideMessage } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
+import { offerOf } from "./departures.ts";
 import type { SideState } from "./sides.ts";
 import type { TaskDesk } from "./task_desk.ts";
 
@@ -35,8 +36,11 @@
       forgetSide(earlier);
     }
     settlement.registry.hello(identity.side, known);
-    const isNewStream = sides.find(incarnation)?.connected !== true;
+    const before = sides.find(incarnation);
+    const offered = offerOf(before);
+    const isNewStream = before?.connected !== true;
     const side = sides.hello(hello, nowMs);
+    context.departures.noteSide(offered, side);
     if (settlement.registry.isLostBy(known, me)) askToRegister(side);
     if (!isNewStream) return;
     pushedTable.delete(incarnation);
@@ -99,7 +103,8 @@
     if (given >= wanted || collected.get(incarnation) === wanted) return;
     if (!side.connected) return;
     collected.set(incarnation, wanted);
-    toSide(incarnation, { kind: "collect", tableVersion: wanted });
+    const keptSince = settlement.keptSince();
+    toSide(incarnation, { kind: "collect", tableVersion: wanted, keptSince });
   }
 
   function checkSides(nowMs: number): void {
@@ -120,12 +125,17 @@
       registration: side.registration,
     };
     settlement.registry.lost(registration, me);
-    settlement.registry.forgetLost(settlement.table());
+    settlement.forgetLost();
     for (const entry of connectedPeers) {
       toPeer(entry, { kind: "sidesLost", sides: [registration] });
     }
   }
 
+  /** What a side repeats for an earlier run of this entry means nothing. */
+  function isForMe({ to }: SideFrame, { kind }: SideMessage): boolean {
+    return to === undefined || to === me || kind === "goodbye";
+  }
+
   return {
     take(frame, nowMs) {
       const hello = frame.messages.find((one) => one.kind === "hello");
@@ -134,7 +144,9 @@
       if (side === undefined) return;
       sides.heard(side, frame, nowMs);
       if (side.lost) askToRegister(side);
-      for (const message of frame.messages) handleSide(side, message, nowMs);
+      for (const message of frame.messages) {
+        if (isForMe(frame, message)) handleSide(side, message, nowMs);
+      }
       updateSide(side);
     },
     updateAll() {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,12 +9,14 @@
   createEntryCore,
   type EntryCore,
   type EntryEffect,
+  markLate,
   type NewAct,
 } from "@coltsfootreach/coordinate";
 import {
   type ConfigurationHolder,
   createConfigurationFeed,
   createConfigurationKeys,
+  LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 import { excerptForSides } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
@@ -38,14 +40,17 @@
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
 
+const MS_PER_SECOND = 1000;
+
+/** The store's clock may run this much faster than ours, as a share. */
+const CLOCK_DRIFT = 0.01;
+
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
 /** Renewals of a lease within its life. */
 const RENEWALS_PER_LEASE = 2.5;
 
-const MS_PER_SECOND = 1000;
-
 /** Digits that tell runs of one entry apart in the names of acts. */
 const ID_DIGITS = 8;
 
@@ -117,6 +122,7 @@
 interface Pending {
   readonly job: JobId;
   readonly ask: Ask;
+  readonly receivedAtMs: number;
   resolve(reply: Reply): void;
 }
 
@@ -127,10 +133,12 @@
   readonly sides: SideStreams;
   readonly peers: PeerStreams;
   readonly membership: Membership;
+  readonly log: Log;
 }
 
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { log } = options;
+  const leaseMs = options.leaseSeconds * MS_PER_SECOND * (1 - CLOCK_DRIFT);
   const pending = new Map<number, Pending>();
   const { holder } = options;
   const journal = createActJournal({
@@ -144,10 +152,8 @@
     prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
-      const { version } = configuration;
-      noteVersion(version);
+      noteVersion(configuration.version);
       apply(run, run.core.configurationLearned(configuration, source, now));
-      log.info("configuration", { configurationVersion: version });
     },
     failed(fault) {
       log.warn("the configuration cannot be read", { reason: fault.message });
@@ -155,9 +161,14 @@
   });
   let refreshedAtMs = -Infinity;
   let newest = { version: 0, sinceMs: performance.now() };
+  /** Newest version that another process has in force. */
+  let elsewhere = newest;
+  let loggedVersion = holder.version();
   let requests = 0;
   let isReady = false;
   let isStopping = false;
+  /** Set when this entry takes itself out of the table. */
+  let isLeaving = false;
   let isFlushPlanned = false;
   let run: Run;
 
@@ -170,6 +181,7 @@
 
   function apply(own: Run, effects: readonly EntryEffect[]): void {
     if (own !== run) return;
+    noteInForce(own);
     for (const effect of effects) {
       if (effect.kind === "toSide") {
         own.sides.push(effect.side, effect.message, effect.lazy);
@@ -181,6 +193,11 @@
         return rejoin(own);
       } else if (effect.kind === "removeMembers") {
         void own.membership.remove(effect.incarnations);
+      } else if (effect.kind === "actUndone") {
+        const { kind, subject, figures } = effect.act;
+        const standing = journal.findStanding(kind, subject);
+        const { atMs } = effect;
+        if (standing) journal.markUndone(standing.id, { atMs, figures });
       } else {
         recordAct(effect.act);
       }
@@ -191,10 +208,10 @@
   function recordAct(act: NewAct): void {
     if (act.kind === "readmit") {
       const ejection = journal.findStanding("eject", act.subject);
-      if (ejection !== undefined) journal.markUndone(ejection.id, act.atMs);
+      if (ejection !== undefined) journal.markUndone(ejection.id, act);
     }
     const { id } = journal.record(act);
-    log.warn("automatic act", {
+    run.log.warn("automatic act", {
       act: `${act.kind} ${act.subject} ${id}`,
       reason: act.why,
       figures: act.figures,
@@ -202,7 +219,37 @@
     });
   }
 
-  /** Another process has a newer configuration than this one. */
+  /** Logs a version that has come into force, wherever it came from. */
+  function noteInForce(own: Run): void {
+    const configurationVersion = holder.version();
+    if (configurationVersion === loggedVersion) return;
+    loggedVersion = configurationVersion;
+    own.log.info("configuration", { configurationVersion });
+    own.membership.rulesChanged();
+  }
+
+  /** Another process has a version in force that is newer than this one's. */
+  function heardVersion(version: number): void {
+    noteVersion(version);
+    if (version <= elsewhere.version) return;
+    const sinceMs = elsewhere.version <= holder.version()
+      ? performance.now()
+      : elsewhere.sinceMs;
+    elsewhere = { version, sinceMs };
+  }
+
+  /** False after a removal until the entry has joined anew. */
+  function isMember(): boolean {
+    return run.core.table().version > 0;
+  }
+
+  /** A version that others use and this entry cannot get or read. */
+  function isLagging(): boolean {
+    return elsewhere.version > holder.version() &&
+      performance.now() - elsewhere.sinceMs >= LAG_BOUND_MS;
+  }
+
+  /** There is a version that may be newer than the one in force here. */
   function noteVersion(version: number): void {
     const nowMs = performance.now();
     if (version > newest.version) newest = { version, sinceMs: nowMs };
@@ -215,7 +262,9 @@
   function settle(request: number, reply: Reply): void {
     const waiting = pending.get(request);
     pending.delete(request);
-    waiting?.resolve(reply);
+    if (waiting === undefined) return;
+    const spentMs = performance.now() - waiting.receivedAtMs;
+    waiting.resolve(markLate(reply, waiting.ask, spentMs));
   }
 
   /** Collects the messages of one turn of the event loop into frames. */
@@ -246,13 +295,13 @@
 
   function createRun(): Run {
     const incarnation = v4();
+    const log = options.log.with({ incarnation });
     const member: Member = {
       incarnation,
       name: options.name,
       dataCentre: options.dataCentre,
       address: options.advertise.replace(/:0$/, `:${server.port}`),
       draining: false,
-      joinedVersion: 0,
     };
     const core = createEntryCore({
       member,
@@ -277,7 +326,7 @@
         ...core.stamps(side),
       }),
       received(frame) {
-        noteVersion(frame.configurationVersion);
+        heardVersion(frame.configurationVersion);
         apply(own, core.sideFrame(frame, performance.now()));
       },
       closed: (side) => core.sideClosed(side),
@@ -294,8 +343,10 @@
       }),
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
-      received: (frame) =>
-        followTable(own, core.peerFrame(frame, performance.now())),
+      received(frame) {
+        heardVersion(frame.configurationVersion);
+        followTable(own, core.peerFrame(frame, performance.now()));
+      },
       refused: (entry) => void own.membership.removeEnded(entry),
     });
     const membership = createMembership({
@@ -306,6 +357,7 @@
       renewMs: (options.leaseSeconds * MS_PER_SECOND) / RENEWALS_PER_LEASE,
       isQuiet: () => hasQuietMajority(core),
       log,
+      leaseHeld: (askedAtMs) => core.leaseHeld(askedAtMs + leaseMs),
       beginRead: () => core.beginTableRead(),
       tableRead: (table, token) =>
         followTable(own, core.tableRead({ table, token }, performance.now())),
@@ -318,7 +370,7 @@
       isTakeoverHeld: () =>
         core.configuration.rules().held.includes("takeOver"),
     });
-    const own: Run = { member, core, sides, peers, membership };
+    const own: Run = { member, core, sides, peers, membership, log };
     return own;
   }
 
@@ -330,13 +382,13 @@
 
   /** Others removed this run: joins anew and asks again what was asked. */
   function rejoin(own: Run): void {
+    if (isLeaving) return;
     log.warn("removed from the table of entries; joining anew");
     run = createRun();
     closeRun(own);
     void run.membership.join();
-    for (const [request, { job, ask }] of pending) {
-      const now = performance.now();
-      apply(run, run.core.request({ request, job, ask }, now));
+    for (const [request, { job, ask, receivedAtMs }] of pending) {
+      apply(run, run.core.request({ request, job, ask }, receivedAtMs));
     }
   }
 
@@ -345,20 +397,26 @@
     apply(run, run.core.tick(now));
   }, TICK_MS);
 
-  async function drain(): Promise<void> {
+  /** True while jobs may come here that another entry could take. */
+  function ownsKeys(): boolean {
     const me = run.member.incarnation;
-    const others = run.core.table().members.filter((member) =>
-      member.incarnation !== me && !member.draining
-    );
+    const owners = run.core.table().members.filter((one) => !one.draining);
     // The last entry keeps its keys, since nobody could take them.
-    if (others.length > 0) await run.membership.drain();
+    return owners.length > 1 && owners.some((one) => one.incarnation === me);
+  }
+
+  /** True when nothing of a caller or of a job is left here. */
+  async function drain(): Promise<boolean> {
     const untilMs = performance.now() + options.drainMs;
     while (performance.now() < untilMs) {
-      if (pending.size === 0 && run.core.isIdle()) return;
+      if (ownsKeys()) await run.membership.drain();
+      else if (pending.size === 0 && run.core.isIdle()) return true;
       await new Promise((wake) => setTimeout(wake, TICK_MS));
     }
+    return false;
   }
 
+  log.info("entry starting");
   run = createRun();
   await run.membership.join();
   isReady = true;
@@ -368,13 +426,13 @@
       requests += 1;
       const request = requests;
       return new Promise((resolve) => {
-        pending.set(request, { job, ask, resolve });
-        const now = performance.now();
-        apply(run, run.core.request({ request, job, ask }, now));
+        const receivedAtMs = performance.now();
+        pending.set(request, { job, ask, receivedAtMs, resolve });
+        apply(run, run.core.request({ request, job, ask }, receivedAtMs));
       });
     },
     incarnation: () => run.member.incarnation,
-    isReady: () => isReady && !isStopping,
+    isReady: () => isReady && !isStopping && isMember() && !isLagging(),
     core: () => run.core,
     journal,
     newestVersion: () => newest,
@@ -387,8 +445,11 @@
     async stop() {
       isStopping = true;
       log.info("draining");
-      await drain();
-      await run.membership.leave();
+      const isDrained = await drain();
+      isLeaving = true;
+      // Others may trust a member that leaves to have handed over everything.
+      if (isDrained) await run.membership.leave();
+      else log.warn("leaving without having handed over everything");
       clearInterval(timer);
       feed.close();
       closeRun(run);
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -6,7 +6,14 @@
 import { createConfigurationKeys } from "@coltsfootreach/configure";
 import type { Log } from "@coltsfootreach/log";
 import type { StoreStatus } from "@coltsfootreach/manage";
-import { draining, joined, left, without } from "@coltsfootreach/ownership";
+import {
+  draining,
+  isMember,
+  joined,
+  left,
+  without,
+  withoutEarlierRuns,
+} from "@coltsfootreach/ownership";
 import {
   decodeOwned,
   type Lease,
@@ -28,6 +35,8 @@
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
 
+const MS_PER_SECOND = 1000;
+
 export interface MembershipOptions<Token> {
   readonly store: Store;
   readonly prefix: string;
@@ -36,6 +45,8 @@
   readonly renewMs: number;
   readonly log: Log;
   /** Called before a read begins; its result is given back with the table. */
+  /** The lease cannot lapse within this time from when it was asked for. */
+  leaseHeld(askedAtMs: number): void;
   beginRead(): Token;
   tableRead(table: Table, token: Token): void;
   tableLearned(table: Table): void;
@@ -57,7 +68,9 @@
   /** Gives up this entry's keys; false when the store cannot say so. */
   drain(): Promise<boolean>;
   leave(): Promise<void>;
-  /** Whether the store answered the last read of the table. */
+  /** A held takeover that has been released since is carried out. */
+  rulesChanged(): void;
+  /** Whether the store answered the last read or renewal. */
   storeStatus(): StoreStatus;
   /** Ends without a word to the store, for an entry that was removed. */
   close(): void;
@@ -78,6 +91,10 @@
   let isClosed = false;
   let skipped = 0;
   let status: StoreStatus = { reachable: true, sinceMs: Date.now() };
+  let lapseCheck: NodeJS.Timeout | undefined;
+  let isTakeoverDue = false;
+  /** After an outage others get this long to renew their leases. */
+  const graceMs = options.leaseSeconds * MS_PER_SECOND + options.renewMs;
   const timers: NodeJS.Timeout[] = [];
 
   /** The table after the change; undefined when that is not certain. */
@@ -112,6 +129,8 @@
   }
 
   async function hold(): Promise<void> {
+    const askedAtMs = performance.now();
+    const isNew = granted === undefined;
     if (granted === undefined) {
       const answer = await store.grant(options.leaseSeconds);
       if (answer.isErr()) return;
@@ -125,6 +144,7 @@
     });
     // A conflict means that an earlier write took effect without an answer.
     if (written.isOk()) lease = granted;
+    if (lease !== undefined && isNew) options.leaseHeld(askedAtMs);
   }
 
   function dropLease(): void {
@@ -134,8 +154,12 @@
 
   async function renew(): Promise<void> {
     if (lease === undefined) return await hold();
+    const askedAtMs = performance.now();
     const renewed = await store.renew(lease);
-    if (renewed.isOk() && !renewed.value) dropLease();
+    noteStore(renewed.isOk());
+    if (renewed.isErr()) return;
+    if (renewed.value) options.leaseHeld(askedAtMs);
+    else dropLease();
   }
 
   function noteStore(reachable: boolean): void {
@@ -162,10 +186,16 @@
 
   /** Removes the members of the table that hold no lease. */
   async function removeLapsed(): Promise<void> {
-    if (options.isTakeoverHeld()) return;
+    if (isClosed) return;
+    isTakeoverDue = options.isTakeoverHeld();
+    if (isTakeoverDue) return;
+    const graceLeftMs = status.reachable
+      ? status.sinceMs + graceMs - Date.now()
+      : graceMs;
+    if (graceLeftMs > 0) return planLapseCheck(graceLeftMs);
     const table = await store.read(tableKey);
     const live = await store.list(livePrefix);
-    if (table.isErr() || live.isErr()) return;
+    if (table.isErr() || live.isErr()) return planLapseCheck(RETRY_MS);
     const names = new Set(
       live.value.values.map(({ key }) => key.slice(livePrefix.length)),
     );
@@ -174,12 +204,21 @@
       .filter((incarnation) =>
         incarnation !== member.incarnation && !names.has(incarnation)
       );
-    if (lapsed.length === 0) return;
+    // Whoever has lost its own lease cannot judge the others'.
+    if (lapsed.length === 0 || !names.has(member.incarnation)) return;
     log.warn("removing entries whose lease has lapsed", {
       figures: { entries: lapsed.length },
     });
-    const changed = await changeTable((now) => without(now, new Set(lapsed)));
-    if (changed !== undefined) options.tableLearned(changed);
+    const changed = await changeTable((now) =>
+      isMember(now, member.incarnation) ? without(now, new Set(lapsed)) : now
+    );
+    if (changed === undefined) planLapseCheck(RETRY_MS);
+    else options.tableLearned(changed);
+  }
+
+  function planLapseCheck(afterMs: number): void {
+    clearTimeout(lapseCheck);
+    lapseCheck = setTimeout(() => void removeLapsed(), afterMs);
   }
 
   function follow(from: number): void {
@@ -217,8 +256,9 @@
     }
     follow(listed.value.revision + 1);
     options.configurationChanged(undefined);
-    await removeLapsed();
     await read();
+    // After an outage the others need time to take their leases again.
+    timers.push(setTimeout(removeLapsed, options.leaseSeconds * MS_PER_SECOND));
   }
 
   function repeat(task: () => Promise<void>, everyMs: number): void {
@@ -237,6 +277,9 @@
         await hold();
         if (lease === undefined) await sleep(RETRY_MS);
       }
+      status = { reachable: true, sinceMs: Date.now() };
+      // Others take over from an earlier run before this one joins them.
+      await persist((now) => withoutEarlierRuns(now, member));
       const table = await persist((now) => joined(now, member));
       log.info("joined", { tableVersion: table.version });
       options.tableLearned(table);
@@ -252,7 +295,8 @@
       return table !== undefined;
     },
     async removeEnded(entry) {
-      if (options.isTakeoverHeld()) return;
+      isTakeoverDue ||= options.isTakeoverHeld();
+      if (isTakeoverDue) return;
       log.warn("removing an entry whose process has ended", { entry });
       await this.remove(new Set([entry]));
     },
@@ -265,9 +309,13 @@
       this.close();
       if (lease !== undefined) await store.revoke(lease);
     },
+    rulesChanged() {
+      if (isTakeoverDue && !options.isTakeoverHeld()) void removeLapsed();
+    },
     storeStatus: () => status,
     close() {
       isClosed = true;
+      clearTimeout(lapseCheck);
       watch?.close();
       for (const timer of timers) clearTimeout(timer);
     },
--- a/packages/slopes/src/made_up.ts
+++ b/packages/slopes/src/made_up.ts
@@ -42,7 +42,6 @@
     dataCentre: "kiln-yard",
     address: `10.0.0.${number}:7000`,
     draining: false,
-    joinedVersion: 0,
   };
 }
 
--- a/packages/slopes/src/messages.ts
+++ b/packages/slopes/src/messages.ts
@@ -45,7 +45,7 @@
     ack: 0,
     messages: [
       { kind: "table", table } as const,
-      { kind: "collect", tableVersion: version } as const,
+      { kind: "collect", tableVersion: version, keptSince: 0 } as const,
     ],
   };
   const startedAtMs = performance.now();
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -75,6 +75,11 @@
 export interface Collect {
   readonly kind: "collect";
   readonly tableVersion: number;
+  /**
+   * The newest table by which the entry gave up keys. It knows the jobs that
+   * it has started since, so the side leaves them out.
+   */
+  readonly keptSince: number;
 }
 
 /**
@@ -219,6 +224,8 @@
 export interface SideFrame {
   readonly side: string;
   readonly incarnation: string;
+  /** The run of the entry that the messages are for, once it has spoken. */
+  readonly to?: string | undefined;
   /** Rises with each frame to this entry over all their streams. */
   readonly sequence: number;
   /** The side's own monotonic clock in milliseconds. */
@@ -274,14 +281,34 @@
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
+  /** When the last registration known to the sender ended, if ever. */
+  readonly sideEnding?: SideEnding | undefined;
+  readonly doubt: Doubt;
+}
+
+/** When a registration of a side was found to have ended. */
+export interface SideEnding {
+  /** In Unix milliseconds. */
+  readonly wallMs: number;
+  readonly ageMs: number;
+}
+
+/** What an entry cannot tell of the keys that it gives up. */
+export interface Doubt {
   /**
-   * When the sender last saw a side depart with its evidence, in Unix
-   * milliseconds; absent if never.
+   * The newest table that it adopted before it had all evidence of the keys
+   * it owned; 0 if never.
    */
-  readonly lastDepartureWallMs?: number | undefined;
+  readonly tableVersion: number;
+  /** Keys that it does not know and that were born before may have run. */
+  readonly bornBeforeWallMs: number;
+  /** How much longer that holds in milliseconds. */
+  readonly leftMs: number;
+  /** It has just joined and knows nothing of its own. */
+  readonly isNew: boolean;
 }
 
-/** The receiver holds all records of a batch. */
+/** The receiver owns and holds all records of a batch. */
 export interface HandOverTaken {
   readonly kind: "handOverTaken";
   readonly batch: number;
