--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -35,6 +35,8 @@
   readonly configuration: ConfigurationDesk;
   readonly health: Health;
   readonly connectedPeers: Set<string>;
+  /** How long this entry is a member for certain, by its own lease. */
+  readonly membership: { certainUntilMs: number };
   toSide(side: string, message: EntryMessage, lazy?: boolean): void;
   toPeer(entry: string, message: PeerMessage): void;
   reply(origin: Origin, answer: Reply): void;
@@ -118,7 +120,6 @@
     freshnessMs: options.freshnessMs,
     windowMs: options.records.windowMs,
     skewMs: options.records.skewMs,
-    wallMs: () => options.wallMs(),
   });
   const acts = createStandingActs({ act, undone });
   const departures = createDepartures({
@@ -138,6 +139,7 @@
     configuration,
     health,
     connectedPeers,
+    membership: { certainUntilMs: Infinity },
     toSide,
     toPeer,
     reply,
--- a/packages/coordinate/src/departures_test.ts
+++ b/packages/coordinate/src/departures_test.ts
@@ -16,7 +16,6 @@
     dataCentre: "a",
     address,
     draining: false,
-    joinedVersion: 0,
   };
 }
 
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -22,6 +22,8 @@
 export interface TaskDesk {
   /** Puts the waiting tasks of a record in the queue. */
   enqueue(record: JobRecord, nowMs: number): void;
+  /** Notes whether tasks of a record may have run without its knowledge. */
+  noteGap(record: JobRecord, nowMs: number): void;
   /** Places what waits. */
   placeWaiting(nowMs: number): void;
   /** Sends one task to a side, again if it was sent there before. */
@@ -275,6 +277,10 @@
     const record = records.find(message.job);
     if (record === undefined) return;
     const { index, attempt, reason } = message;
+    const task = record.tasks[index];
+    const isHere = task?.kind === "sent" &&
+      task.side === side.identity.incarnation;
+    if (!isHere) return;
     if (!records.refused(record, index, attempt)) return;
     release(side.identity.incarnation);
     sides.refused(side, reason, nowMs);
@@ -289,9 +295,11 @@
     const why = reason === "revoked"
       ? "cancelled"
       : "the deadline passed before a slot was free";
+    noteGap(record, nowMs);
+    const verdict = record.hasGaps ? "mayHaveRun" : "notRun";
     const answer = records.end(
       record,
-      { index, state: "failed", verdict: "notRun", reason: why },
+      { index, state: "failed", verdict, reason: why },
       nowMs,
     );
     if (answer !== undefined) settle(record, answer, nowMs);
@@ -371,11 +379,10 @@
         endOverdue(record, nowMs);
         continue;
       }
-      if (kind === "orphan") {
-        if (!settlement.isSettled(record.id)) continue;
-        record.hasGaps = settlement.isInGap(record.id, undefined);
-      }
+      // What has not started can be told only when all evidence is there.
+      if (!settlement.isSettled(record.id)) continue;
       queue.removeJob(record.id);
+      noteGap(record, nowMs);
       const reason = kind === "deadline"
         ? "the deadline passed before a slot was free"
         : "the job ended with its entry, or nobody resubmitted it";
@@ -384,6 +391,16 @@
     }
   }
 
+  /**
+   * An entry whose lease may have lapsed may have a successor that starts its
+   * tasks. Of a job known by evidence alone, sides that are gone may know more.
+   */
+  function noteGap(record: JobRecord, nowMs: number): void {
+    const isOrphan = record.job === undefined;
+    record.hasGaps ||= nowMs > context.membership.certainUntilMs ||
+      isOrphan && settlement.isInGap(record.id, undefined);
+  }
+
   function endOverdue(record: JobRecord, nowMs: number): void {
     record.tasks.forEach((task, index) => {
       if (task.kind === "ended") return;
@@ -398,6 +415,7 @@
   }
 
   return {
+    noteGap,
     enqueue,
     placeWaiting(nowMs) {
       queue.drain((waiting) => place(waiting, nowMs), nowMs);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,6 +9,7 @@
   createEntryCore,
   type EntryCore,
   type EntryEffect,
+  markLate,
   type NewAct,
 } from "@coltsfootreach/coordinate";
 import {
@@ -39,14 +40,17 @@
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
 
+const MS_PER_SECOND = 1000;
+
+/** The store's clock may run this much faster than ours, as a share. */
+const CLOCK_DRIFT = 0.01;
+
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
 /** Renewals of a lease within its life. */
 const RENEWALS_PER_LEASE = 2.5;
 
-const MS_PER_SECOND = 1000;
-
 /** Digits that tell runs of one entry apart in the names of acts. */
 const ID_DIGITS = 8;
 
@@ -118,6 +122,7 @@
 interface Pending {
   readonly job: JobId;
   readonly ask: Ask;
+  readonly receivedAtMs: number;
   resolve(reply: Reply): void;
 }
 
@@ -133,6 +138,7 @@
 
 export async function startEntry(options: EntryOptions): Promise<Entry> {
   const { log } = options;
+  const leaseMs = options.leaseSeconds * MS_PER_SECOND * (1 - CLOCK_DRIFT);
   const pending = new Map<number, Pending>();
   const { holder } = options;
   const journal = createActJournal({
@@ -256,7 +262,9 @@
   function settle(request: number, reply: Reply): void {
     const waiting = pending.get(request);
     pending.delete(request);
-    waiting?.resolve(reply);
+    if (waiting === undefined) return;
+    const spentMs = performance.now() - waiting.receivedAtMs;
+    waiting.resolve(markLate(reply, waiting.ask, spentMs));
   }
 
   /** Collects the messages of one turn of the event loop into frames. */
@@ -294,7 +302,6 @@
       dataCentre: options.dataCentre,
       address: options.advertise.replace(/:0$/, `:${server.port}`),
       draining: false,
-      joinedVersion: 0,
     };
     const core = createEntryCore({
       member,
@@ -350,6 +357,7 @@
       renewMs: (options.leaseSeconds * MS_PER_SECOND) / RENEWALS_PER_LEASE,
       isQuiet: () => hasQuietMajority(core),
       log,
+      leaseHeld: (askedAtMs) => core.leaseHeld(askedAtMs + leaseMs),
       beginRead: () => core.beginTableRead(),
       tableRead: (table, token) =>
         followTable(own, core.tableRead({ table, token }, performance.now())),
@@ -379,9 +387,8 @@
     run = createRun();
     closeRun(own);
     void run.membership.join();
-    for (const [request, { job, ask }] of pending) {
-      const now = performance.now();
-      apply(run, run.core.request({ request, job, ask }, now));
+    for (const [request, { job, ask, receivedAtMs }] of pending) {
+      apply(run, run.core.request({ request, job, ask }, receivedAtMs));
     }
   }
 
@@ -390,18 +397,23 @@
     apply(run, run.core.tick(now));
   }, TICK_MS);
 
-  async function drain(): Promise<void> {
+  /** True while jobs may come here that another entry could take. */
+  function ownsKeys(): boolean {
     const me = run.member.incarnation;
-    const others = run.core.table().members.filter((member) =>
-      member.incarnation !== me && !member.draining
-    );
+    const owners = run.core.table().members.filter((one) => !one.draining);
     // The last entry keeps its keys, since nobody could take them.
-    if (others.length > 0) await run.membership.drain();
+    return owners.length > 1 && owners.some((one) => one.incarnation === me);
+  }
+
+  /** True when nothing of a caller or of a job is left here. */
+  async function drain(): Promise<boolean> {
     const untilMs = performance.now() + options.drainMs;
     while (performance.now() < untilMs) {
-      if (pending.size === 0 && run.core.isIdle()) return;
+      if (ownsKeys()) await run.membership.drain();
+      else if (pending.size === 0 && run.core.isIdle()) return true;
       await new Promise((wake) => setTimeout(wake, TICK_MS));
     }
+    return false;
   }
 
   log.info("entry starting");
@@ -414,9 +426,9 @@
       requests += 1;
       const request = requests;
       return new Promise((resolve) => {
-        pending.set(request, { job, ask, resolve });
-        const now = performance.now();
-        apply(run, run.core.request({ request, job, ask }, now));
+        const receivedAtMs = performance.now();
+        pending.set(request, { job, ask, receivedAtMs, resolve });
+        apply(run, run.core.request({ request, job, ask }, receivedAtMs));
       });
     },
     incarnation: () => run.member.incarnation,
@@ -433,9 +445,11 @@
     async stop() {
       isStopping = true;
       log.info("draining");
-      await drain();
+      const isDrained = await drain();
       isLeaving = true;
-      await run.membership.leave();
+      // Others may trust a member that leaves to have handed over everything.
+      if (isDrained) await run.membership.leave();
+      else log.warn("leaving without having handed over everything");
       clearInterval(timer);
       feed.close();
       closeRun(run);
--- a/packages/guard/src/evidence.ts
+++ b/packages/guard/src/evidence.ts
@@ -27,6 +27,8 @@
   readonly of: number;
   /** The entry that started it last, and that gets its results. */
   sender: string;
+  /** The side's table when the sender was noted. */
+  senderVersion: number;
   readonly startedAtMs: number;
   /** True once the owner has said that the job has ended. */
   sealed: boolean;
@@ -93,6 +95,7 @@
         job,
         of,
         sender,
+        senderVersion: 0,
         startedAtMs: nowMs,
         sealed: false,
         tasks: new Map(),
