--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -32,11 +32,11 @@
 /** Reads that are left out between two while all is quiet. */
 const QUIET_SKIPS = 9;
 
-const MS_PER_SECOND = 1000;
-
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
 
+const MS_PER_SECOND = 1000;
+
 export interface MembershipOptions<Token> {
   readonly store: Store;
   readonly prefix: string;
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -107,7 +107,7 @@
       slots: side.announcement?.slots ?? 0,
       running: side.load.running,
       queued: side.load.queued,
-      failureRatio: core.health.failureRatio(server, nowMs),
+      failureRatio: core.health.failureRatio(server),
     };
   }
 
--- a/packages/slopes/src/main.ts
+++ b/packages/slopes/src/main.ts
@@ -3,7 +3,7 @@
  * points that were run. `--write` replaces the file that the capacity page is
  * worked out from.
  */
-import { mkdirSync, writeFileSync } from "node:fs";
+import { existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { cpus } from "node:os";
 import { dirname } from "node:path";
 import process from "node:process";
@@ -12,6 +12,7 @@
 import { measureEntrySides } from "./entry_sides.ts";
 import { measureEntryWork } from "./entry_work.ts";
 import { measureMemory } from "./memory.ts";
+import { measureMessages } from "./messages.ts";
 import { SLOPES_FILE } from "./paths.ts";
 import { measurePlacement } from "./placement.ts";
 import { describeSeries, type Series, type Slopes } from "./series.ts";
@@ -28,6 +29,7 @@
   { name: "sides", measure: measureEntrySides },
   { name: "control", measure: measureSideControl },
   { name: "memory", measure: measureMemory },
+  { name: "messages", measure: measureMessages },
   { name: "placement", measure: measurePlacement },
   { name: "takeover", measure: measureTakeover },
   { name: "configuration", measure: measureConfiguration },
@@ -53,7 +55,18 @@
   }
   const slopes: Slopes = { machine: describeMachine(), series };
   if (flags.json) console.log(JSON.stringify(slopes));
-  if (flags.write) write(slopes);
+  if (flags.write) write(merge(slopes));
+}
+
+/** What was not measured now stays as it was. */
+function merge(slopes: Slopes): Slopes {
+  if (!existsSync(SLOPES_FILE)) return slopes;
+  const known: Slopes = JSON.parse(readFileSync(SLOPES_FILE, "utf8"));
+  const names = new Set(slopes.series.map(({ name }) => name));
+  const kept = known.series.filter(({ name }) => !names.has(name));
+  const series = [...kept, ...slopes.series]
+    .sort((a, b) => a.name.localeCompare(b.name));
+  return { machine: slopes.machine, series };
 }
 
 function describeMachine(): string {
--- a/packages/slopes/src/takeover.ts
+++ b/packages/slopes/src/takeover.ts
@@ -55,7 +55,7 @@
       state: "running" as const,
       attempt: 1,
     }));
-    jobs.push({ job, of: TASKS, sealed: false, tasks });
+    jobs.push({ job, sealed: false, of: TASKS, tasks });
   }
   return jobs;
 }
