--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -204,8 +204,9 @@
       .filter((incarnation) =>
         incarnation !== member.incarnation && !names.has(incarnation)
       );
+    if (lapsed.length === 0) return;
     // Whoever has lost its own lease cannot judge the others'.
-    if (lapsed.length === 0 || !names.has(member.incarnation)) return;
+    if (!names.has(member.incarnation)) return planLapseCheck(RETRY_MS);
     log.warn("removing entries whose lease has lapsed", {
       figures: { entries: lapsed.length },
     });
@@ -257,8 +258,7 @@
     follow(listed.value.revision + 1);
     options.configurationChanged(undefined);
     await read();
-    // After an outage the others need time to take their leases again.
-    timers.push(setTimeout(removeLapsed, options.leaseSeconds * MS_PER_SECOND));
+    await removeLapsed();
   }
 
   function repeat(task: () => Promise<void>, everyMs: number): void {
