Bound tenants' work at entries: admission, quotas, retry budgets

Entries refuse what cannot meet its deadline or overfills its tenant's queue (deadlineUnreachable and tooMuchQueued, both true notRun, recorded as shed), keep quotas on starts per second over all entries by the demand that rides on frames between them, and retry what a backend server did not take within the rule retry_share. Placement learns of a tenant's use over its share.

--- a/packages/coordinate/src/effect.ts
+++ b/packages/coordinate/src/effect.ts
@@ -4,6 +4,7 @@
 import type { RecordOptions } from "@coltsfootreach/admit";
 import type { ConfigurationHolder } from "@coltsfootreach/configure";
 import type { Queue } from "@coltsfootreach/limit";
+import type { Limits } from "./limits.ts";
 import type { Policy } from "@coltsfootreach/place";
 import type {
   Act,
@@ -63,6 +64,7 @@
   readonly records: RecordOptions;
   readonly queue: Queue;
   readonly policy: Policy;
+  readonly limits: Limits;
   /** Unix time in milliseconds, to judge the age of keys. */
   wallMs(): number;
   /** The configuration of this process, kept across runs. */
--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -67,6 +67,10 @@
   dispatch(nowMs: number): readonly EntryEffect[];
   tick(now: { nowMs: number; wallMs: number }): readonly EntryEffect[];
   table(): Table;
+  /** Slots of live sides that this entry can count on as its share. */
+  slotShare(): number;
+  /** True while tasks wait for a slot. */
+  hasWaiting(): boolean;
   /** How many other entries there is a stream to. */
   connectedPeers(): number;
   /** The freshness stamps for the next frame to a side. */
@@ -170,6 +174,9 @@
       return flush();
     },
     table: () => settlement.table(),
+    slotShare: () =>
+      sides.liveSlots() / Math.max(1, settlement.table().members.length),
+    hasWaiting: () => options.queue.size() > 0,
     connectedPeers: () => context.connectedPeers.size,
     stamps(incarnation) {
       const side = sides.find(incarnation);
--- a/packages/coordinate/src/entry_core_test.ts
+++ b/packages/coordinate/src/entry_core_test.ts
@@ -19,6 +19,7 @@
 import { err } from "neverthrow";
 import type { EntryEffect } from "./effect.ts";
 import { createEntryCore, type EntryCore } from "./entry_core.ts";
+import { NO_LIMITS } from "./limits.ts";
 
 const SIZE: Size = { cores: 4, memoryMb: 1000, accelerators: 0 };
 
@@ -71,6 +72,7 @@
       },
       queue: createTenantQueue(),
       policy: createLeastOutstanding(() => 0),
+      limits: NO_LIMITS,
       wallMs: () => WALL_MS + nowMs,
       holder: createConfigurationHolder({
         parse: () => err({ message: "no configuration here" }),
--- a/packages/coordinate/src/index.ts
+++ b/packages/coordinate/src/index.ts
@@ -1,5 +1,6 @@
 /** The state machine of an entry. */
 export * from "./effect.ts";
+export * from "./limits.ts";
 export * from "./requests.ts";
 export * from "./candidates.ts";
 export * from "./sides.ts";
--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -122,6 +122,14 @@
     const wallMs = options.wallMs();
     const isInGap = settlement.isInGap(id, birthOf(job));
     const known = records.find(id);
+    const refusal = known === undefined && !isInGap
+      ? options.limits.judge(job, nowMs)
+      : undefined;
+    if (refusal !== undefined) {
+      noteRefusal(job, refusal, nowMs);
+      refuse(origin, refusal);
+      return;
+    }
     const admission = records.admit({ job, wallMs }, nowMs);
     if (admission.kind === "refused") {
       noteRefusal(job, admission.refusal, nowMs);
@@ -134,6 +142,7 @@
     const { record } = admission;
     if (admission.kind === "new") {
       record.hasGaps = isInGap;
+      options.limits.admitted(job, nowMs);
       tasks.enqueue(record, nowMs);
     }
     const answer = tasks.answerOf(record);
--- a/packages/coordinate/src/sides.ts
+++ b/packages/coordinate/src/sides.ts
@@ -60,12 +60,16 @@
   revision(): number;
   /** Sides that are not lost. */
   liveCount(): number;
+  /** Slots of the sides that take work. */
+  liveSlots(): number;
 }
 
 export function createSides(): Sides {
   const sides = new Map<string, SideState>();
 
   let revision = 0;
+  let slots = 0;
+  let slotsRevision = -1;
 
   return {
     hello(hello, nowMs) {
@@ -143,6 +147,19 @@
       revision += 1;
     },
     revision: () => revision,
+    liveSlots() {
+      if (slotsRevision === revision) return slots;
+      slotsRevision = revision;
+      slots = 0;
+      for (
+        const { announcement, connected, lost, draining } of sides.values()
+      ) {
+        if (announcement === undefined || !connected) continue;
+        if (lost || draining) continue;
+        slots += Math.min(announcement.slots, announcement.connections);
+      }
+      return slots;
+    },
     liveCount() {
       let count = 0;
       for (const side of sides.values()) count += side.lost ? 0 : 1;
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -87,6 +87,7 @@
     for (const member of settlement.table().members) {
       if (present.has(member.incarnation)) continue;
       waiters.dropPeer(member.incarnation);
+      options.limits.forgetEntry(member.incarnation);
       requests.unsendTo(member.incarnation);
     }
   }
@@ -305,6 +306,7 @@
       const { entry, tableVersion } = frame;
       for (const message of frame.messages) handlePeer(entry, message, nowMs);
       settlement.follows(entry, tableVersion);
+      options.limits.hear(entry, frame.demands ?? [], nowMs);
       updatePeer(entry, tableVersion, nowMs);
       configuration.updatePeer(entry, frame.configurationVersion);
     },
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -10,6 +10,7 @@
   Evidence,
   JobId,
   Refused,
+  RefusedReason,
   Result,
   Start,
 } from "@coltsfootreach/types";
@@ -56,6 +57,12 @@
   expire(nowMs: number): void;
 }
 
+/** Refusals after a try at a backend server; the others are flow control. */
+const COSTLY_REFUSALS: readonly RefusedReason[] = [
+  "connectionRefused",
+  "doesNotFit",
+];
+
 export interface SendTo {
   readonly side: string;
   /** Time left until the deadline in milliseconds. */
@@ -65,7 +72,7 @@
 export function createTaskDesk(context: EntryContext): TaskDesk {
   const { me, options, records, sides, settlement, waiters } = context;
   const { toSide, reply, configuration, health } = context;
-  const { queue, policy } = options;
+  const { queue, policy, limits } = options;
   const fit = createFit({
     sides: () => sides.all(),
     estate: () => configuration.estate(),
@@ -128,12 +135,14 @@
       unplaced: record.waiting,
       longestMs: longestOf(record),
       ageMs: nowMs - record.madeAtMs,
+      usageRatio: limits.usageRatio(job.tenant, nowMs),
       leftMs,
     };
     const found = candidates.find(placing, nowMs);
     const side = policy.choose(placing, found, nowMs);
     if (side === undefined) return false;
     noteTrial(sides.find(side)!, nowMs);
+    limits.started({ ...placing }, nowMs);
     send(record, waiting.index, { side, leftMs });
     return true;
   }
@@ -273,6 +282,21 @@
     if (state !== undefined && state.outstanding > 0) state.outstanding -= 1;
   }
 
+  /** Why a refused task is not tried again; undefined when it is. */
+  function reasonToEnd(
+    record: JobRecord,
+    reason: RefusedReason,
+    nowMs: number,
+  ): string | undefined {
+    if (reason === "revoked") return "cancelled";
+    const isLate = reason === "deadlinePassed" || record.deadlineAtMs <= nowMs;
+    if (isLate) return "the deadline passed before a slot was free";
+    if (!COSTLY_REFUSALS.includes(reason)) return undefined;
+    const { tenant } = record.job ?? { tenant: "" };
+    if (limits.tryRetry(tenant)) return undefined;
+    return "a backend server did not take it and too many tasks are retried";
+  }
+
   function takeRefusal(side: SideState, message: Refused, nowMs: number): void {
     const record = records.find(message.job);
     if (record === undefined) return;
@@ -286,15 +310,11 @@
     sides.refused(side, reason, nowMs);
     const server = side.announcement?.server;
     if (server !== undefined) health.cancelTrial(server);
-    const isOver = reason === "revoked" || reason === "deadlinePassed" ||
-      record.deadlineAtMs <= nowMs;
-    if (!isOver && record.job !== undefined) {
+    const why = reasonToEnd(record, reason, nowMs);
+    if (why === undefined && record.job !== undefined) {
       queue.putBack(waitingOf(record, index));
       return;
     }
-    const why = reason === "revoked"
-      ? "cancelled"
-      : "the deadline passed before a slot was free";
     noteGap(record, nowMs);
     const verdict = record.hasGaps ? "mayHaveRun" : "notRun";
     const answer = records.end(
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -5,13 +5,14 @@
   createEstateLookup,
   type EstateLookup,
 } from "@coltsfootreach/configure";
+import { createLimits } from "@coltsfootreach/coordinate";
 import type { EntryOptions } from "@coltsfootreach/entry";
 import { createEstateParser } from "@coltsfootreach/inventory";
-import { createTenantQueue } from "@coltsfootreach/limit";
 import type { Log } from "@coltsfootreach/log";
-import { createPlacement } from "@coltsfootreach/place";
+import { createPlacement, createRunTimes } from "@coltsfootreach/place";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 import type { Store } from "@coltsfootreach/store";
+import { DEFAULT_RULES } from "@coltsfootreach/types";
 import { readCredentials } from "./credentials.ts";
 
 /** How long tasks on a lost side are waited for. */
@@ -79,12 +80,14 @@
     maxActs: limits.acts,
     holder,
     prepareConfiguration: prepare,
-    createQueue: () =>
-      createTenantQueue({
-        weightOf: (tenant) => estate.tenant(tenant)?.weight ?? 1,
-      }),
-    createPolicy: () =>
-      createPlacement(settings.placement, { random: Math.random }),
+    createPlanner({ slots, entries }) {
+      const runTimes = createRunTimes();
+      const rules = () => holder.inForce()?.estate.rules ?? DEFAULT_RULES;
+      const limited = createLimits({ estate, runTimes, rules, slots, entries });
+      const placing = { random: Math.random, runTimes };
+      const policy = createPlacement(settings.placement, placing);
+      return { ...limited, policy };
+    },
     credentials: readCredentials(settings.tls),
     log,
   };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -19,7 +19,6 @@
   LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 import { excerptForSides } from "@coltsfootreach/inventory";
-import type { Queue } from "@coltsfootreach/limit";
 import { listenForLinks, type Target } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
 import {
@@ -27,7 +26,6 @@
   createActJournal,
   type StoreStatus,
 } from "@coltsfootreach/manage";
-import type { Policy } from "@coltsfootreach/place";
 import type { Store } from "@coltsfootreach/store";
 import type { ServerCredentials } from "@grpc/grpc-js";
 import type {
@@ -54,6 +52,9 @@
 /** Digits that tell runs of one entry apart in the names of acts. */
 const ID_DIGITS = 8;
 
+/** How often waiting tasks are offered again. */
+const PLACEMENT_MS = 5;
+
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
@@ -93,8 +94,8 @@
   readonly holder: ConfigurationHolder;
   /** Does the slow part of reading a configuration before it is learned. */
   prepareConfiguration(configuration: Configuration): Promise<void>;
-  createQueue(): Queue;
-  createPolicy(): Policy;
+  /** Makes what places and bounds tasks; called for each run of the entry. */
+  createPlanner(capacity: Capacity): Planner;
   readonly credentials?: {
     readonly server: ServerCredentials;
     readonly client: Target["credentials"];
@@ -102,6 +103,19 @@
   readonly log: Log;
 }
 
+/** What an entry can count on now. */
+export interface Capacity {
+  /** Its share of the slots of live sides. */
+  slots(): number;
+  /** Entries in the table, this one included. */
+  entries(): number;
+}
+
+export type Planner = Pick<
+  Parameters<typeof createEntryCore>[0],
+  "queue" | "policy" | "limits"
+>;
+
 export interface Entry {
   /** Resolves with the reply; never rejects. */
   request(job: JobId, ask: Ask): Promise<Reply>;
@@ -317,11 +331,14 @@
       address: options.advertise.replace(/:0$/, `:${server.port}`),
       draining: false,
     };
-    const core = createEntryCore({
+    const planner = options.createPlanner({
+      slots: () => core.slotShare(),
+      entries: () => core.table().members.length,
+    });
+    const core: EntryCore = createEntryCore({
       member,
       records: options.records,
-      queue: options.createQueue(),
-      policy: options.createPolicy(),
+      ...planner,
       wallMs: () => Date.now(),
       holder,
       excerptForSides,
@@ -354,6 +371,7 @@
         entry: incarnation,
         tableVersion: core.table().version,
         configurationVersion: holder.version(),
+        demands: planner.limits.demands(performance.now()),
       }),
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
@@ -416,6 +434,11 @@
     }
   }, REPORT_MS);
 
+  /** Tasks may wait for a time and not for an event. */
+  const placementTimer = setInterval(() => {
+    if (run.core.hasWaiting()) planFlush();
+  }, PLACEMENT_MS);
+
   const timer = setInterval(() => {
     const now = { nowMs: performance.now(), wallMs: Date.now() };
     apply(run, run.core.tick(now));
@@ -476,6 +499,7 @@
       if (isDrained) await run.membership.leave();
       else log.warn("leaving without having handed over everything");
       clearInterval(timer);
+      clearInterval(placementTimer);
       clearInterval(report);
       feed.close();
       closeRun(run);
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -222,10 +222,22 @@
     noteSender(record, frame.entry);
     const queued: QueuedStart = { record, start, queuedAtMs: nowMs };
     record.tasks.set(index, { state: "queued", queued });
-    queue.push(queued);
+    enqueue(queued);
     return [];
   }
 
+  /** Small jobs go before large ones that came a little earlier. */
+  function enqueue(queued: QueuedStart): void {
+    const rank = rankOf(queued);
+    let at = queue.length;
+    while (at > 0 && rankOf(queue[at - 1]!) > rank) at -= 1;
+    queue.splice(at, 0, queued);
+  }
+
+  function rankOf({ start, queuedAtMs }: QueuedStart): number {
+    return queuedAtMs + (start.of * start.declaredMs) / Math.max(1, slots());
+  }
+
   /** Starts what waits while there are slots; the fence is checked again. */
   function startQueued(nowMs: number): readonly GuardEffect[] {
     const effects: GuardEffect[] = [];
--- a/packages/limit/src/quota.ts
+++ b/packages/limit/src/quota.ts
@@ -9,11 +9,7 @@
  * the quota may be exceeded by what they have borrowed from it.
  */
 
-/** Starts per second that an entry wants for one tenant. */
-export interface TenantDemand {
-  readonly tenant: string;
-  readonly perSecond: number;
-}
+import type { TenantDemand } from "@coltsfootreach/types";
 
 export interface Quota {
   /** When a task of the tenant may start; not after `nowMs` means now. */
--- a/packages/scenario/src/entry_process.ts
+++ b/packages/scenario/src/entry_process.ts
@@ -9,6 +9,7 @@
   type EntryEffect,
   type EntryOptions,
   markLate,
+  NO_LIMITS,
 } from "@coltsfootreach/coordinate";
 import { createConfigurationHolder } from "@coltsfootreach/configure";
 import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
@@ -340,6 +341,7 @@
       records: limits,
       queue: createTenantQueue(),
       policy: createLeastOutstanding(options.random),
+      limits: NO_LIMITS,
       wallMs: options.wallMs,
       freshnessMs: limits.freshnessMs,
       sideLostMs: limits.sideLostMs,
--- a/packages/slopes/src/entries_main.ts
+++ b/packages/slopes/src/entries_main.ts
@@ -9,6 +9,7 @@
 import { startEntry } from "@coltsfootreach/entry";
 import { parseEstate } from "@coltsfootreach/inventory";
 import { createTenantQueue } from "@coltsfootreach/limit";
+import { NO_LIMITS } from "@coltsfootreach/coordinate";
 import { createLog } from "@coltsfootreach/log";
 import { createLeastOutstanding } from "@coltsfootreach/place";
 import {
@@ -60,8 +61,11 @@
     maxActs: 1,
     holder: createConfigurationHolder({ parse: parseEstate }),
     prepareConfiguration: () => Promise.resolve(),
-    createQueue: () => createTenantQueue(),
-    createPolicy: () => createLeastOutstanding(Math.random),
+    createPlanner: () => ({
+      queue: createTenantQueue(),
+      policy: createLeastOutstanding(Math.random),
+      limits: NO_LIMITS,
+    }),
     log: createLog({
       role: "entry",
       name: `entry-${index}`,
--- a/packages/slopes/src/made_up.ts
+++ b/packages/slopes/src/made_up.ts
@@ -1,5 +1,9 @@
 /** Made-up jobs, sides and cores for measurements without processes. */
-import { createEntryCore, type EntryCore } from "@coltsfootreach/coordinate";
+import {
+  createEntryCore,
+  type EntryCore,
+  NO_LIMITS,
+} from "@coltsfootreach/coordinate";
 import { createConfigurationHolder } from "@coltsfootreach/configure";
 import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
 import { createTenantQueue } from "@coltsfootreach/limit";
@@ -76,6 +80,7 @@
     },
     queue: createTenantQueue(),
     policy: createExpectedDelay({ random: Math.random }),
+    limits: NO_LIMITS,
     wallMs: () => Date.now(),
     holder: createConfigurationHolder({ parse: parseEstate }),
     excerptForSides,
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -343,10 +343,18 @@
   | TableNews
   | ConfigurationNews;
 
+/** Starts per second that an entry wants for one tenant. */
+export interface TenantDemand {
+  readonly tenant: string;
+  readonly perSecond: number;
+}
+
 export interface PeerFrame {
   readonly entry: string;
   readonly tableVersion: number;
   readonly configurationVersion: number;
+  /** The sender's demand for tenants with a quota, when it is known. */
+  readonly demands?: readonly TenantDemand[] | undefined;
   readonly messages: readonly PeerMessage[];
 }
 
