--- a/packages/cli/src/commands/explain/run.ts
+++ b/packages/cli/src/commands/explain/run.ts
@@ -71,7 +71,9 @@
 }
 
 function formatJob(job: JobExplanation): string {
-  const left = job.leftMs >= 0
+  const left = job.state === "ended"
+    ? `${Math.round(job.ageMs)} ms since it was admitted`
+    : job.leftMs >= 0
     ? `${Math.round(job.leftMs)} ms left`
     : `${Math.round(-job.leftMs)} ms past its deadline`;
   return [
@@ -85,21 +87,27 @@
 
 function formatTasks(tasks: readonly TaskExplanation[]): string {
   return formatTable([
-    ["TASK", "STATE", "ATTEMPTS", "SIDE", "VERDICT", "WHY"],
+    ["TASK", "STATE", "ATTEMPTS", "SIDE", "SERVER", "VERDICT", "WHY"],
     ...tasks.map((task) => [
       task.index,
       task.state,
       task.attempts,
       task.side,
+      task.outcome?.server,
       task.outcome?.verdict,
       task.why,
     ]),
   ]);
 }
 
+/** Three digits after the point at most. */
+function formatFigure(value: number): string {
+  return String(Math.round(value * 1000) / 1000);
+}
+
 function formatAct(act: Act): string {
   const figures = Object.entries(act.figures)
-    .map(([name, value]) => `  ${name} = ${value}`);
+    .map(([name, value]) => `  ${name} = ${formatFigure(value)}`);
   const undone = act.undoneAtMs === undefined
     ? "stands"
     : `undone at ${formatTime(act.undoneAtMs)}`;
@@ -108,6 +116,9 @@
     act.why,
     ...figures,
     `under configuration version ${act.configurationVersion}`,
+    ...act.kind === "eject" && act.undoneAtMs === undefined
+      ? [`to take it back for good: coltsfootreach undo ${act.id}`]
+      : [],
     `to stop this kind of act: coltsfootreach hold ${act.kind}`,
   ].join("\n");
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,6 +16,7 @@
   type ConfigurationHolder,
   createConfigurationFeed,
   createConfigurationKeys,
+  LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 import { excerptForSides } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
@@ -146,6 +147,7 @@
   readonly sides: SideStreams;
   readonly peers: PeerStreams;
   readonly membership: Membership;
+  readonly log: Log;
 }
 
 export async function startEntry(options: EntryOptions): Promise<Entry> {
@@ -164,10 +166,8 @@
     prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
-      const { version } = configuration;
-      noteVersion(version);
+      noteVersion(configuration.version);
       apply(run, run.core.configurationLearned(configuration, source, now));
-      log.info("configuration", { configurationVersion: version });
     },
     failed(fault) {
       log.warn("the configuration cannot be read", { reason: fault.message });
@@ -175,9 +175,13 @@
   });
   let refreshedAtMs = -Infinity;
   let newest = { version: 0, sinceMs: performance.now() };
+  /** Newest version that another process has in force. */
+  let elsewhere = newest;
+  let loggedVersion = holder.version();
   let requests = 0;
   let isReady = false;
   let isStopping = false;
+  /** Set when this entry takes itself out of the table. */
   let isLeaving = false;
   let isFlushPlanned = false;
   let run: Run;
@@ -191,6 +195,7 @@
 
   function apply(own: Run, effects: readonly EntryEffect[]): void {
     if (own !== run) return;
+    noteInForce(own);
     for (const effect of effects) {
       if (effect.kind === "toSide") {
         own.sides.push(effect.side, effect.message, effect.lazy);
@@ -202,6 +207,11 @@
         return rejoin(own);
       } else if (effect.kind === "removeMembers") {
         void own.membership.remove(effect.incarnations);
+      } else if (effect.kind === "actUndone") {
+        const { kind, subject, figures } = effect.act;
+        const standing = journal.findStanding(kind, subject);
+        const { atMs } = effect;
+        if (standing) journal.markUndone(standing.id, { atMs, figures });
       } else {
         recordAct(effect.act);
       }
@@ -212,10 +222,10 @@
   function recordAct(act: NewAct): void {
     if (act.kind === "readmit") {
       const ejection = journal.findStanding("eject", act.subject);
-      if (ejection !== undefined) journal.markUndone(ejection.id, act.atMs);
+      if (ejection !== undefined) journal.markUndone(ejection.id, act);
     }
     const { id } = journal.record(act);
-    log.warn("automatic act", {
+    run.log.warn("automatic act", {
       act: `${act.kind} ${act.subject} ${id}`,
       reason: act.why,
       figures: act.figures,
@@ -223,7 +233,37 @@
     });
   }
 
-  /** Another process has a newer configuration than this one. */
+  /** Logs a version that has come into force, wherever it came from. */
+  function noteInForce(own: Run): void {
+    const configurationVersion = holder.version();
+    if (configurationVersion === loggedVersion) return;
+    loggedVersion = configurationVersion;
+    own.log.info("configuration", { configurationVersion });
+    own.membership.rulesChanged();
+  }
+
+  /** Another process has a version in force that is newer than this one's. */
+  function heardVersion(version: number): void {
+    noteVersion(version);
+    if (version <= elsewhere.version) return;
+    const sinceMs = elsewhere.version <= holder.version()
+      ? performance.now()
+      : elsewhere.sinceMs;
+    elsewhere = { version, sinceMs };
+  }
+
+  /** False after a removal until the entry has joined anew. */
+  function isMember(): boolean {
+    return run.core.table().version > 0;
+  }
+
+  /** A version that others use and this entry cannot get or read. */
+  function isLagging(): boolean {
+    return elsewhere.version > holder.version() &&
+      performance.now() - elsewhere.sinceMs >= LAG_BOUND_MS;
+  }
+
+  /** There is a version that may be newer than the one in force here. */
   function noteVersion(version: number): void {
     const nowMs = performance.now();
     if (version > newest.version) newest = { version, sinceMs: nowMs };
@@ -269,6 +309,7 @@
 
   function createRun(): Run {
     const incarnation = v4();
+    const log = options.log.with({ incarnation });
     const member: Member = {
       incarnation,
       name: options.name,
@@ -299,7 +340,7 @@
         ...core.stamps(side),
       }),
       received(frame) {
-        noteVersion(frame.configurationVersion);
+        heardVersion(frame.configurationVersion);
         apply(own, core.sideFrame(frame, performance.now()));
       },
       closed: (side) => core.sideClosed(side),
@@ -316,8 +357,10 @@
       }),
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
-      received: (frame) =>
-        followTable(own, core.peerFrame(frame, performance.now())),
+      received(frame) {
+        heardVersion(frame.configurationVersion);
+        followTable(own, core.peerFrame(frame, performance.now()));
+      },
       refused: (entry) => void own.membership.removeEnded(entry),
     });
     const membership = createMembership({
@@ -341,7 +384,7 @@
       isTakeoverHeld: () =>
         core.configuration.rules().held.includes("takeOver"),
     });
-    const own: Run = { member, core, sides, peers, membership };
+    const own: Run = { member, core, sides, peers, membership, log };
     return own;
   }
 
@@ -397,6 +440,7 @@
     return false;
   }
 
+  log.info("entry starting");
   run = createRun();
   await run.membership.join();
   isReady = true;
@@ -413,7 +457,7 @@
       });
     },
     incarnation: () => run.member.incarnation,
-    isReady: () => isReady && !isStopping,
+    isReady: () => isReady && !isStopping && isMember() && !isLagging(),
     core: () => run.core,
     journal,
     newestVersion: () => newest,
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -32,11 +32,11 @@
 /** Reads that are left out between two while all is quiet. */
 const QUIET_SKIPS = 9;
 
-const MS_PER_SECOND = 1000;
-
 /** Pause before a failed call is tried again. */
 const RETRY_MS = 250;
 
+const MS_PER_SECOND = 1000;
+
 export interface MembershipOptions<Token> {
   readonly store: Store;
   readonly prefix: string;
@@ -68,7 +68,9 @@
   /** Gives up this entry's keys; false when the store cannot say so. */
   drain(): Promise<boolean>;
   leave(): Promise<void>;
-  /** Whether the store answered the last read of the table. */
+  /** A held takeover that has been released since is carried out. */
+  rulesChanged(): void;
+  /** Whether the store answered the last read or renewal. */
   storeStatus(): StoreStatus;
   /** Ends without a word to the store, for an entry that was removed. */
   close(): void;
@@ -89,6 +91,10 @@
   let isClosed = false;
   let skipped = 0;
   let status: StoreStatus = { reachable: true, sinceMs: Date.now() };
+  let lapseCheck: NodeJS.Timeout | undefined;
+  let isTakeoverDue = false;
+  /** After an outage others get this long to renew their leases. */
+  const graceMs = options.leaseSeconds * MS_PER_SECOND + options.renewMs;
   const timers: NodeJS.Timeout[] = [];
 
   /** The table after the change; undefined when that is not certain. */
@@ -150,6 +156,7 @@
     if (lease === undefined) return await hold();
     const askedAtMs = performance.now();
     const renewed = await store.renew(lease);
+    noteStore(renewed.isOk());
     if (renewed.isErr()) return;
     if (renewed.value) options.leaseHeld(askedAtMs);
     else dropLease();
@@ -179,10 +186,16 @@
 
   /** Removes the members of the table that hold no lease. */
   async function removeLapsed(): Promise<void> {
-    if (options.isTakeoverHeld()) return;
+    if (isClosed) return;
+    isTakeoverDue = options.isTakeoverHeld();
+    if (isTakeoverDue) return;
+    const graceLeftMs = status.reachable
+      ? status.sinceMs + graceMs - Date.now()
+      : graceMs;
+    if (graceLeftMs > 0) return planLapseCheck(graceLeftMs);
     const table = await store.read(tableKey);
     const live = await store.list(livePrefix);
-    if (table.isErr() || live.isErr()) return;
+    if (table.isErr() || live.isErr()) return planLapseCheck(RETRY_MS);
     const names = new Set(
       live.value.values.map(({ key }) => key.slice(livePrefix.length)),
     );
@@ -199,7 +212,13 @@
     const changed = await changeTable((now) =>
       isMember(now, member.incarnation) ? without(now, new Set(lapsed)) : now
     );
-    if (changed !== undefined) options.tableLearned(changed);
+    if (changed === undefined) planLapseCheck(RETRY_MS);
+    else options.tableLearned(changed);
+  }
+
+  function planLapseCheck(afterMs: number): void {
+    clearTimeout(lapseCheck);
+    lapseCheck = setTimeout(() => void removeLapsed(), afterMs);
   }
 
   function follow(from: number): void {
@@ -258,6 +277,7 @@
         await hold();
         if (lease === undefined) await sleep(RETRY_MS);
       }
+      status = { reachable: true, sinceMs: Date.now() };
       // Others take over from an earlier run before this one joins them.
       await persist((now) => withoutEarlierRuns(now, member));
       const table = await persist((now) => joined(now, member));
@@ -275,7 +295,8 @@
       return table !== undefined;
     },
     async removeEnded(entry) {
-      if (options.isTakeoverHeld()) return;
+      isTakeoverDue ||= options.isTakeoverHeld();
+      if (isTakeoverDue) return;
       log.warn("removing an entry whose process has ended", { entry });
       await this.remove(new Set([entry]));
     },
@@ -288,9 +309,13 @@
       this.close();
       if (lease !== undefined) await store.revoke(lease);
     },
+    rulesChanged() {
+      if (isTakeoverDue && !options.isTakeoverHeld()) void removeLapsed();
+    },
     storeStatus: () => status,
     close() {
       isClosed = true;
+      clearTimeout(lapseCheck);
       watch?.close();
       for (const timer of timers) clearTimeout(timer);
     },
