--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -7,7 +7,13 @@
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
-import { type Owned, type Store, swapOwned } from "@coltsfootreach/store";
+import { LARGEST_PART_BYTES, splitText } from "@coltsfootreach/inventory";
+import {
+  type Owned,
+  type Store,
+  swapOwned,
+  type Write,
+} from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationKeys } from "./keys.ts";
 import {
@@ -22,7 +28,6 @@
   type Head,
   type ReadFault,
 } from "./repository.ts";
-import { LARGEST_PART_BYTES, splitText } from "./split.ts";
 import { pruneHistory } from "./prune.ts";
 
 /** An edit that an operator wants to be in force. */
@@ -112,7 +117,9 @@
   }
   const parts = splitText(text);
   if (parts.some((part) => Buffer.byteLength(part) > LARGEST_PART_BYTES)) {
-    return err(new InvalidFile("configuration", "text", "has too long a line"));
+    return err(
+      new InvalidFile("configuration", "text", "has too long a table"),
+    );
   }
   return check({ version: baseVersion + 1, text });
 }
@@ -138,11 +145,10 @@
 ): Promise<Result<ConfigurationRecord, ReadFault>> {
   if (head !== undefined) {
     const { version } = head.record;
-    const kept = await writeOnce(
-      options.store,
-      options.keys.history(version),
-      formatRecord(head.record),
-    );
+    const kept = await writeOnce(options.store, {
+      key: options.keys.history(version),
+      value: formatRecord(head.record),
+    });
     if (kept.isErr()) return err(kept.error);
   }
   const body = await writeText(options, change, head);
@@ -181,7 +187,10 @@
     const reference = present.get(digest) ??
       { key: keys.part(token, position), digest };
     if (!present.has(digest)) {
-      const written = await writeOnce(store, reference.key, part);
+      const written = await writeOnce(store, {
+        key: reference.key,
+        value: part,
+      });
       if (written.isErr()) return err(written.error);
     }
     parts.push(reference);
@@ -192,11 +201,10 @@
 /** Writes a key whose value never changes; present already is as good. */
 async function writeOnce(
   store: Store,
-  key: string,
-  value: string,
+  entry: Pick<Write, "key" | "value">,
 ): Promise<Result<void, StoreUnavailable>> {
   for (let attempt = 1;; attempt++) {
-    const swap = await store.swap({ key, value, expectedRevision: 0 });
+    const swap = await store.swap({ ...entry, expectedRevision: 0 });
     if (swap.isOk()) return ok(undefined);
     if (attempt === SWAP_ATTEMPTS) {
       return err(new StoreUnavailable("notRun", swap.error.message));
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -2,7 +2,7 @@
  * What a change of configuration does to running work, in the words that an
  * operator reads before applying it.
  */
-import type { Estate, Rules } from "@coltsfootreach/types";
+import type { Estate } from "@coltsfootreach/types";
 
 /** What runs and waits at the moment, as the entries report it. */
 export interface Running {
@@ -71,8 +71,9 @@
   return { severity: "warning", subject, text };
 }
 
-function drainEffects({ from, to, running }: EffectContext): Effect[] {
-  const { added, removed } = compareLists(from.rules, to.rules, "drained");
+function drainEffects(context: EffectContext): Effect[] {
+  const { running } = context;
+  const { added, removed } = compareLists(context, "drained");
   const begun = added.map((name) => {
     const server = running.servers.find((item) => item.server === name);
     if (server === undefined) {
@@ -88,22 +89,29 @@
   return [...begun, ...ended];
 }
 
-function capacityEffects({ to, running }: EffectContext): Effect[] {
-  const drained = new Set(to.rules.drained);
-  const left = running.servers.filter(({ server }) => !drained.has(server));
-  const slots = sum(running.servers.map((server) => server.slots));
-  const slotsLeft = sum(left.map((server) => server.slots));
-  const busy = sum(running.servers.map((server) => server.running));
-  if (slots === 0 || slotsLeft === slots) return [];
+function capacityEffects({ from, to, running }: EffectContext): Effect[] {
+  const slots = countSlots(running.servers, []);
+  const slotsBefore = countSlots(running.servers, from.rules.drained);
+  const slotsLeft = countSlots(running.servers, to.rules.drained);
+  if (slotsLeft >= slotsBefore) return [];
   if (slotsLeft === 0) {
     return [warning("capacity", "no backend server is left to take work")];
   }
+  const busy = sum(running.servers.map((server) => server.running));
   const text = `${slotsLeft} of ${slots} slots stay in use; ${busy} are busy`;
   return [
     busy > slotsLeft ? warning("capacity", text) : notice("capacity", text),
   ];
 }
 
+function countSlots(
+  servers: readonly RunningServer[],
+  drained: readonly string[],
+): number {
+  const left = servers.filter(({ server }) => !drained.includes(server));
+  return sum(left.map(({ slots }) => slots));
+}
+
 function serverEffects({ from, to, running }: EffectContext): Effect[] {
   const after = new Set(to.servers.map(({ name }) => name));
   return from.servers
@@ -185,9 +193,10 @@
   });
 }
 
-function ruleEffects({ from, to, running }: EffectContext): Effect[] {
-  const held = compareLists(from.rules, to.rules, "held");
-  const gone = compareLists(from.rules, to.rules, "gone");
+function ruleEffects(context: EffectContext): Effect[] {
+  const { running } = context;
+  const held = compareLists(context, "held");
+  const gone = compareLists(context, "gone");
   return [
     ...held.added.map((kind) =>
       notice(kind, "is held: it is not done any more; past ones stand")
@@ -208,9 +217,12 @@
   readonly removed: readonly string[];
 }
 
-function compareLists(from: Rules, to: Rules, list: RuleList): ListComparison {
-  const before: readonly string[] = from[list];
-  const after: readonly string[] = to[list];
+function compareLists(
+  { from, to }: EffectContext,
+  list: RuleList,
+): ListComparison {
+  const before: readonly string[] = from.rules[list];
+  const after: readonly string[] = to.rules[list];
   return {
     added: after.filter((item) => !before.includes(item)),
     removed: before.filter((item) => !after.includes(item)),
--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -113,6 +113,7 @@
       freshnessMs: options.freshnessMs,
       windowMs: options.records.windowMs,
       skewMs: options.records.skewMs,
+      wallMs: () => options.wallMs(),
     }),
     waiters: createWaiters(),
     outgoing: createOutgoing(),
--- a/packages/coordinate/src/request_desk.ts
+++ b/packages/coordinate/src/request_desk.ts
@@ -2,7 +2,7 @@
  * Callers' requests: served here when this entry owns the job, forwarded to its
  * owner, or held until a takeover has settled.
  */
-import { birthOf } from "@coltsfootreach/admit";
+import { birthOf, type JobRecord } from "@coltsfootreach/admit";
 import { ownerOf } from "@coltsfootreach/ownership";
 import type { JobId, Refusal, Reply } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -75,7 +75,9 @@
     }
     const spentMs = nowMs - entry.receivedAtMs;
     const deadlineMs = ask.job.deadlineMs - spentMs;
-    toPeer(owner, { kind: "submit", request, job: { ...ask.job, deadlineMs } });
+    const { wait } = ask;
+    const sent = { ...ask.job, deadlineMs };
+    toPeer(owner, { kind: "submit", request, job: sent, wait });
   }
 
   /** Sends again what its owner has not taken or can no longer answer. */
@@ -120,13 +122,12 @@
     const wallMs = options.wallMs();
     const isInGap = settlement.isInGap(id, birthOf(job));
     const known = records.find(id);
-    if (known === undefined && isInGap) {
-      refuse(origin, undecided("a side that is gone may have run this job"));
-      return;
-    }
     const admission = records.admit({ job, wallMs }, nowMs);
     if (admission.kind === "refused") {
-      refuse(origin, admission.refusal);
+      const { refusal } = admission;
+      const isDoubtful = known === undefined && isInGap;
+      const verdict = isDoubtful ? "mayHaveRun" : refusal.verdict;
+      refuse(origin, { ...refusal, verdict });
       return;
     }
     const { record } = admission;
@@ -134,10 +135,13 @@
       record.hasGaps = isInGap;
       tasks.enqueue(record, nowMs);
     }
-    if (record.answer !== undefined) {
-      reply(origin, { kind: "answered", answer: record.answer });
-    } else {
+    const answer = tasks.answerOf(record);
+    if (answer !== undefined) {
+      reply(origin, { kind: "answered", answer });
+    } else if (ask.wait) {
       waiters.add(id, origin);
+    } else {
+      reply(origin, pendingOf(record));
     }
   }
 
@@ -145,11 +149,13 @@
     const record = records.find(job);
     if (record === undefined) {
       refuse(origin, unknownJob());
-    } else if (record.answer !== undefined) {
-      reply(origin, { kind: "answered", answer: record.answer });
+      return;
+    }
+    const answer = tasks.answerOf(record);
+    if (answer !== undefined) {
+      reply(origin, { kind: "answered", answer });
     } else {
-      const of = record.tasks.length;
-      reply(origin, { kind: "pending", done: of - record.open, of });
+      reply(origin, pendingOf(record));
     }
   }
 
@@ -161,11 +167,12 @@
     }
     options.queue.removeJob(job);
     tasks.noteGap(record, nowMs);
-    const answer = records.endWaiting(record, "cancelled", nowMs);
+    const ended = records.endWaiting(record, "cancelled", nowMs);
     tasks.revokeSent(record);
-    if (record.answer === undefined) waiters.add(job, origin);
-    else reply(origin, { kind: "answered", answer: record.answer });
-    if (answer !== undefined) tasks.settle(record, answer);
+    const answer = ended === undefined ? tasks.answerOf(record) : undefined;
+    if (answer === undefined) waiters.add(job, origin);
+    else reply(origin, { kind: "answered", answer });
+    if (ended !== undefined) tasks.settle(record, ended, nowMs);
   }
 
   function routeHeld(): void {
@@ -218,6 +225,11 @@
   };
 }
 
+function pendingOf(record: JobRecord): Reply {
+  const of = record.tasks.length;
+  return { kind: "pending", done: of - record.open, of };
+}
+
 function undecided(reason: string): Refusal {
   return {
     code: "undecided",
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -14,7 +14,6 @@
   type PeerFrame,
   type PeerMessage,
   type RecordSnapshot,
-  type SideEnding,
   type Table,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -143,7 +142,7 @@
       }
       const ask: Ask = snapshot.job === undefined
         ? { kind: "read" }
-        : { kind: "submit", job: snapshot.job };
+        : { kind: "submit", job: snapshot.job, wait: true };
       const receivedAtMs = record.madeAtMs;
       requests.forward(
         { origin, job: record.id, ask, receivedAtMs },
@@ -162,7 +161,7 @@
     const hadAnswer = records.find(snapshot.id)?.answer !== undefined;
     const record = records.take(snapshot, nowMs);
     if (record.answer === undefined) resume(record, nowMs);
-    else if (!hadAnswer) tasks.settle(record, record.answer);
+    else if (!hadAnswer) tasks.settle(record, record.answer, nowMs);
   }
 
   /** Goes on with a record that came from another entry. */
@@ -211,32 +210,24 @@
       tableVersion: version,
       records: batch.records,
       sides: settlement.registry.registrations(),
-      sideEnding: sideEnding(nowMs),
+      lastDepartureWallMs: settlement.registry.lastDepartureWallMs(),
       doubt: settlement.doubt(nowMs),
     });
   }
 
-  function sideEnding(nowMs: number): SideEnding | undefined {
-    const ending = settlement.registry.lastEnding();
-    if (ending === undefined) return undefined;
-    return { wallMs: ending.wallMs, ageMs: nowMs - ending.nowMs };
-  }
-
   function takeHandOver(
     entry: string,
     message: HandOver,
     nowMs: number,
   ): void {
-    const { tableVersion, sideEnding, doubt, batch } = message;
-    for (const side of message.sides) settlement.registry.hearOf(side);
-    if (sideEnding !== undefined) {
-      const { wallMs, ageMs } = sideEnding;
-      settlement.registry.hearOfEnding({ wallMs, nowMs: nowMs - ageMs });
-    }
+    const { tableVersion, doubt, batch } = message;
+    const { registry } = settlement;
+    for (const side of message.sides) registry.hearOf(side);
+    registry.hearOfDeparture(message.lastDepartureWallMs ?? -Infinity);
     // What moved on belongs to its sender until that follows the newer table.
     const own = message.records.filter((one) => ownerIn(one.id) === me);
     for (const snapshot of own) takeRecord(snapshot, nowMs);
-    settlement.handedOver({ entry, tableVersion, doubt }, nowMs);
+    settlement.handedOver(entry, tableVersion, { doubt, nowMs });
     if (own.length === message.records.length) {
       toPeer(entry, { kind: "handOverTaken", batch });
     }
@@ -269,7 +260,7 @@
         const { request } = message;
         const origin: Origin = { kind: "peer", entry, request };
         const ask: Ask = message.kind === "submit"
-          ? { kind: "submit", job: message.job }
+          ? { kind: "submit", job: message.job, wait: message.wait }
           : { kind: message.kind };
         const job = message.kind === "submit"
           ? jobId(message.job)
--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -11,7 +11,7 @@
   type Entry,
   startEntry,
 } from "@coltsfootreach/entry";
-import { parseEstate } from "@coltsfootreach/inventory";
+import { createEstateParser } from "@coltsfootreach/inventory";
 import {
   createManagementApp,
   type ManagementServer,
@@ -20,7 +20,7 @@
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createLog } from "@coltsfootreach/log";
 import { createMetrics, type Metrics } from "@coltsfootreach/measure";
-import { createExpectedDelay } from "@coltsfootreach/place";
+import { createPlacement } from "@coltsfootreach/place";
 import { createApp } from "@coltsfootreach/serve";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 import { createEtcdStore } from "@coltsfootreach/store";
@@ -67,9 +67,8 @@
     watchSilentMs: WATCH_SILENT_MS,
   });
   const metrics = createMetrics();
-  const holder = createConfigurationHolder({
-    parse: (configuration) => parseEstate(configuration),
-  });
+  const parser = createEstateParser();
+  const holder = createConfigurationHolder({ parse: parser.parse });
   const estate = createEstateLookup(holder);
   const entry = await startEntry({
     name: settings.name,
@@ -94,11 +93,13 @@
     },
     maxActs: limits.acts,
     holder,
+    prepareConfiguration: parser.prepare,
     createQueue: () =>
       createTenantQueue({
         weightOf: (tenant) => estate.tenant(tenant)?.weight ?? 1,
       }),
-    createPolicy: () => createExpectedDelay({ random: Math.random }),
+    createPolicy: () =>
+      createPlacement(settings.placement, { random: Math.random }),
     credentials: readCredentials(settings.tls),
     log,
   });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -29,19 +29,27 @@
 import type { Policy } from "@coltsfootreach/place";
 import type { Store } from "@coltsfootreach/store";
 import type { ServerCredentials } from "@grpc/grpc-js";
-import type { JobId, Member, Reply } from "@coltsfootreach/types";
+import type {
+  Configuration,
+  JobId,
+  Member,
+  Reply,
+} from "@coltsfootreach/types";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
 
-const MS_PER_SECOND = 1000;
-
 /** The store's clock may run this much faster than ours, as a share. */
 const CLOCK_DRIFT = 0.01;
 
 /** Pause before the configuration is read again. */
 const REFRESH_PAUSE_MS = 1000;
 
+/** Renewals of a lease within its life. */
+const RENEWALS_PER_LEASE = 2.5;
+
+const MS_PER_SECOND = 1000;
+
 /** Digits that tell runs of one entry apart in the names of acts. */
 const ID_DIGITS = 8;
 
@@ -68,6 +76,8 @@
   /** Records of automatic acts kept. */
   readonly maxActs: number;
   readonly holder: ConfigurationHolder;
+  /** Does the slow part of reading a configuration before it is learned. */
+  prepareConfiguration(configuration: Configuration): Promise<void>;
   createQueue(): Queue;
   createPolicy(): Policy;
   readonly credentials?: {
@@ -99,6 +109,15 @@
   readonly store: ReturnType<Store["calls"]>;
 };
 
+/**
+ * True when every member is heard and follows this table, so that sides are
+ * confirmed without reads of the store.
+ */
+function hasQuietMajority(core: EntryCore): boolean {
+  const { members } = core.table();
+  return core.connectedPeers() === members.length - 1;
+}
+
 interface Pending {
   readonly job: JobId;
   readonly ask: Ask;
@@ -128,6 +147,7 @@
     store: options.store,
     keys: createConfigurationKeys(options.prefix),
     retryMs: REFRESH_PAUSE_MS,
+    prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
       const { version } = configuration;
@@ -241,6 +261,7 @@
       dataCentre: options.dataCentre,
       address: options.advertise.replace(/:0$/, `:${server.port}`),
       draining: false,
+      joinedVersion: 0,
     };
     const core = createEntryCore({
       member,
@@ -284,13 +305,15 @@
       down: (entry) => core.peerDown(entry),
       received: (frame) =>
         followTable(own, core.peerFrame(frame, performance.now())),
+      refused: (entry) => void own.membership.removeEnded(entry),
     });
     const membership = createMembership({
       store: options.store,
       prefix: options.prefix,
       member,
       leaseSeconds: options.leaseSeconds,
-      renewMs: options.heartbeatMs,
+      renewMs: (options.leaseSeconds * MS_PER_SECOND) / RENEWALS_PER_LEASE,
+      isQuiet: () => hasQuietMajority(core),
       log,
       leaseHeld: (askedAtMs) => core.leaseHeld(askedAtMs + leaseMs),
       beginRead: () => core.beginTableRead(),
--- a/packages/inventory/src/schema.ts
+++ b/packages/inventory/src/schema.ts
@@ -3,10 +3,17 @@
  * text. The schema reads the TOML names and yields the names of the code.
  */
 import { z } from "zod";
-import { delay, duration, name, size } from "@coltsfootreach/settings";
+import {
+  delay,
+  duration,
+  formatDuration,
+  name,
+  size,
+} from "@coltsfootreach/settings";
 import {
   ACT_KINDS,
   type DataCentre,
+  DEFAULT_RULES,
   type Estate,
   type RequestClass,
   type Rules,
@@ -25,7 +32,7 @@
   delay: delay(),
 }).transform(({ delay, ...rest }): DataCentre => ({ ...rest, delayMs: delay }));
 
-const workerSchema = z.strictObject({
+export const workerSchema = z.strictObject({
   name: name(),
   data_centre: name(),
   rack: name(),
@@ -41,7 +48,7 @@
   memoryMb: memory / BYTES_PER_MB,
 }));
 
-const serverSchema = z.strictObject({
+export const serverSchema = z.strictObject({
   name: name(),
   worker: name(),
   slots: z.int().min(1),
@@ -75,10 +82,12 @@
   drained: z.array(name()).default([]),
   never_ejected: z.array(name()).default([]),
   gone: z.array(IDENTITY).default([]),
-  eject_failure_ratio: share().default(0.5),
-  eject_at_most: share().default(0.3),
-  probation: duration().prefault("30s"),
-  retry_share: share().default(0.1),
+  eject_failure_ratio: share().default(DEFAULT_RULES.ejectFailureRatio),
+  eject_at_most: share().default(DEFAULT_RULES.ejectAtMost),
+  probation: duration().prefault(
+    formatDuration(DEFAULT_RULES.probationMs),
+  ),
+  retry_share: share().default(DEFAULT_RULES.retryShare),
 }).transform((rules): Rules => ({
   held: rules.held,
   drained: rules.drained,
--- a/packages/scenario/src/entry_process.ts
+++ b/packages/scenario/src/entry_process.ts
@@ -334,6 +334,7 @@
       dataCentre: "d1",
       address: host.name,
       draining: false,
+      joinedVersion: 0,
     };
     const core = (options.createCore ?? createEntryCore)({
       member,
@@ -354,6 +355,7 @@
       limits,
       member,
       leaseHeld: (untilMs) => core.leaseHeld(untilMs),
+      isQuiet: () => core.connectedPeers() === core.table().members.length - 1,
       beginRead: () => core.beginTableRead(),
       tableRead(table, token) {
         const effects = core.tableRead({ table, token }, host.nowMs());
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -17,10 +17,11 @@
   readonly lostBy: Set<string>;
 }
 
-/** Time on the process's clock and in Unix milliseconds. */
-export interface Instant {
-  readonly nowMs: number;
-  readonly wallMs: number;
+export interface RegistryOptions {
+  /** Incarnation of this entry. */
+  readonly me: string;
+  /** Unix time in milliseconds. */
+  wallMs(): number;
 }
 
 export interface Registry {
@@ -34,9 +35,9 @@
   lost(registration: Registration, by: string): void;
   /**
    * Forgets registrations that every member has declared lost. A side that
-   * never said hello to this entry, `me`, counts as lost here.
+   * never said hello to this entry counts as lost here.
    */
-  forgetLost(table: Table, me: string): void;
+  forgetLost(table: Table): void;
   /** True when the side must register anew with every member. */
   isLostBy(registration: Registration, by: string): boolean;
   /** The newest table version under which a side has given evidence. */
@@ -44,20 +45,20 @@
   /** Sides that have not given evidence under `tableVersion` or a newer one. */
   withoutEvidence(tableVersion: number): readonly string[];
   registrations(): readonly Registration[];
-  /** Dates the registrations that have ended since the last call. */
-  dateEndings(now: Instant): void;
-  /** Another entry has seen a registration end. */
-  hearOfEnding(ending: Instant): void;
-  /** When the last registration was found to have ended, if ever. */
-  lastEnding(): Instant | undefined;
+  /**
+   * When a registration was last found to have ended with the evidence of its
+   * starts, in Unix milliseconds; -Infinity if never.
+   */
+  lastDepartureWallMs(): number;
+  /** Another entry has seen a side depart. */
+  hearOfDeparture(wallMs: number): void;
 }
 
-export function createRegistry(): Registry {
+export function createRegistry(options: RegistryOptions): Registry {
   const sides = new Map<string, KnownSide>();
   /** The newest ended registration of each run. */
   const ended = new Map<string, number>();
-  let hasUndatedEnding = false;
-  let lastEnding: Instant | undefined;
+  let lastDepartureWallMs = -Infinity;
 
   function isOver({ incarnation, registration }: Registration): boolean {
     return registration <= (ended.get(incarnation) ?? 0);
@@ -68,7 +69,7 @@
     if (side === undefined) return;
     sides.delete(incarnation);
     ended.set(incarnation, side.registration.registration);
-    hasUndatedEnding = true;
+    lastDepartureWallMs = options.wallMs();
   }
 
   function know(registration: Registration): KnownSide | undefined {
@@ -112,11 +113,11 @@
         side?.registration.registration === registration.registration;
       if (isSame) side!.lostBy.add(by);
     },
-    forgetLost(table, me) {
+    forgetLost(table) {
       for (const [incarnation, side] of sides) {
         const isLost = table.members.every((member) =>
           side.lostBy.has(member.incarnation) ||
-          member.incarnation === me && side.name === undefined
+          member.incarnation === options.me && side.name === undefined
         );
         if (isLost) end(incarnation);
       }
@@ -140,14 +141,9 @@
     registrations() {
       return [...sides.values()].map((side) => side.registration);
     },
-    dateEndings(now) {
-      if (!hasUndatedEnding) return;
-      hasUndatedEnding = false;
-      lastEnding = now;
-    },
-    hearOfEnding(ending) {
-      if (ending.wallMs > (lastEnding?.wallMs ?? 0)) lastEnding = ending;
+    lastDepartureWallMs: () => lastDepartureWallMs,
+    hearOfDeparture(wallMs) {
+      lastDepartureWallMs = Math.max(lastDepartureWallMs, wallMs);
     },
-    lastEnding: () => lastEnding,
   };
 }
