--- a/packages/coordinate/src/side_desk.ts
+++ b/packages/coordinate/src/side_desk.ts
@@ -4,6 +4,7 @@
  */
 import type { Hello, SideFrame, SideMessage } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
+import { offerOf } from "./departures.ts";
 import type { SideState } from "./sides.ts";
 import type { TaskDesk } from "./task_desk.ts";
 
@@ -34,9 +35,12 @@
       tasks.endTasksOn(earlier, nowMs);
       forgetSide(earlier);
     }
-    settlement.registry.hello(identity.side, known);
-    const isNewStream = sides.find(incarnation)?.connected !== true;
+    settlement.registry.hello(identity.side, known, nowMs);
+    const before = sides.find(incarnation);
+    const offered = offerOf(before);
+    const isNewStream = before?.connected !== true;
     const side = sides.hello(hello, nowMs);
+    context.departures.noteSide(offered, side);
     if (settlement.registry.isLostBy(known, me)) askToRegister(side);
     if (!isNewStream) return;
     pushedTable.delete(incarnation);
@@ -139,6 +143,8 @@
       const side = sides.find(frame.incarnation);
       if (side === undefined) return;
       sides.heard(side, frame, nowMs);
+      const sinceMs = nowMs - options.sideLostMs;
+      settlement.registry.noteAlive(frame.side, frame.incarnation, sinceMs);
       if (side.lost) askToRegister(side);
       for (const message of frame.messages) {
         if (isForMe(frame, message)) handleSide(side, message, nowMs);
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -10,10 +10,11 @@
   type HandOver,
   type JobId,
   jobId,
-  type Member,
   type PeerFrame,
   type PeerMessage,
   type RecordSnapshot,
+  type Registration,
+  type SideEnding,
   type Table,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -58,6 +59,8 @@
   const handedOver = new Map<string, number>();
   /** Jobs whose records came before this entry may act for them. */
   const unsettled = new Set<JobId>();
+  /** Endings of sides that were told on the current stream, by entry. */
+  const toldEndings = new Map<string, readonly Registration[]>();
   let wasMember = false;
 
   function adopt(table: Table, nowMs: number): void {
@@ -79,32 +82,15 @@
   }
 
   function noteRemovals(table: Table): void {
+    context.departures.noteTable(settlement.table(), table);
     const present = new Set(table.members.map((one) => one.incarnation));
     for (const member of settlement.table().members) {
       if (present.has(member.incarnation)) continue;
-      noteTakeover(table, member);
       waiters.dropPeer(member.incarnation);
       requests.unsendTo(member.incarnation);
     }
   }
 
-  function noteTakeover(table: Table, lost: Member): void {
-    const isRemoved = table.removals.some((removal) =>
-      removal.incarnation === lost.incarnation
-    );
-    if (!isRemoved) return;
-    context.act({
-      kind: "takeOver",
-      subject: lost.name,
-      why: "its lease lapsed, so its keys go to the other entries",
-      figures: {
-        tableVersion: table.version,
-        entriesLeft: table.members.length,
-        sidesKnown: settlement.registry.registrations().length,
-      },
-    });
-  }
-
   /** Records that nobody has taken and that now belong to another entry. */
   function takeBackOutgoing(nowMs: number): void {
     const isOwner = (entry: string, job: JobId) => ownerIn(job) === entry;
@@ -202,32 +188,46 @@
     }
     const version = settlement.handOverVersion();
     const batch = outgoing.nextBatch(entry);
-    if (handedOver.get(entry) === version && batch.records.length === 0) return;
+    const endings = settlement.registry.endings();
+    const isTold = handedOver.get(entry) === version &&
+      toldEndings.get(entry) === endings;
+    if (isTold && batch.records.length === 0) return;
     handedOver.set(entry, version);
+    toldEndings.set(entry, endings);
     toPeer(entry, {
       kind: "handOver",
       batch: batch.number,
       tableVersion: version,
       records: batch.records,
       sides: settlement.registry.registrations(),
-      lastDepartureWallMs: settlement.registry.lastDepartureWallMs(),
+      endedSides: settlement.registry.endings(),
+      sideEnding: sideEnding(nowMs),
       doubt: settlement.doubt(nowMs),
     });
   }
 
+  function sideEnding(nowMs: number): SideEnding | undefined {
+    const ending = settlement.registry.lastEnding();
+    if (ending === undefined) return undefined;
+    return { wallMs: ending.wallMs, ageMs: nowMs - ending.nowMs };
+  }
+
   function takeHandOver(
     entry: string,
     message: HandOver,
     nowMs: number,
   ): void {
-    const { tableVersion, doubt, batch } = message;
-    const { registry } = settlement;
-    for (const side of message.sides) registry.hearOf(side);
-    registry.hearOfDeparture(message.lastDepartureWallMs ?? -Infinity);
+    const { tableVersion, sideEnding, doubt, batch } = message;
+    for (const side of message.sides) settlement.registry.hearOf(side, nowMs);
+    message.endedSides.forEach(settlement.registry.endedElsewhere);
+    if (sideEnding !== undefined) {
+      const { wallMs, ageMs } = sideEnding;
+      settlement.registry.hearOfEnding({ wallMs, nowMs: nowMs - ageMs });
+    }
     // What moved on belongs to its sender until that follows the newer table.
     const own = message.records.filter((one) => ownerIn(one.id) === me);
     for (const snapshot of own) takeRecord(snapshot, nowMs);
-    settlement.handedOver(entry, tableVersion, { doubt, nowMs });
+    settlement.handedOver({ entry, tableVersion, doubt }, nowMs);
     if (own.length === message.records.length) {
       toPeer(entry, { kind: "handOverTaken", batch });
     }
@@ -239,6 +239,7 @@
     nowMs: number,
   ): void {
     if (configuration.take(next, source, nowMs) !== "newer") return;
+    tasks.followRules();
     const gone = new Set(configuration.rules().gone);
     settlement.declareGone(gone);
     const isPresent = settlement.table().members.some((member) =>
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -50,6 +50,8 @@
   resendStarts(side: SideState, nowMs: number): void;
   /** Ends the tasks of a side whose word will never come. */
   endTasksOn(side: SideState, nowMs: number): void;
+  /** Operators may have taken ejected backend servers in again. */
+  followRules(): void;
   /** Ends what has waited or run for too long. */
   expire(nowMs: number): void;
 }
@@ -140,7 +142,20 @@
     const { server } = side.announcement!;
     if (configuration.rules().drained.includes(server)) return false;
     if (configuration.isLagging(side, nowMs)) return false;
-    return health.standing(server, nowMs) !== "out";
+    return isNeverEjected(server) || health.standing(server, nowMs) !== "out";
+  }
+
+  function isNeverEjected(server: string): boolean {
+    return configuration.rules().neverEjected.includes(server);
+  }
+
+  function followRules(): void {
+    for (const server of health.ejected()) {
+      if (!isNeverEjected(server)) continue;
+      health.readmit(server);
+      context.undone({ kind: "eject", subject: server, figures: {} });
+    }
+    candidates.changed();
   }
 
   /** A side on probation gets one task, whose outcome decides. */
@@ -154,7 +169,7 @@
 
   function judge(side: SideState, failed: boolean, nowMs: number): void {
     const server = side.announcement?.server;
-    if (server === undefined) return;
+    if (server === undefined || isNeverEjected(server)) return;
     const act = health.observe({ side: server, failed }, nowMs);
     if (act === undefined) return;
     context.act(act);
@@ -297,17 +312,19 @@
   ): void {
     const incarnation = side.identity.incarnation;
     settlement.registry.evidence(incarnation, message.tableVersion);
+    let hasLearned = false;
     for (const evidence of message.jobs) {
       if (ownerOf(settlement.table(), evidence.job)?.incarnation !== me) {
         continue;
       }
       const before = records.find(evidence.job)?.answer;
       const record = records.learn(evidence, incarnation, nowMs);
-      recountOutstanding(side);
+      hasLearned = true;
       if (before === undefined && record.answer !== undefined) {
         settle(record, record.answer, nowMs);
       }
     }
+    if (hasLearned) recountOutstanding(side);
   }
 
   function recountOutstanding(side: SideState): void {
@@ -373,9 +390,25 @@
         : "the job ended with its entry, or nobody resubmitted it";
       const answer = records.endWaiting(record, reason, nowMs);
       if (answer !== undefined) settle(record, answer, nowMs);
+      else endUnheard(record, nowMs);
     }
   }
 
+  /** Ends what was sent to runs of sides that are over for every entry. */
+  function endUnheard(record: JobRecord, nowMs: number): void {
+    record.tasks.forEach((task, index) => {
+      if (task.kind !== "sent" || sides.find(task.side) !== undefined) return;
+      if (settlement.registry.isKnown(task.side)) return;
+      const answer = records.end(record, {
+        index,
+        state: "failed",
+        verdict: "mayHaveRun",
+        reason: "the side that was sent this task is gone",
+      }, nowMs);
+      if (answer !== undefined) settle(record, answer, nowMs);
+    });
+  }
+
   /**
    * An entry whose lease may have lapsed may have a successor that starts its
    * tasks. Of a job known by evidence alone, sides that are gone may know more.
@@ -417,6 +450,7 @@
     recountOutstanding,
     resendStarts,
     endTasksOn,
+    followRules,
     expire,
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -16,6 +16,7 @@
   type ConfigurationHolder,
   createConfigurationFeed,
   createConfigurationKeys,
+  LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 import { excerptForSides } from "@coltsfootreach/inventory";
 import type { Queue } from "@coltsfootreach/limit";
@@ -39,6 +40,8 @@
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
 
+const MS_PER_SECOND = 1000;
+
 /** The store's clock may run this much faster than ours, as a share. */
 const CLOCK_DRIFT = 0.01;
 
@@ -48,14 +51,26 @@
 /** Renewals of a lease within its life. */
 const RENEWALS_PER_LEASE = 2.5;
 
-const MS_PER_SECOND = 1000;
-
 /** Digits that tell runs of one entry apart in the names of acts. */
 const ID_DIGITS = 8;
 
 /** How often the core looks at deadlines, lost sides and takeovers. */
 const TICK_MS = 20;
 
+/** Given to requests that come on open connections after the entry has left. */
+const LEFT: Reply = {
+  kind: "refused",
+  refusal: {
+    code: "draining",
+    verdict: "mayHaveRun",
+    reason: "this entry has stopped; submit the same job to another entry",
+    retryAfterMs: 0,
+  },
+};
+
+/** How often an entry says what its takeovers wait for. */
+const REPORT_MS = 5000;
+
 export interface EntryOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -132,6 +147,7 @@
   readonly sides: SideStreams;
   readonly peers: PeerStreams;
   readonly membership: Membership;
+  readonly log: Log;
 }
 
 export async function startEntry(options: EntryOptions): Promise<Entry> {
@@ -150,10 +166,8 @@
     prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
-      const { version } = configuration;
-      noteVersion(version);
+      noteVersion(configuration.version);
       apply(run, run.core.configurationLearned(configuration, source, now));
-      log.info("configuration", { configurationVersion: version });
     },
     failed(fault) {
       log.warn("the configuration cannot be read", { reason: fault.message });
@@ -161,9 +175,13 @@
   });
   let refreshedAtMs = -Infinity;
   let newest = { version: 0, sinceMs: performance.now() };
+  /** Newest version that another process has in force. */
+  let elsewhere = newest;
+  let loggedVersion = holder.version();
   let requests = 0;
   let isReady = false;
   let isStopping = false;
+  /** Set when this entry takes itself out of the table. */
   let isLeaving = false;
   let isFlushPlanned = false;
   let run: Run;
@@ -177,6 +195,7 @@
 
   function apply(own: Run, effects: readonly EntryEffect[]): void {
     if (own !== run) return;
+    noteInForce(own);
     for (const effect of effects) {
       if (effect.kind === "toSide") {
         own.sides.push(effect.side, effect.message, effect.lazy);
@@ -188,6 +207,11 @@
         return rejoin(own);
       } else if (effect.kind === "removeMembers") {
         void own.membership.remove(effect.incarnations);
+      } else if (effect.kind === "actUndone") {
+        const { kind, subject, figures } = effect.act;
+        const standing = journal.findStanding(kind, subject);
+        const { atMs } = effect;
+        if (standing) journal.markUndone(standing.id, { atMs, figures });
       } else {
         recordAct(effect.act);
       }
@@ -198,10 +222,10 @@
   function recordAct(act: NewAct): void {
     if (act.kind === "readmit") {
       const ejection = journal.findStanding("eject", act.subject);
-      if (ejection !== undefined) journal.markUndone(ejection.id, act.atMs);
+      if (ejection !== undefined) journal.markUndone(ejection.id, act);
     }
     const { id } = journal.record(act);
-    log.warn("automatic act", {
+    run.log.warn("automatic act", {
       act: `${act.kind} ${act.subject} ${id}`,
       reason: act.why,
       figures: act.figures,
@@ -209,7 +233,37 @@
     });
   }
 
-  /** Another process has a newer configuration than this one. */
+  /** Logs a version that has come into force, wherever it came from. */
+  function noteInForce(own: Run): void {
+    const configurationVersion = holder.version();
+    if (configurationVersion === loggedVersion) return;
+    loggedVersion = configurationVersion;
+    own.log.info("configuration", { configurationVersion });
+    own.membership.rulesChanged();
+  }
+
+  /** Another process has a version in force that is newer than this one's. */
+  function heardVersion(version: number): void {
+    noteVersion(version);
+    if (version <= elsewhere.version) return;
+    const sinceMs = elsewhere.version <= holder.version()
+      ? performance.now()
+      : elsewhere.sinceMs;
+    elsewhere = { version, sinceMs };
+  }
+
+  /** False after a removal until the entry has joined anew. */
+  function isMember(): boolean {
+    return run.core.table().version > 0;
+  }
+
+  /** A version that others use and this entry cannot get or read. */
+  function isLagging(): boolean {
+    return elsewhere.version > holder.version() &&
+      performance.now() - elsewhere.sinceMs >= LAG_BOUND_MS;
+  }
+
+  /** There is a version that may be newer than the one in force here. */
   function noteVersion(version: number): void {
     const nowMs = performance.now();
     if (version > newest.version) newest = { version, sinceMs: nowMs };
@@ -255,13 +309,13 @@
 
   function createRun(): Run {
     const incarnation = v4();
+    const log = options.log.with({ incarnation });
     const member: Member = {
       incarnation,
       name: options.name,
       dataCentre: options.dataCentre,
       address: options.advertise.replace(/:0$/, `:${server.port}`),
       draining: false,
-      joinedVersion: 0,
     };
     const core = createEntryCore({
       member,
@@ -286,7 +340,7 @@
         ...core.stamps(side),
       }),
       received(frame) {
-        noteVersion(frame.configurationVersion);
+        heardVersion(frame.configurationVersion);
         apply(own, core.sideFrame(frame, performance.now()));
       },
       closed: (side) => core.sideClosed(side),
@@ -303,8 +357,10 @@
       }),
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
-      received: (frame) =>
-        followTable(own, core.peerFrame(frame, performance.now())),
+      received(frame) {
+        heardVersion(frame.configurationVersion);
+        followTable(own, core.peerFrame(frame, performance.now()));
+      },
       refused: (entry) => void own.membership.removeEnded(entry),
     });
     const membership = createMembership({
@@ -328,7 +384,7 @@
       isTakeoverHeld: () =>
         core.configuration.rules().held.includes("takeOver"),
     });
-    const own: Run = { member, core, sides, peers, membership };
+    const own: Run = { member, core, sides, peers, membership, log };
     return own;
   }
 
@@ -350,6 +406,16 @@
     }
   }
 
+  const report = setInterval(() => {
+    for (const change of run.core.settlement.openChanges()) {
+      const { tableVersion, entries, sides } = change;
+      log.warn("keys wait for a change of the table to settle", {
+        tableVersion,
+        reason: `entries: ${entries.join(" ")}; sides: ${sides.join(" ")}`,
+      });
+    }
+  }, REPORT_MS);
+
   const timer = setInterval(() => {
     const now = { nowMs: performance.now(), wallMs: Date.now() };
     apply(run, run.core.tick(now));
@@ -374,12 +440,14 @@
     return false;
   }
 
+  log.info("entry starting");
   run = createRun();
   await run.membership.join();
   isReady = true;
 
   return {
     request(job, ask) {
+      if (isLeaving) return Promise.resolve(LEFT);
       requests += 1;
       const request = requests;
       return new Promise((resolve) => {
@@ -389,7 +457,7 @@
       });
     },
     incarnation: () => run.member.incarnation,
-    isReady: () => isReady && !isStopping,
+    isReady: () => isReady && !isStopping && isMember() && !isLagging(),
     core: () => run.core,
     journal,
     newestVersion: () => newest,
@@ -408,6 +476,7 @@
       if (isDrained) await run.membership.leave();
       else log.warn("leaving without having handed over everything");
       clearInterval(timer);
+      clearInterval(report);
       feed.close();
       closeRun(run);
       server.close();
--- a/packages/entry/src/peer_streams.ts
+++ b/packages/entry/src/peer_streams.ts
@@ -45,7 +45,9 @@
 
 export interface PeerCounts {
   readonly sent: number;
-  /** Sent frames that carried no forwarded submission and no reply. */
+  /** Sent frames that carried no reply. */
+  readonly sentWithoutReply: number;
+  /** Sent frames that carried neither a forwarded submission nor a reply. */
   readonly sentWithoutRequest: number;
   /** Sent frames that carried no message at all. */
   readonly sentEmpty: number;
@@ -57,14 +59,21 @@
   due: PeerMessage[];
   sentAtMs: number;
   heardAtMs: number;
+  isHeard: boolean;
 }
 
 export function createPeerStreams(options: PeerStreamsOptions): PeerStreams {
   const streams = new Map<string, PeerStream>();
+  const probing = new Set<string>();
   const redials = new Map<string, NodeJS.Timeout>();
   let members: readonly Member[] = [];
   let isClosed = false;
-  const counts = { sent: 0, sentWithoutRequest: 0, sentEmpty: 0 };
+  const counts = {
+    sent: 0,
+    sentWithoutReply: 0,
+    sentWithoutRequest: 0,
+    sentEmpty: 0,
+  };
 
   function begin(entry: string, stream: Stream<PeerFrame>): PeerStream {
     const earlier = streams.get(entry);
@@ -76,6 +85,7 @@
       due: [],
       sentAtMs: nowMs,
       heardAtMs: nowMs,
+      isHeard: false,
     };
     streams.set(entry, own);
     return own;
@@ -92,13 +102,23 @@
 
   /** Finds out whether the process at the other end has ended. */
   async function probe(entry: string): Promise<void> {
+    if (probing.has(entry)) return;
+    probing.add(entry);
+    const isOver = await hasEnded(entry);
+    probing.delete(entry);
+    if (isOver) options.refused(entry);
+  }
+
+  /** A stream that was dialled and not heard yet tells nothing. */
+  async function hasEnded(entry: string): Promise<boolean> {
     for (let attempt = 0; attempt < PROBES; attempt++) {
       await new Promise((wake) => setTimeout(wake, PROBE_PAUSE_MS));
       const member = members.find((one) => one.incarnation === entry);
-      if (isClosed || member === undefined || streams.has(entry)) return;
-      if (!(await isRefused(member.address))) return;
+      if (isClosed || member === undefined) return false;
+      if (streams.get(entry)?.isHeard) return false;
+      if (!(await isRefused(member.address))) return false;
     }
-    options.refused(entry);
+    return true;
   }
 
   function planDial(entry: string, afterMs: number): void {
@@ -129,6 +149,7 @@
 
   function take(own: PeerStream, frame: PeerFrame): void {
     own.heardAtMs = performance.now();
+    own.isHeard = true;
     options.received(frame);
   }
 
@@ -137,10 +158,10 @@
     own.due = [];
     own.sentAtMs = performance.now();
     counts.sent += 1;
-    const hasRequest = messages.some(({ kind }) =>
-      kind === "submit" || kind === "reply"
-    );
-    if (!hasRequest) counts.sentWithoutRequest += 1;
+    const hasReply = messages.some(({ kind }) => kind === "reply");
+    const hasSubmit = messages.some(({ kind }) => kind === "submit");
+    if (!hasReply) counts.sentWithoutReply += 1;
+    if (!hasReply && !hasSubmit) counts.sentWithoutRequest += 1;
     if (messages.length === 0) counts.sentEmpty += 1;
     own.stream.send({ ...options.header(), messages });
   }
--- a/packages/model/src/mutations.ts
+++ b/packages/model/src/mutations.ts
@@ -230,7 +230,7 @@
 function createUnrememberingCore(options: EntryOptions): EntryCore {
   const core = createEntryCore(options);
   const { registry } = core.settlement;
-  Object.assign(registry, { lastDepartureWallMs: () => -Infinity });
+  Object.assign(registry, { lastEnding: () => undefined });
   return core;
 }
 
--- a/packages/ownership/src/change.ts
+++ b/packages/ownership/src/change.ts
@@ -7,22 +7,24 @@
 /** Removals that the table remembers. */
 const MAX_REMOVALS = 64;
 
-/**
- * Adds a member; the same table when it is a member already. A member at the
- * same address is an earlier run, which is over.
- */
+/** Adds a member; the same table when it is a member already. */
 export function joined(table: Table, member: Member): Table {
   const present = table.members.some(
     (other) => other.incarnation === member.incarnation,
   );
   if (present) return table;
+  return next(table, [...table.members, member]);
+}
+
+/** Removes members at an address where another run now listens. */
+export function withoutEarlierRuns(table: Table, member: Member): Table {
   const earlier = table.members
-    .filter((other) => other.address === member.address)
+    .filter((other) =>
+      other.address === member.address &&
+      other.incarnation !== member.incarnation
+    )
     .map((other) => other.incarnation);
-  const { members, removals } = without(table, new Set(earlier));
-  const version = table.version + 1;
-  const added = { ...member, joinedVersion: version };
-  return { version, members: [...members, added], removals };
+  return without(table, new Set(earlier));
 }
 
 /** Marks a member as draining; the same table when there is nothing to do. */
--- a/packages/scenario/src/entry_process.ts
+++ b/packages/scenario/src/entry_process.ts
@@ -334,7 +334,6 @@
       dataCentre: "d1",
       address: host.name,
       draining: false,
-      joinedVersion: 0,
     };
     const core = (options.createCore ?? createEntryCore)({
       member,
--- a/packages/takeover/src/registry.ts
+++ b/packages/takeover/src/registry.ts
@@ -9,6 +9,8 @@
 
 interface KnownSide {
   readonly registration: Registration;
+  /** When this entry learned of it, by a hello or from another entry. */
+  readonly learnedAtMs: number;
   /** The side's name in its settings, once it has said hello here. */
   name: string | undefined;
   /** The newest table version under which it has given evidence. */
@@ -17,27 +19,36 @@
   readonly lostBy: Set<string>;
 }
 
-export interface RegistryOptions {
-  /** Incarnation of this entry. */
-  readonly me: string;
-  /** Unix time in milliseconds. */
-  wallMs(): number;
+/** Endings that are told to other entries. */
+const MAX_ENDINGS = 256;
+
+/** Time on the process's clock and in Unix milliseconds. */
+export interface Instant {
+  readonly nowMs: number;
+  readonly wallMs: number;
 }
 
 export interface Registry {
   /** A side has said hello; an earlier run under its name is over. */
-  hello(name: string, registration: Registration): void;
+  hello(name: string, registration: Registration, nowMs: number): void;
   /** Another entry knows this registration. */
-  hearOf(registration: Registration): void;
+  hearOf(registration: Registration, nowMs: number): void;
+  /**
+   * This run is alive, so other runs under its name are over unless this entry
+   * learned of them after `sinceMs`, when they may be newer.
+   */
+  noteAlive(name: string, incarnation: string, sinceMs: number): void;
   evidence(incarnation: string, tableVersion: number): void;
   /** The side has promised to start nothing any more. */
   goodbye(incarnation: string): void;
   lost(registration: Registration, by: string): void;
   /**
    * Forgets registrations that every member has declared lost. A side that
-   * never said hello to this entry counts as lost here.
+   * never said hello to this entry, `me`, counts as lost here.
    */
-  forgetLost(table: Table): void;
+  forgetLost(table: Table, me: string): void;
+  /** False for a run of a side that is over, or that nobody has named. */
+  isKnown(incarnation: string): boolean;
   /** True when the side must register anew with every member. */
   isLostBy(registration: Registration, by: string): boolean;
   /** The newest table version under which a side has given evidence. */
@@ -45,20 +56,25 @@
   /** Sides that have not given evidence under `tableVersion` or a newer one. */
   withoutEvidence(tableVersion: number): readonly string[];
   registrations(): readonly Registration[];
-  /**
-   * When a registration was last found to have ended with the evidence of its
-   * starts, in Unix milliseconds; -Infinity if never.
-   */
-  lastDepartureWallMs(): number;
-  /** Another entry has seen a side depart. */
-  hearOfDeparture(wallMs: number): void;
+  /** The newest ended registrations, for entries that still wait for them. */
+  endings(): readonly Registration[];
+  /** Another entry knows that this registration is over. */
+  endedElsewhere(registration: Registration): void;
+  /** Dates the registrations that have ended since the last call. */
+  dateEndings(now: Instant): void;
+  /** Another entry has seen a registration end. */
+  hearOfEnding(ending: Instant): void;
+  /** When the last registration was found to have ended, if ever. */
+  lastEnding(): Instant | undefined;
 }
 
-export function createRegistry(options: RegistryOptions): Registry {
+export function createRegistry(): Registry {
   const sides = new Map<string, KnownSide>();
   /** The newest ended registration of each run. */
   const ended = new Map<string, number>();
-  let lastDepartureWallMs = -Infinity;
+  let endings: readonly Registration[] = [];
+  let hasUndatedEnding = false;
+  let lastEnding: Instant | undefined;
 
   function isOver({ incarnation, registration }: Registration): boolean {
     return registration <= (ended.get(incarnation) ?? 0);
@@ -69,10 +85,14 @@
     if (side === undefined) return;
     sides.delete(incarnation);
     ended.set(incarnation, side.registration.registration);
-    lastDepartureWallMs = options.wallMs();
+    endings = [...endings, side.registration].slice(-MAX_ENDINGS);
+    hasUndatedEnding = true;
   }
 
-  function know(registration: Registration): KnownSide | undefined {
+  function know(
+    registration: Registration,
+    nowMs: number,
+  ): KnownSide | undefined {
     if (isOver(registration)) return undefined;
     const known = sides.get(registration.incarnation);
     const isCurrent = known !== undefined &&
@@ -80,6 +100,7 @@
     if (isCurrent) return known;
     const side: KnownSide = {
       registration,
+      learnedAtMs: known?.learnedAtMs ?? nowMs,
       name: known?.name,
       evidenceVersion: known?.evidenceVersion ?? 0,
       lostBy: new Set(),
@@ -89,17 +110,23 @@
   }
 
   return {
-    hello(name, registration) {
+    hello(name, registration, nowMs) {
       for (const [incarnation, side] of sides) {
-        const isEarlierRun = side.name === name &&
+        const isEarlierRun = nameOf(side) === name &&
           incarnation !== registration.incarnation;
         if (isEarlierRun) end(incarnation);
       }
-      const side = know(registration);
+      const side = know(registration, nowMs);
       if (side !== undefined) side.name = name;
     },
-    hearOf(registration) {
-      know(registration);
+    hearOf(registration, nowMs) {
+      know(registration, nowMs);
+    },
+    noteAlive(name, alive, sinceMs) {
+      for (const [incarnation, side] of sides) {
+        const isOther = nameOf(side) === name && incarnation !== alive;
+        if (isOther && side.learnedAtMs < sinceMs) end(incarnation);
+      }
     },
     evidence(incarnation, tableVersion) {
       const side = sides.get(incarnation);
@@ -113,15 +140,16 @@
         side?.registration.registration === registration.registration;
       if (isSame) side!.lostBy.add(by);
     },
-    forgetLost(table) {
+    forgetLost(table, me) {
       for (const [incarnation, side] of sides) {
         const isLost = table.members.every((member) =>
           side.lostBy.has(member.incarnation) ||
-          member.incarnation === options.me && side.name === undefined
+          member.incarnation === me && side.name === undefined
         );
         if (isLost) end(incarnation);
       }
     },
+    isKnown: (incarnation) => sides.has(incarnation),
     isLostBy(registration, by) {
       if (isOver(registration)) return true;
       const side = sides.get(registration.incarnation);
@@ -138,12 +166,30 @@
       }
       return missing;
     },
+    endings: () => endings,
+    endedElsewhere({ incarnation, registration }) {
+      const side = sides.get(incarnation);
+      if (side === undefined) return;
+      if (side.registration.registration <= registration) end(incarnation);
+    },
     registrations() {
-      return [...sides.values()].map((side) => side.registration);
+      return [...sides.values()].map((side) => ({
+        ...side.registration,
+        side: nameOf(side),
+      }));
     },
-    lastDepartureWallMs: () => lastDepartureWallMs,
-    hearOfDeparture(wallMs) {
-      lastDepartureWallMs = Math.max(lastDepartureWallMs, wallMs);
+    dateEndings(now) {
+      if (!hasUndatedEnding) return;
+      hasUndatedEnding = false;
+      lastEnding = now;
     },
+    hearOfEnding(ending) {
+      if (ending.wallMs > (lastEnding?.wallMs ?? 0)) lastEnding = ending;
+    },
+    lastEnding: () => lastEnding,
   };
 }
+
+function nameOf(side: KnownSide): string | undefined {
+  return side.name ?? side.registration.side;
+}
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -13,7 +13,7 @@
   type JobId,
   type Table,
 } from "@coltsfootreach/types";
-import { createRegistry, type Registry } from "./registry.ts";
+import { createRegistry, type Instant, type Registry } from "./registry.ts";
 
 /** Clocks of two processes may run this much apart, as a share. */
 const CLOCK_DRIFT = 0.01;
@@ -27,14 +27,10 @@
   readonly windowMs: number;
   /** Most that clocks of callers and entries may differ. */
   readonly skewMs: number;
-  /** Unix time in milliseconds. */
-  wallMs(): number;
 }
 
 interface Transition {
   readonly from: Table;
-  /** Members removed after this version may have owned keys that are mine. */
-  readonly sinceVersion: number;
   /** The version that made this transition. */
   readonly madeAt: number;
   /** Other members who may have confirmed a table before this one. */
@@ -52,23 +48,17 @@
   fencedAtMs: number | undefined;
 }
 
-/** Keys whose tasks may have been started on a side that gave no evidence. */
+/** Keys whose tasks may have been started on a side that is gone. */
 interface Gap {
   readonly from: Table;
   readonly bornBeforeWallMs: number;
   readonly untilMs: number;
 }
 
-/** What an entry said of the keys that it gave up, and when. */
-export interface HeardDoubt {
+export interface HandedOver {
+  readonly entry: string;
+  readonly tableVersion: number;
   readonly doubt: Doubt;
-  readonly nowMs: number;
-}
-
-/** Time on the process's clock and in Unix milliseconds. */
-export interface Instant {
-  readonly nowMs: number;
-  readonly wallMs: number;
 }
 
 export interface Settlement {
@@ -78,7 +68,7 @@
   /** A member says that it follows a table version. */
   follows(entry: string, tableVersion: number): void;
   /** A member has handed over all it had for a table version. */
-  handedOver(entry: string, tableVersion: number, heard?: HeardDoubt): void;
+  handedOver(handedOver: HandedOver, nowMs: number): void;
   /** What to tell others with the records that are handed over to them. */
   doubt(nowMs: number): Doubt;
   /** Operators have declared these incarnations gone for good. */
@@ -101,12 +91,23 @@
    * side that returns late is still asked.
    */
   collectVersion(): number;
+  /** Changes of the table after which keys still wait, oldest first. */
+  openChanges(): readonly OpenChange[];
   /** The newest table by which this entry gave up keys; 0 if never. */
   keptSince(): number;
 }
 
+/** What a change of the table still waits for. */
+export interface OpenChange {
+  readonly tableVersion: number;
+  /** Incarnations of entries that have not handed over. */
+  readonly entries: readonly string[];
+  /** Incarnations of sides that have not given the evidence that is needed. */
+  readonly sides: readonly string[];
+}
+
 export function createSettlement(options: SettlementOptions): Settlement {
-  const registry = createRegistry(options);
+  const registry = createRegistry();
   const followed = new Map<string, number>();
   const gone = new Set<string>();
   /** Names of all members of the tables adopted so far. */
@@ -187,12 +188,10 @@
     const waitingFor = others();
     // With nobody to hand over, the sides alone know of earlier jobs.
     const isAlone = isNew && waitingFor.size === 0 && table.version > 1;
-    const sinceVersion = isNew ? joinedVersion() - 1 : previous.version;
-    const isOwnerLost = hasLostOwner(previous, sinceVersion);
+    const isOwnerLost = !isNew && hasLostOwner(previous);
     const former = isNew ? table : previous;
     return {
       from: previous,
-      sinceVersion,
       madeAt: table.version,
       witnesses: former.members
         .map((member) => member.incarnation)
@@ -206,19 +205,13 @@
     };
   }
 
-  /** A member that joins takes keys from those that were removed with it. */
-  function joinedVersion(): number {
-    const own = table.members.find((one) => one.incarnation === options.me);
-    return own?.joinedVersion || table.version;
-  }
-
   /** True when a member has gone that had not given up its keys. */
-  function hasLostOwner(previous: Table, sinceVersion: number): boolean {
+  function hasLostOwner(previous: Table): boolean {
     const present = new Set(table.members.map((one) => one.incarnation));
     const hasVanished = previous.members.some((member) =>
       !member.draining && !present.has(member.incarnation)
     );
-    return hasVanished || removalsSince(sinceVersion).length > 0;
+    return hasVanished || removalsSince(previous.version).length > 0;
   }
 
   /** True when another run of the same entry shows that this one is over. */
@@ -235,8 +228,8 @@
     for (const entry of members) {
       if ((followed.get(entry) ?? 0) < transition.evidenceVersion) return false;
     }
-    const { witnesses, from, sinceVersion } = transition;
-    const all = new Set([...witnesses, ...removalsSince(sinceVersion)]);
+    const { witnesses, from } = transition;
+    const all = new Set([...witnesses, ...removalsSince(from.version)]);
     const absent =
       [...all].filter((entry) =>
         !members.has(entry) && !gone.has(entry) && !isReplaced(entry)
@@ -249,24 +242,28 @@
   function hasEvidence(transition: Transition, now: Instant): boolean {
     const missing = registry.withoutEvidence(transition.evidenceVersion);
     if (missing.length === 0 && transition.knowsSides) {
-      addGap(transition.from, registry.lastDepartureWallMs(), now);
+      noteEndedSides(transition);
       return true;
     }
     if (transition.needsFence && !isFenced(transition)) return false;
     transition.fencedAtMs ??= now.nowMs;
     const waitMs = options.freshnessMs * (1 + CLOCK_DRIFT);
     if (now.nowMs - transition.fencedAtMs < waitMs) return false;
-    addGap(transition.from, now.wallMs, now);
+    addGap(transition.from, now);
     return true;
   }
 
-  /** Starts up to this time may have left no evidence that could be had. */
-  function addGap(from: Table, lostBeforeWallMs: number, now: Instant): void {
+  /** What ran on a side that has ended since cannot be told any more. */
+  function noteEndedSides(transition: Transition): void {
+    const ending = registry.lastEnding();
+    if (ending !== undefined) addGap(transition.from, ending);
+  }
+
+  function addGap(from: Table, at: Instant): void {
     const { skewMs, windowMs } = options;
-    const openMs = windowMs + 2 * skewMs;
-    if (now.wallMs - lostBeforeWallMs > openMs) return;
-    const bornBeforeWallMs = lostBeforeWallMs + skewMs;
-    gaps.push({ from, bornBeforeWallMs, untilMs: now.nowMs + openMs });
+    const bornBeforeWallMs = at.wallMs + skewMs;
+    const untilMs = at.nowMs + windowMs + 2 * skewMs;
+    gaps.push({ from, bornBeforeWallMs, untilMs });
   }
 
   function canSettle(transition: Transition, now: Instant): boolean {
@@ -286,19 +283,20 @@
   /** Registrations are kept while a lost owner may have used them. */
   function forgetLost(): void {
     const isOpen = transitions.some((transition) => transition.needsEvidence);
-    if (!isOpen) registry.forgetLost(table);
+    if (!isOpen) registry.forgetLost(table, options.me);
   }
 
   function takeDoubt(
     transition: Transition,
-    { doubt, nowMs }: HeardDoubt,
+    { doubt }: HandedOver,
+    nowMs: number,
   ): void {
     const { bornBeforeWallMs, leftMs } = doubt;
     if (leftMs > 0) {
       const untilMs = nowMs + leftMs;
       gaps.push({ from: transition.from, bornBeforeWallMs, untilMs });
     }
-    if (doubt.tableVersion <= transition.sinceVersion) return;
+    if (doubt.tableVersion <= transition.from.version) return;
     if (transition.madeAt < table.version) doubtVersion = table.version;
     wantEvidence(transition);
   }
@@ -311,12 +309,13 @@
       const known = followed.get(entry) ?? 0;
       followed.set(entry, Math.max(known, tableVersion));
     },
-    handedOver(entry, tableVersion, heard) {
+    handedOver(handedOver, nowMs) {
+      const { entry, tableVersion } = handedOver;
       for (const transition of transitions) {
         if (tableVersion < transition.madeAt) continue;
         if (!transition.waitingFor.delete(entry)) continue;
-        transition.knowsSides ||= !heard?.doubt.isNew;
-        if (heard !== undefined) takeDoubt(transition, heard);
+        transition.knowsSides ||= !handedOver.doubt.isNew;
+        takeDoubt(transition, handedOver, nowMs);
       }
     },
     doubt(nowMs) {
@@ -336,6 +335,7 @@
     },
     forgetLost,
     tick(now) {
+      registry.dateEndings(now);
       const before = transitions.length;
       transitions = transitions.filter((transition) =>
         !canSettle(transition, now)
@@ -357,5 +357,14 @@
     },
     collectVersion: () => collectVersion,
     keptSince: () => keptSince,
+    openChanges() {
+      return transitions.map((transition) => ({
+        tableVersion: transition.madeAt,
+        entries: [...transition.waitingFor],
+        sides: transition.needsEvidence
+          ? registry.withoutEvidence(transition.evidenceVersion)
+          : [],
+      }));
+    },
   };
 }
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -70,7 +70,8 @@
 
 /**
  * Asks for the evidence of all jobs that the asking entry owns under
- * `tableVersion` and that another entry started.
+ * `tableVersion` and does not know itself; it may have handed over jobs that it
+ * had started to an entry that is lost.
  */
 export interface Collect {
   readonly kind: "collect";
@@ -281,14 +282,20 @@
   readonly records: readonly RecordSnapshot[];
   /** Registrations of sides known to the sender. */
   readonly sides: readonly Registration[];
-  /**
-   * When the sender last saw a side depart with its evidence, in Unix
-   * milliseconds; absent if never.
-   */
-  readonly lastDepartureWallMs?: number | undefined;
+  /** Registrations that the sender knows to be over. */
+  readonly endedSides: readonly Registration[];
+  /** When the last registration known to the sender ended, if ever. */
+  readonly sideEnding?: SideEnding | undefined;
   readonly doubt: Doubt;
 }
 
+/** When a registration of a side was found to have ended. */
+export interface SideEnding {
+  /** In Unix milliseconds. */
+  readonly wallMs: number;
+  readonly ageMs: number;
+}
+
 /** What an entry cannot tell of the keys that it gives up. */
 export interface Doubt {
   /**
@@ -320,6 +327,8 @@
 export interface Registration {
   readonly incarnation: string;
   readonly registration: number;
+  /** Name of the side, which its later runs share; absent if not known. */
+  readonly side?: string | undefined;
 }
 
 export type PeerMessage =
