Look for evidence when keys of a lost owner go straight to a new member

Cause: an entry that restarts removes its earlier run and joins in two versions of the table. And a record taken back from an owner that was lost was resumed without regard to what could not be asked. Excluded: evidence lost on links and refusals of former runs; the first starts all stood in the evidence of a side that nobody asked. Change: an entry that finds a lost owner and a new member in one step says so in its hand-over; removals carry names, so that a replaced run is known to be over; resumed records take note of gaps. Both cases have tests of the settlement.

--- a/packages/coordinate/src/entry_core_test.ts
+++ b/packages/coordinate/src/entry_core_test.ts
@@ -203,7 +203,7 @@
       core.tableLearned({
         version: 3,
         members: [ME],
-        removals: [{ incarnation: "other", version: 3 }],
+        removals: [{ incarnation: "other", name: "entry-1", version: 3 }],
       }, nowMs);
       fromSide([helloFrom("s2")], "s2");
       const evidence = { kind: "evidence", tableVersion: 3, jobs: [] } as const;
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -2,7 +2,7 @@
  * The table of entries as this entry follows it, and the records that change
  * hands with it.
  */
-import type { JobRecord } from "@coltsfootreach/admit";
+import { birthOf, type JobRecord } from "@coltsfootreach/admit";
 import type { ConfigurationSource } from "@coltsfootreach/configure";
 import { ownerOf } from "@coltsfootreach/ownership";
 import {
@@ -159,6 +159,9 @@
       return;
     }
     if (record.job === undefined || record.answer !== undefined) return;
+    // Its sender may have taken it back from an owner that went on with it.
+    const birth = birthOf(record.job);
+    record.hasGaps ||= settlement.isInGap(record.id, birth);
     const leftMs = record.deadlineAtMs - nowMs;
     record.tasks.forEach((task, index) => {
       if (task.kind !== "sent") return;
--- a/packages/ownership/src/change.ts
+++ b/packages/ownership/src/change.ts
@@ -57,7 +57,7 @@
   const version = table.version + 1;
   const removals = table.members
     .filter((member) => incarnations.has(member.incarnation))
-    .map(({ incarnation }) => ({ incarnation, version }));
+    .map(({ incarnation, name }) => ({ incarnation, name, version }));
   if (removals.length === 0) return table;
   const kept = table.members.filter(
     (member) => !incarnations.has(member.incarnation),
--- a/packages/slopes/src/made_up.ts
+++ b/packages/slopes/src/made_up.ts
@@ -64,7 +64,7 @@
   return {
     version,
     members: table.members.slice(0, -1),
-    removals: [{ incarnation, version }],
+    removals: [{ incarnation, name: incarnation, version }],
   };
 }
 
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -165,6 +165,10 @@
     }
     const transition = transitionFrom(previous);
     transitions.push(transition);
+    // Keys of the lost owner may have gone straight to a member that is new.
+    if (transition.needsEvidence && hasNewMember(previous)) {
+      doubtVersion = next.version;
+    }
     if (transition.needsEvidence) collectVersion = table.version;
     for (const entry of followed.keys()) {
       if (!others().has(entry)) followed.delete(entry);
@@ -173,6 +177,12 @@
     forgetLost();
   }
 
+  function hasNewMember(previous: Table): boolean {
+    return table.members.some(({ incarnation }) =>
+      !previous.members.some((member) => member.incarnation === incarnation)
+    );
+  }
+
   /** True when an owner has come, or this entry is none any more. */
   function givesUpKeys(previous: Table): boolean {
     const owners = previous.members.filter((member) => !member.draining);
@@ -214,9 +224,15 @@
     return hasVanished || removalsSince(previous.version).length > 0;
   }
 
+  /** The name of a member that was removed before this entry joined. */
+  function removedName(entry: string): string | undefined {
+    return table.removals.find((removal) => removal.incarnation === entry)
+      ?.name;
+  }
+
   /** True when another run of the same entry shows that this one is over. */
   function isReplaced(entry: string): boolean {
-    const name = names.get(entry);
+    const name = names.get(entry) ?? removedName(entry);
     return table.members.some((member) =>
       member.name === name && member.incarnation !== entry
     );
--- a/packages/takeover/src/settlement_test.ts
+++ b/packages/takeover/src/settlement_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { ownerOf, without } from "@coltsfootreach/ownership";
+import { joined, ownerOf, without } from "@coltsfootreach/ownership";
 import type { Doubt, Member, Table } from "@coltsfootreach/types";
 import { createSettlement, type Settlement } from "./settlement.ts";
 
@@ -142,6 +142,45 @@
       .to.equal(false);
   });
 
+  it("tells a new member of an owner that was lost just before it", () => {
+    const lost = without(THREE, new Set(["lost"]));
+    const next = joined(lost, { ...member("new"), address: "a:3" });
+    settlement.adopt(next, 10);
+    expect(settlement.doubt(10).tableVersion).to.equal(next.version);
+  });
+
+  it("goes on when every earlier run has been replaced under its name", () => {
+    const nameOf = (name: string, run: number): Member => {
+      return { ...member(`${name} ${run}`), name };
+    };
+    const late = createSettlement({
+      me: "a 2",
+      freshnessMs: FRESHNESS_MS,
+      windowMs: WINDOW_MS,
+      skewMs: SKEW_MS,
+    });
+    const former = ["a", "b", "c"].map((name, index) => ({
+      incarnation: `${name} 1`,
+      name,
+      version: 4 + index,
+    }));
+    const members = [nameOf("a", 2), nameOf("b", 1)];
+    const removals = former.filter(({ name }) => name !== "b");
+    late.adopt({ version: 7, members, removals }, 0);
+    const replaced = ["a", "b", "c"].map((name) => nameOf(name, 2));
+    late.adopt({ version: 10, members: replaced, removals: former }, 10);
+    for (const entry of ["b 2", "c 2"]) {
+      const doubt = { ...NO_DOUBT, isNew: true };
+      late.handedOver({ entry, tableVersion: 10, doubt }, 10);
+      late.follows(entry, 10);
+    }
+    late.registry.hearOf({ incarnation: "s1", registration: 1, side: "s" }, 10);
+    late.tick({ nowMs: 20, wallMs });
+    expect(late.isSettled(own)).to.equal(false);
+    late.tick({ nowMs: 20 + FENCED_MS, wallMs });
+    expect(late.isSettled(own)).to.equal(true);
+  });
+
   it("forgets a side only when every member has declared it lost", () => {
     const side = { incarnation: "s1", registration: 1 };
     const { registry } = settlement;
--- a/packages/types/src/table.ts
+++ b/packages/types/src/table.ts
@@ -19,6 +19,8 @@
 /** A member that was removed without having left by itself. */
 export interface Removal {
   readonly incarnation: string;
+  /** The name from the member's settings. */
+  readonly name: string;
   /** The table version that first lacked it. */
   readonly version: number;
 }
