--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,49 +3,34 @@
  * the entry's core, and answers callers' requests by number.
  */
 import { v4 } from "uuid";
-import type { RecordOptions } from "@coltsfootreach/admit";
 import {
   type Ask,
   createEntryCore,
   type EntryCore,
   type EntryEffect,
   markLate,
-  type NewAct,
 } from "@coltsfootreach/coordinate";
 import {
-  type ConfigurationHolder,
   createConfigurationFeed,
   createConfigurationKeys,
-  LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 import { excerptForSides } from "@coltsfootreach/inventory";
-import { listenForLinks, type Target } from "@coltsfootreach/link";
+import { listenForLinks } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
-import {
-  type ActJournal,
-  createActJournal,
-  type StoreStatus,
-} from "@coltsfootreach/manage";
-import type { Store } from "@coltsfootreach/store";
-import type { ServerCredentials } from "@grpc/grpc-js";
-import type {
-  Configuration,
-  JobId,
-  Member,
-  Reply,
-} from "@coltsfootreach/types";
+import { createActJournal } from "@coltsfootreach/manage";
+import type { JobId, Member, Reply } from "@coltsfootreach/types";
+import { createActLog } from "./act_log.ts";
 import { createMembership, type Membership } from "./membership.ts";
 import { createPeerStreams, type PeerStreams } from "./peer_streams.ts";
 import { createSideStreams, type SideStreams } from "./side_streams.ts";
+import type { Entry, EntryOptions } from "./types.ts";
+import { createVersions, REFRESH_PAUSE_MS } from "./versions.ts";
 
 const MS_PER_SECOND = 1000;
 
 /** The store's clock may run this much faster than ours, as a share. */
 const CLOCK_DRIFT = 0.01;
 
-/** Pause before the configuration is read again. */
-const REFRESH_PAUSE_MS = 1000;
-
 /** Renewals of a lease within its life. */
 const RENEWALS_PER_LEASE = 2.5;
 
@@ -72,72 +57,6 @@
 /** How often an entry says what its takeovers wait for. */
 const REPORT_MS = 5000;
 
-export interface EntryOptions {
-  readonly name: string;
-  readonly dataCentre: string;
-  /** Where to listen for sides and entries, as `IP:port`. */
-  readonly listen: string;
-  /** How others reach that; port 0 stands for the port that was bound. */
-  readonly advertise: string;
-  readonly store: Store;
-  readonly prefix: string;
-  readonly leaseSeconds: number;
-  readonly freshnessMs: number;
-  readonly heartbeatMs: number;
-  readonly sideLostMs: number;
-  readonly doubtMs: number;
-  readonly drainMs: number;
-  readonly maxHeld: number;
-  readonly records: RecordOptions;
-  /** Records of automatic acts kept. */
-  readonly maxActs: number;
-  readonly holder: ConfigurationHolder;
-  /** Does the slow part of reading a configuration before it is learned. */
-  prepareConfiguration(configuration: Configuration): Promise<void>;
-  /** Makes what places and bounds tasks; called for each run of the entry. */
-  createPlanner(capacity: Capacity): Planner;
-  readonly credentials?: {
-    readonly server: ServerCredentials;
-    readonly client: Target["credentials"];
-  } | undefined;
-  readonly log: Log;
-}
-
-/** What an entry can count on now. */
-export interface Capacity {
-  /** Its share of the slots of live sides. */
-  slots(): number;
-  /** Entries in the table, this one included. */
-  entries(): number;
-}
-
-export type Planner = Pick<
-  Parameters<typeof createEntryCore>[0],
-  "queue" | "policy" | "limits"
->;
-
-export interface Entry {
-  /** Resolves with the reply; never rejects. */
-  request(job: JobId, ask: Ask): Promise<Reply>;
-  incarnation(): string;
-  /** True while the balancer should send callers here. */
-  isReady(): boolean;
-  core(): EntryCore;
-  readonly journal: ActJournal;
-  /** Newest version that any process was heard to have, and since when. */
-  newestVersion(): { readonly version: number; readonly sinceMs: number };
-  storeStatus(): StoreStatus;
-  counts(): EntryCounts;
-  /** Hands over its jobs, answers what it holds, and leaves. */
-  stop(): Promise<void>;
-}
-
-export type EntryCounts = {
-  readonly sides: ReturnType<SideStreams["counts"]>;
-  readonly peers: ReturnType<PeerStreams["counts"]>;
-  readonly store: ReturnType<Store["calls"]>;
-};
-
 /**
  * True when every member is heard and follows this table, so that sides are
  * confirmed without reads of the store.
@@ -173,6 +92,7 @@
     incarnation: `${options.name}-${v4().slice(0, ID_DIGITS)}`,
     limit: options.maxActs,
   });
+  const acts = createActLog(journal);
   const feed = createConfigurationFeed({
     store: options.store,
     keys: createConfigurationKeys(options.prefix),
@@ -180,17 +100,14 @@
     prepare: options.prepareConfiguration,
     learned(configuration, source) {
       const now = performance.now();
-      noteVersion(configuration.version);
+      versions.note(configuration.version);
       apply(run, run.core.configurationLearned(configuration, source, now));
     },
     failed(fault) {
       log.warn("the configuration cannot be read", { reason: fault.message });
     },
   });
-  let refreshedAtMs = -Infinity;
-  let newest = { version: 0, sinceMs: performance.now() };
-  /** Newest version that another process has in force. */
-  let elsewhere = newest;
+  const versions = createVersions({ holder, refresh: () => feed.refresh() });
   let loggedVersion = holder.version();
   let requests = 0;
   let isReady = false;
@@ -222,31 +139,14 @@
       } else if (effect.kind === "removeMembers") {
         void own.membership.remove(effect.incarnations);
       } else if (effect.kind === "actUndone") {
-        const { kind, subject, figures } = effect.act;
-        const standing = journal.findStanding(kind, subject);
-        const { atMs } = effect;
-        if (standing) journal.markUndone(standing.id, { atMs, figures });
+        acts.undo(effect);
       } else {
-        recordAct(effect.act);
+        acts.record(effect.act, own.log);
       }
     }
     planFlush();
   }
 
-  function recordAct(act: NewAct): void {
-    if (act.kind === "readmit") {
-      const ejection = journal.findStanding("eject", act.subject);
-      if (ejection !== undefined) journal.markUndone(ejection.id, act);
-    }
-    const { id } = journal.record(act);
-    run.log.warn("automatic act", {
-      act: `${act.kind} ${act.subject} ${id}`,
-      reason: act.why,
-      figures: act.figures,
-      configurationVersion: act.configurationVersion,
-    });
-  }
-
   /** Logs a version that has come into force, wherever it came from. */
   function noteInForce(own: Run): void {
     const configurationVersion = holder.version();
@@ -256,37 +156,11 @@
     own.membership.rulesChanged();
   }
 
-  /** Another process has a version in force that is newer than this one's. */
-  function heardVersion(version: number): void {
-    noteVersion(version);
-    if (version <= elsewhere.version) return;
-    const sinceMs = elsewhere.version <= holder.version()
-      ? performance.now()
-      : elsewhere.sinceMs;
-    elsewhere = { version, sinceMs };
-  }
-
   /** False after a removal until the entry has joined anew. */
   function isMember(): boolean {
     return run.core.table().version > 0;
   }
 
-  /** A version that others use and this entry cannot get or read. */
-  function isLagging(): boolean {
-    return elsewhere.version > holder.version() &&
-      performance.now() - elsewhere.sinceMs >= LAG_BOUND_MS;
-  }
-
-  /** There is a version that may be newer than the one in force here. */
-  function noteVersion(version: number): void {
-    const nowMs = performance.now();
-    if (version > newest.version) newest = { version, sinceMs: nowMs };
-    if (version <= holder.version()) return;
-    if (nowMs - refreshedAtMs < REFRESH_PAUSE_MS) return;
-    refreshedAtMs = nowMs;
-    feed.refresh();
-  }
-
   function settle(request: number, reply: Reply): void {
     const waiting = pending.get(request);
     pending.delete(request);
@@ -357,7 +231,7 @@
         ...core.stamps(side),
       }),
       received(frame) {
-        heardVersion(frame.configurationVersion);
+        versions.heard(frame.configurationVersion);
         apply(own, core.sideFrame(frame, performance.now()));
       },
       closed: (side) => core.sideClosed(side),
@@ -376,7 +250,7 @@
       up: (entry) => apply(own, core.peerUp(entry, performance.now())),
       down: (entry) => core.peerDown(entry),
       received(frame) {
-        heardVersion(frame.configurationVersion);
+        versions.heard(frame.configurationVersion);
         followTable(own, core.peerFrame(frame, performance.now()));
       },
       refused: (entry) => void own.membership.removeEnded(entry),
@@ -480,10 +354,11 @@
       });
     },
     incarnation: () => run.member.incarnation,
-    isReady: () => isReady && !isStopping && isMember() && !isLagging(),
+    isReady: () =>
+      isReady && !isStopping && isMember() && !versions.isLagging(),
     core: () => run.core,
     journal,
-    newestVersion: () => newest,
+    newestVersion: () => versions.newest(),
     storeStatus: () => run.membership.storeStatus(),
     counts: () => ({
       sides: run.sides.counts(),
