Allow a start that was asked for again after a true refusal

Cause: the chaos command counted a refusal as a false notRun although its caller submitted the job again afterwards. Excluded: a start before the refusal, and a copy that was on its way when the refusal was given; both still count, and a test says so. That takes start times on one clock, so the stand-in tells where its clock begins.

--- a/packages/chaos/src/check.ts
+++ b/packages/chaos/src/check.ts
@@ -33,7 +33,7 @@
 export interface StartedAt {
   /** Place of the backend server among all. */
   readonly side: number;
-  /** On the clock of the backend server's process, in milliseconds. */
+  /** On the clock of this process, in milliseconds. */
   readonly atMs: number;
 }
 
@@ -130,10 +130,13 @@
       find("falseNotRun", `outcome of task ${index}`);
     }
   }
-  for (const refusal of refusalsOf(trace)) {
-    if (refusal.verdict !== "notRun") continue;
-    const started = taskIds(job).some((id) => options.starts.has(id));
-    if (started) find("falseNotRun", `refusal ${refusal.code}`);
+  for (const attempt of attemptsOf(trace)) {
+    const { refusal } = attempt;
+    if (refusal?.verdict !== "notRun") continue;
+    const isFalse = taskIds(job)
+      .flatMap((id) => options.starts.get(id) ?? [])
+      .some((start) => !isAskedAnew(trace, attempt, start));
+    if (isFalse) find("falseNotRun", `refusal ${refusal.code}`);
   }
   for (const attempt of trace.copies.flatMap((copy) => copy.attempts)) {
     const { answer } = attempt;
@@ -181,8 +184,18 @@
   return attemptsOf(trace).flatMap(({ answer }) => answer ?? []);
 }
 
-function refusalsOf(trace: JobTrace): Refusal[] {
-  return attemptsOf(trace).flatMap(({ refusal }) => refusal ?? []);
+/**
+ * True when the job was submitted again after its caller had been told that it
+ * was not run, and before this start of one of its tasks.
+ */
+function isAskedAnew(
+  trace: JobTrace,
+  told: Attempt,
+  start: StartedAt,
+): boolean {
+  return trace.copies.flatMap((copy) => copy.attempts).some((attempt) =>
+    attempt.sentAtMs >= told.endedAtMs && attempt.sentAtMs <= start.atMs
+  );
 }
 
 function attemptsOf(trace: JobTrace): Attempt[] {
--- a/packages/chaos/src/check_test.ts
+++ b/packages/chaos/src/check_test.ts
@@ -94,6 +94,30 @@
     expect(brokenBy({ refusal })).to.deep.equal(["falseNotRun"]);
   });
 
+  it("allows a start that was asked for after a refusal", () => {
+    const refusal = {
+      code: "deadlineUnreachable",
+      verdict: "notRun",
+      reason: "",
+    } as const;
+    const told = { url: "", sentAtMs: 100, endedAtMs: 110, refusal };
+    const again = { url: "", sentAtMs: 120, endedAtMs: 200, answer: ANSWER };
+    const trace = {
+      job: JOB,
+      copies: [{ job: JOB, attempts: [told, again] }],
+      cancels: [],
+    };
+    const brokenAt = (atMs: number) => {
+      const at = [{ side: 0, atMs }];
+      const starts = new Map([[taskId(JOB, 0), at], [taskId(JOB, 1), at]]);
+      return check([trace], { starts, lateMarginMs: 1000 }).findings
+        .map(({ promise }) => promise);
+    };
+    expect(brokenAt(130)).to.deep.equal([]);
+    expect(brokenAt(105)).to.deep.equal(["falseNotRun"]);
+    expect(brokenAt(115)).to.deep.equal(["falseNotRun"]);
+  });
+
   it("takes a notRun of a task that never started", () => {
     const first = new Map([[taskId(JOB, 0), ONCE]]);
     expect(brokenBy({ answer: failedWith("notRun") }, first))
--- a/packages/chaos/src/controls.ts
+++ b/packages/chaos/src/controls.ts
@@ -7,6 +7,8 @@
 
 interface StartLog {
   readonly starts: readonly { readonly id: string; readonly atMs: number }[];
+  /** When the clock of the backend server began, in Unix milliseconds. */
+  readonly originMs: number;
 }
 
 export async function setFaults(origin: string, faults: object): Promise<void> {
@@ -21,9 +23,11 @@
     const path = "/standin/starts";
     const text = await call(origin, { method: "GET", path });
     const log = JSON.parse(text) as StartLog;
+    const aheadMs = log.originMs - performance.timeOrigin;
     for (const { id, atMs } of log.starts) {
       const earlier = starts.get(id) ?? [];
-      starts.set(id, [...earlier, { side, atMs: Math.round(atMs) }]);
+      const own = Math.round(atMs + aheadMs);
+      starts.set(id, [...earlier, { side, atMs: own }]);
     }
   }
   return starts;
--- a/packages/standin/src/backend/backend_app.ts
+++ b/packages/standin/src/backend/backend_app.ts
@@ -76,7 +76,8 @@
   });
   app.get("/standin/starts", (context) => {
     const starts = log.starts();
-    return context.json({ counts: countById(starts), starts });
+    const originMs = performance.timeOrigin;
+    return context.json({ counts: countById(starts), starts, originMs });
   });
   return app;
 
