--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -30,8 +30,12 @@
     fail(`${flags.settings}: role: is "${value.role}"`, EXIT_FAILED);
   }
   handleSignals();
-  if (value.role === "entry") await runEntry(value);
-  else await runSide(value);
+  try {
+    if (value.role === "entry") await runEntry(value);
+    else await runSide(value);
+  } catch (error) {
+    fail(error instanceof Error ? error.message : String(error), EXIT_FAILED);
+  }
 }
 
 const cli = cac("coltsfootreachd");
--- a/packages/side/src/announcements.ts
+++ b/packages/side/src/announcements.ts
@@ -2,7 +2,8 @@
  * Hears the backend server on this VM: it announces itself, renews, and
  * leaves, over HTTP.
  */
-import { serve, type ServerType } from "@hono/node-server";
+import type { AddressInfo } from "node:net";
+import { createAdaptorServer } from "@hono/node-server";
 import { Hono } from "hono";
 import { z } from "zod";
 import type { Announcement } from "@coltsfootreach/types";
@@ -38,7 +39,8 @@
   changed(announcement: Announcement | undefined): void;
 }
 
-export function hearAnnouncements(
+/** Rejects when the address cannot be listened on. */
+export async function hearAnnouncements(
   options: AnnouncementsOptions,
 ): Promise<Announcements> {
   let current: Announcement | undefined;
@@ -74,26 +76,24 @@
     return context.json({});
   });
 
-  const timer = setInterval(() => {
+  function checkLapse(): void {
     const silentMs = performance.now() - renewedAtMs;
     if (current !== undefined && silentMs > ANNOUNCEMENT_LIFE_MS) {
       take(undefined);
     }
-  }, CHECK_INTERVAL_MS);
+  }
 
-  return new Promise((resolve) => {
-    const { host: hostname, port } = options;
-    const server: ServerType = serve(
-      { fetch: app.fetch, hostname, port },
-      (address) => {
-        resolve({
-          port: address.port,
-          close() {
-            clearInterval(timer);
-            server.close();
-          },
-        });
-      },
-    );
+  const server = createAdaptorServer({ fetch: app.fetch });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.host, resolve);
   });
+  const watch = setInterval(checkLapse, CHECK_INTERVAL_MS);
+  return {
+    port: (server.address() as AddressInfo).port,
+    close() {
+      clearInterval(watch);
+      server.close();
+    },
+  };
 }
