--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -4,7 +4,7 @@
  * fresh, and there is no evidence of the task. Every
  * refusal is a true `notRun`.
  */
-import { createFreshness, isMember, ownerOf } from "@coltsfootreach/ownership";
+import { isMember, ownerOf } from "@coltsfootreach/ownership";
 import {
   type Announcement,
   type Collect,
@@ -32,6 +32,7 @@
   type JobRecord,
   type QueuedStart,
 } from "./evidence.ts";
+import { createFence } from "./fence.ts";
 
 export interface GuardOptions extends EvidenceOptions {
   readonly identity: SideIdentity;
@@ -87,14 +88,11 @@
 
 export function createGuard(options: GuardOptions): Guard {
   const evidence = createEvidenceTable(options);
-  const freshness = createFreshness();
+  const fence = createFence(options.freshnessMs);
   let table: Table = EMPTY_TABLE;
   let announcement: Announcement | undefined;
   let isDraining = false;
   let isDrained = false;
-  let registration = 1;
-  let registeredAtMs = -Infinity;
-  let isRegistered = false;
   let queue: QueuedStart[] = [];
   const runningFor: JobRecord[] = [];
   const lastSequence = new Map<string, number>();
@@ -103,33 +101,16 @@
     return {
       kind: "hello",
       identity: options.identity,
-      registration,
+      registration: fence.registration(),
       announcement,
       draining: isDraining || isDrained,
     };
   }
 
-  /**
-   * The side takes starts only once every member has heard its registration,
-   * so that a member that takes over knows every side that could have started
-   * a task.
-   */
-  function checkRegistered(): boolean {
-    if (isRegistered) return true;
-    if (table.members.length === 0) return false;
-    isRegistered = table.members.every((member) => {
-      const echo = freshness.echoOf(member.incarnation);
-      return echo !== undefined && echo > registeredAtMs;
-    });
-    return isRegistered;
-  }
-
   /** Why nothing may start now, whether accepted before or not. */
   function fencedBecause(nowMs: number): RefusedReason | undefined {
     if (announcement === undefined) return "noServer";
-    if (!checkRegistered()) return "notRegistered";
-    const age = nowMs - freshness.confirmedAtMs(table);
-    return age < options.freshnessMs ? undefined : "unconfirmedTable";
+    return fence.closedBecause(table, nowMs);
   }
 
   function closedBecause(nowMs: number): RefusedReason | undefined {
@@ -273,7 +254,7 @@
   function adopt(next: Table): readonly GuardEffect[] {
     if (next.version <= table.version) return [];
     table = next;
-    freshness.retain(table);
+    fence.adopt(table);
     for (const entry of lastSequence.keys()) {
       if (!isMember(table, entry)) lastSequence.delete(entry);
     }
@@ -352,10 +333,7 @@
   }
 
   function registerAnew(lost: number, nowMs: number): readonly GuardEffect[] {
-    if (lost < registration) return [];
-    registration = lost + 1;
-    registeredAtMs = nowMs;
-    isRegistered = false;
+    if (!fence.registerAnew(lost, nowMs)) return [];
     return [{ kind: "sayHello" }];
   }
 
@@ -406,7 +384,7 @@
     receive(frame, nowMs) {
       if (frame.sequence <= (lastSequence.get(frame.entry) ?? -1)) return [];
       lastSequence.set(frame.entry, frame.sequence);
-      freshness.hear(frame);
+      fence.hear(frame);
       const effects: GuardEffect[] = [];
       for (const message of frame.messages) {
         effects.push(...handle(message, frame, nowMs));
