State once whether a server can run a task, and which rules hold

Found on reading the whole change: the guard and the entry each had the test of class and size; two places fell back to the default rules; two types said the same of a known version; a job's expected work was summed for its judgement and again for its admission; each placement copied an object for nothing.

--- a/packages/configure/src/holder.ts
+++ b/packages/configure/src/holder.ts
@@ -3,7 +3,12 @@
  * wherever they come, in any order, and never goes back to a lower one.
  */
 import type { Result } from "neverthrow";
-import type { Configuration, Estate } from "@coltsfootreach/types";
+import {
+  type Configuration,
+  DEFAULT_RULES,
+  type Estate,
+  type Rules,
+} from "@coltsfootreach/types";
 
 /** Where a version was learned. */
 export type ConfigurationSource = "watch" | "read" | "peer" | "entry";
@@ -104,3 +109,8 @@
     rejected: () => rejected,
   };
 }
+
+/** The rules that hold now, those of the configuration if there is one. */
+export function rulesInForce(holder: ConfigurationHolder): Rules {
+  return holder.inForce()?.estate.rules ?? DEFAULT_RULES;
+}
--- a/packages/coordinate/src/candidates.ts
+++ b/packages/coordinate/src/candidates.ts
@@ -4,8 +4,7 @@
  * many tasks between two such changes.
  */
 import type { Candidate } from "@coltsfootreach/place";
-import type { Size } from "@coltsfootreach/types";
-import { holds } from "./fit.ts";
+import { type Need, serves } from "@coltsfootreach/types";
 import type { Sides, SideState } from "./sides.ts";
 
 /** Pauses and lags end with time alone, so a list is made anew after this. */
@@ -14,11 +13,6 @@
 /** Lists of different needs that are kept at once. */
 const MAX_LISTS = 256;
 
-export interface Need {
-  readonly class: string;
-  readonly size: Size;
-}
-
 export interface CandidateOptions {
   readonly sides: Sides;
   /** The version of the table that a side must follow. */
@@ -83,8 +77,7 @@
 
 function fits(side: SideState, need: Need): boolean {
   const offer = side.announcement;
-  return offer !== undefined && offer.classes.includes(need.class) &&
-    holds(offer.size, need.size);
+  return offer !== undefined && serves(offer, need);
 }
 
 /** A view of a side that stays current while it is on a list. */
--- a/packages/coordinate/src/configuration_desk.ts
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -7,11 +7,11 @@
   type ConfigurationSource,
   createVersionTimes,
   LAG_BOUND_MS,
+  rulesInForce,
   type Taken,
 } from "@coltsfootreach/configure";
 import {
   type Configuration,
-  DEFAULT_RULES,
   type Estate,
   type Rules,
 } from "@coltsfootreach/types";
@@ -100,7 +100,7 @@
     },
     version: () => holder.version(),
     estate: () => holder.inForce()?.estate,
-    rules: () => holder.inForce()?.estate.rules ?? DEFAULT_RULES,
+    rules: () => rulesInForce(holder),
     updateSide,
     updatePeer,
     forget(target) {
--- a/packages/coordinate/src/eligibility.ts
+++ b/packages/coordinate/src/eligibility.ts
@@ -3,7 +3,8 @@
  * they follow it, and by how their tasks have ended lately.
  */
 import type { Candidate } from "@coltsfootreach/place";
-import { createCandidates, type Need } from "./candidates.ts";
+import type { Need } from "@coltsfootreach/types";
+import { createCandidates } from "./candidates.ts";
 import type { EntryContext } from "./context.ts";
 import type { SideState } from "./sides.ts";
 
--- a/packages/coordinate/src/fit.ts
+++ b/packages/coordinate/src/fit.ts
@@ -2,7 +2,7 @@
  * Finds tasks that no worker can ever run, so that their job is answered at
  * once and does not wait for its deadline.
  */
-import type { Estate, Job, Size } from "@coltsfootreach/types";
+import { type Estate, holds, type Job, type Size } from "@coltsfootreach/types";
 import type { SideState } from "./sides.ts";
 
 /** How long the list of worker sizes is used before it is made anew. */
@@ -57,11 +57,6 @@
     `${memoryMb} MB and ${accelerators} accelerators`;
 }
 
-export function holds(offer: Size, need: Size): boolean {
-  return offer.cores >= need.cores && offer.memoryMb >= need.memoryMb &&
-    offer.accelerators >= need.accelerators;
-}
-
 /** The distinct sizes of workers, whether they are live or expected. */
 function knownSizes(
   sides: Iterable<SideState>,
--- a/packages/coordinate/src/limits.ts
+++ b/packages/coordinate/src/limits.ts
@@ -9,6 +9,7 @@
   createTenantQueue,
   createUsage,
   type Queue,
+  type Submission,
 } from "@coltsfootreach/limit";
 import type { EstateLookup } from "@coltsfootreach/configure";
 import type { RunTimes } from "@coltsfootreach/place";
@@ -85,6 +86,10 @@
     slots,
     startableAtMs: (tenant, nowMs) => quota.startableAtMs(tenant, nowMs),
   });
+  /** The job judged last, which is admitted next if it is at all. */
+  let judged:
+    | { readonly job: Job; readonly submission: Submission }
+    | undefined;
   const usage = createUsage({ slots, weightOf });
   const retries = createRetryBudget({
     share: () => options.rules().retryShare,
@@ -100,7 +105,7 @@
     slots,
   });
 
-  function submissionOf(job: Job) {
+  function describe(job: Job): Submission {
     const times = job.tasks.map(({ declaredMs }) =>
       expectedMs({ tenant: job.tenant, class: job.class, declaredMs })
     );
@@ -124,12 +129,18 @@
       judge(job, nowMs) {
         // Without a side nothing is known of how fast work is done.
         if (slots() <= 0) return undefined;
-        const refusal = admission.judge(submissionOf(job), nowMs);
+        const submission = describe(job);
+        judged = { job, submission };
+        const refusal = admission.judge(submission, nowMs);
         return refusal === undefined || isHeld(refusal) ? undefined : refusal;
       },
       admitted(job, nowMs) {
         quota.want(job.tenant, job.tasks.length, nowMs);
-        if (slots() > 0) admission.admit(submissionOf(job), nowMs);
+        const submission = judged?.job === job
+          ? judged.submission
+          : describe(job);
+        judged = undefined;
+        if (slots() > 0) admission.admit(submission, nowMs);
       },
       started(task, nowMs) {
         quota.start(task.tenant, nowMs);
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -125,7 +125,7 @@
     const side = policy.choose(placing, found, nowMs);
     if (side === undefined) return false;
     eligibility.noteTrial(sides.find(side)!, nowMs);
-    limits.started({ ...placing }, nowMs);
+    limits.started(placing, nowMs);
     send(record, waiting.index, { side, leftMs });
     return true;
   }
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -4,6 +4,7 @@
   createConfigurationHolder,
   createEstateLookup,
   type EstateLookup,
+  rulesInForce,
 } from "@coltsfootreach/configure";
 import { createLimits } from "@coltsfootreach/coordinate";
 import type { EntryOptions } from "@coltsfootreach/entry";
@@ -12,7 +13,6 @@
 import { createPlacement, createRunTimes } from "@coltsfootreach/place";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 import type { Store } from "@coltsfootreach/store";
-import { DEFAULT_RULES } from "@coltsfootreach/types";
 import { readCredentials } from "./credentials.ts";
 
 /** How long tasks on a lost side are waited for. */
@@ -82,7 +82,7 @@
     prepareConfiguration: prepare,
     createPlanner({ slots, entries }) {
       const runTimes = createRunTimes();
-      const rules = () => holder.inForce()?.estate.rules ?? DEFAULT_RULES;
+      const rules = () => rulesInForce(holder);
       const limited = createLimits({ estate, runTimes, rules, slots, entries });
       const placing = { random: Math.random, runTimes };
       const policy = createPlacement(settings.placement, placing);
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -1,6 +1,9 @@
 /** What an entry process is made of, and what it offers. */
 import type { RecordOptions } from "@coltsfootreach/admit";
-import type { ConfigurationHolder } from "@coltsfootreach/configure";
+import type {
+  ConfigurationHolder,
+  KnownVersion,
+} from "@coltsfootreach/configure";
 import type {
   Ask,
   EntryCore,
@@ -14,7 +17,6 @@
 import type { ServerCredentials } from "@grpc/grpc-js";
 import type { PeerStreams } from "./peer_streams.ts";
 import type { SideStreams } from "./side_streams.ts";
-import type { KnownVersion } from "./versions.ts";
 
 export interface EntryOptions {
   readonly name: string;
--- a/packages/entry/src/versions.ts
+++ b/packages/entry/src/versions.ts
@@ -4,18 +4,13 @@
  */
 import {
   type ConfigurationHolder,
+  type KnownVersion,
   LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
 
 /** Pause before the configuration is read again. */
 export const REFRESH_PAUSE_MS = 1000;
 
-/** A version and since when it is known, on this process's clock. */
-export interface KnownVersion {
-  readonly version: number;
-  readonly sinceMs: number;
-}
-
 export interface Versions {
   /** There is a version that may be newer than the one in force here. */
   note(version: number): void;
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -18,6 +18,7 @@
   type RefusedReason,
   type Revoke,
   type SealJob,
+  serves,
   type SideIdentity,
   type SideMessage,
   type Start,
@@ -129,14 +130,6 @@
     return { kind: "send", entry, message: { kind: "refused", ...refused } };
   }
 
-  function fits(start: Start): boolean {
-    const offer = announcement!;
-    return offer.classes.includes(start.class) &&
-      offer.size.cores >= start.size.cores &&
-      offer.size.memoryMb >= start.size.memoryMb &&
-      offer.size.accelerators >= start.size.accelerators;
-  }
-
   function refusalOf(
     start: Start,
     frame: EntryFrame,
@@ -148,7 +141,7 @@
     }
     const closed = closedBecause(nowMs);
     if (closed !== undefined) return closed;
-    if (!fits(start)) return "doesNotFit";
+    if (!serves(announcement!, start)) return "doesNotFit";
     const room = slots() * (1 + options.queuePerSlot);
     return runningFor.length + queue.length < room ? undefined : "queueFull";
   }
--- a/packages/types/src/server.ts
+++ b/packages/types/src/server.ts
@@ -35,3 +35,20 @@
   /** Starts that wait on the side for a slot, from all entries. */
   readonly queued: number;
 }
+
+/** What a task asks of a backend server. */
+export interface Need {
+  readonly class: string;
+  readonly size: Size;
+}
+
+/** True when a worker of one size can hold a task of another. */
+export function holds(offer: Size, need: Size): boolean {
+  return offer.cores >= need.cores && offer.memoryMb >= need.memoryMb &&
+    offer.accelerators >= need.accelerators;
+}
+
+/** True when a backend server can run such a task, busy or not. */
+export function serves(offer: Announcement, need: Need): boolean {
+  return offer.classes.includes(need.class) && holds(offer.size, need.size);
+}
