--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -3,6 +3,7 @@
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 import { ResultAsync } from "neverthrow";
 import { LinkClosed } from "@coltsfootreach/errors";
+import type { DispatchFrame, WorkFrame } from "@coltsfootreach/run";
 import type { EntryFrame, PeerFrame, SideFrame } from "@coltsfootreach/types";
 import { CHANNEL_OPTIONS, LINK_SERVICE } from "./service.ts";
 import type { Accept } from "./stream.ts";
@@ -12,8 +13,9 @@
   /** Where to listen, as `IP:port`; port 0 picks a free one. */
   readonly address: string;
   readonly credentials?: ServerCredentials | undefined;
-  readonly acceptSide: Accept<SideFrame, EntryFrame>;
-  readonly acceptPeer: Accept<PeerFrame, PeerFrame>;
+  readonly acceptSide?: Accept<SideFrame, EntryFrame>;
+  readonly acceptPeer?: Accept<PeerFrame, PeerFrame>;
+  readonly acceptWork?: Accept<WorkFrame, DispatchFrame>;
 }
 
 export interface LinkServer {
@@ -30,6 +32,7 @@
   server.addService(LINK_SERVICE, {
     side: (call: Duplex) => accept(call, options.acceptSide),
     peer: (call: Duplex) => accept(call, options.acceptPeer),
+    work: (call: Duplex) => accept(call, options.acceptWork),
   });
   const credentials = options.credentials ?? ServerCredentials.createInsecure();
   const bound = new Promise<LinkServer>((resolve, reject) => {
@@ -44,7 +47,15 @@
   );
 }
 
-function accept<In, Out>(call: Duplex, to: Accept<In, Out>): void {
+/** Streams of a kind that nobody here takes are ended at once. */
+function accept<In, Out>(
+  call: Duplex,
+  to: Accept<In, Out> | undefined,
+): void {
+  if (to === undefined) {
+    call.end();
+    return;
+  }
   const wrapped = wrapCall<Out>(call, () => call.end());
   wrapped.listen(to(wrapped.stream));
 }
--- a/packages/link/src/service.ts
+++ b/packages/link/src/service.ts
@@ -14,6 +14,7 @@
 export const LINK_SERVICE = {
   side: method("/coltsfootreach.Link/Side"),
   peer: method("/coltsfootreach.Link/Peer"),
+  work: method("/coltsfootreach.Link/Work"),
 } satisfies ServiceDefinition;
 
 export const CHANNEL_OPTIONS: ChannelOptions = {
--- /dev/null
+++ b/packages/runtime/src/entry_process.ts
@@ -0,0 +1,187 @@
+/** An entry: takes jobs, and holds the streams from sides. */
+import { LinkClosed } from "@coltsfootreach/errors";
+import {
+  type Answer,
+  createDispatcher,
+  type DispatchCounts,
+  type DispatchEffect,
+  type SessionId,
+  type SubmissionId,
+} from "@coltsfootreach/dispatch";
+import { listenForLinks, type Stream } from "@coltsfootreach/link";
+import type { Log } from "@coltsfootreach/log";
+import type {
+  DispatchFrame,
+  Job,
+  Queue,
+  QueueTable,
+  WorkFrame,
+} from "@coltsfootreach/run";
+import type { Store } from "@coltsfootreach/store";
+import { err, ok, type Result } from "neverthrow";
+import { type Configuration, followConfiguration } from "./configuration.ts";
+import { createDecisionLog } from "./decision_log.ts";
+import { runLoop, steadyNow } from "./loop.ts";
+import { joinEntries } from "./membership.ts";
+import type { ConfigurationDocument } from "./ports.ts";
+
+const TICK_MS = 25;
+
+/** Time between looks whether the last job has ended, while stopping. */
+const DRAIN_LOOK_MS = 50;
+
+export interface EntryOptions {
+  readonly name: string;
+  /** Where to listen for sides, as `IP:port`. */
+  readonly listen: string;
+  readonly store: Store;
+  readonly document: ConfigurationDocument;
+  readonly log: Log;
+}
+
+/** A job that was handed in. */
+export interface PendingAnswer {
+  /** Resolves once; never when the job was abandoned. */
+  readonly answer: Promise<Answer>;
+  /** The caller has left. */
+  abandon(): void;
+}
+
+export interface EntryProcess {
+  table(): QueueTable | undefined;
+  submit(queue: Queue, job: Job): PendingAnswer;
+  /** True while the balancer should send callers here. */
+  isReady(): boolean;
+  counts(): DispatchCounts & { readonly logLinesDropped: number };
+  /** Ends the jobs it holds, for at most so long, and leaves. */
+  stop(graceMs: number): Promise<void>;
+}
+
+export async function startEntry(
+  options: EntryOptions,
+): Promise<Result<EntryProcess, LinkClosed>> {
+  const { log } = options;
+  const decisions = createDecisionLog(log);
+  const dispatcher = createDispatcher({
+    entry: options.name,
+    random: Math.random,
+  });
+  const streams = new Map<SessionId, Stream<DispatchFrame>>();
+  const answers = new Map<SubmissionId, (answer: Answer) => void>();
+  let lastSession = 0;
+  let lastSubmission = 0;
+  let isStopping = false;
+
+  const loop = runLoop({ tickMs: TICK_MS, tick: dispatcher.tick, carryOut });
+
+  function carryOut(now: number): void {
+    for (const effect of dispatcher.takeEffects(now)) perform(effect, now);
+  }
+
+  function perform(effect: DispatchEffect, now: number): void {
+    switch (effect.kind) {
+      case "send":
+        streams.get(effect.session)?.send(effect.frame);
+        return;
+      case "close":
+        closeStream(effect.session);
+        return;
+      case "answer":
+        answers.get(effect.submission)?.(effect.answer);
+        answers.delete(effect.submission);
+        return;
+      case "log":
+        decisions.write(effect.decision, now);
+    }
+  }
+
+  function closeStream(session: SessionId): void {
+    const stream = streams.get(session);
+    streams.delete(session);
+    stream?.close();
+  }
+
+  function acceptWork(stream: Stream<DispatchFrame>) {
+    lastSession += 1;
+    const session = lastSession;
+    streams.set(session, stream);
+    dispatcher.sessionOpened(session, steadyNow());
+    return {
+      received(frame: WorkFrame) {
+        dispatcher.sessionSent(session, frame, steadyNow());
+        loop.poke();
+      },
+      drained() {},
+      closed() {
+        streams.delete(session);
+        dispatcher.sessionClosed(session, steadyNow());
+        loop.poke();
+      },
+    };
+  }
+
+  const server = await listenForLinks({ address: options.listen, acceptWork });
+  if (server.isErr()) {
+    loop.stop();
+    return err(server.error);
+  }
+
+  const configuration: Configuration = followConfiguration({
+    store: options.store,
+    document: options.document,
+    log,
+    changed() {},
+  });
+  const membership = joinEntries({
+    store: options.store,
+    name: options.name,
+    address: options.listen,
+    log,
+    changed: (addresses) => dispatcher.setEntries(addresses),
+  });
+
+  function submit(queue: Queue, job: Job): PendingAnswer {
+    lastSubmission += 1;
+    const id = lastSubmission;
+    const configurationVersion = configuration.table()?.version ?? 0;
+    const answer = new Promise<Answer>((resolve) => answers.set(id, resolve));
+    dispatcher.submit({ id, job, queue, configurationVersion }, steadyNow());
+    loop.poke();
+    return {
+      answer,
+      abandon() {
+        if (!answers.delete(id)) return;
+        dispatcher.abandon(id, steadyNow());
+        loop.poke();
+      },
+    };
+  }
+
+  async function drain(graceMs: number): Promise<void> {
+    const deadline = steadyNow() + graceMs;
+    while (dispatcher.liveJobs() > 0 && steadyNow() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, DRAIN_LOOK_MS));
+    }
+  }
+
+  return ok({
+    table: () => configuration.table(),
+    submit,
+    isReady: () =>
+      !isStopping && configuration.table() !== undefined &&
+      dispatcher.hasOpenServer(),
+    counts: () => ({
+      ...dispatcher.counts(),
+      logLinesDropped: decisions.dropped(),
+    }),
+    async stop(graceMs) {
+      isStopping = true;
+      await drain(graceMs);
+      dispatcher.stop();
+      await membership.leave();
+      configuration.stop();
+      loop.stop();
+      server.value.close();
+    },
+  });
+}
--- /dev/null
+++ b/packages/runtime/src/side_process.ts
@@ -0,0 +1,119 @@
+/** A side: the one process that talks to the backend server of its VM. */
+import type { Log } from "@coltsfootreach/log";
+import type { Announcement } from "@coltsfootreach/run";
+import type { Store } from "@coltsfootreach/store";
+import {
+  createWorkerCore,
+  type WorkerCounts,
+  type WorkerEffect,
+} from "@coltsfootreach/worker";
+import { createDecisionLog } from "./decision_log.ts";
+import { createEntryStreams } from "./entry_streams.ts";
+import { runLoop, steadyNow } from "./loop.ts";
+import { findEntries } from "./membership.ts";
+import type { ServerCalls } from "./ports.ts";
+
+const TICK_MS = 25;
+
+export interface SideOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  /** Longest lease that the backend server grants. */
+  readonly maxLeaseMs: number;
+  readonly store: Store;
+  readonly calls: ServerCalls;
+  readonly log: Log;
+}
+
+export interface SideProcess {
+  announced(announcement: Announcement): void;
+  /** The backend server with this id has left. */
+  left(id: string): void;
+  counts(): WorkerCounts & { readonly logLinesDropped: number };
+  stop(): void;
+}
+
+export function startSide(options: SideOptions): SideProcess {
+  const { log, calls } = options;
+  const decisions = createDecisionLog(log);
+  const core = createWorkerCore({
+    side: options.name,
+    dataCentre: options.dataCentre,
+    maxLeaseMs: options.maxLeaseMs,
+  });
+  const loop = runLoop({ tickMs: TICK_MS, tick: core.tick, carryOut });
+  const streams = createEntryStreams({
+    opened(owner) {
+      core.ownerOpened(owner, steadyNow());
+      loop.poke();
+    },
+    received(owner, frame) {
+      core.ownerSent(owner, frame, steadyNow());
+      if (frame.entries !== undefined) streams.know(frame.entries);
+      loop.poke();
+    },
+    closed(owner) {
+      core.ownerClosed(owner, steadyNow());
+      loop.poke();
+    },
+  });
+  const finder = findEntries({
+    store: options.store,
+    log,
+    isLonely: () => streams.connected() === 0,
+    found: streams.know,
+  });
+
+  function carryOut(now: number): void {
+    for (const effect of core.takeEffects(now)) perform(effect, now);
+  }
+
+  function perform(effect: WorkerEffect, now: number): void {
+    switch (effect.kind) {
+      case "send":
+        streams.send(effect.owner, effect.frame);
+        return;
+      case "close":
+        streams.close(effect.owner);
+        return;
+      case "log":
+        decisions.write(effect.decision, now);
+        return;
+      default:
+        call(effect);
+    }
+  }
+
+  async function call(
+    effect: Extract<WorkerEffect, { kind: "start" | "stop" | "list" }>,
+  ): Promise<void> {
+    if (effect.kind === "start") {
+      const reply = await calls.start(effect.order);
+      core.startReplied(effect.order.ref, reply, steadyNow());
+    } else if (effect.kind === "stop") {
+      const reply = await calls.stop(effect.order);
+      core.stopReplied(effect.order.ref, reply, steadyNow());
+    } else {
+      const reply = await calls.list(effect.order);
+      core.listReplied(effect.order, reply, steadyNow());
+    }
+    loop.poke();
+  }
+
+  return {
+    announced(announcement) {
+      core.announced(announcement, steadyNow());
+      loop.poke();
+    },
+    left(id) {
+      core.left(id, steadyNow());
+      loop.poke();
+    },
+    counts: () => ({ ...core.counts(), logLinesDropped: decisions.dropped() }),
+    stop() {
+      finder.stop();
+      streams.stop();
+      loop.stop();
+    },
+  };
+}
--- a/packages/standin/src/kv/memory_store.ts
+++ b/packages/standin/src/kv/memory_store.ts
@@ -63,6 +63,7 @@
   return {
     read: (key) => call("read", (keys) => ok(versioned(keys.get(key)))),
     list: (prefix) => call("read", (keys) => ok(listing(keys, prefix))),
+    listStale: (prefix) => call("read", (keys) => ok(listing(keys, prefix))),
     swap: (write) => call("swap", (keys) => toSwap(keys.put(toPut(write)))),
     remove: (key, expectedRevision) =>
       call("swap", (keys) => toSwap(keys.delete({ key, expectedRevision }))),
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -38,6 +38,7 @@
   return {
     read,
     list,
+    listStale,
     swap,
     remove,
     grant,
@@ -65,6 +66,12 @@
     return readRange(prefixRange(prefix));
   }
 
+  function listStale(
+    prefix: string,
+  ): ResultAsync<Listing, StoreUnavailable> {
+    return readRange({ ...prefixRange(prefix), serializable: true });
+  }
+
   function readRange(range: unknown): ResultAsync<Listing, StoreUnavailable> {
     return post({
       call: "read",
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -65,6 +65,8 @@
   read(key: string): ResultAsync<Versioned | undefined, StoreUnavailable>;
   /** Reads all keys with a prefix; linearizable. */
   list(prefix: string): ResultAsync<Listing, StoreUnavailable>;
+  /** Reads all keys with a prefix; cheaper, and may be seconds old. */
+  listStale(prefix: string): ResultAsync<Listing, StoreUnavailable>;
   swap(write: Write): ResultAsync<Swap, StoreUnavailable>;
   /** Deletes a key unless it has changed since `expectedRevision`. */
   remove(
--- /dev/null
+++ b/packages/worker/src/effect.ts
@@ -0,0 +1,29 @@
+/** What a worker core asks of the process around it. */
+import type { WorkFrame } from "@coltsfootreach/run";
+import type { ListOrder, StartOrder, StopOrder } from "./calls.ts";
+
+/** Names one stream from an entry. */
+export type OwnerId = number;
+
+export type WorkerEffect =
+  | {
+    readonly kind: "send";
+    readonly owner: OwnerId;
+    readonly frame: WorkFrame;
+  }
+  | { readonly kind: "close"; readonly owner: OwnerId }
+  | { readonly kind: "start"; readonly order: StartOrder }
+  | { readonly kind: "stop"; readonly order: StopOrder }
+  | { readonly kind: "list"; readonly order: ListOrder }
+  | { readonly kind: "log"; readonly decision: WorkerDecision };
+
+/** A decision worth a line in the log. */
+export interface WorkerDecision {
+  readonly message: string;
+  readonly job?: string | undefined;
+  readonly run?: number | undefined;
+  readonly reason?: string | undefined;
+  readonly entry?: string | undefined;
+  readonly server?: string | undefined;
+  readonly figures?: Readonly<Record<string, number>> | undefined;
+}
--- /dev/null
+++ b/packages/worker/src/worker_core.ts
@@ -0,0 +1,789 @@
+/**
+ * A side's decisions: which offered runs start, how long they keep their lease,
+ * and what their owners are told. It is the only caller of its backend server,
+ * so its own books decide whether there is room.
+ */
+import {
+  type Announcement,
+  type Claim,
+  type DispatchFrame,
+  fits,
+  keyOfTask,
+  NO_RESOURCES,
+  type Offer,
+  type RefusalReason,
+  type Resources,
+  type RunEnd,
+  type RunNews,
+  type RunRef,
+  type ServerReport,
+  subtract,
+} from "@coltsfootreach/run";
+import type { ListOrder, ListReply, StartReply, StopReply } from "./calls.ts";
+import type { OwnerId, WorkerDecision, WorkerEffect } from "./effect.ts";
+import { createOwners } from "./owners.ts";
+import { createRuns, type Run } from "./runs.ts";
+import { adopt, type CurrentLife, isSameLife, lifeOf } from "./server_life.ts";
+import { createSlowness } from "./slowness.ts";
+import { createSuspicion } from "./suspicion.ts";
+
+/** Entries are told of changed room at most this often. */
+const REPORT_MS = 50;
+
+/** Longest time between frames to an entry that has runs here... */
+const HEARTBEAT_MS = 200;
+
+/** ...and to one that has none. */
+const IDLE_HEARTBEAT_MS = 1000;
+
+/**
+ * An entry that was not heard for this long loses its runs here. Its callers
+ * may hand a job in again 1.3 s after they lost their connection; until then
+ * the runs of the old submission must be over.
+ */
+const OWNER_LOST_MS = 650;
+
+/** The same for an entry without runs here. */
+const IDLE_OWNER_LOST_MS = 3000;
+
+/** Time for an entry to open a stream again after one has broken. */
+const RECLAIM_MS = 300;
+
+/** Time for entries to claim runs that a new side process has found. */
+const FOUND_CLAIM_MS = 200;
+
+/** Ended runs whose outcome a claim can still learn. */
+const MAX_REMEMBERED_ENDS = 500;
+
+/** A gap between ticks after which input may be waiting unread. */
+const PAUSE_MS = 200;
+
+/** Longest wait of a list for an end; also how often leases are renewed. */
+const LIST_WAIT_MS = 150;
+
+/** The same while a run is being stopped, whose end may never be listed. */
+const STOPPING_LIST_WAIT_MS = 40;
+
+const LIST_RETRY_MS = 50;
+
+const STOP_RETRY_MS = 150;
+
+/** The server's clock may run this much slower than the side's. */
+const CLOCK_SLACK = 1.03;
+
+/** Allows for the time that orders take to the server. */
+const LEASE_MARGIN_MS = 60;
+
+/** Without an answer for this long the server gets no new runs. */
+const UNREACHABLE_MS = 400;
+
+/** A run whose progress stands still for this long is reported... */
+const STALL_MS = 250;
+
+/** ...or for this share of its declared time, whichever is longer. */
+const STALL_SHARE = 0.35;
+
+export interface WorkerOptions {
+  readonly side: string;
+  readonly dataCentre: string;
+  /** Longest lease that the backend server grants. */
+  readonly maxLeaseMs: number;
+}
+
+export interface WorkerCore {
+  announced(announcement: Announcement, now: number): void;
+  left(id: string, now: number): void;
+  ownerOpened(owner: OwnerId, now: number): void;
+  ownerSent(owner: OwnerId, frame: DispatchFrame, now: number): void;
+  ownerClosed(owner: OwnerId, now: number): void;
+  startReplied(ref: RunRef, reply: StartReply, now: number): void;
+  stopReplied(ref: RunRef, reply: StopReply, now: number): void;
+  listReplied(order: ListOrder, reply: ListReply, now: number): void;
+  tick(now: number): void;
+  /** What is to be done since the last call. */
+  takeEffects(now: number): readonly WorkerEffect[];
+  counts(): WorkerCounts;
+}
+
+export interface WorkerCounts {
+  readonly offered: number;
+  readonly refused: number;
+  readonly started: number;
+  readonly done: number;
+  readonly failed: number;
+  readonly stopped: number;
+  readonly lost: number;
+}
+
+/** The list that is on its way. */
+interface PendingList {
+  readonly number: number;
+  readonly isProbe: boolean;
+  readonly sentAt: number;
+  /** When the lease it renews has run out for certain. */
+  readonly leaseOverAt: number;
+}
+
+interface WaitingClaim {
+  readonly owner: OwnerId;
+  readonly claim: Claim;
+}
+
+export function createWorkerCore(options: WorkerOptions): WorkerCore {
+  const owners = createOwners({
+    side: options.side,
+    dataCentre: options.dataCentre,
+    reportMs: REPORT_MS,
+    heartbeatMs: HEARTBEAT_MS,
+    idleHeartbeatMs: IDLE_HEARTBEAT_MS,
+  });
+  const runs = createRuns();
+  const slowness = createSlowness();
+  const suspicion = createSuspicion();
+  const counts = {
+    offered: 0,
+    refused: 0,
+    started: 0,
+    done: 0,
+    failed: 0,
+    stopped: 0,
+    lost: 0,
+  };
+  let effects: WorkerEffect[] = [];
+  let current: CurrentLife | undefined;
+  let candidate: Announcement | undefined;
+  let pendingList: PendingList | undefined;
+  let listNumber = 0;
+  let nextListAt = 0;
+  let leaseOverAt = 0;
+  let absences = 0;
+  let tickedAt = 0;
+  let report: ServerReport | undefined;
+  let waitingClaims: WaitingClaim[] = [];
+  /** News of runs without an owner, oldest first. */
+  const unclaimedNews: RunNews[] = [];
+
+  function log(decision: WorkerDecision): void {
+    const server = current?.life.id;
+    effects.push({ kind: "log", decision: { server, ...decision } });
+  }
+
+  function logRun(message: string, run: Run, reason?: string): void {
+    const { ref, owner } = run;
+    const entry = owner === undefined ? undefined : owners.nameOf(owner);
+    log({ message, job: ref.task.job, run: ref.run, reason, entry });
+  }
+
+  function tell(owner: OwnerId | undefined, news: RunNews): void {
+    if (owner !== undefined) owners.tell(owner, news);
+  }
+
+  // --- The server's life ---
+
+  function announced(announcement: Announcement, now: number): void {
+    const life = lifeOf(announcement);
+    if (current !== undefined && isSameLife(current.life, life)) {
+      updateAnnouncement(current, announcement);
+      return;
+    }
+    candidate = announcement;
+    if (pendingList === undefined) sendProbe(announcement, now);
+  }
+
+  function updateAnnouncement(life: CurrentLife, next: Announcement): void {
+    const before = life.announcement;
+    if (next.sequence <= before.sequence) return;
+    life.announcement = next;
+    if (next.isDraining === before.isDraining) return;
+    log({
+      message: next.isDraining ? "server drains" : "server is back from drain",
+      figures: { remainingMs: next.remainingMs },
+    });
+  }
+
+  function left(id: string, now: number): void {
+    if (candidate?.id === id) candidate = undefined;
+    if (current?.life.id !== id) return;
+    log({ message: "server left" });
+    endLife("server left", now);
+  }
+
+  function endLife(reason: string, now: number): void {
+    if (current === undefined) return;
+    for (const run of runs.all()) lose(run, reason, now);
+    current = undefined;
+    pendingList = undefined;
+    slowness.reset();
+    suspicion.reset();
+  }
+
+  /** Looks whether the announced life answers, and what its clock shows. */
+  function sendProbe(announcement: Announcement, now: number): void {
+    listNumber += 1;
+    pendingList = {
+      number: listNumber,
+      isProbe: true,
+      sentAt: now,
+      leaseOverAt: 0,
+    };
+    effects.push({
+      kind: "list",
+      order: {
+        number: listNumber,
+        server: lifeOf(announcement),
+        fencingToken: 0,
+        observed: 0,
+        waitMs: 0,
+      },
+    });
+  }
+
+  function probeReplied(reply: ListReply, now: number): void {
+    const announcement = candidate;
+    if (announcement === undefined) return;
+    const isAlive = reply.kind === "fenced" ||
+      (reply.kind === "listed" && reply.born === announcement.born);
+    if (!isAlive) {
+      // The next announcement asks again.
+      candidate = undefined;
+      log({ message: "announced server does not answer", reason: reply.kind });
+      return;
+    }
+    candidate = undefined;
+    endLife("server replaced", now);
+    current = adopt(announcement, reply.clockMs, now);
+    nextListAt = now;
+    log({
+      message: "server joined",
+      figures: { born: announcement.born, fence: current.fencingToken },
+    });
+    sendList(now);
+  }
+
+  // --- Lists and leases ---
+
+  function serverClock(life: CurrentLife, now: number): number {
+    return Math.floor(now + life.clockOffsetMs);
+  }
+
+  function sendList(now: number): void {
+    if (current === undefined || pendingList !== undefined) return;
+    const hasRuns = runs.count() > 0;
+    const isStopping = runs.all().some((run) => run.state === "stopping");
+    const waitMs = isStopping ? STOPPING_LIST_WAIT_MS : LIST_WAIT_MS;
+    const until = serverClock(current, now) + options.maxLeaseMs;
+    listNumber += 1;
+    pendingList = {
+      number: listNumber,
+      isProbe: false,
+      sentAt: now,
+      leaseOverAt: hasRuns ? leaseEnd(now) : 0,
+    };
+    effects.push({
+      kind: "list",
+      order: {
+        number: listNumber,
+        server: current.life,
+        fencingToken: current.fencingToken,
+        observed: current.observed,
+        untilMs: hasRuns ? until : undefined,
+        waitMs: hasRuns ? waitMs : 0,
+      },
+    });
+  }
+
+  function leaseEnd(now: number): number {
+    return now + options.maxLeaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
+  }
+
+  function listReplied(order: ListOrder, reply: ListReply, now: number): void {
+    const pending = pendingList;
+    // Lists of a life that is over are of no interest.
+    if (pending?.number !== order.number) return;
+    pendingList = undefined;
+    // A renewal may have taken effect whatever became of its answer.
+    leaseOverAt = Math.max(leaseOverAt, pending.leaseOverAt);
+    if (pending.isProbe) probeReplied(reply, now);
+    else if (current !== undefined) takeReply(current, reply, pending, now);
+    if (candidate !== undefined && pendingList === undefined) {
+      sendProbe(candidate, now);
+    }
+  }
+
+  function takeReply(
+    life: CurrentLife,
+    reply: ListReply,
+    pending: PendingList,
+    now: number,
+  ): void {
+    nextListAt = now + LIST_RETRY_MS;
+    if (reply.kind !== "absent") absences = 0;
+    switch (reply.kind) {
+      case "listed":
+        if (reply.born === life.life.born) takeList(life, reply, pending, now);
+        else restartLife(reply.kind, now);
+        return;
+      case "fenced":
+        // Another process of this side has given orders since.
+        life.fencingToken = Math.max(
+          life.fencingToken + 1,
+          Math.floor(reply.clockMs),
+        );
+        log({ message: "token raised", reason: "fenced" });
+        return;
+      case "otherLife":
+        restartLife(reply.kind, now);
+        return;
+      case "absent":
+        absences += 1;
+        // One refused connection may be a full queue of new ones.
+        if (absences >= 2) restartLife(reply.kind, now);
+        return;
+      case "unanswered":
+        return;
+    }
+  }
+
+  function restartLife(reason: string, now: number): void {
+    log({ message: "server is gone", reason });
+    absences = 0;
+    endLife(reason, now);
+  }
+
+  function takeList(
+    life: CurrentLife,
+    reply: Extract<ListReply, { kind: "listed" }>,
+    pending: PendingList,
+    now: number,
+  ): void {
+    life.clockOffsetMs = reply.clockMs - now;
+    life.answeredAt = now;
+    const listed = new Set<Run>();
+    for (const row of reply.running) {
+      const run = runs.find(row.ref) ?? addFound(row.ref, now);
+      listed.add(run);
+      noteProgress(run, row.percent, now);
+    }
+    for (const row of reply.ends) {
+      if (row.number <= life.observed) continue;
+      life.observed = row.number;
+      const run = runs.find(row.ref);
+      if (run !== undefined) finish(run, row.end, now);
+    }
+    for (const run of runs.all()) {
+      if (!listed.has(run)) checkMissing(run, pending.number, now);
+    }
+    life.isListed = true;
+    answerWaitingClaims(now);
+    if (runs.count() > 0) sendList(now);
+  }
+
+  /** A run of an earlier process, or one whose order came late. */
+  function addFound(ref: RunRef, now: number): Run {
+    const run: Run = {
+      ref,
+      owner: undefined,
+      resources: undefined,
+      estimateMs: 0,
+      claimableUntil: now + FOUND_CLAIM_MS,
+      state: "running",
+      isBarred: false,
+      orderedAt: now,
+      shownAfter: listNumber,
+      startedAt: now,
+      percent: 0,
+      progressAt: now,
+      isStalled: false,
+    };
+    runs.add(run);
+    logRun("run found", run);
+    return run;
+  }
+
+  function checkMissing(run: Run, list: number, now: number): void {
+    if (list <= run.shownAfter) return;
+    if (run.state === "running") lose(run, "not listed", now);
+    else if (run.state === "stopping" && run.isBarred) {
+      finish(run, "stopped", now);
+    }
+  }
+
+  function noteProgress(run: Run, percent: number, now: number): void {
+    if (percent !== run.percent) {
+      run.percent = percent;
+      run.progressAt = now;
+      return;
+    }
+    if (run.state !== "running" || run.isStalled) return;
+    const stallMs = Math.max(
+      STALL_MS,
+      run.estimateMs * slowness.value() * STALL_SHARE,
+    );
+    if (now - run.progressAt < stallMs) return;
+    run.isStalled = true;
+    suspicion.stalled(now);
+    logRun("run stalled", run);
+    tell(run.owner, { kind: "stalled", ref: run.ref });
+  }
+
+  // --- Runs ---
+
+  function finish(run: Run, end: RunEnd, now: number): void {
+    runs.remove(run);
+    const ms = now - run.startedAt;
+    if (end === "done") {
+      counts.done += 1;
+      slowness.ended(ms, run.estimateMs);
+      suspicion.succeeded();
+    } else if (end === "failed") {
+      counts.failed += 1;
+      suspicion.failed(now);
+      logRun("run failed", run);
+    } else {
+      counts.stopped += 1;
+    }
+    settle(run, { kind: "ended", ref: run.ref, end, ms });
+  }
+
+  function lose(run: Run, reason: string, _now: number): void {
+    runs.remove(run);
+    counts.lost += 1;
+    logRun("run lost", run, reason);
+    settle(run, { kind: "lost", ref: run.ref, reason });
+  }
+
+  /** Tells the owner, or keeps the news for one that comes back. */
+  function settle(run: Run, news: RunNews): void {
+    tell(run.owner, news);
+    if (run.owner !== undefined) return;
+    unclaimedNews.push(news);
+    if (unclaimedNews.length > MAX_REMEMBERED_ENDS) unclaimedNews.shift();
+  }
+
+  function refuse(owner: OwnerId, offer: Offer, reason: RefusalReason): void {
+    counts.refused += 1;
+    tell(owner, {
+      kind: "refused",
+      ref: { task: offer.task, run: offer.run },
+      reason,
+      highestRun: runs.highest(offer.task),
+    });
+  }
+
+  function takeOffer(owner: OwnerId, offer: Offer, now: number): void {
+    counts.offered += 1;
+    const reason = whyNot(offer, now);
+    if (reason !== undefined || current === undefined) {
+      refuse(owner, offer, reason ?? "closed");
+      return;
+    }
+    const run: Run = {
+      ref: { task: offer.task, run: offer.run },
+      owner,
+      resources: offer.resources,
+      estimateMs: offer.estimateMs,
+      claimableUntil: 0,
+      state: "starting",
+      isBarred: false,
+      orderedAt: now,
+      shownAfter: 0,
+      startedAt: now,
+      percent: -1,
+      progressAt: now,
+      isStalled: false,
+    };
+    // The server is not asked anything while it runs nothing.
+    if (runs.count() === 0) current.answeredAt = now;
+    runs.add(run);
+    if (suspicion.isSuspect()) suspicion.tried(now);
+    const untilMs = serverClock(current, now) + options.maxLeaseMs;
+    leaseOverAt = Math.max(leaseOverAt, leaseEnd(now));
+    effects.push({
+      kind: "start",
+      order: {
+        server: current.life,
+        ref: run.ref,
+        payload: offer.payload,
+        untilMs,
+        fencingToken: current.fencingToken,
+      },
+    });
+  }
+
+  function whyNot(offer: Offer, now: number): RefusalReason | undefined {
+    if (current === undefined || !isOpen(current, now)) return "closed";
+    const { life } = current;
+    if (offer.server !== life.id || offer.born !== life.born) {
+      return "otherServer";
+    }
+    if (runs.highest(offer.task) >= offer.run) return "superseded";
+    if (!fits(offer.resources, room(current))) return "noRoom";
+    if (!suspicion.isSuspect()) return undefined;
+    return runs.count() === 0 && suspicion.mayTry(now) ? undefined : "suspect";
+  }
+
+  function isOpen(life: CurrentLife, now: number): boolean {
+    if (life.announcement.isDraining) return false;
+    return runs.count() === 0 || now - life.answeredAt < UNREACHABLE_MS;
+  }
+
+  function room(life: CurrentLife): Resources {
+    if (runs.hasUnsized()) return NO_RESOURCES;
+    return subtract(life.announcement.capacity, runs.used());
+  }
+
+  function startReplied(ref: RunRef, reply: StartReply, now: number): void {
+    const run = runs.find(ref);
+    if (run === undefined || current === undefined) return;
+    switch (reply.kind) {
+      case "started":
+        confirmStart(run, now);
+        current.answeredAt = now;
+        if (pendingList === undefined) sendList(now);
+        return;
+      case "refused":
+        startRefused(run, reply.reason, now);
+        return;
+      case "unanswered":
+        logRun("start unanswered", run);
+        beginStop(run, now);
+    }
+  }
+
+  function confirmStart(run: Run, now: number): void {
+    counts.started += 1;
+    run.shownAfter = listNumber;
+    if (run.state !== "starting") return;
+    run.state = "running";
+    run.startedAt = now;
+    run.progressAt = now;
+  }
+
+  function startRefused(
+    run: Run,
+    reason: Extract<StartReply, { kind: "refused" }>["reason"],
+    now: number,
+  ): void {
+    runs.remove(run);
+    logRun("start refused", run, reason);
+    if (reason === "unhealthy") suspicion.failed(now);
+    if (reason === "fence") nextListAt = now;
+    counts.refused += 1;
+    tell(run.owner, {
+      kind: "refused",
+      ref: run.ref,
+      reason: REFUSAL_BY_REPLY[reason],
+      highestRun: run.ref.run,
+    });
+  }
+
+  function beginStop(run: Run, now: number): void {
+    if (run.state === "stopping" || current === undefined) return;
+    run.state = "stopping";
+    sendStop(current, run, now);
+  }
+
+  function sendStop(life: CurrentLife, run: Run, now: number): void {
+    run.orderedAt = now;
+    effects.push({
+      kind: "stop",
+      order: {
+        server: life.life,
+        ref: run.ref,
+        fencingToken: life.fencingToken,
+      },
+    });
+  }
+
+  function stopReplied(ref: RunRef, reply: StopReply, now: number): void {
+    const run = runs.find(ref);
+    if (run === undefined || !reply.isBarred) return;
+    run.isBarred = true;
+    run.shownAfter = listNumber;
+    if (pendingList === undefined) sendList(now);
+  }
+
+  // --- Owners ---
+
+  function ownerSent(owner: OwnerId, frame: DispatchFrame, now: number): void {
+    if (!owners.has(owner)) return;
+    owners.heard(owner, frame.sequence, now);
+    if (frame.entry !== undefined) owners.named(owner, frame.entry);
+    for (const claim of frame.claims ?? []) takeClaim(owner, claim, now);
+    for (const ref of frame.stops) takeStop(owner, ref, now);
+    for (const offer of frame.offers) takeOffer(owner, offer, now);
+  }
+
+  /** What runs here is known from the first list on. */
+  function takeClaim(owner: OwnerId, claim: Claim, now: number): void {
+    if (current?.isListed) answerClaim(owner, claim, now);
+    else waitingClaims.push({ owner, claim });
+  }
+
+  function answerWaitingClaims(now: number): void {
+    const waiting = waitingClaims;
+    waitingClaims = [];
+    for (const { owner, claim } of waiting) answerClaim(owner, claim, now);
+  }
+
+  function answerClaim(owner: OwnerId, claim: Claim, now: number): void {
+    const run = runs.find(claim.ref);
+    if (run !== undefined && run.owner === undefined) {
+      run.owner = owner;
+      run.resources ??= claim.resources;
+      run.estimateMs = claim.estimateMs;
+      logRun("run claimed", run);
+      if (run.state === "stopping") return;
+      run.progressAt = now;
+      return;
+    }
+    const known = unclaimedNews.find((news) => isSameRun(news.ref, claim.ref));
+    tell(owner, known ?? { kind: "lost", ref: claim.ref, reason: "not here" });
+  }
+
+  function takeStop(owner: OwnerId, ref: RunRef, now: number): void {
+    const run = runs.find(ref);
+    if (run === undefined || run.owner !== owner) {
+      tell(owner, { kind: "lost", ref, reason: "unknown run" });
+      return;
+    }
+    beginStop(run, now);
+  }
+
+  function dropOwner(
+    owner: OwnerId,
+    reason: "silent" | "stream closed",
+    now: number,
+  ): void {
+    if (!owners.has(owner)) return;
+    const entry = owners.nameOf(owner);
+    // A silent entry has used up its time already.
+    const reclaimMs = reason === "silent" ? 0 : RECLAIM_MS;
+    owners.close(owner);
+    const owned = runs.all().filter((run) => run.owner === owner);
+    for (const run of owned) {
+      run.owner = undefined;
+      run.claimableUntil = now + reclaimMs;
+    }
+    log({
+      message: "entry lost",
+      entry,
+      reason,
+      figures: { runs: owned.length, reclaimMs },
+    });
+  }
+
+  function stopUnclaimed(now: number): void {
+    for (const run of runs.all()) {
+      const isUnclaimed = run.owner === undefined && run.state !== "stopping";
+      if (!isUnclaimed || now < run.claimableUntil) continue;
+      logRun("stop", run, "no owner");
+      beginStop(run, now);
+    }
+  }
+
+  // --- Time ---
+
+  function tick(now: number): void {
+    const wasPaused = now - tickedAt > PAUSE_MS;
+    tickedAt = now;
+    owners.setBusy(busyOwners());
+    if (!wasPaused) dropSilentOwners(now);
+    stopUnclaimed(now);
+    if (current === undefined) return;
+    if (runs.count() > 0 && now > leaseOverAt) expireLease(current, now);
+    retryStops(current, now);
+    const isListDue = runs.count() > 0 && now >= nextListAt;
+    if (isListDue && pendingList === undefined) sendList(now);
+  }
+
+  function busyOwners(): ReadonlySet<OwnerId> {
+    const busy = new Set<OwnerId>();
+    for (const { owner } of runs.all()) {
+      if (owner !== undefined) busy.add(owner);
+    }
+    return busy;
+  }
+
+  function dropSilentOwners(now: number): void {
+    const limits = { busyMs: OWNER_LOST_MS, idleMs: IDLE_OWNER_LOST_MS };
+    for (const owner of owners.silent(limits, now)) {
+      dropOwner(owner, "silent", now);
+      effects.push({ kind: "close", owner });
+    }
+  }
+
+  /** Nothing has renewed the lease: whatever ran has been ended by it. */
+  function expireLease(life: CurrentLife, now: number): void {
+    log({
+      message: "lease ran out",
+      figures: { runs: runs.count(), silentMs: now - life.answeredAt },
+    });
+    for (const run of runs.all()) lose(run, "lease ran out", now);
+  }
+
+  function retryStops(life: CurrentLife, now: number): void {
+    for (const run of runs.all()) {
+      if (run.state !== "stopping" || run.isBarred) continue;
+      if (now - run.orderedAt >= STOP_RETRY_MS) sendStop(life, run, now);
+    }
+  }
+
+  function currentReport(now: number): ServerReport | undefined {
+    if (current === undefined) return undefined;
+    const { life, announcement } = current;
+    return {
+      id: life.id,
+      born: life.born,
+      service: announcement.service,
+      capacity: announcement.capacity,
+      labels: announcement.labels,
+      room: room(current),
+      isOpen: isOpen(current, now),
+      slowness: Math.round(slowness.value() * 100) / 100,
+      isSuspect: suspicion.isSuspect(),
+    };
+  }
+
+  /** Keeps the object while its content is the same, so that it is sent once. */
+  function refreshReport(now: number): void {
+    const next = currentReport(now);
+    if (JSON.stringify(next) !== JSON.stringify(report)) report = next;
+  }
+
+  return {
+    announced,
+    left,
+    ownerOpened: (owner, now) => owners.open(owner, now),
+    ownerSent,
+    ownerClosed: (owner, now) => dropOwner(owner, "stream closed", now),
+    startReplied,
+    stopReplied,
+    listReplied,
+    tick,
+    takeEffects(now) {
+      refreshReport(now);
+      for (const { owner, frame } of owners.takeDue(report, now)) {
+        effects.push({ kind: "send", owner, frame });
+      }
+      const taken = effects;
+      effects = [];
+      return taken;
+    },
+    counts: () => ({ ...counts }),
+  };
+}
+
+function isSameRun(left: RunRef, right: RunRef): boolean {
+  return left.run === right.run &&
+    keyOfTask(left.task) === keyOfTask(right.task);
+}
+
+const REFUSAL_BY_REPLY = {
+  fence: "closed",
+  old: "superseded",
+  late: "closed",
+  room: "noRoom",
+  unhealthy: "suspect",
+  other: "otherServer",
+} as const satisfies Record<string, RefusalReason>;
