Keep lists short while answers are lost, start jobs whole, and stop in order

Lists now wait 80 ms, 20 ms for 3 s after a lost answer, and time out 50 ms later. A stopping entry asks callers to close.

--- a/packages/dispatch/src/answer.ts
+++ b/packages/dispatch/src/answer.ts
@@ -3,8 +3,10 @@
 export type Answer =
   /** All tasks have ended as done. */
   | { readonly kind: "completed" }
-  /** Will not be completed; some of its tasks may have run. */
+  /** Cannot be completed. */
   | { readonly kind: "failed"; readonly reason: FailureReason }
+  /** The caller's time is up; some of its tasks may have run. */
+  | { readonly kind: "timedOut" }
   /** No task has run, and none will. */
   | {
     readonly kind: "refused";
@@ -16,9 +18,7 @@
   /** A task has failed as often as its queue allows. */
   | "attemptsUsed"
   /** No backend server is large enough or has the label. */
-  | "fitsNowhere"
-  /** The caller's time is up. */
-  | "timeout";
+  | "fitsNowhere";
 
 export type RefusalReason =
   /** The work ahead of it would make it late. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -29,13 +29,15 @@
   waitingTasks,
 } from "./live_job.ts";
 import { longestChainMs, objectiveMs, remainingChainMs } from "./objective.ts";
-import { latestStart, orderJobs } from "./order.ts";
+import { isLate, latestStart, orderJobs, type RankedJob } from "./order.ts";
 import { choosePlace, couldRun } from "./placement.ts";
 import { createDrainRate, foretellWaitMs } from "./refusal.ts";
 import {
   addOffer,
   createWorker,
   hear,
+  release,
+  reserve,
   takeFrame,
   type Worker,
 } from "./workers.ts";
@@ -68,6 +70,12 @@
 /** Longest wait that is foretold, and so the longest Retry-After. */
 const LONGEST_WAIT_MS = 5000;
 
+/**
+ * A job starts as a whole; with this little time left it takes what room there
+ * is, or a job that is wider than any free room would never start.
+ */
+const PARTIAL_START_MS = 30;
+
 /** Time after which a gap between ticks counts as a pause of the process. */
 const PAUSE_MS = 300;
 
@@ -93,8 +101,8 @@
   sessionClosed(session: SessionId, now: number): void;
   /** Addresses of all entries, to be passed on to sides. */
   setEntries(addresses: readonly string[]): void;
-  /** Takes no more jobs. */
-  stop(): void;
+  /** Refuses jobs that are not expected to end by then. */
+  stopBy(time: number): void;
   tick(now: number): void;
   /** Places what can be placed; returns what is to be done. */
   takeEffects(now: number): readonly DispatchEffect[];
@@ -107,6 +115,7 @@
   readonly submitted: number;
   readonly completed: number;
   readonly failed: number;
+  readonly timedOut: number;
   readonly refused: number;
   readonly abandoned: number;
   readonly offers: number;
@@ -129,6 +138,7 @@
     submitted: 0,
     completed: 0,
     failed: 0,
+    timedOut: 0,
     refused: 0,
     abandoned: 0,
     offers: 0,
@@ -140,7 +150,7 @@
   let entries: readonly string[] | undefined;
   let entriesVersion = 0;
   const toldEntries = new Map<SessionId, number>();
-  let isStopped = false;
+  let stopsAt = Infinity;
   let mayPlace = false;
   let tickedAt = 0;
   let soundSlowness = 1;
@@ -192,7 +202,10 @@
         servers: workers.size,
       },
     });
-    if (isStopped) return refuse(live, "stopping", 0, now);
+    const chainMs = Math.max(0, ...live.chainMs) * soundSlowness;
+    if (now + chainMs * STOP_FACTOR > stopsAt) {
+      return refuse(live, "stopping", 0, now);
+    }
     if (!hasOpenServer()) return refuse(live, "unavailable", 1000, now);
     if (live.tasks.length === 0) return complete(live, now);
     if (!couldRunAll(live)) return fail(live, "fitsNowhere", now);
@@ -231,7 +244,7 @@
       message: "job answered",
       job: live.job.id,
       queue: live.queue.name,
-      reason: to.kind === "completed" ? to.kind : `${to.kind}: ${to.reason}`,
+      reason: "reason" in to ? `${to.kind}: ${to.reason}` : to.kind,
       figures: {
         ms: Math.round(now - live.arrivedAt),
         lateMs: Math.round(now - live.dueAt),
@@ -256,6 +269,12 @@
     endRuns(live);
   }
 
+  function timeOut(live: LiveJob, now: number): void {
+    counts.timedOut += 1;
+    answer(live, { kind: "timedOut" }, now);
+    endRuns(live);
+  }
+
   function refuse(
     live: LiveJob,
     reason: RefusalReason,
@@ -571,22 +590,37 @@
     }
     if (waiting.length === 0) return;
     let workAhead = 0;
-    for (
-      const live of orderJobs(waiting, { now, slowness: soundSlowness })
-    ) {
-      workAhead += placeJob(live, now);
-      reviewWait(live, workAhead, now);
+    const order = orderJobs(waiting, { now, slowness: soundSlowness });
+    for (const ranked of order) {
+      workAhead += placeJob(ranked, now);
+      reviewWait(ranked.live, workAhead, now);
     }
   }
 
   /** Offers what finds room; returns the core-milliseconds that do not. */
-  function placeJob(live: LiveJob, now: number): number {
+  function placeJob(ranked: RankedJob, now: number): number {
+    const { live } = ranked;
+    const plan: Placement[] = [];
     let workLeft = 0;
     for (const task of waitingTasks(live)) {
-      const worker = chooseFor(live, task, now);
-      if (worker === undefined) workLeft += workOf(task);
-      else offer(live, task, worker, now);
+      const worker = chooseFor(ranked, task, now);
+      if (worker === undefined) {
+        workLeft += workOf(task);
+        continue;
+      }
+      reserve(worker, task.step.resources);
+      plan.push({ task, worker });
+    }
+    const mayBeginInPart = live.mayHaveRun ||
+      ranked.latestStart - now < PARTIAL_START_MS;
+    if (workLeft > 0 && !mayBeginInPart) {
+      for (const { task, worker } of plan) {
+        release(worker, task.step.resources);
+        workLeft += workOf(task);
+      }
+      return workLeft;
     }
+    for (const { task, worker } of plan) offer(live, task, worker, now);
     return workLeft;
   }
 
@@ -611,11 +645,14 @@
   }
 
   function chooseFor(
-    live: LiveJob,
+    ranked: RankedJob,
     task: LiveTask,
     now: number,
   ): Worker | undefined {
+    const { live } = ranked;
+    const afterMs = live.chainMs[task.ref.step]! - task.step.estimateMs;
     const need = {
+      endBy: isLate(ranked) ? undefined : live.dueAt - afterMs * soundSlowness,
       step: task.step,
       service: live.queue.service,
       now,
@@ -694,7 +731,7 @@
 
   function reviewJob(live: LiveJob, now: number): void {
     if (now >= live.giveUpAt) {
-      if (live.mayHaveRun) fail(live, "timeout", now);
+      if (live.mayHaveRun) timeOut(live, now);
       else refuse(live, "overload", 1000, now);
       return;
     }
@@ -744,8 +781,8 @@
       entries = addresses;
       entriesVersion += 1;
     },
-    stop() {
-      isStopped = true;
+    stopBy(time) {
+      stopsAt = time;
     },
     tick,
     takeEffects(now) {
@@ -762,6 +799,11 @@
   };
 }
 
+interface Placement {
+  readonly task: LiveTask;
+  readonly worker: Worker;
+}
+
 interface UnsureRun {
   readonly claim: Claim;
   readonly overAt: number;
@@ -770,5 +812,8 @@
 /** Part of the servers that count as at least as fast as a sound one. */
 const SOUND_QUANTILE = 0.3;
 
+/** A job taken while stopping may take this much longer than foretold. */
+const STOP_FACTOR = 2;
+
 /** When a caller that was refused late may come back. */
 const LATE_RETRY_MS = 1000;
--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -1,6 +1,8 @@
 /**
- * The order in which jobs get room: those that must start soonest first. Jobs
- * that will be late whatever happens come after all that can still be in time.
+ * The order in which jobs get room when there is too little for all. Jobs that
+ * have begun come first, as what they hold is wasted until they end; then those
+ * that must start soonest; last those that will be late whatever happens. Load
+ * above capacity then makes few jobs late instead of each job a little.
  */
 import type { LiveJob } from "./live_job.ts";
 
@@ -19,16 +21,40 @@
   return longest;
 }
 
+/** Lower ranks get room first. */
+export type Rank = 0 | 1 | 2;
+
+const BEGUN: Rank = 0;
+
+const NEW: Rank = 1;
+
+const LATE: Rank = 2;
+
+export interface RankedJob {
+  readonly live: LiveJob;
+  readonly rank: Rank;
+  readonly latestStart: number;
+}
+
+export function isLate(ranked: RankedJob): boolean {
+  return ranked.rank === LATE;
+}
+
 export function orderJobs(
   jobs: readonly LiveJob[],
   options: { readonly now: number; readonly slowness: number },
-): readonly LiveJob[] {
+): readonly RankedJob[] {
   const ranked = jobs.map((live) => {
     const start = latestStart(live, options.slowness);
-    return { live, start, isLate: start < options.now };
+    const rank = rankOf(live, start, options.now);
+    return { live, rank, latestStart: start };
   });
-  ranked.sort((left, right) =>
-    Number(left.isLate) - Number(right.isLate) || left.start - right.start
+  return ranked.sort((left, right) =>
+    left.rank - right.rank || left.latestStart - right.latestStart
   );
-  return ranked.map(({ live }) => live);
+}
+
+function rankOf(live: LiveJob, start: number, now: number): Rank {
+  if (start < now) return LATE;
+  return live.mayHaveRun ? BEGUN : NEW;
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -19,6 +19,8 @@
   readonly avoid: ReadonlySet<string>;
   /** Tasks of the step on a server already. */
   countOnServer(server: string): number;
+  /** When the task must end for its job to be in time; none for late jobs. */
+  readonly endBy: number | undefined;
   /** May go to a server that is on trial after failures. */
   readonly mayUseSuspects: boolean;
   /** Number from 0 to 1, for choices among equals. */
@@ -41,8 +43,10 @@
   let bestCost = Infinity;
   for (const worker of workers) {
     if (!isCandidate(worker, need)) continue;
+    const endsInMs = expectedMs(need.step, worker);
+    if (need.endBy !== undefined && need.now + endsInMs > need.endBy) continue;
     const spread = 1 + EQUAL_SHARE * need.random();
-    const cost = expectedMs(need.step, worker) * spread;
+    const cost = endsInMs * spread;
     if (cost >= bestCost) continue;
     best = worker;
     bestCost = cost;
--- a/packages/dispatch/src/workers.ts
+++ b/packages/dispatch/src/workers.ts
@@ -3,6 +3,7 @@
  * the offers that the report does not take into account yet.
  */
 import {
+  add,
   type Claim,
   type DispatchFrame,
   keyOfTask,
@@ -82,7 +83,7 @@
   worker.room = room;
 }
 
-/** Adds an offer to the next frame. */
+/** Adds an offer, whose room is reserved, to the next frame. */
 export function addOffer(worker: Worker, offer: Offer, now: number): void {
   const { task, run, resources, estimateMs } = offer;
   if (worker.runs.size === 0) worker.busySince = now;
@@ -93,9 +94,18 @@
     resources,
     estimateMs,
   });
+}
+
+/** Takes room for a task that is about to be offered... */
+export function reserve(worker: Worker, resources: Resources): void {
   if (worker.room !== undefined) worker.room = subtract(worker.room, resources);
 }
 
+/** ...and gives it back when it is not offered after all. */
+export function release(worker: Worker, resources: Resources): void {
+  if (worker.room !== undefined) worker.room = add(worker.room, resources);
+}
+
 export interface FrameOptions {
   readonly entry: string;
   readonly entries: readonly string[] | undefined;
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -27,6 +27,9 @@
 
 const TICK_MS = 25;
 
+/** The balancer looks once a second and wants to see two misses. */
+const UNREADY_MS = 2500;
+
 /** Time between looks whether the last job has ended, while stopping. */
 const DRAIN_LOOK_MS = 50;
 
@@ -52,6 +55,8 @@
   submit(queue: Queue, job: Job): PendingAnswer;
   /** True while the balancer should send callers here. */
   isReady(): boolean;
+  /** True once `stop` was called: callers should turn elsewhere. */
+  isStopping(): boolean;
   counts(): DispatchCounts & { readonly logLinesDropped: number };
   /** Ends the jobs it holds, for at most so long, and leaves. */
   stop(graceMs: number): Promise<void>;
@@ -160,24 +165,32 @@
   async function drain(graceMs: number): Promise<void> {
     const deadline = steadyNow() + graceMs;
     while (dispatcher.liveJobs() > 0 && steadyNow() < deadline) {
-      await new Promise((resolve) => setTimeout(resolve, DRAIN_LOOK_MS));
+      await pause(DRAIN_LOOK_MS);
     }
   }
 
+  function pause(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+  }
+
   return ok({
     table: () => configuration.table(),
     submit,
     isReady: () =>
       !isStopping && configuration.table() !== undefined &&
       dispatcher.hasOpenServer(),
+    isStopping: () => isStopping,
     counts: () => ({
       ...dispatcher.counts(),
       logLinesDropped: decisions.dropped(),
     }),
     async stop(graceMs) {
       isStopping = true;
-      await drain(graceMs);
-      dispatcher.stop();
+      dispatcher.stopBy(steadyNow() + graceMs);
+      // Callers keep coming on open connections until the balancer has seen
+      // that this entry is not ready.
+      await pause(Math.min(graceMs, UNREADY_MS));
+      await drain(graceMs - UNREADY_MS);
       await membership.leave();
       configuration.stop();
       loop.stop();
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -15,6 +15,9 @@
 
 const TICK_MS = 25;
 
+/** Time between looks whether the last run has ended, while stopping. */
+const DRAIN_LOOK_MS = 50;
+
 export interface SideOptions {
   readonly name: string;
   readonly dataCentre: string;
@@ -30,7 +33,8 @@
   /** The backend server with this id has left. */
   left(id: string): void;
   counts(): WorkerCounts & { readonly logLinesDropped: number };
-  stop(): void;
+  /** Starts nothing more, lets runs end for at most so long, and leaves. */
+  stop(graceMs: number): Promise<void>;
 }
 
 export function startSide(options: SideOptions): SideProcess {
@@ -110,7 +114,13 @@
       loop.poke();
     },
     counts: () => ({ ...core.counts(), logLinesDropped: decisions.dropped() }),
-    stop() {
+    async stop(graceMs) {
+      core.close();
+      loop.poke();
+      const deadline = steadyNow() + graceMs;
+      while (core.runs() > 0 && steadyNow() < deadline) {
+        await new Promise((resolve) => setTimeout(resolve, DRAIN_LOOK_MS));
+      }
       finder.stop();
       streams.stop();
       loop.stop();
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -59,11 +59,21 @@
 const PAUSE_MS = 200;
 
 /** Longest wait of a list for an end; also how often leases are renewed. */
-const LIST_WAIT_MS = 150;
+const LIST_WAIT_MS = 80;
+
+/**
+ * The same after a list got no answer: until the next one answers, no end is
+ * heard of, so lists that may be lost are kept short.
+ */
+const LOSSY_LIST_WAIT_MS = 20;
+
+/** Time after a lost answer for which more are expected to be lost. */
+const LOSSY_MS = 3000;
 
 /** The same while a run is being stopped, whose end may never be listed. */
 const STOPPING_LIST_WAIT_MS = 40;
 
+/** Time before a list is sent again that was refused. */
 const LIST_RETRY_MS = 50;
 
 const STOP_RETRY_MS = 150;
@@ -99,6 +109,10 @@
   startReplied(ref: RunRef, reply: StartReply, now: number): void;
   stopReplied(ref: RunRef, reply: StopReply, now: number): void;
   listReplied(order: ListOrder, reply: ListReply, now: number): void;
+  /** Takes no more offers, as before the process ends. */
+  close(): void;
+  /** Runs that may hold room. */
+  runs(): number;
   tick(now: number): void;
   /** What is to be done since the last call. */
   takeEffects(now: number): readonly WorkerEffect[];
@@ -156,7 +170,9 @@
   let listNumber = 0;
   let nextListAt = 0;
   let leaseOverAt = 0;
+  let lossyUntil = 0;
   let absences = 0;
+  let isClosed = false;
   let tickedAt = 0;
   let report: ServerReport | undefined;
   let waitingClaims: WaitingClaim[] = [];
@@ -270,7 +286,11 @@
     if (current === undefined || pendingList !== undefined) return;
     const hasRuns = runs.count() > 0;
     const isStopping = runs.all().some((run) => run.state === "stopping");
-    const waitMs = isStopping ? STOPPING_LIST_WAIT_MS : LIST_WAIT_MS;
+    const waitMs = now < lossyUntil
+      ? LOSSY_LIST_WAIT_MS
+      : isStopping
+      ? STOPPING_LIST_WAIT_MS
+      : LIST_WAIT_MS;
     const until = serverClock(current, now) + options.maxLeaseMs;
     listNumber += 1;
     pendingList = {
@@ -340,6 +360,8 @@
         if (absences >= 2) restartLife(reply.kind, now);
         return;
       case "unanswered":
+        lossyUntil = now + LOSSY_MS;
+        if (runs.count() > 0) sendList(now);
         return;
     }
   }
@@ -523,7 +545,7 @@
   }
 
   function isOpen(life: CurrentLife, now: number): boolean {
-    if (life.announcement.isDraining) return false;
+    if (isClosed || life.announcement.isDraining) return false;
     return runs.count() === 0 || now - life.answeredAt < UNREACHABLE_MS;
   }
 
@@ -760,6 +782,10 @@
     startReplied,
     stopReplied,
     listReplied,
+    close() {
+      isClosed = true;
+    },
+    runs: () => runs.count(),
     tick,
     takeEffects(now) {
       refreshReport(now);
