--- /dev/null
+++ b/packages/simulate/src/checker.ts
@@ -0,0 +1,141 @@
+/** Checks the promises from what callers and backend servers see. */
+import type { Answer } from "@coltsfootreach/dispatch";
+import { keyOfTask, type RunEnd, type RunRef } from "@coltsfootreach/run";
+import type { ServerStandin } from "./server_standin.ts";
+
+export interface Breach {
+  readonly rule: string;
+  readonly at: number;
+  readonly what: string;
+}
+
+export interface JobView {
+  readonly id: string;
+  readonly tasks: number;
+  readonly attempts: number;
+}
+
+export interface Checker {
+  jobMade(job: JobView): void;
+  started(server: ServerStandin, ref: RunRef): void;
+  ended(server: ServerStandin, ref: RunRef, end: RunEnd): void;
+  broke(rule: string, what: string): void;
+  /** A submission of the job was answered. */
+  answered(job: string, answer: Answer): void;
+  /** A submission of the job ended without an answer. */
+  unanswered(job: string): void;
+  breaches(): readonly Breach[];
+  counts(): CheckerCounts;
+}
+
+export interface CheckerCounts {
+  readonly jobs: number;
+  readonly completed: number;
+  readonly failed: number;
+  readonly refused: number;
+  readonly starts: number;
+}
+
+interface SeenJob {
+  readonly view: JobView;
+  hasStarted: boolean;
+  /** Some submission got another answer than a refusal. */
+  wasTaken: boolean;
+  readonly done: Set<string>;
+  readonly failures: Map<string, number>;
+}
+
+export interface CheckerOptions {
+  now(): number;
+  trace(what: string): void;
+}
+
+export function createChecker({ now, trace }: CheckerOptions): Checker {
+  const jobs = new Map<string, SeenJob>();
+  /** Servers that run a task now. */
+  const running = new Map<string, Set<ServerStandin>>();
+  const breaches: Breach[] = [];
+  const counts = { jobs: 0, completed: 0, failed: 0, refused: 0, starts: 0 };
+
+  function broke(rule: string, what: string): void {
+    breaches.push({ rule, at: now(), what });
+  }
+
+  function checkCompleted(job: SeenJob): void {
+    if (job.done.size < job.view.tasks) {
+      broke("MIXED", `${job.view.id}: ${job.done.size} of ${job.view.tasks}`);
+    }
+  }
+
+  function checkFailed(job: SeenJob): void {
+    const most = Math.max(0, ...job.failures.values());
+    if (most < job.view.attempts) {
+      broke("FAILED", `${job.view.id}: ${most} of ${job.view.attempts}`);
+    }
+  }
+
+  return {
+    jobMade(view) {
+      counts.jobs += 1;
+      jobs.set(view.id, {
+        view,
+        hasStarted: false,
+        wasTaken: false,
+        done: new Set(),
+        failures: new Map(),
+      });
+    },
+    started(server, ref) {
+      counts.starts += 1;
+      const key = keyOfTask(ref.task);
+      trace(`${key} run ${ref.run} started on ${server.id}`);
+      const places = running.get(key) ?? new Set();
+      running.set(key, places);
+      for (const other of places) {
+        if (other.isUp()) broke("TWICE", `${key}: ${other.id}, ${server.id}`);
+      }
+      places.add(server);
+      const job = jobs.get(ref.task.job);
+      if (job === undefined) broke("UNASKED", key);
+      else job.hasStarted = true;
+    },
+    ended(server, ref, end) {
+      const key = keyOfTask(ref.task);
+      trace(`${key} run ${ref.run} ended ${end} on ${server.id}`);
+      running.get(key)?.delete(server);
+      const job = jobs.get(ref.task.job);
+      if (end === "done") job?.done.add(key);
+      if (end === "failed") {
+        job?.failures.set(key, (job.failures.get(key) ?? 0) + 1);
+      }
+    },
+    broke,
+    answered(id, answer) {
+      const job = jobs.get(id);
+      trace(`${id} answered ${answer.kind}`);
+      if (job === undefined) return;
+      if (answer.kind !== "refused") job.wasTaken = true;
+      if (answer.kind === "completed") {
+        counts.completed += 1;
+        checkCompleted(job);
+      } else if (answer.kind === "failed") {
+        counts.failed += 1;
+        if (answer.reason === "attemptsUsed") checkFailed(job);
+      } else if (answer.kind === "refused") {
+        counts.refused += 1;
+      }
+    },
+    unanswered(id) {
+      trace(`${id} unanswered`);
+      const job = jobs.get(id);
+      if (job !== undefined) job.wasTaken = true;
+    },
+    breaches() {
+      for (const job of jobs.values()) {
+        if (job.hasStarted && !job.wasTaken) broke("REFUSED", job.view.id);
+      }
+      return breaches;
+    },
+    counts: () => counts,
+  };
+}
--- /dev/null
+++ b/packages/simulate/src/main.ts
@@ -0,0 +1,45 @@
+/** `npm run simulate -- --seeds N | --seed N`: plays seeds and prints breaches. */
+import process from "node:process";
+import { cac } from "cac";
+import { play } from "./play.ts";
+
+const SECONDS = 20;
+
+const JOBS_PER_SECOND = 40;
+
+const FAULT_EVERY_MS = 700;
+
+interface Flags {
+  readonly seed?: number;
+  readonly seeds: number;
+  readonly from: number;
+}
+
+function run(flags: Flags): void {
+  const first = flags.seed ?? flags.from;
+  const count = flags.seed === undefined ? flags.seeds : 1;
+  let failed = 0;
+  for (let seed = first; seed < first + count; seed += 1) {
+    const result = play({
+      seed,
+      seconds: SECONDS,
+      jobsPerSecond: JOBS_PER_SECOND,
+      faultEveryMs: FAULT_EVERY_MS,
+    });
+    const isClean = result.breaches.length === 0 && result.stuck === 0;
+    if (!isClean) failed += 1;
+    if (isClean && flags.seed === undefined) continue;
+    process.stdout.write(`${JSON.stringify(result, null, 1)}\n`);
+  }
+  process.stdout.write(`${count} seeds, ${failed} with breaches\n`);
+  if (failed > 0) process.exitCode = 1;
+}
+
+const cli = cac("simulate");
+cli.command("", "Plays fleets on a simulated clock")
+  .option("--seed <n>", "Plays one seed and prints all of it")
+  .option("--seeds <n>", "How many seeds to play", { default: 100 })
+  .option("--from <n>", "First seed", { default: 1 })
+  .action(run);
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/simulate/src/play.ts
@@ -0,0 +1,99 @@
+/** One play: a fleet, callers and faults, all drawn from a seed. */
+import type { Queue, RunRef } from "@coltsfootreach/run";
+import { type Callers, playCallers } from "./callers.ts";
+import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
+import { createClock } from "./clock.ts";
+import { playFaults } from "./faults.ts";
+import { createFleet } from "./fleet.ts";
+import { createRandom } from "./random.ts";
+import type { TaskTruth } from "./server_standin.ts";
+
+export interface PlayOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  /** Mean time between faults; none without it. */
+  readonly faultEveryMs?: number | undefined;
+  readonly jobsPerSecond: number;
+  readonly entries?: number | undefined;
+  readonly sides?: number | undefined;
+  /** Told of every decision, order and fault. */
+  trace?(at: number, what: string): void;
+}
+
+export interface PlayResult {
+  readonly seed: number;
+  readonly breaches: readonly Breach[];
+  readonly counts: CheckerCounts;
+  readonly inTime: number;
+  /** Jobs that an entry still holds long after the last caller has left. */
+  readonly stuck: number;
+  readonly faults: readonly string[];
+}
+
+/** After the last hand-in, time for everything to end. */
+const END_MS = 20_000;
+
+const QUEUE: Queue = {
+  name: "short",
+  hostname: "jobs.example",
+  prefix: "/short/",
+  service: "pool",
+  priority: 0,
+  attempts: 2,
+  slackFactor: 1.6,
+  extraMs: 60,
+  timeoutMs: 1500,
+};
+
+export function play(options: PlayOptions): PlayResult {
+  const clock = createClock();
+  const random = createRandom(options.seed);
+  const trace = (what: string) => options.trace?.(clock.now(), what);
+  const checker = createChecker({ now: clock.now, trace });
+  const untilMs = options.seconds * 1000;
+  const faults: string[] = [];
+  let callers: Callers | undefined;
+  const fleet = createFleet({
+    clock,
+    random,
+    checker,
+    trace,
+    entries: options.entries ?? 3,
+    sides: options.sides ?? 6,
+    capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
+    truth: (ref: RunRef): TaskTruth => callers!.truth(ref),
+  });
+  callers = playCallers({
+    clock,
+    random,
+    fleet,
+    checker,
+    queue: QUEUE,
+    jobsPerSecond: options.jobsPerSecond,
+    untilMs,
+    shape: { meanTasks: 4, meanMs: 250, cpu: 1600, failShare: 0.01 },
+  });
+  if (options.faultEveryMs !== undefined) {
+    playFaults({
+      clock,
+      random,
+      fleet,
+      everyMs: options.faultEveryMs,
+      untilMs,
+      note(what) {
+        faults.push(`${Math.round(clock.now())} ${what}`);
+        trace(`fault ${what}`);
+      },
+    });
+  }
+  clock.runUntil(untilMs + END_MS);
+  const stuck = fleet.entries.reduce((sum, one) => sum + one.liveJobs(), 0);
+  return {
+    seed: options.seed,
+    breaches: checker.breaches(),
+    counts: checker.counts(),
+    inTime: callers.inTime(),
+    stuck,
+    faults,
+  };
+}
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -418,6 +418,8 @@
       isStalled: false,
     };
     runs.add(run);
+    // Whoever started it may just have renewed its lease.
+    leaseOverAt = Math.max(leaseOverAt, leaseEnd(now));
     logRun("run found", run);
     return run;
   }
