Foretell waits from the cores in service

Ruled out: lost servers alone (9 of 11 left, load far below). The rate is now the cores in service by the number of entries, and a job begins with what room there is when its rest is foretold to come in time.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -31,7 +31,7 @@
 import { longestChainMs, objectiveMs, remainingChainMs } from "./objective.ts";
 import { isLate, latestStart, orderJobs, type RankedJob } from "./order.ts";
 import { choosePlace, couldRun } from "./placement.ts";
-import { createDrainRate, foretellWaitMs } from "./refusal.ts";
+import { foretellWaitMs } from "./refusal.ts";
 import {
   addOffer,
   createWorker,
@@ -70,12 +70,6 @@
 /** Longest wait that is foretold, and so the longest Retry-After. */
 const LONGEST_WAIT_MS = 5000;
 
-/**
- * A job starts as a whole; with this little time left it takes what room there
- * is, or a job that is wider than any free room would never start.
- */
-const PARTIAL_START_MS = 30;
-
 /** Time after which a gap between ticks counts as a pause of the process. */
 const PAUSE_MS = 400;
 
@@ -133,7 +127,6 @@
   const successors = new Map<string, Submission>();
   /** Runs on sides whose stream broke, by side. */
   const unsure = new Map<string, UnsureRun[]>();
-  const drainRate = createDrainRate();
   const counts = {
     submitted: 0,
     completed: 0,
@@ -592,45 +585,49 @@
     let workAhead = 0;
     const order = orderJobs(waiting, { now, slowness: soundSlowness });
     for (const ranked of order) {
-      workAhead += placeJob(ranked, now);
-      reviewWait(ranked.live, workAhead, now);
+      workAhead += placeJob(ranked, workAhead, now);
     }
   }
 
-  /** Offers what finds room; returns the core-milliseconds that do not. */
-  function placeJob(ranked: RankedJob, now: number): number {
+  /**
+   * Offers what finds room and returns the core-milliseconds that do not. A job
+   * is not begun, and is refused, when its rest is foretold to come too late.
+   */
+  function placeJob(ranked: RankedJob, workAhead: number, now: number): number {
     const { live } = ranked;
-    const plan: Placement[] = [];
+    const { placements, workLeft } = planJob(ranked, now);
+    if (!live.mayHaveRun && !isInTime(ranked, workAhead + workLeft, now)) {
+      for (const { task, worker } of placements) {
+        release(worker, task.step.resources);
+      }
+      return 0;
+    }
+    for (const { task, worker } of placements) offer(live, task, worker, now);
+    return workLeft;
+  }
+
+  /** Reserves room for the tasks that wait, as far as there is any. */
+  function planJob(ranked: RankedJob, now: number): Plan {
+    const placements: Placement[] = [];
     let workLeft = 0;
-    for (const task of waitingTasks(live)) {
+    for (const task of waitingTasks(ranked.live)) {
       const worker = chooseFor(ranked, task, now);
       if (worker === undefined) {
         workLeft += workOf(task);
         continue;
       }
       reserve(worker, task.step.resources);
-      plan.push({ task, worker });
+      placements.push({ task, worker });
     }
-    const mayBeginInPart = live.mayHaveRun ||
-      ranked.latestStart - now < PARTIAL_START_MS;
-    if (workLeft > 0 && !mayBeginInPart) {
-      for (const { task, worker } of plan) {
-        release(worker, task.step.resources);
-        workLeft += workOf(task);
-      }
-      return workLeft;
-    }
-    for (const { task, worker } of plan) offer(live, task, worker, now);
-    return workLeft;
+    return { placements, workLeft };
   }
 
-  /** Refuses a job that would be late behind the work that waits with it. */
-  function reviewWait(live: LiveJob, workAhead: number, now: number): void {
-    if (live.mayHaveRun) return;
-    const backlog = { work: workAhead, rate: drainRate.value(now) };
-    const waitMs = foretellWaitMs(backlog, LONGEST_WAIT_MS);
-    const slackMs = latestStart(live, soundSlowness) - now;
-    if (waitMs <= slackMs) return;
+  /** Refuses a job whose tasks are foretold to find room too late. */
+  function isInTime(ranked: RankedJob, work: number, now: number): boolean {
+    const { live } = ranked;
+    const waitMs = foretellWaitMs({ work, rate: roomRate() }, LONGEST_WAIT_MS);
+    const slackMs = ranked.latestStart - now;
+    if (waitMs <= slackMs) return true;
     log({
       message: "wait foretold",
       job: live.job.id,
@@ -638,10 +635,20 @@
       figures: {
         waitMs: Math.round(waitMs),
         slackMs: Math.round(slackMs),
-        workAhead: Math.round(workAhead),
+        work: Math.round(work),
       },
     });
     refuse(live, "overload", waitMs - slackMs, now);
+    return false;
+  }
+
+  /** Core-milliseconds a millisecond that this entry can count on. */
+  function roomRate(): number {
+    let cpu = 0;
+    for (const { report } of workers.values()) {
+      if (report?.isOpen && !report.isSuspect) cpu += report.capacity.cpu;
+    }
+    return cpu / 1000 / Math.max(1, entries?.length ?? 1);
   }
 
   function chooseFor(
@@ -680,7 +687,6 @@
     task.placedAt = now;
     live.mayHaveRun = true;
     counts.offers += 1;
-    drainRate.placed(workOf(task), now);
     const offered: Offer = {
       task: task.ref,
       run: task.run,
@@ -804,6 +810,12 @@
   readonly worker: Worker;
 }
 
+interface Plan {
+  readonly placements: readonly Placement[];
+  /** Core-milliseconds for which there is no room. */
+  readonly workLeft: number;
+}
+
 interface UnsureRun {
   readonly claim: Claim;
   readonly overAt: number;
