--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -70,6 +70,9 @@
 /** Longest wait that is foretold, and so the longest Retry-After. */
 const LONGEST_WAIT_MS = 5000;
 
+/** Time from the start of an entry in which servers are still to be found. */
+const STARTING_MS = 2500;
+
 /** Time after which a gap between ticks counts as a pause of the process. */
 const PAUSE_MS = 400;
 
@@ -146,6 +149,8 @@
   let stopsAt = Infinity;
   let mayPlace = false;
   let tickedAt = 0;
+  /** First tick or submission. */
+  let startedAt: number | undefined;
   let soundSlowness = 1;
 
   function log(decision: DispatchDecision): void {
@@ -155,6 +160,7 @@
   // --- Submissions ---
 
   function submit(submission: Submission, now: number): void {
+    startedAt ??= now;
     counts.submitted += 1;
     const { id, job, queue } = submission;
     const before = byJob.get(job.id);
@@ -199,10 +205,16 @@
     if (now + chainMs * STOP_FACTOR > stopsAt) {
       return refuse(live, "stopping", 0, now);
     }
-    if (!hasOpenServer()) return refuse(live, "unavailable", 1000, now);
     if (live.tasks.length === 0) return complete(live, now);
-    if (!couldRunAll(live)) return fail(live, "fitsNowhere", now);
     mayPlace = true;
+    // Shortly after the start, servers are about to be heard of.
+    if (isStarting(now)) return;
+    if (!hasOpenServer()) return refuse(live, "unavailable", 1000, now);
+    if (!couldRunAll(live)) fail(live, "fitsNowhere", now);
+  }
+
+  function isStarting(now: number): boolean {
+    return startedAt === undefined || now < startedAt + STARTING_MS;
   }
 
   function workOf(task: LiveTask): number {
@@ -625,6 +637,8 @@
   /** Refuses a job whose tasks are foretold to find room too late. */
   function isInTime(ranked: RankedJob, work: number, now: number): boolean {
     const { live } = ranked;
+    // What is known of the fleet then says little about its room.
+    if (isStarting(now) || !hasOpenServer()) return true;
     const waitMs = foretellWaitMs({ work, rate: roomRate() }, LONGEST_WAIT_MS);
     const slackMs = ranked.latestStart - now;
     if (waitMs <= slackMs) return true;
@@ -702,6 +716,7 @@
   // --- Time ---
 
   function tick(now: number): void {
+    startedAt ??= now;
     const wasPaused = now - tickedAt > PAUSE_MS;
     tickedAt = now;
     if (!wasPaused) loseSilentSides(now);
@@ -742,6 +757,8 @@
       return;
     }
     if (live.mayHaveRun) return;
+    // Nobody else can do better while all of the fleet starts.
+    if (!hasOpenServer() && isStarting(now)) return;
     if (now > latestStart(live, soundSlowness)) {
       refuse(live, "overload", LATE_RETRY_MS, now);
     }
