--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -14,6 +14,8 @@
   /** Mean time between faults; none without it. */
   readonly faultEveryMs?: number | undefined;
   readonly jobsPerSecond: number;
+  /** Share of tasks whose runs fail by themselves; 0.01 without it. */
+  readonly failShare?: number | undefined;
   readonly entries?: number | undefined;
   readonly sides?: number | undefined;
   /** Told of every decision, order and fault. */
@@ -71,7 +73,12 @@
     queue: QUEUE,
     jobsPerSecond: options.jobsPerSecond,
     untilMs,
-    shape: { meanTasks: 4, meanMs: 250, cpu: 1600, failShare: 0.01 },
+    shape: {
+      meanTasks: 4,
+      meanMs: 250,
+      cpu: 1600,
+      failShare: options.failShare ?? 0.01,
+    },
   });
   if (options.faultEveryMs !== undefined) {
     playFaults({
--- /dev/null
+++ b/packages/worker/src/worker_core_test.ts
@@ -0,0 +1,334 @@
+import type {
+  Announcement,
+  DispatchFrame,
+  Offer,
+  RunNews,
+} from "@coltsfootreach/run";
+import { expect } from "chai";
+import type { ListOrder, ListReply, RunningRow } from "./calls.ts";
+import type { WorkerEffect } from "./effect.ts";
+import { createWorkerCore, type WorkerCore } from "./worker_core.ts";
+
+const OWNER = 1;
+
+const ANNOUNCEMENT: Announcement = {
+  id: "server",
+  born: 77,
+  service: "pool",
+  address: "here:1",
+  dataCentre: "a",
+  capacity: { cpu: 4000, memoryMb: 1000, gpu: 0 },
+  labels: ["a"],
+  isDraining: false,
+  remainingMs: 0,
+  sequence: 1,
+};
+
+interface Bench {
+  readonly core: WorkerCore;
+  /** Effects since the last call. */
+  take(now: number): readonly WorkerEffect[];
+  news(now: number): readonly RunNews[];
+  offer(index: number, now: number, more?: Partial<Offer>): void;
+  /** Answers the list that is on its way. */
+  listed(
+    now: number,
+    reply?: Partial<Extract<ListReply, { kind: "listed" }>>,
+  ): void;
+  replyToList(now: number, reply: ListReply): void;
+}
+
+function refOf(index: number, run = 1) {
+  return { task: { job: "job", occurrence: 0, step: 0, index }, run };
+}
+
+function frame(sequence: number, more: Partial<DispatchFrame>): DispatchFrame {
+  return { kind: "dispatch", sequence, offers: [], stops: [], ...more };
+}
+
+/** A core whose server has joined and runs nothing, with one entry. */
+function createBench(): Bench {
+  const core = createWorkerCore({
+    side: "side",
+    dataCentre: "a",
+    maxLeaseMs: 1000,
+  });
+  let listOrder: ListOrder | undefined;
+  let sequence = 0;
+
+  function take(now: number): readonly WorkerEffect[] {
+    const effects = core.takeEffects(now);
+    for (const effect of effects) {
+      if (effect.kind === "list") listOrder = effect.order;
+    }
+    return effects;
+  }
+
+  function replyToList(now: number, reply: ListReply): void {
+    core.listReplied(listOrder!, reply, now);
+  }
+
+  const bench: Bench = {
+    core,
+    take,
+    news: (now) =>
+      take(now).flatMap((effect) =>
+        effect.kind === "send" ? effect.frame.news : []
+      ),
+    offer(index, now, more = {}) {
+      sequence += 1;
+      const ref = refOf(index);
+      const offer: Offer = {
+        ...ref,
+        payload: "p",
+        resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
+        estimateMs: 100,
+        server: "server",
+        born: 77,
+        ...more,
+      };
+      core.ownerSent(OWNER, frame(sequence, { offers: [offer] }), now);
+    },
+    listed(now, reply = {}) {
+      replyToList(now, {
+        kind: "listed",
+        clockMs: 5000 + now,
+        born: 77,
+        running: [],
+        ends: [],
+        ...reply,
+      });
+    },
+    replyToList,
+  };
+  core.announced(ANNOUNCEMENT, 0);
+  take(0);
+  bench.listed(1);
+  take(1);
+  bench.listed(2);
+  core.ownerOpened(OWNER, 2);
+  take(2);
+  return bench;
+}
+
+function starts(effects: readonly WorkerEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.kind === "start" ? [effect.order] : []
+  );
+}
+
+function stops(effects: readonly WorkerEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.kind === "stop" ? [effect.order.ref] : []
+  );
+}
+
+function row(index: number, run = 1): RunningRow {
+  return { ref: refOf(index, run), percent: 1 };
+}
+
+describe("a side's decisions", () => {
+  it("starts offers while there is room and refuses the rest", () => {
+    const bench = createBench();
+    for (let index = 0; index < 5; index += 1) bench.offer(index, 10);
+    const effects = bench.take(10);
+    expect(starts(effects)).to.have.length(4);
+    const news = effects.flatMap((effect) =>
+      effect.kind === "send" ? effect.frame.news : []
+    );
+    expect(news).to.deep.equal([{
+      kind: "refused",
+      ref: refOf(4),
+      reason: "noRoom",
+      highestRun: 0,
+    }]);
+  });
+
+  it("keeps the room of a run that is being stopped until its end is listed", () => {
+    const bench = createBench();
+    bench.offer(0, 10, { resources: { cpu: 4000, memoryMb: 1, gpu: 0 } });
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    bench.take(11);
+    bench.core.ownerSent(OWNER, frame(2, { stops: [refOf(0)] }), 12);
+    expect(stops(bench.take(12))).to.deep.equal([refOf(0)]);
+    bench.core.stopReplied(refOf(0), { isBarred: true }, 13);
+    bench.offer(1, 14);
+    expect(starts(bench.take(14))).to.deep.equal([]);
+    const end = { number: 1, ref: refOf(0), end: "stopped" as const };
+    bench.listed(15, { ends: [end] });
+    bench.offer(2, 16);
+    expect(starts(bench.take(16))).to.have.length(1);
+  });
+
+  it("bars an unanswered start before it says that the run is over", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "unanswered" }, 70);
+    const effects = bench.take(70);
+    expect(stops(effects)).to.deep.equal([refOf(0)]);
+    bench.core.tick(75);
+    bench.core.stopReplied(refOf(0), { isBarred: false }, 130);
+    expect(bench.news(130)).to.deep.equal([]);
+    bench.core.tick(240);
+    expect(stops(bench.take(240))).to.deep.equal([refOf(0)]);
+    bench.core.stopReplied(refOf(0), { isBarred: true }, 241);
+    expect(bench.news(241)).to.deep.equal([]);
+    // This list was sent before the stop was answered and proves nothing.
+    bench.listed(242);
+    expect(bench.news(242)).to.deep.equal([]);
+    bench.listed(243);
+    const [news] = bench.news(243);
+    expect(news).to.include({ kind: "ended", end: "stopped" });
+  });
+
+  it("refuses a run number that it has seen for the task", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    bench.take(11);
+    bench.listed(20, { ends: [{ number: 1, ref: refOf(0), end: "done" }] });
+    bench.take(20);
+    bench.offer(0, 30);
+    expect(bench.news(30)).to.deep.equal([{
+      kind: "refused",
+      ref: refOf(0),
+      reason: "superseded",
+      highestRun: 1,
+    }]);
+  });
+
+  it("stops the runs of an entry that has been silent for 650 ms", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    const stopped: unknown[] = [];
+    for (let now = 25; now <= 700; now += 25) {
+      bench.core.tick(now);
+      stopped.push(...stops(bench.take(now)));
+      bench.listed(now, { running: [row(0)] });
+      if (now < 660) expect(stopped).to.deep.equal([]);
+    }
+    expect(stopped[0]).to.deep.equal(refOf(0));
+  });
+
+  it("keeps runs for an entry that opens its stream again at once", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    bench.core.ownerClosed(OWNER, 20);
+    bench.core.ownerOpened(2, 100);
+    const claim = {
+      ref: refOf(0),
+      resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
+      estimateMs: 100,
+    };
+    bench.core.ownerSent(2, frame(1, { claims: [claim] }), 110);
+    bench.core.tick(400);
+    expect(stops(bench.take(400))).to.deep.equal([]);
+    bench.core.tick(425);
+    expect(stops(bench.take(425))).to.deep.equal([]);
+  });
+
+  it("takes the lease of runs it finds after a restart for just renewed", () => {
+    const bench = createBench();
+    bench.core.left("server", 3);
+    bench.core.announced({ ...ANNOUNCEMENT, id: "next" }, 4);
+    bench.take(4);
+    bench.replyToList(5, { kind: "fenced", clockMs: 9000 });
+    bench.take(5);
+    bench.listed(6, { running: [row(0)] });
+    bench.core.tick(30);
+    const lost = bench.news(30).filter((news) => news.kind === "lost");
+    expect(lost).to.deep.equal([]);
+    expect(bench.core.runs()).to.equal(1);
+  });
+
+  it("stops found runs that nobody claims", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    bench.take(11);
+    bench.listed(12, { running: [row(0), row(9)] });
+    bench.take(12);
+    for (let now = 25; now <= 225; now += 25) {
+      bench.core.tick(now);
+      bench.core.ownerSent(OWNER, frame(now, {}), now);
+    }
+    expect(stops(bench.take(226))).to.deep.equal([refOf(9)]);
+  });
+
+  it("starts nothing on a server that drains or that answers as another life", () => {
+    const bench = createBench();
+    const draining = { ...ANNOUNCEMENT, isDraining: true, sequence: 2 };
+    bench.core.announced(draining, 10);
+    bench.offer(0, 11);
+    expect(bench.news(11)).to.deep.include({
+      kind: "refused",
+      ref: refOf(0),
+      reason: "closed",
+      highestRun: 0,
+    });
+    const back = { ...ANNOUNCEMENT, sequence: 3 };
+    bench.core.announced(back, 20);
+    bench.offer(1, 21, { born: 78 });
+    const [news] = bench.news(21);
+    expect(news).to.include({ kind: "refused", reason: "otherServer" });
+  });
+
+  it("ignores an announcement that is older than the last one", () => {
+    const bench = createBench();
+    bench.core.announced(
+      { ...ANNOUNCEMENT, isDraining: true, sequence: 5 },
+      10,
+    );
+    bench.core.announced({ ...ANNOUNCEMENT, sequence: 4 }, 11);
+    bench.offer(0, 12);
+    const [news] = bench.news(12);
+    expect(news).to.include({ kind: "refused", reason: "closed" });
+  });
+
+  it("reports a run whose progress stands still", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    bench.take(11);
+    const stalled: RunNews[] = [];
+    for (let now = 50; now <= 400; now += 50) {
+      bench.listed(now, { running: [row(0)] });
+      stalled.push(...bench.news(now));
+      if (now < 300) expect(stalled).to.deep.equal([]);
+    }
+    expect(stalled).to.deep.equal([{ kind: "stalled", ref: refOf(0) }]);
+  });
+
+  it("tries one run at a time after failures in a row", () => {
+    const bench = createBench();
+    for (const index of [0, 1]) {
+      bench.offer(index, 10);
+      bench.take(10);
+      const started = { kind: "started", clockMs: 0 } as const;
+      bench.core.startReplied(refOf(index), started, 11);
+      bench.take(11);
+      const end = {
+        number: index + 1,
+        ref: refOf(index),
+        end: "failed" as const,
+      };
+      bench.listed(20, { ends: [end] });
+      bench.take(20);
+    }
+    bench.offer(2, 30);
+    const [news] = bench.news(30);
+    expect(news).to.include({ kind: "refused", reason: "suspect" });
+    bench.offer(3, 600);
+    bench.offer(4, 600);
+    expect(starts(bench.take(600))).to.have.length(1);
+  });
+});
