--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -3,7 +3,6 @@
 import {
   type Answer,
   createDispatcher,
-  type DispatchCounts,
   type DispatchEffect,
   type SessionId,
   type SubmissionId,
@@ -22,6 +21,7 @@
 import { type Configuration, followConfiguration } from "./configuration.ts";
 import { createDecisionLog } from "./decision_log.ts";
 import { runLoop, steadyNow } from "./loop.ts";
+import { createEntryMetrics } from "./entry_metrics.ts";
 import { joinEntries } from "./membership.ts";
 import type { ConfigurationDocument } from "./ports.ts";
 
@@ -61,7 +61,8 @@
   isReady(): boolean;
   /** True once `stop` was called: callers should turn elsewhere. */
   isStopping(): boolean;
-  counts(): DispatchCounts & { readonly logLinesDropped: number };
+  /** Counters and response times, as text for a collector. */
+  metricsText(): string;
   /** Ends the jobs it holds, for at most so long, and leaves. */
   stop(graceMs: number): Promise<void>;
 }
@@ -75,6 +76,12 @@
     entry: options.name,
     random: Math.random,
   });
+  const metrics = createEntryMetrics(() => ({
+    ...dispatcher.counts(),
+    jobsLive: dispatcher.liveJobs(),
+    configurationVersion: configuration.table()?.version ?? 0,
+    logLinesDropped: decisions.dropped(),
+  }));
   const streams = new Map<SessionId, Stream<DispatchFrame>>();
   const answers = new Map<SubmissionId, (answer: Answer) => void>();
   let lastSession = 0;
@@ -157,8 +164,15 @@
     lastSubmission += 1;
     const id = lastSubmission;
     const configurationVersion = configuration.table()?.version ?? 0;
-    const answer = new Promise<Answer>((resolve) => answers.set(id, resolve));
-    dispatcher.submit({ id, job, queue, configurationVersion }, steadyNow());
+    const since = steadyNow();
+    const answer = new Promise<Answer>((resolve) =>
+      answers.set(id, (to) => {
+        const responseMs = steadyNow() - since;
+        metrics.answered({ queue: queue.name, answer: to, responseMs });
+        resolve(to);
+      })
+    );
+    dispatcher.submit({ id, job, queue, configurationVersion }, since);
     loop.poke();
     return {
       answer,
@@ -188,10 +202,7 @@
       !isStopping && configuration.table() !== undefined &&
       dispatcher.hasOpenServer(),
     isStopping: () => isStopping,
-    counts: () => ({
-      ...dispatcher.counts(),
-      logLinesDropped: decisions.dropped(),
-    }),
+    metricsText: metrics.text,
     async stop(graceMs) {
       isStopping = true;
       dispatcher.stopBy(steadyNow() + graceMs);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 /** The entry and the side as processes. */
 export * from "./configuration.ts";
 export * from "./decision_log.ts";
+export * from "./entry_metrics.ts";
 export * from "./entry_process.ts";
 export * from "./membership.ts";
 export * from "./ports.ts";
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -2,12 +2,9 @@
 import type { Log } from "@coltsfootreach/log";
 import type { Announcement } from "@coltsfootreach/run";
 import type { Store } from "@coltsfootreach/store";
-import {
-  createWorkerCore,
-  type WorkerCounts,
-  type WorkerEffect,
-} from "@coltsfootreach/worker";
+import { createWorkerCore, type WorkerEffect } from "@coltsfootreach/worker";
 import { createDecisionLog } from "./decision_log.ts";
+import { formatCounts } from "./entry_metrics.ts";
 import { createEntryStreams } from "./entry_streams.ts";
 import { runLoop, steadyNow } from "./loop.ts";
 import { findEntries } from "./membership.ts";
@@ -36,7 +33,8 @@
   announced(announcement: Announcement): void;
   /** The backend server with this id has left. */
   left(id: string): void;
-  counts(): WorkerCounts & { readonly logLinesDropped: number };
+  /** Counters, as text for a collector. */
+  metricsText(): string;
   /** Starts nothing more, lets runs end for at most so long, and leaves. */
   stop(graceMs: number): Promise<void>;
 }
@@ -121,7 +119,15 @@
       core.left(id, steadyNow());
       loop.poke();
     },
-    counts: () => ({ ...core.counts(), logLinesDropped: decisions.dropped() }),
+    metricsText() {
+      const counts = {
+        ...core.counts(),
+        runsLive: core.runs(),
+        entriesConnected: streams.connected(),
+        logLinesDropped: decisions.dropped(),
+      };
+      return `${formatCounts(counts).join("\n")}\n`;
+    },
     async stop(graceMs) {
       core.close();
       loop.poke();
--- a/packages/simulate/src/callers.ts
+++ b/packages/simulate/src/callers.ts
@@ -3,7 +3,7 @@
  * their connection or were told that its fate is unknown.
  */
 import type { Answer } from "@coltsfootreach/dispatch";
-import type { Job, Queue, RunRef } from "@coltsfootreach/run";
+import type { Job, Queue } from "@coltsfootreach/run";
 import type { Checker } from "./checker.ts";
 import type { SimulatedClock } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
@@ -21,6 +21,8 @@
   readonly jobsPerSecond: number;
   readonly untilMs: number;
   readonly shape: JobShape;
+  /** What each task really takes, by job; filled as jobs are made. */
+  readonly truths: Map<string, readonly TaskTruth[]>;
 }
 
 export interface JobShape {
@@ -32,14 +34,12 @@
 }
 
 export interface Callers {
-  truth(ref: RunRef): TaskTruth;
   /** Jobs completed within their objective. */
   inTime(): number;
 }
 
 export function playCallers(options: CallerOptions): Callers {
-  const { clock, random, fleet, checker, queue, shape } = options;
-  const truths = new Map<string, readonly TaskTruth[]>();
+  const { clock, random, fleet, checker, queue, shape, truths } = options;
   let made = 0;
   let inTime = 0;
 
@@ -119,7 +119,6 @@
 
   clock.after(500, next);
   return {
-    truth: ({ task }) => truths.get(task.job)![task.index]!,
     inTime: () => inTime,
   };
 }
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -1,6 +1,6 @@
 /** One play: a fleet, callers and faults, all drawn from a seed. */
 import type { Queue, RunRef } from "@coltsfootreach/run";
-import { type Callers, playCallers } from "./callers.ts";
+import { playCallers } from "./callers.ts";
 import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
 import { createClock } from "./clock.ts";
 import { playFaults } from "./faults.ts";
@@ -54,7 +54,7 @@
   const checker = createChecker({ now: clock.now, trace });
   const untilMs = options.seconds * 1000;
   const faults: string[] = [];
-  let callers: Callers | undefined;
+  const truths = new Map<string, readonly TaskTruth[]>();
   const fleet = createFleet({
     clock,
     random,
@@ -63,9 +63,10 @@
     entries: options.entries ?? 3,
     sides: options.sides ?? 6,
     capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
-    truth: (ref: RunRef): TaskTruth => callers!.truth(ref),
+    truth: ({ task }: RunRef) => truths.get(task.job)![task.index]!,
   });
-  callers = playCallers({
+  const callers = playCallers({
+    truths,
     clock,
     random,
     fleet,
