--- a/packages/simulate/src/main.ts
+++ b/packages/simulate/src/main.ts
@@ -1,4 +1,8 @@
-/** `npm run simulate -- --seeds N | --seed N`: plays seeds and prints breaches. */
+/**
+ * `npm run simulate -- --seeds N`: plays seeds and prints those with breaches.
+ * `--seed N` prints one seed; `--trace TEXT` also prints each decision, start
+ * and fault of it that holds the text, such as a job's name.
+ */
 import process from "node:process";
 import { cac } from "cac";
 import { play } from "./play.ts";
@@ -13,6 +17,7 @@
   readonly seed?: number;
   readonly seeds: number;
   readonly from: number;
+  readonly trace?: string;
 }
 
 function run(flags: Flags): void {
@@ -25,6 +30,10 @@
       seconds: SECONDS,
       jobsPerSecond: JOBS_PER_SECOND,
       faultEveryMs: FAULT_EVERY_MS,
+      trace(at, what) {
+        if (flags.trace === undefined || !what.includes(flags.trace)) return;
+        process.stdout.write(`${at.toFixed(1)} ${what}\n`);
+      },
     });
     const isClean = result.breaches.length === 0 && result.stuck === 0;
     if (!isClean) failed += 1;
@@ -38,6 +47,7 @@
 const cli = cac("simulate");
 cli.command("", "Plays fleets on a simulated clock")
   .option("--seed <n>", "Plays one seed and prints all of it")
+  .option("--trace <text>", "Prints what holds the text")
   .option("--seeds <n>", "How many seeds to play", { default: 100 })
   .option("--from <n>", "First seed", { default: 1 })
   .action(run);
