--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -1,3 +1,4 @@
 /** JSON-line logs. */
+export * from "./line_writer.ts";
 export * from "./log.ts";
 export * from "./redact.ts";
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -647,7 +647,9 @@
   function answerWaitingClaims(now: number): void {
     const waiting = waitingClaims;
     waitingClaims = [];
-    for (const { owner, claim } of waiting) answerClaim(owner, claim, now);
+    for (const { owner, claim } of waiting) {
+      if (owners.has(owner)) answerClaim(owner, claim, now);
+    }
   }
 
   function answerClaim(owner: OwnerId, claim: Claim, now: number): void {
@@ -715,7 +717,9 @@
     if (!wasPaused) dropSilentOwners(now);
     stopUnclaimed(now);
     if (current === undefined) return;
-    if (runs.count() > 0 && now > leaseOverAt) expireLease(current, now);
+    // A renewal on its way may have taken effect already.
+    const overAt = Math.max(leaseOverAt, pendingList?.leaseOverAt ?? 0);
+    if (runs.count() > 0 && now > overAt) expireLease(current, now);
     retryStops(current, now);
     const isListDue = runs.count() > 0 && now >= nextListAt;
     if (isListDue && pendingList === undefined) sendList(now);
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -263,6 +263,65 @@
     expect(stops(bench.take(226))).to.deep.equal([refOf(9)]);
   });
 
+  it("stops a run whose claim waited longer than its stream lived", () => {
+    const core = createWorkerCore({
+      side: "side",
+      dataCentre: "a",
+      maxLeaseMs: 1000,
+    });
+    const orders: ListOrder[] = [];
+    const take = (now: number) => {
+      const effects = core.takeEffects(now);
+      for (const effect of effects) {
+        if (effect.kind === "list") orders.push(effect.order);
+      }
+      return effects;
+    };
+    const claim = {
+      ref: refOf(0),
+      resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
+      estimateMs: 100,
+    };
+    core.ownerOpened(OWNER, 0);
+    core.ownerSent(OWNER, frame(1, { claims: [claim] }), 1);
+    core.ownerClosed(OWNER, 2);
+    core.announced(ANNOUNCEMENT, 3);
+    take(3);
+    core.listReplied(orders.at(-1)!, { kind: "fenced", clockMs: 900 }, 4);
+    take(4);
+    const listed = {
+      kind: "listed",
+      clockMs: 905,
+      born: 77,
+      running: [row(0)],
+      ends: [],
+    } as const;
+    core.listReplied(orders.at(-1)!, listed, 5);
+    take(5);
+    core.tick(300);
+    expect(stops(take(300))).to.deep.equal([refOf(0)]);
+  });
+
+  it("counts a renewal that is on its way before a lease is over", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.take(10);
+    bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    bench.take(11);
+    bench.listed(100, { running: [row(0)] });
+    bench.take(100);
+    // The process froze; the list of 100 may have renewed until 1,100.
+    bench.core.tick(1150);
+    bench.core.ownerSent(OWNER, frame(9, {}), 1150);
+    expect(bench.news(1150)).to.deep.equal([]);
+    bench.core.tick(1195);
+    expect(bench.news(1195)).to.deep.equal([{
+      kind: "lost",
+      ref: refOf(0),
+      reason: "lease ran out",
+    }]);
+  });
+
   it("starts nothing on a server that drains or that answers as another life", () => {
     const bench = createBench();
     const draining = { ...ANNOUNCEMENT, isDraining: true, sequence: 2 };
