Use a spoilt server where there is no other

Cause, found by reading: a task that had failed on every server of a small pool was never offered again and ended as timed out. Two tests failed first.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -690,7 +690,23 @@
         countOnServer(live, task.ref.step, server),
       random: options.random,
     };
-    return choosePlace(workers.values(), need);
+    const place = choosePlace(workers.values(), need);
+    if (place !== undefined || hasUnspoiltPlace(live, task)) return place;
+    return choosePlace(workers.values(), {
+      ...need,
+      avoid: NO_SERVERS,
+      mayUseSuspects: true,
+    });
+  }
+
+  /** True while some server that could run the task is neither avoided nor suspect. */
+  function hasUnspoiltPlace(live: LiveJob, task: LiveTask): boolean {
+    for (const { report } of workers.values()) {
+      if (report?.service !== live.queue.service || !report.isOpen) continue;
+      if (report.isSuspect || task.avoid.has(report.id)) continue;
+      if (couldRun(task.step, report)) return true;
+    }
+    return false;
   }
 
   function offer(
@@ -829,6 +845,8 @@
   };
 }
 
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
 interface Placement {
   readonly task: LiveTask;
   readonly worker: Worker;
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -181,6 +181,27 @@
     });
   });
 
+  it("repeats a failed run on the same server where there is no other", () => {
+    const bench = createBench();
+    bench.join(1, "one", report("s1", 4000), START);
+    bench.submit(1, job("j"), START);
+    bench.frames(1, START);
+    bench.hear(1, { news: [ended("j", "failed")] }, START + 50);
+    const [again] = offers(bench.frames(1, START + 50));
+    expect(again?.run).to.equal(2);
+  });
+
+  it("uses a suspect server where there is no other", () => {
+    const bench = createBench();
+    const suspect = { ...report("s1", 4000), isSuspect: true };
+    bench.join(1, "one", suspect, START);
+    bench.submit(1, job("j"), START);
+    bench.frames(1, START);
+    bench.hear(1, { news: [ended("j", "failed")] }, START + 50);
+    const [again] = offers(bench.frames(1, START + 50));
+    expect(again?.run).to.equal(2);
+  });
+
   it("refuses at once what is foretold to start too late, and only that", () => {
     const bench = createBench();
     bench.join(1, "one", report("s1", 1000), START);
