--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -3,15 +3,14 @@
  * their tasks to sides, repeats what failed, and answers. A job lives in one
  * entry only; the sides end its runs when the entry is gone.
  */
-import {
-  type Claim,
-  type Job,
-  keyOfTask,
-  type Offer,
-  type Queue,
-  type RunNews,
-  type WorkFrame,
+import type {
+  Job,
+  Queue,
+  RunNews,
+  RunRef,
+  WorkFrame,
 } from "@coltsfootreach/run";
+import { keyOfTask } from "@coltsfootreach/run";
 import type { Answer, RefusalReason } from "./answer.ts";
 import type {
   DispatchDecision,
@@ -20,56 +19,23 @@
   SubmissionId,
 } from "./effect.ts";
 import {
-  countOnServer,
+  askStop,
   createLiveJob,
+  type FoundTask,
   type LiveJob,
   type LiveTask,
-  refOf,
   unblock,
-  waitingTasks,
 } from "./live_job.ts";
 import { longestChainMs, objectiveMs, remainingChainMs } from "./objective.ts";
-import { isLate, latestStart, orderJobs, type RankedJob } from "./order.ts";
-import { choosePlace, couldRun } from "./placement.ts";
-import { foretellWaitMs } from "./refusal.ts";
-import {
-  addOffer,
-  createWorker,
-  hear,
-  release,
-  reserve,
-  takeFrame,
-  type Worker,
-} from "./workers.ts";
-
-/** Longest time between frames to a side that holds runs... */
-const HEARTBEAT_MS = 200;
-
-/** ...and to one that holds none. */
-const IDLE_HEARTBEAT_MS = 1000;
-
-/** A side with runs that was not heard for this long is given up. */
-const SIDE_LOST_MS = 500;
-
-/** The same for a side without runs. */
-const IDLE_SIDE_LOST_MS = 2500;
-
-/**
- * After this long the runs of a side that was given up are over: it stops them
- * when it has not heard from here for 650 ms, or their lease of at most
- * 1,000 ms runs out after that.
- */
-const RUNS_OVER_MS = 1900;
-
-/** After a refusal a side gets no offers for this long, or until it reports. */
-const REFUSED_PAUSE_MS = 40;
+import { latestStart } from "./order.ts";
+import { couldRun } from "./placement.ts";
+import { createPlacer } from "./placer.ts";
+import { createSides } from "./sides.ts";
+import { hasOpenServer, type Worker } from "./workers.ts";
 
 /** Time that the answer takes to reach the caller. */
 const ANSWER_MARGIN_MS = 60;
 
-/** Longest wait that is foretold, and so the longest Retry-After. */
-const LONGEST_WAIT_MS = 5000;
-
 /** Time from the start of an entry in which servers are still to be found. */
 const STARTING_MS = 2500;
 
@@ -128,8 +94,25 @@
   const byJob = new Map<string, LiveJob>();
   /** Submissions of jobs whose earlier submission still has runs. */
   const successors = new Map<string, Submission>();
-  /** Runs on sides whose stream broke, by side. */
-  const unsure = new Map<string, UnsureRun[]>();
+  const sides = createSides({
+    entry: options.entry,
+    workers,
+    find,
+    takeNews,
+    send: (session, frame) => effects.push({ kind: "send", session, frame }),
+    close: (session) => effects.push({ kind: "close", session }),
+    log,
+  });
+  const placer = createPlacer({
+    workers,
+    random: options.random,
+    slowness: () => soundSlowness,
+    entries: sides.entries,
+    isStarting,
+    refuse: (live, retryAfterMs, now) =>
+      refuse(live, "overload", retryAfterMs, now),
+    log,
+  });
   const counts = {
     submitted: 0,
     completed: 0,
@@ -137,15 +120,11 @@
     timedOut: 0,
     refused: 0,
     abandoned: 0,
-    offers: 0,
     offersRefused: 0,
     runsFailed: 0,
     runsLost: 0,
   };
   let effects: DispatchEffect[] = [];
-  let entries: readonly string[] | undefined;
-  let entriesVersion = 0;
-  const toldEntries = new Map<SessionId, number>();
   let stopsAt = Infinity;
   let mayPlace = false;
   let tickedAt = 0;
@@ -210,7 +189,7 @@
     mayPlace = true;
     // Shortly after the start, servers are about to be heard of.
     if (isStarting(now)) return;
-    if (!hasOpenServer()) return refuse(live, "unavailable", 1000, now);
+    if (!hasOpenServer(workers)) return refuse(live, "unavailable", 1000, now);
     if (!couldRunAll(live)) fail(live, "fitsNowhere", now);
   }
 
@@ -224,11 +203,6 @@
     return startedAt === undefined || now < startedAt + STARTING_MS;
   }
 
-  function workOf(task: LiveTask): number {
-    return task.step.estimateMs * soundSlowness *
-      task.step.resources.cpu / 1000;
-  }
-
   function couldRunAll(live: LiveJob): boolean {
     return live.job.steps.every((step) => {
       for (const { report } of workers.values()) {
@@ -239,13 +213,6 @@
     });
   }
 
-  function hasOpenServer(): boolean {
-    for (const { report } of workers.values()) {
-      if (report?.isOpen) return true;
-    }
-    return false;
-  }
-
   // --- Answers ---
 
   function answer(live: LiveJob, to: Answer, now: number): void {
@@ -341,18 +308,14 @@
   /** Stops what still runs; the job is forgotten when nothing does. */
   function endRuns(live: LiveJob): void {
     for (const task of live.tasks) {
-      if (task.state === "placed") askStop(task);
+      if (task.state === "placed") stopRun(task);
       else if (task.state !== "unsure") task.state = "done";
     }
     forgetIfOver(live);
   }
 
-  function askStop(task: LiveTask): void {
-    if (task.isStopping || task.session === undefined) return;
-    const worker = workers.get(task.session);
-    if (worker === undefined) return;
-    task.isStopping = true;
-    worker.stops.push(refOf(task));
+  function stopRun(task: LiveTask): void {
+    if (task.session !== undefined) askStop(task, workers.get(task.session));
   }
 
   function forgetIfOver(live: LiveJob): void {
@@ -367,6 +330,11 @@
     mayPlace = true;
   }
 
+  function placeAll(now: number): void {
+    mayPlace = false;
+    placer.place(jobs.values(), now);
+  }
+
   function resumeSuccessors(now: number): void {
     for (const [job, submission] of successors) {
       if (byJob.has(job)) continue;
@@ -377,29 +345,24 @@
 
   // --- News of runs ---
 
-  function findTask(
-    news: RunNews,
-  ): { live: LiveJob; task: LiveTask } | undefined {
-    const { task: ref, run } = news.ref;
+  function find({ task: ref, run }: RunRef): FoundTask | undefined {
     const live = byJob.get(ref.job);
     const task = live?.tasks.find((one) =>
       one.ref.step === ref.step && one.ref.index === ref.index
     );
-    if (live === undefined || task === undefined || task.run !== run) {
-      return undefined;
-    }
-    const isOpen = task.state === "placed" || task.state === "unsure";
-    return isOpen ? { live, task } : undefined;
+    if (live === undefined || task?.run !== run) return undefined;
+    return { live, task };
   }
 
   function takeNews(news: RunNews, now: number): void {
-    const found = findTask(news);
+    const found = find(news.ref);
     if (found === undefined) return;
     const { live, task } = found;
+    if (task.state !== "placed" && task.state !== "unsure") return;
     if (news.kind === "stalled") {
       task.avoid.add(task.server);
       logTask("task moves: no progress", task);
-      askStop(task);
+      stopRun(task);
       return;
     }
     workers.get(task.session ?? -1)?.runs.delete(keyOfTask(task.ref));
@@ -479,271 +442,14 @@
     });
   }
 
-  // --- Sides ---
-
-  function sessionSent(
-    session: SessionId,
-    frame: WorkFrame,
-    now: number,
-  ): void {
-    const worker = workers.get(session);
-    if (worker === undefined) return;
-    const isFirst = worker.side === "";
-    hear(worker, frame, now);
-    if (isFirst) meetSide(worker);
-    if ("server" in frame) logServer(worker);
-    for (const news of frame.news) takeNews(news, now);
-    for (const news of frame.news) {
-      const isFull = news.kind === "refused" && !("server" in frame);
-      if (isFull) worker.pausedUntil = now + REFUSED_PAUSE_MS;
-    }
-    mayPlace = true;
-  }
-
-  /** A side has opened a stream; an older one of the same side is over. */
-  function meetSide(worker: Worker): void {
-    log({ message: "side joined", side: worker.side });
-    for (const other of workers.values()) {
-      const isOlder = other.side === worker.side && other !== worker;
-      if (isOlder) closeWorker(other, "newer stream", worker.heardAt);
-    }
-  }
-
-  const lastServers = new Map<SessionId, string>();
-
-  /** One line when a belief about a server changes in kind. */
-  function logServer(worker: Worker): void {
-    const { report, session, side } = worker;
-    const belief = report === undefined
-      ? "none"
-      : `${report.id} ${report.isOpen ? "open" : "closed"}` +
-        (report.isSuspect ? " suspect" : "");
-    if (lastServers.get(session) === belief) return;
-    lastServers.set(session, belief);
-    log({ message: "server changed", side, reason: belief });
-  }
-
-  function closeWorker(worker: Worker, reason: string, now: number): void {
-    workers.delete(worker.session);
-    lastServers.delete(worker.session);
-    toldEntries.delete(worker.session);
-    effects.push({ kind: "close", session: worker.session });
-    log({
-      message: "side lost",
-      side: worker.side,
-      reason,
-      figures: {
-        runs: worker.runs.size,
-        silentMs: Math.round(now - worker.heardAt),
-      },
-    });
-    const open: UnsureRun[] = [...worker.runs.values()].map((claim) => ({
-      claim,
-      overAt: now + RUNS_OVER_MS,
-    }));
-    for (const { claim } of open) markUnsure(claim);
-    if (open.length === 0) return;
-    unsure.set(worker.side, [...(unsure.get(worker.side) ?? []), ...open]);
-  }
-
-  function markUnsure(claim: Claim): void {
-    const { task: ref, run } = claim.ref;
-    const task = byJob.get(ref.job)?.tasks.find((one) =>
-      one.ref.step === ref.step && one.ref.index === ref.index
-    );
-    if (task?.run !== run || task.state !== "placed") return;
-    task.state = "unsure";
-    task.session = undefined;
-    task.isStopping = false;
-  }
-
-  /** Runs of broken streams that are over by now, whatever became of them. */
-  function expireUnsure(now: number): void {
-    for (const [side, open] of unsure) {
-      const left = open.filter((run) => run.overAt > now);
-      for (const { claim, overAt } of open) {
-        if (overAt > now) continue;
-        takeNews({ kind: "lost", ref: claim.ref, reason: "side lost" }, now);
-      }
-      if (left.length === 0) unsure.delete(side);
-      else unsure.set(side, left);
-    }
-  }
-
-  /** The new stream of a side takes over what the old one had. */
-  function takeClaims(worker: Worker): readonly Claim[] {
-    const open = unsure.get(worker.side) ?? [];
-    unsure.delete(worker.side);
-    const claims: Claim[] = [];
-    for (const { claim } of open) {
-      const { task: ref, run } = claim.ref;
-      const live = byJob.get(ref.job);
-      const task = live?.tasks.find((one) =>
-        one.ref.step === ref.step && one.ref.index === ref.index
-      );
-      if (live === undefined || task?.run !== run) continue;
-      if (task.state !== "unsure") continue;
-      task.state = "placed";
-      task.session = worker.session;
-      worker.runs.set(keyOfTask(ref), claim);
-      claims.push(claim);
-      if (live.isAnswered) askStop(task);
-    }
-    return claims;
-  }
-
-  // --- Placing ---
-
-  function place(now: number): void {
-    mayPlace = false;
-    const waiting: LiveJob[] = [];
-    for (const live of jobs.values()) {
-      if (!live.isAnswered && waitingTasks(live).length > 0) waiting.push(live);
-    }
-    if (waiting.length === 0) return;
-    let workAhead = 0;
-    const order = orderJobs(waiting, { now, slowness: soundSlowness });
-    for (const ranked of order) {
-      workAhead += placeJob(ranked, workAhead, now);
-    }
-  }
-
-  /**
-   * Offers what finds room and returns the core-milliseconds that do not. A job
-   * is not begun, and is refused, when its rest is foretold to come too late.
-   */
-  function placeJob(ranked: RankedJob, workAhead: number, now: number): number {
-    const { live } = ranked;
-    const { placements, workLeft } = planJob(ranked, now);
-    if (!live.mayHaveRun && !isInTime(ranked, workAhead + workLeft, now)) {
-      for (const { task, worker } of placements) {
-        release(worker, task.step.resources);
-      }
-      return 0;
-    }
-    for (const { task, worker } of placements) offer(live, task, worker, now);
-    return workLeft;
-  }
-
-  /** Reserves room for the tasks that wait, as far as there is any. */
-  function planJob(ranked: RankedJob, now: number): Plan {
-    const placements: Placement[] = [];
-    let workLeft = 0;
-    for (const task of waitingTasks(ranked.live)) {
-      const worker = chooseFor(ranked, task, now);
-      if (worker === undefined) {
-        workLeft += workOf(task);
-        continue;
-      }
-      reserve(worker, task.step.resources);
-      placements.push({ task, worker });
-    }
-    return { placements, workLeft };
-  }
-
-  /** Refuses a job whose tasks are foretold to find room too late. */
-  function isInTime(ranked: RankedJob, work: number, now: number): boolean {
-    const { live } = ranked;
-    // What is known of the fleet then says little about its room.
-    if (isStarting(now) || !hasOpenServer()) return true;
-    const waitMs = foretellWaitMs({ work, rate: roomRate() }, LONGEST_WAIT_MS);
-    const slackMs = ranked.latestStart - now;
-    if (waitMs <= slackMs) return true;
-    log({
-      message: "wait foretold",
-      job: live.job.id,
-      queue: live.queue.name,
-      figures: {
-        waitMs: Math.round(waitMs),
-        slackMs: Math.round(slackMs),
-        work: Math.round(work),
-      },
-    });
-    refuse(live, "overload", waitMs - slackMs, now);
-    return false;
-  }
-
-  /** Core-milliseconds a millisecond that this entry can count on. */
-  function roomRate(): number {
-    let cpu = 0;
-    for (const { report } of workers.values()) {
-      if (report?.isOpen && !report.isSuspect) cpu += report.capacity.cpu;
-    }
-    return cpu / 1000 / Math.max(1, entries?.length ?? 1);
-  }
-
-  function chooseFor(
-    ranked: RankedJob,
-    task: LiveTask,
-    now: number,
-  ): Worker | undefined {
-    const { live } = ranked;
-    const afterMs = live.chainMs[task.ref.step]! - task.step.estimateMs;
-    const need = {
-      endBy: isLate(ranked) ? undefined : live.dueAt - afterMs * soundSlowness,
-      step: task.step,
-      service: live.queue.service,
-      now,
-      avoid: task.avoid,
-      mayUseSuspects: task.failures === 0 && live.queue.attempts > 1,
-      countOnServer: (server: string) =>
-        countOnServer(live, task.ref.step, server),
-      random: options.random,
-    };
-    const place = choosePlace(workers.values(), need);
-    if (place !== undefined || hasUnspoiltPlace(live, task)) return place;
-    return choosePlace(workers.values(), {
-      ...need,
-      avoid: NO_SERVERS,
-      mayUseSuspects: true,
-    });
-  }
-
-  /** True while some server that could run the task is neither avoided nor suspect. */
-  function hasUnspoiltPlace(live: LiveJob, task: LiveTask): boolean {
-    for (const { report } of workers.values()) {
-      if (report?.service !== live.queue.service || !report.isOpen) continue;
-      if (report.isSuspect || task.avoid.has(report.id)) continue;
-      if (couldRun(task.step, report)) return true;
-    }
-    return false;
-  }
-
-  function offer(
-    live: LiveJob,
-    task: LiveTask,
-    worker: Worker,
-    now: number,
-  ): void {
-    const { report } = worker;
-    if (report === undefined) return;
-    task.run += 1;
-    task.state = "placed";
-    task.session = worker.session;
-    task.server = report.id;
-    task.placedAt = now;
-    live.mayHaveRun = true;
-    counts.offers += 1;
-    const offered: Offer = {
-      task: task.ref,
-      run: task.run,
-      payload: live.job.payload,
-      resources: task.step.resources,
-      estimateMs: task.step.estimateMs,
-      server: report.id,
-      born: report.born,
-    };
-    addOffer(worker, offered, now);
-  }
-
   // --- Time ---
 
   function tick(now: number): void {
     startedAt ??= now;
     const wasPaused = now - tickedAt > PAUSE_MS;
     tickedAt = now;
-    if (!wasPaused) loseSilentSides(now);
-    expireUnsure(now);
+    if (!wasPaused) sides.loseSilent(now);
+    sides.expireUnsure(now);
     soundSlowness = learnSoundSlowness();
     for (const live of [...jobs.values()]) {
       if (!live.isAnswered) reviewJob(live, now);
@@ -751,17 +457,6 @@
     mayPlace = true;
   }
 
-  function loseSilentSides(now: number): void {
-    for (const worker of [...workers.values()]) {
-      const isBusy = worker.runs.size > 0;
-      const limitMs = isBusy ? SIDE_LOST_MS : IDLE_SIDE_LOST_MS;
-      const since = isBusy
-        ? Math.max(worker.heardAt, worker.busySince)
-        : worker.heardAt;
-      if (now - since > limitMs) closeWorker(worker, "silent", now);
-    }
-  }
-
   /** Run time over declared time on servers that are not among the slow ones. */
   function learnSoundSlowness(): number {
     const values: number[] = [];
@@ -781,88 +476,40 @@
     }
     if (live.mayHaveRun) return;
     // Nobody else can do better while all of the fleet starts.
-    if (!hasOpenServer() && isStarting(now)) return;
+    if (!hasOpenServer(workers) && isStarting(now)) return;
     if (now > latestStart(live, soundSlowness)) {
       refuse(live, "overload", LATE_RETRY_MS, now);
     }
   }
 
-  // --- Output ---
-
-  function flush(now: number): void {
-    for (const worker of workers.values()) {
-      if (worker.side === "") continue;
-      const told = toldEntries.get(worker.session) ?? 0;
-      const hasNews = told !== entriesVersion && entries !== undefined;
-      const quietMs = now - worker.sentAt;
-      const heartbeatMs = worker.runs.size > 0
-        ? HEARTBEAT_MS
-        : IDLE_HEARTBEAT_MS;
-      const isDue = worker.offers.length > 0 || worker.stops.length > 0 ||
-        hasNews || !worker.isIntroduced || quietMs >= heartbeatMs;
-      if (!isDue) continue;
-      toldEntries.set(worker.session, entriesVersion);
-      const claims = worker.isIntroduced ? [] : takeClaims(worker);
-      const frame = takeFrame(worker, {
-        entry: options.entry,
-        entries: hasNews ? entries : undefined,
-        claims,
-      }, now);
-      effects.push({ kind: "send", session: worker.session, frame });
-    }
-  }
-
   return {
     submit,
     abandon,
-    sessionOpened(session, now) {
-      workers.set(session, createWorker(session, now));
-    },
-    sessionSent,
-    sessionClosed(session, now) {
-      const worker = workers.get(session);
-      if (worker !== undefined) closeWorker(worker, "stream closed", now);
-    },
-    setEntries(addresses) {
-      entries = addresses;
-      entriesVersion += 1;
+    sessionOpened: sides.opened,
+    sessionSent(session, frame, now) {
+      sides.received(session, frame, now);
+      mayPlace = true;
     },
+    sessionClosed: sides.closed,
+    setEntries: sides.setEntries,
     stopBy(time) {
       stopsAt = time;
     },
     tick,
     takeEffects(now) {
       resumeSuccessors(now);
-      if (mayPlace) place(now);
-      flush(now);
+      if (mayPlace) placeAll(now);
+      sides.flush(now);
       const taken = effects;
       effects = [];
       return taken;
     },
-    hasOpenServer,
+    hasOpenServer: () => hasOpenServer(workers),
     liveJobs: () => jobs.size,
-    counts: () => ({ ...counts }),
+    counts: () => ({ ...counts, offers: placer.offers() }),
   };
 }
 
-const NO_SERVERS: ReadonlySet<string> = new Set();
-
-interface Placement {
-  readonly task: LiveTask;
-  readonly worker: Worker;
-}
-
-interface Plan {
-  readonly placements: readonly Placement[];
-  /** Core-milliseconds for which there is no room. */
-  readonly workLeft: number;
-}
-
-interface UnsureRun {
-  readonly claim: Claim;
-  readonly overAt: number;
-}
-
 /** Part of the servers that count as at least as fast as a sound one. */
 const SOUND_QUANTILE = 0.3;
 
--- a/packages/dispatch/src/live_job.ts
+++ b/packages/dispatch/src/live_job.ts
@@ -131,3 +131,19 @@
   }
   return count;
 }
+
+/** A task and the job it belongs to. */
+export interface FoundTask {
+  readonly live: LiveJob;
+  readonly task: LiveTask;
+}
+
+/** Asks the side to stop the task's run, once. */
+export function askStop(
+  task: LiveTask,
+  worker: { readonly stops: RunRef[] } | undefined,
+): void {
+  if (task.isStopping || worker === undefined) return;
+  task.isStopping = true;
+  worker.stops.push(refOf(task));
+}
--- a/packages/dispatch/src/workers.ts
+++ b/packages/dispatch/src/workers.ts
@@ -135,3 +135,12 @@
   worker.sentAt = now;
   return frame;
 }
+
+export function hasOpenServer(
+  workers: ReadonlyMap<SessionId, Worker>,
+): boolean {
+  for (const { report } of workers.values()) {
+    if (report?.isOpen) return true;
+  }
+  return false;
+}
