--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -112,7 +112,7 @@
 
   return {
     announced(announcement) {
-      core.announced(announcement, steadyNow());
+      core.announced(announcement);
       loop.poke();
     },
     left(id) {
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -382,7 +382,7 @@
         sequence,
       };
       if (!canRun(node)) return;
-      node.core.announced(announcement, clock.now());
+      node.core.announced(announcement);
       poke();
       // The announcement is acknowledged at once.
       if (isDraining && server.drainedFrom === Infinity) {
--- /dev/null
+++ b/packages/worker/src/claims.ts
@@ -0,0 +1,54 @@
+/**
+ * Claims of entries to runs from before their stream broke, and the news that
+ * such runs had meanwhile.
+ */
+import {
+  type Claim,
+  keyOfTask,
+  type RunNews,
+  type RunRef,
+} from "@coltsfootreach/run";
+import type { OwnerId } from "./effect.ts";
+
+/** Ended runs whose outcome a claim can still learn. */
+const MAX_REMEMBERED_ENDS = 500;
+
+export interface WaitingClaim {
+  readonly owner: OwnerId;
+  readonly claim: Claim;
+}
+
+export interface Claims {
+  /** Keeps a claim until it is known what runs. */
+  wait(waiting: WaitingClaim): void;
+  takeWaiting(): readonly WaitingClaim[];
+  /** Keeps news of a run without an owner. */
+  remember(news: RunNews): void;
+  recall(ref: RunRef): RunNews | undefined;
+}
+
+export function createClaims(): Claims {
+  let waiting: WaitingClaim[] = [];
+  /** Oldest first. */
+  const unclaimed: RunNews[] = [];
+  return {
+    wait(one) {
+      waiting.push(one);
+    },
+    takeWaiting() {
+      const taken = waiting;
+      waiting = [];
+      return taken;
+    },
+    remember(news) {
+      unclaimed.push(news);
+      if (unclaimed.length > MAX_REMEMBERED_ENDS) unclaimed.shift();
+    },
+    recall: (ref) => unclaimed.find((news) => isSameRun(news.ref, ref)),
+  };
+}
+
+function isSameRun(left: RunRef, right: RunRef): boolean {
+  return left.run === right.run &&
+    keyOfTask(left.task) === keyOfTask(right.task);
+}
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -8,7 +8,6 @@
   type Claim,
   type DispatchFrame,
   fits,
-  keyOfTask,
   NO_RESOURCES,
   type Offer,
   type RefusalReason,
@@ -20,7 +19,9 @@
   subtract,
 } from "@coltsfootreach/run";
 import type { ListOrder, ListReply, StartReply, StopReply } from "./calls.ts";
+import { createClaims } from "./claims.ts";
 import type { OwnerId, WorkerDecision, WorkerEffect } from "./effect.ts";
+import { createLists, type PendingList, serverClock } from "./lists.ts";
 import { createOwners } from "./owners.ts";
 import { createRuns, type Run } from "./runs.ts";
 import { adopt, type CurrentLife, isSameLife, lifeOf } from "./server_life.ts";
@@ -52,38 +53,11 @@
 /** Time for entries to claim runs that a new side process has found. */
 const FOUND_CLAIM_MS = 200;
 
-/** Ended runs whose outcome a claim can still learn. */
-const MAX_REMEMBERED_ENDS = 500;
-
 /** A gap between ticks after which input may be waiting unread. */
 const PAUSE_MS = 400;
 
-/** Longest wait of a list for an end; also how often leases are renewed. */
-const LIST_WAIT_MS = 80;
-
-/**
- * The same after a list got no answer: until the next one answers, no end is
- * heard of, so lists that may be lost are kept short.
- */
-const LOSSY_LIST_WAIT_MS = 20;
-
-/** Time after a lost answer for which more are expected to be lost. */
-const LOSSY_MS = 3000;
-
-/** The same while a run is being stopped, whose end may never be listed. */
-const STOPPING_LIST_WAIT_MS = 40;
-
-/** Time before a list is sent again that was refused. */
-const LIST_RETRY_MS = 50;
-
 const STOP_RETRY_MS = 150;
 
-/** The server's clock may run this much slower than the side's. */
-const CLOCK_SLACK = 1.03;
-
-/** Allows for the time that orders take to the server. */
-const LEASE_MARGIN_MS = 60;
-
 /** Without an answer for this long the server gets no new runs. */
 const UNREACHABLE_MS = 400;
 
@@ -101,7 +75,7 @@
 }
 
 export interface WorkerCore {
-  announced(announcement: Announcement, now: number): void;
+  announced(announcement: Announcement): void;
   left(id: string, now: number): void;
   ownerOpened(owner: OwnerId, now: number): void;
   ownerSent(owner: OwnerId, frame: DispatchFrame, now: number): void;
@@ -129,20 +103,6 @@
   readonly lost: number;
 }
 
-/** The list that is on its way. */
-interface PendingList {
-  readonly number: number;
-  readonly isProbe: boolean;
-  readonly sentAt: number;
-  /** When the lease it renews has run out for certain. */
-  readonly leaseOverAt: number;
-}
-
-interface WaitingClaim {
-  readonly owner: OwnerId;
-  readonly claim: Claim;
-}
-
 export function createWorkerCore(options: WorkerOptions): WorkerCore {
   const owners = createOwners({
     side: options.side,
@@ -152,6 +112,8 @@
     idleHeartbeatMs: IDLE_HEARTBEAT_MS,
   });
   const runs = createRuns();
+  const lists = createLists(options.maxLeaseMs);
+  const claims = createClaims();
   const slowness = createSlowness();
   const suspicion = createSuspicion();
   const counts = {
@@ -166,18 +128,9 @@
   let effects: WorkerEffect[] = [];
   let current: CurrentLife | undefined;
   let candidate: Announcement | undefined;
-  let pendingList: PendingList | undefined;
-  let listNumber = 0;
-  let nextListAt = 0;
-  let leaseOverAt = 0;
-  let lossyUntil = 0;
-  let absences = 0;
   let isClosed = false;
   let tickedAt = 0;
   let report: ServerReport | undefined;
-  let waitingClaims: WaitingClaim[] = [];
-  /** News of runs without an owner, oldest first. */
-  const unclaimedNews: RunNews[] = [];
 
   function log(decision: WorkerDecision): void {
     const server = current?.life.id;
@@ -196,14 +149,14 @@
 
   // --- The server's life ---
 
-  function announced(announcement: Announcement, now: number): void {
+  function announced(announcement: Announcement): void {
     const life = lifeOf(announcement);
     if (current !== undefined && isSameLife(current.life, life)) {
       updateAnnouncement(current, announcement);
       return;
     }
     candidate = announcement;
-    if (pendingList === undefined) sendProbe(announcement, now);
+    if (!lists.isPending()) sendProbe(announcement);
   }
 
   function updateAnnouncement(life: CurrentLife, next: Announcement): void {
@@ -228,30 +181,13 @@
     if (current === undefined) return;
     for (const run of runs.all()) lose(run, reason, now);
     current = undefined;
-    pendingList = undefined;
+    lists.forget();
     slowness.reset();
     suspicion.reset();
   }
 
-  /** Looks whether the announced life answers, and what its clock shows. */
-  function sendProbe(announcement: Announcement, now: number): void {
-    listNumber += 1;
-    pendingList = {
-      number: listNumber,
-      isProbe: true,
-      sentAt: now,
-      leaseOverAt: 0,
-    };
-    effects.push({
-      kind: "list",
-      order: {
-        number: listNumber,
-        server: lifeOf(announcement),
-        fencingToken: 0,
-        observed: 0,
-        waitMs: 0,
-      },
-    });
+  function sendProbe(announcement: Announcement): void {
+    effects.push({ kind: "list", order: lists.probe(announcement) });
   }
 
   function probeReplied(reply: ListReply, now: number): void {
@@ -268,7 +204,6 @@
     candidate = undefined;
     endLife("server replaced", now);
     current = adopt(announcement, reply.clockMs, now);
-    nextListAt = now;
     log({
       message: "server joined",
       figures: { born: announcement.born, fence: current.fencingToken },
@@ -278,56 +213,21 @@
 
   // --- Lists and leases ---
 
-  function serverClock(life: CurrentLife, now: number): number {
-    return Math.floor(now + life.clockOffsetMs);
-  }
-
   function sendList(now: number): void {
-    if (current === undefined || pendingList !== undefined) return;
-    const hasRuns = runs.count() > 0;
-    const isStopping = runs.all().some((run) => run.state === "stopping");
-    const waitMs = now < lossyUntil
-      ? LOSSY_LIST_WAIT_MS
-      : isStopping
-      ? STOPPING_LIST_WAIT_MS
-      : LIST_WAIT_MS;
-    const until = serverClock(current, now) + options.maxLeaseMs;
-    listNumber += 1;
-    pendingList = {
-      number: listNumber,
-      isProbe: false,
-      sentAt: now,
-      leaseOverAt: hasRuns ? leaseEnd(now) : 0,
+    if (current === undefined || lists.isPending()) return;
+    const need = {
+      hasRuns: runs.count() > 0,
+      isStopping: runs.all().some((run) => run.state === "stopping"),
     };
-    effects.push({
-      kind: "list",
-      order: {
-        number: listNumber,
-        server: current.life,
-        fencingToken: current.fencingToken,
-        observed: current.observed,
-        untilMs: hasRuns ? until : undefined,
-        waitMs: hasRuns ? waitMs : 0,
-      },
-    });
-  }
-
-  function leaseEnd(now: number): number {
-    return now + options.maxLeaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
+    effects.push({ kind: "list", order: lists.next(current, need, now) });
   }
 
   function listReplied(order: ListOrder, reply: ListReply, now: number): void {
-    const pending = pendingList;
-    // Lists of a life that is over are of no interest.
-    if (pending?.number !== order.number) return;
-    pendingList = undefined;
-    // A renewal may have taken effect whatever became of its answer.
-    leaseOverAt = Math.max(leaseOverAt, pending.leaseOverAt);
+    const pending = lists.answered(order, now);
+    if (pending === undefined) return;
     if (pending.isProbe) probeReplied(reply, now);
     else if (current !== undefined) takeReply(current, reply, pending, now);
-    if (candidate !== undefined && pendingList === undefined) {
-      sendProbe(candidate, now);
-    }
+    if (candidate !== undefined && !lists.isPending()) sendProbe(candidate);
   }
 
   function takeReply(
@@ -336,8 +236,7 @@
     pending: PendingList,
     now: number,
   ): void {
-    nextListAt = now + LIST_RETRY_MS;
-    if (reply.kind !== "absent") absences = 0;
+    if (reply.kind !== "absent") lists.noteHeard();
     switch (reply.kind) {
       case "listed":
         if (reply.born === life.life.born) takeList(life, reply, pending, now);
@@ -355,12 +254,10 @@
         restartLife(reply.kind, now);
         return;
       case "absent":
-        absences += 1;
-        // One refused connection may be a full queue of new ones.
-        if (absences >= 2) restartLife(reply.kind, now);
+        if (lists.noteAbsent()) restartLife(reply.kind, now);
         return;
       case "unanswered":
-        lossyUntil = now + LOSSY_MS;
+        lists.noteLost(now);
         if (runs.count() > 0) sendList(now);
         return;
     }
@@ -368,7 +265,6 @@
 
   function restartLife(reason: string, now: number): void {
     log({ message: "server is gone", reason });
-    absences = 0;
     endLife(reason, now);
   }
 
@@ -411,7 +307,7 @@
       state: "running",
       isBarred: false,
       orderedAt: now,
-      shownAfter: listNumber,
+      shownAfter: lists.latest(),
       startedAt: now,
       percent: 0,
       progressAt: now,
@@ -419,7 +315,7 @@
     };
     runs.add(run);
     // Whoever started it may just have renewed its lease.
-    leaseOverAt = Math.max(leaseOverAt, leaseEnd(now));
+    lists.extendLease(now);
     logRun("run found", run);
     return run;
   }
@@ -479,9 +375,7 @@
   /** Tells the owner, or keeps the news for one that comes back. */
   function settle(run: Run, news: RunNews): void {
     tell(run.owner, news);
-    if (run.owner !== undefined) return;
-    unclaimedNews.push(news);
-    if (unclaimedNews.length > MAX_REMEMBERED_ENDS) unclaimedNews.shift();
+    if (run.owner === undefined) claims.remember(news);
   }
 
   function refuse(owner: OwnerId, offer: Offer, reason: RefusalReason): void {
@@ -521,7 +415,7 @@
     runs.add(run);
     if (suspicion.isSuspect()) suspicion.tried(now);
     const untilMs = serverClock(current, now) + options.maxLeaseMs;
-    leaseOverAt = Math.max(leaseOverAt, leaseEnd(now));
+    lists.extendLease(now);
     effects.push({
       kind: "start",
       order: {
@@ -563,7 +457,7 @@
       case "started":
         confirmStart(run, now);
         current.answeredAt = now;
-        if (pendingList === undefined) sendList(now);
+        sendList(now);
         return;
       case "refused":
         startRefused(run, reply.reason, now);
@@ -576,7 +470,7 @@
 
   function confirmStart(run: Run, now: number): void {
     counts.started += 1;
-    run.shownAfter = listNumber;
+    run.shownAfter = lists.latest();
     if (run.state !== "starting") return;
     run.state = "running";
     run.startedAt = now;
@@ -591,7 +485,6 @@
     runs.remove(run);
     logRun("start refused", run, reason);
     if (reason === "unhealthy") suspicion.failed(now);
-    if (reason === "fence") nextListAt = now;
     counts.refused += 1;
     tell(run.owner, {
       kind: "refused",
@@ -623,8 +516,8 @@
     const run = runs.find(ref);
     if (run === undefined || !reply.isBarred) return;
     run.isBarred = true;
-    run.shownAfter = listNumber;
-    if (pendingList === undefined) sendList(now);
+    run.shownAfter = lists.latest();
+    sendList(now);
   }
 
   // --- Owners ---
@@ -641,13 +534,11 @@
   /** What runs here is known from the first list on. */
   function takeClaim(owner: OwnerId, claim: Claim, now: number): void {
     if (current?.isListed) answerClaim(owner, claim, now);
-    else waitingClaims.push({ owner, claim });
+    else claims.wait({ owner, claim });
   }
 
   function answerWaitingClaims(now: number): void {
-    const waiting = waitingClaims;
-    waitingClaims = [];
-    for (const { owner, claim } of waiting) {
+    for (const { owner, claim } of claims.takeWaiting()) {
       if (owners.has(owner)) answerClaim(owner, claim, now);
     }
   }
@@ -663,7 +554,7 @@
       run.progressAt = now;
       return;
     }
-    const known = unclaimedNews.find((news) => isSameRun(news.ref, claim.ref));
+    const known = claims.recall(claim.ref);
     tell(owner, known ?? { kind: "lost", ref: claim.ref, reason: "not here" });
   }
 
@@ -717,12 +608,9 @@
     if (!wasPaused) dropSilentOwners(now);
     stopUnclaimed(now);
     if (current === undefined) return;
-    // A renewal on its way may have taken effect already.
-    const overAt = Math.max(leaseOverAt, pendingList?.leaseOverAt ?? 0);
-    if (runs.count() > 0 && now > overAt) expireLease(current, now);
+    if (runs.count() > 0 && lists.isLeaseOver(now)) expireLease(current, now);
     retryStops(current, now);
-    const isListDue = runs.count() > 0 && now >= nextListAt;
-    if (isListDue && pendingList === undefined) sendList(now);
+    if (runs.count() > 0 && lists.isDue(now)) sendList(now);
   }
 
   function busyOwners(): ReadonlySet<OwnerId> {
@@ -806,11 +694,6 @@
   };
 }
 
-function isSameRun(left: RunRef, right: RunRef): boolean {
-  return left.run === right.run &&
-    keyOfTask(left.task) === keyOfTask(right.task);
-}
-
 const REFUSAL_BY_REPLY = {
   fence: "closed",
   old: "superseded",
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -101,7 +101,7 @@
     },
     replyToList,
   };
-  core.announced(ANNOUNCEMENT, 0);
+  core.announced(ANNOUNCEMENT);
   take(0);
   bench.listed(1);
   take(1);
@@ -237,7 +237,7 @@
   it("takes the lease of runs it finds after a restart for just renewed", () => {
     const bench = createBench();
     bench.core.left("server", 3);
-    bench.core.announced({ ...ANNOUNCEMENT, id: "next" }, 4);
+    bench.core.announced({ ...ANNOUNCEMENT, id: "next" });
     bench.take(4);
     bench.replyToList(5, { kind: "fenced", clockMs: 9000 });
     bench.take(5);
@@ -285,7 +285,7 @@
     core.ownerOpened(OWNER, 0);
     core.ownerSent(OWNER, frame(1, { claims: [claim] }), 1);
     core.ownerClosed(OWNER, 2);
-    core.announced(ANNOUNCEMENT, 3);
+    core.announced(ANNOUNCEMENT);
     take(3);
     core.listReplied(orders.at(-1)!, { kind: "fenced", clockMs: 900 }, 4);
     take(4);
@@ -325,7 +325,7 @@
   it("starts nothing on a server that drains or that answers as another life", () => {
     const bench = createBench();
     const draining = { ...ANNOUNCEMENT, isDraining: true, sequence: 2 };
-    bench.core.announced(draining, 10);
+    bench.core.announced(draining);
     bench.offer(0, 11);
     expect(bench.news(11)).to.deep.include({
       kind: "refused",
@@ -334,7 +334,7 @@
       highestRun: 0,
     });
     const back = { ...ANNOUNCEMENT, sequence: 3 };
-    bench.core.announced(back, 20);
+    bench.core.announced(back);
     bench.offer(1, 21, { born: 78 });
     const [news] = bench.news(21);
     expect(news).to.include({ kind: "refused", reason: "otherServer" });
@@ -342,11 +342,8 @@
 
   it("ignores an announcement that is older than the last one", () => {
     const bench = createBench();
-    bench.core.announced(
-      { ...ANNOUNCEMENT, isDraining: true, sequence: 5 },
-      10,
-    );
-    bench.core.announced({ ...ANNOUNCEMENT, sequence: 4 }, 11);
+    bench.core.announced({ ...ANNOUNCEMENT, isDraining: true, sequence: 5 });
+    bench.core.announced({ ...ANNOUNCEMENT, sequence: 4 });
     bench.offer(0, 12);
     const [news] = bench.news(12);
     expect(news).to.include({ kind: "refused", reason: "closed" });
