--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -93,7 +93,21 @@
   drainServer(leaveMs: number): void;
 }
 
+/** Messages that were sent, by kind. */
+export interface Traffic {
+  /** Frames from entries that carry offers or stops... */
+  entryWork: number;
+  /** ...and those that carry nothing. */
+  entryHeartbeats: number;
+  /** Frames from sides with news of runs, with only a report, or with neither. */
+  sideNews: number;
+  sideReports: number;
+  sideHeartbeats: number;
+  lists: number;
+}
+
 export interface Fleet {
+  readonly traffic: Readonly<Traffic>;
   readonly entries: readonly SimulatedEntry[];
   readonly sides: readonly SimulatedSide[];
   /** The way between an entry and a side, by direction. */
@@ -133,6 +147,14 @@
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, random, checker } = options;
   const ways = new Map<string, Way>();
+  const traffic: Traffic = {
+    entryWork: 0,
+    entryHeartbeats: 0,
+    sideNews: 0,
+    sideReports: 0,
+    sideHeartbeats: 0,
+    lists: 0,
+  };
   let lastId = 0;
 
   function way(entry: number, side: number, toSide: boolean): Way {
@@ -266,6 +288,7 @@
 
     function perform(effect: DispatchEffect): void {
       if (effect.kind === "send") {
+        countEntryFrame(effect.frame);
         sessions.get(effect.session)?.toSide.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = sessions.get(effect.session);
@@ -396,6 +419,7 @@
 
     function perform(effect: WorkerEffect): void {
       if (effect.kind === "send") {
+        countSideFrame(effect.frame);
         owners.get(effect.owner)?.toEntry.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = owners.get(effect.owner);
@@ -415,6 +439,7 @@
             node.core.stopReplied(order.ref, reply, clock.now()),
         });
       } else if (effect.kind === "list") {
+        traffic.lists += 1;
         callList(effect);
       } else {
         options.trace(`side ${index} ${JSON.stringify(effect.decision)}`);
@@ -494,6 +519,18 @@
     return node;
   }
 
+  function countEntryFrame(frame: DispatchFrame): void {
+    const isWork = frame.offers.length > 0 || frame.stops.length > 0;
+    if (isWork) traffic.entryWork += 1;
+    else traffic.entryHeartbeats += 1;
+  }
+
+  function countSideFrame(frame: WorkFrame): void {
+    if (frame.news.length > 0) traffic.sideNews += 1;
+    else if ("server" in frame) traffic.sideReports += 1;
+    else traffic.sideHeartbeats += 1;
+  }
+
   // --- Streams ---
 
   function dial(entry: number, side: number): void {
@@ -571,6 +608,7 @@
   }
 
   return {
+    traffic,
     entries,
     sides,
     way,
--- a/packages/simulate/src/main.ts
+++ b/packages/simulate/src/main.ts
@@ -44,7 +44,29 @@
   if (failed > 0) process.exitCode = 1;
 }
 
+/** Fleets whose messages are counted: today's, and a grown one. */
+const COUNTED_FLEETS = [
+  { entries: 3, sides: 11, jobsPerSecond: 100 },
+  { entries: 14, sides: 75, jobsPerSecond: 590 },
+];
+
+/** Prints the messages for each start of a task, without faults. */
+function countMessages(): void {
+  for (const fleet of COUNTED_FLEETS) {
+    const result = play({ ...fleet, seed: 3, seconds: 6, failShare: 0 });
+    const { starts, jobs } = result.counts;
+    const perStart = Object.entries(result.traffic).map(([kind, count]) =>
+      `${kind} ${(count / starts).toFixed(2)}`
+    );
+    const inTime = `${result.inTime} of ${jobs} jobs in time`;
+    const size = `${fleet.entries} entries, ${fleet.sides} sides`;
+    process.stdout.write(`${size}: ${inTime}; ${perStart.join(", ")}\n`);
+  }
+}
+
 const cli = cac("simulate");
+cli.command("messages", "Counts messages for each start of a task")
+  .action(countMessages);
 cli.command("", "Plays fleets on a simulated clock")
   .option("--seed <n>", "Plays one seed and prints all of it")
   .option("--trace <text>", "Prints what holds the text")
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -4,7 +4,7 @@
 import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
 import { createClock } from "./clock.ts";
 import { playFaults } from "./faults.ts";
-import { createFleet } from "./fleet.ts";
+import { createFleet, type Traffic } from "./fleet.ts";
 import { createRandom } from "./random.ts";
 import type { TaskTruth } from "./server_standin.ts";
 
@@ -30,6 +30,7 @@
   /** Jobs that an entry still holds long after the last caller has left. */
   readonly stuck: number;
   readonly faults: readonly string[];
+  readonly traffic: Readonly<Traffic>;
 }
 
 /** After the last hand-in, time for everything to end. */
@@ -104,5 +105,6 @@
     inTime: callers.inTime(),
     stuck,
     faults,
+    traffic: fleet.traffic,
   };
 }
