Close callers' connections before an entry stops its loop

After the last job had ended the loop stopped while open connections still brought requests, and the process ended 400 ms later. Ruled out: the grace time (closed 5.2 s after SIGTERM of 6).

--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -34,9 +34,6 @@
 /** The balancer looks once a second and wants to see two misses. */
 const UNREADY_MS = 2500;
 
-/** Time between looks whether the last job has ended, while stopping. */
-const DRAIN_LOOK_MS = 50;
-
 export interface EntryOptions {
   readonly name: string;
   /** Where to listen for sides, as `IP:port`. */
@@ -54,6 +51,15 @@
   abandon(): void;
 }
 
+/** The connections on which callers hand jobs in. */
+export interface CallerConnections {
+  /**
+   * Takes no new connections, closes idle ones, and waits until the others have
+   * got their answers, at most so long.
+   */
+  close(longestMs: number): Promise<void>;
+}
+
 export interface EntryProcess {
   table(): QueueTable | undefined;
   submit(queue: Queue, job: Job): PendingAnswer;
@@ -63,8 +69,8 @@
   isStopping(): boolean;
   /** Counters and response times, as text for a collector. */
   metricsText(): string;
-  /** Ends the jobs it holds, for at most so long, and leaves. */
-  stop(graceMs: number): Promise<void>;
+  /** Serves callers until their connections are closed, and leaves. */
+  stop(graceMs: number, callers: CallerConnections): Promise<void>;
 }
 
 export async function startEntry(
@@ -184,13 +190,6 @@
     };
   }
 
-  async function drain(graceMs: number): Promise<void> {
-    const deadline = steadyNow() + graceMs;
-    while (dispatcher.liveJobs() > 0 && steadyNow() < deadline) {
-      await pause(DRAIN_LOOK_MS);
-    }
-  }
-
   function pause(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
   }
@@ -203,13 +202,14 @@
       dispatcher.hasOpenServer(),
     isStopping: () => isStopping,
     metricsText: metrics.text,
-    async stop(graceMs) {
+    async stop(graceMs, callers) {
       isStopping = true;
       dispatcher.stopBy(steadyNow() + graceMs);
       // Callers keep coming on open connections until the balancer has seen
       // that this entry is not ready.
-      await pause(Math.min(graceMs, UNREADY_MS));
-      await drain(graceMs - UNREADY_MS);
+      const unreadyMs = Math.min(graceMs, UNREADY_MS);
+      await pause(unreadyMs);
+      await callers.close(graceMs - unreadyMs);
       await membership.leave();
       configuration.stop();
       loop.stop();
--- /dev/null
+++ b/packages/runtime/src/entry_process_test.ts
@@ -0,0 +1,69 @@
+import { createLog } from "@coltsfootreach/log";
+import type { Job, Queue, QueueTable } from "@coltsfootreach/run";
+import { createMemoryStore, SYSTEM_CLOCK } from "@coltsfootreach/standin";
+import { expect } from "chai";
+import { ok } from "neverthrow";
+import { startEntry } from "./entry_process.ts";
+
+const TABLE: QueueTable = { version: 1, queues: [], maxBodyBytes: 1000 };
+
+const QUEUE: Queue = {
+  name: "short",
+  hostname: "jobs.example",
+  prefix: "/short/",
+  service: "pool",
+  priority: 0,
+  attempts: 2,
+  slackFactor: 1.6,
+  extraMs: 60,
+  timeoutMs: 1500,
+  needsAdvice: false,
+};
+
+const JOB: Job = {
+  id: "5c0e7a21d94b36f8",
+  payload: "p",
+  timeoutMs: 200,
+  steps: [{
+    count: 1,
+    resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
+    estimateMs: 10,
+    after: [],
+    rack: "",
+    requiredLabel: "",
+    maxPerServer: 0,
+    isGang: false,
+  }],
+};
+
+/** Beyond the time in which the balancer notices that an entry stops. */
+const GRACE_MS = 3000;
+
+describe("an entry that stops", () => {
+  it("answers what comes on open connections until they are closed", async () => {
+    const log = createLog({
+      role: "entry",
+      name: "test",
+      incarnation: "1",
+      level: "error",
+      write() {},
+    });
+    const started = await startEntry({
+      name: "test",
+      listen: "127.0.0.1:0",
+      store: createMemoryStore(SYSTEM_CLOCK),
+      document: { key: "configuration", decode: () => ok(TABLE) },
+      log,
+    });
+    const entry = started._unsafeUnwrap();
+    let answer: unknown = "none";
+    await entry.stop(GRACE_MS, {
+      async close() {
+        const pending = entry.submit(QUEUE, JOB);
+        const late = new Promise((resolve) => setTimeout(resolve, 500, "none"));
+        answer = await Promise.race([pending.answer, late]);
+      },
+    });
+    expect(answer).to.deep.include({ kind: "refused", reason: "overload" });
+  });
+});
