Spread tasks over servers of like speed, and pace reports by the number of entries

Ruled out: lack of room. Expected times within half of each other now count as equal, a full server as slower, and a side sends at most 50 reports a second in all.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -8,8 +8,14 @@
 /** A task of a step whose data lies on another rack takes this much longer. */
 export const REMOTE_FACTOR = 1.5;
 
-/** Expected times within this share of each other count as equal. */
-const EQUAL_SHARE = 0.15;
+/**
+ * Expected times within this share of each other count as equal. Entries that
+ * share servers and all took the very fastest would fill it at the same moment.
+ */
+const EQUAL_SHARE = 0.5;
+
+/** A full server counts as slower by this share than an empty one. */
+const LOAD_SHARE = 0.5;
 
 export interface PlacementNeed {
   readonly step: Step;
@@ -45,7 +51,8 @@
     if (!isCandidate(worker, need)) continue;
     const endsInMs = expectedMs(need.step, worker);
     if (need.endBy !== undefined && need.now + endsInMs > need.endBy) continue;
-    const spread = 1 + EQUAL_SHARE * need.random();
+    const spread = 1 + EQUAL_SHARE * need.random() +
+      LOAD_SHARE * usedShare(worker);
     const cost = endsInMs * spread;
     if (cost >= bestCost) continue;
     best = worker;
@@ -54,6 +61,12 @@
   return best;
 }
 
+/** Part of the server's cores that are taken, from 0 to 1. */
+function usedShare({ report, room }: Worker): number {
+  if (report === undefined || room === undefined) return 1;
+  return 1 - room.cpu / Math.max(1, report.capacity.cpu);
+}
+
 function isCandidate(worker: Worker, need: PlacementNeed): boolean {
   const { report, room } = worker;
   if (report === undefined || room === undefined) return false;
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -52,6 +52,9 @@
 /** An order that got no answer may be carried out this much later. */
 const LATEST_ORDER_MS = 8000;
 
+/** Run time over work, by server: one in four is old. */
+const SLOWNESS = [1.8, 0.85, 0.85, 0.85];
+
 export interface FleetOptions {
   readonly clock: SimulatedClock;
   readonly random: Random;
@@ -381,7 +384,7 @@
         id: `server-${index}-${lastId}`,
         born: 1_000_000 + clock.now(),
         capacity: options.capacity,
-        slowness: 1,
+        slowness: SLOWNESS[index % SLOWNESS.length]!,
         maxLeaseMs: MAX_LEASE_MS,
         stopMs: STOP_MS,
         truth: options.truth,
--- a/packages/worker/src/owners.ts
+++ b/packages/worker/src/owners.ts
@@ -16,8 +16,10 @@
 export interface OwnerOptions {
   readonly side: string;
   readonly dataCentre: string;
-  /** Least time between reports that carry no news. */
+  /** Least time between reports that carry no news... */
   readonly reportMs: number;
+  /** ...and at least this for each entry, so that many cost no more than few. */
+  readonly reportMsPerOwner: number;
   /** Longest time between frames to an entry that has runs here... */
   readonly heartbeatMs: number;
   /** ...and to one that has none. */
@@ -60,7 +62,11 @@
   ): boolean {
     if (owner.news.length > 0 || !owner.isIntroduced) return true;
     const quietMs = now - owner.sentAt;
-    if (owner.reported !== report && quietMs >= options.reportMs) return true;
+    const reportMs = Math.max(
+      options.reportMs,
+      options.reportMsPerOwner * owners.size,
+    );
+    if (owner.reported !== report && quietMs >= reportMs) return true;
     return quietMs >=
       (owner.hasRuns ? options.heartbeatMs : options.idleHeartbeatMs);
   }
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -31,6 +31,9 @@
 /** Entries are told of changed room at most this often. */
 const REPORT_MS = 50;
 
+/** With many entries, more rarely: at most 50 reports a second in all. */
+const REPORT_MS_PER_ENTRY = 20;
+
 /** Longest time between frames to an entry that has runs here... */
 const HEARTBEAT_MS = 200;
 
@@ -108,6 +111,7 @@
     side: options.side,
     dataCentre: options.dataCentre,
     reportMs: REPORT_MS,
+    reportMsPerOwner: REPORT_MS_PER_ENTRY,
     heartbeatMs: HEARTBEAT_MS,
     idleHeartbeatMs: IDLE_HEARTBEAT_MS,
   });
