--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -18,6 +18,8 @@
   readonly failShare?: number | undefined;
   readonly entries?: number | undefined;
   readonly sides?: number | undefined;
+  /** Run time over work, for each server in turn; all alike without it. */
+  readonly slowness?: readonly number[] | undefined;
   /** Told of every decision, order and fault. */
   trace?(at: number, what: string): void;
 }
@@ -64,6 +66,7 @@
     trace,
     entries: options.entries ?? 3,
     sides: options.sides ?? 6,
+    slowness: options.slowness ?? [1],
     capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
     truth: ({ task }: RunRef) => truths.get(task.job)![task.index]!,
   });
