--- a/packages/runtime/src/entry_process_test.ts
+++ b/packages/runtime/src/entry_process_test.ts
@@ -1,6 +1,6 @@
 import { createLog } from "@coltsfootreach/log";
 import type { Job, Queue, QueueTable } from "@coltsfootreach/run";
-import { createMemoryStore, SYSTEM_CLOCK } from "@coltsfootreach/standin";
+import { createFakeClock, createMemoryStore } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import { ok } from "neverthrow";
 import { startEntry } from "./entry_process.ts";
@@ -51,7 +51,7 @@
     const started = await startEntry({
       name: "test",
       listen: "127.0.0.1:0",
-      store: createMemoryStore(SYSTEM_CLOCK),
+      store: createMemoryStore(createFakeClock()),
       document: { key: "configuration", decode: () => ok(TABLE) },
       log,
     });
