--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -148,19 +148,18 @@
       if (!before.isAnswered) abandonJob(before, now);
       if (byJob.has(job.id)) {
         const waiting = successors.get(job.id);
-        if (waiting !== undefined) refuseUnseen(waiting, "abandoned", 0);
+        if (waiting !== undefined) refuseUnseen(waiting);
         successors.set(job.id, submission);
         return;
       }
     }
     const chain = longestChainMs(job) * soundSlowness;
     const objective = objectiveMs(chain, queue);
-    const timeout = Math.min(job.timeoutMs, queue.timeoutMs * 4);
     const live = createLiveJob(job, queue, {
       submission: id,
       arrivedAt: now,
       dueAt: now + objective,
-      giveUpAt: now + Math.max(0, timeout - ANSWER_MARGIN_MS),
+      giveUpAt: now + Math.max(0, job.timeoutMs - ANSWER_MARGIN_MS),
       chainMs: remainingChainMs(job),
     });
     jobs.set(id, live);
@@ -265,14 +264,11 @@
     endRuns(live);
   }
 
-  /** Answers a submission that never became a live job. */
-  function refuseUnseen(
-    submission: Submission,
-    reason: RefusalReason,
-    retryAfterMs: number,
-  ): void {
+  /** Answers a submission that another one of its job has overtaken. */
+  function refuseUnseen(submission: Submission): void {
     counts.refused += 1;
-    const to: Answer = { kind: "refused", reason, retryAfterMs };
+    const reason = "abandoned";
+    const to: Answer = { kind: "refused", reason, retryAfterMs: 0 };
     effects.push({ kind: "answer", submission: submission.id, answer: to });
     log({
       message: "job answered",
@@ -471,7 +467,7 @@
   function reviewJob(live: LiveJob, now: number): void {
     if (now >= live.giveUpAt) {
       if (live.mayHaveRun) timeOut(live, now);
-      else refuse(live, "overload", 1000, now);
+      else refuse(live, "overload", LATE_RETRY_MS, now);
       return;
     }
     if (live.mayHaveRun) return;
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -20,7 +20,6 @@
   attempts: 2,
   slackFactor: 1.6,
   extraMs: 60,
-  timeoutMs: 1500,
   needsAdvice: false,
 };
 
@@ -227,6 +226,22 @@
     expect(bench.answers.get(1)).to.deep.equal({ kind: "timedOut" });
   });
 
+  it("gives a job all of its caller's time", () => {
+    const bench = createBench();
+    const patient = { ...job("j"), timeoutMs: 60_000 };
+    bench.join(1, "one", report("s1", 1000), START);
+    bench.submit(1, patient, START);
+    for (let now = START; now < START + 59_900; now += 100) {
+      bench.hear(1, {}, now);
+      bench.dispatcher.tick(now);
+    }
+    bench.frames(1, START + 59_900);
+    expect(bench.answers.size).to.equal(0);
+    bench.dispatcher.tick(START + 60_000);
+    bench.frames(1, START + 60_000);
+    expect(bench.answers.get(1)).to.deep.equal({ kind: "timedOut" });
+  });
+
   it("stops the runs of a caller that has left", () => {
     const bench = createBench();
     bench.join(1, "one", report("s1", 4000), START);
--- a/packages/run/src/job.ts
+++ b/packages/run/src/job.ts
@@ -66,6 +66,11 @@
   };
 }
 
+export function areEqual(left: Resources, right: Resources): boolean {
+  return left.cpu === right.cpu && left.memoryMb === right.memoryMb &&
+    left.gpu === right.gpu;
+}
+
 export const NO_RESOURCES: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 
 /** A key for maps; equal for equal tasks. */
--- a/packages/run/src/queue_table.ts
+++ b/packages/run/src/queue_table.ts
@@ -15,7 +15,6 @@
   readonly slackFactor: number;
   /** ...and this much more. */
   readonly extraMs: number;
-  readonly timeoutMs: number;
   /** Backend servers take its tasks only with a permit from a third party. */
   readonly needsAdvice: boolean;
 }
--- a/packages/runtime/src/configuration.ts
+++ b/packages/runtime/src/configuration.ts
@@ -17,7 +17,6 @@
   readonly store: Store;
   readonly document: ConfigurationDocument;
   readonly log: Log;
-  changed(table: QueueTable): void;
 }
 
 export interface Configuration {
@@ -48,7 +47,6 @@
     if (table !== undefined && next.version <= table.version) return;
     table = next;
     log.info("configuration in force", { configurationVersion: next.version });
-    options.changed(next);
   }
 
   async function openWatch(): Promise<void> {
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -156,7 +156,6 @@
     store: options.store,
     document: options.document,
     log,
-    changed() {},
   });
   const membership = joinEntries({
     store: options.store,
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -47,7 +47,6 @@
   attempts: 2,
   slackFactor: 1.6,
   extraMs: 60,
-  timeoutMs: 1500,
   needsAdvice: false,
 };
 
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Announcement,
+  areEqual,
   type Claim,
   type DispatchFrame,
   fits,
@@ -668,7 +669,7 @@
   /** Keeps the object while its content is the same, so that it is sent once. */
   function refreshReport(now: number): void {
     const next = currentReport(now);
-    if (JSON.stringify(next) !== JSON.stringify(report)) report = next;
+    if (!isSameReport(next, report)) report = next;
   }
 
   return {
@@ -698,6 +699,26 @@
   };
 }
 
+function isSameReport(
+  left: ServerReport | undefined,
+  right: ServerReport | undefined,
+): boolean {
+  if (left === undefined || right === undefined) return left === right;
+  return left.id === right.id && left.born === right.born &&
+    left.service === right.service &&
+    areSameLabels(left.labels, right.labels) &&
+    areEqual(left.capacity, right.capacity) &&
+    left.isOpen === right.isOpen && left.isSuspect === right.isSuspect &&
+    left.slowness === right.slowness && areEqual(left.room, right.room);
+}
+
+function areSameLabels(
+  left: readonly string[],
+  right: readonly string[],
+): boolean {
+  return left === right || left.join() === right.join();
+}
+
 const REFUSAL_BY_REPLY = {
   fence: "closed",
   old: "superseded",
