--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -1,62 +1,26 @@
 import type {
   DispatchFrame,
   Job,
-  Queue,
   RunNews,
   ServerReport,
   Step,
   WorkFrame,
 } from "@coltsfootreach/run";
+import { sampleQueue, sampleReport, sampleStep } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import type { Answer } from "./answer.ts";
 import { createDispatcher, type Dispatcher } from "./dispatcher.ts";
 
-const QUEUE: Queue = {
-  name: "short",
-  hostname: "jobs.example",
-  prefix: "/short/",
-  service: "pool",
-  priority: 0,
-  attempts: 2,
-  slackFactor: 1.6,
-  extraMs: 60,
-  needsAdvice: false,
-};
-
 /** Past the time in which servers are still to be found. */
 const START = 10_000;
 
-function step(more: Partial<Step> = {}): Step {
-  return {
-    count: 1,
-    resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
-    estimateMs: 100,
-    after: [],
-    rack: "",
-    requiredLabel: "",
-    maxPerServer: 0,
-    isGang: false,
-    ...more,
-  };
-}
-
-function job(id: string, steps: readonly Step[] = [step()]): Job {
+function job(id: string, steps: readonly Step[] = [sampleStep()]): Job {
   return { id, payload: "p", steps, timeoutMs: 2000 };
 }
 
 function report(id: string, cpu: number): ServerReport {
   const resources = { cpu, memoryMb: 1000, gpu: 0 };
-  return {
-    id,
-    born: 1,
-    service: "pool",
-    capacity: resources,
-    labels: ["a"],
-    room: resources,
-    isOpen: true,
-    slowness: 1,
-    isSuspect: false,
-  };
+  return sampleReport({ id, capacity: resources, room: resources });
 }
 
 interface Bench {
@@ -103,7 +67,7 @@
     },
     submit(id, one, now) {
       dispatcher.submit(
-        { id, job: one, queue: QUEUE, configurationVersion: 1 },
+        { id, job: one, queue: sampleQueue(), configurationVersion: 1 },
         now,
       );
       run(now);
@@ -137,7 +101,7 @@
   it("answers completed once all tasks are done", () => {
     const bench = createBench();
     bench.join(1, "one", report("s1", 4000), START);
-    bench.submit(1, job("j", [step({ count: 2 })]), START);
+    bench.submit(1, job("j", [sampleStep({ count: 2 })]), START);
     expect(offers(bench.frames(1, START))).to.have.length(2);
     bench.hear(1, { news: [ended("j", "done")] }, START + 50);
     expect(bench.answers.size).to.equal(0);
@@ -148,7 +112,11 @@
   it("offers a step once the steps before it are done", () => {
     const bench = createBench();
     bench.join(1, "one", report("s1", 4000), START);
-    bench.submit(1, job("j", [step(), step({ after: [0] })]), START);
+    bench.submit(
+      1,
+      job("j", [sampleStep(), sampleStep({ after: [0] })]),
+      START,
+    );
     const first = offers(bench.frames(1, START));
     expect(first.map((offer) => offer.task.step)).to.deep.equal([0]);
     bench.hear(1, { news: [ended("j", "done")] }, START + 50);
@@ -349,7 +317,7 @@
   it("refuses kinds of jobs that it cannot carry out", () => {
     const bench = createBench();
     bench.join(1, "one", report("s1", 4000), START);
-    bench.submit(1, job("j", [step({ isGang: true })]), START);
+    bench.submit(1, job("j", [sampleStep({ isGang: true })]), START);
     expect(offers(bench.frames(1, START))).to.deep.equal([]);
     expect(bench.answers.get(1)).to.include({
       kind: "refused",
--- a/packages/dispatch/src/order_test.ts
+++ b/packages/dispatch/src/order_test.ts
@@ -1,23 +1,11 @@
-import type { Queue } from "@coltsfootreach/run";
+import { sampleQueue, sampleStep } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import { createLiveJob, type LiveJob } from "./live_job.ts";
 import { orderJobs } from "./order.ts";
 
-const QUEUE = { name: "q" } as Queue;
-
 function live(id: string, dueAt: number, hasBegun = false): LiveJob {
-  const step = {
-    count: 1,
-    resources: { cpu: 1, memoryMb: 1, gpu: 0 },
-    estimateMs: 100,
-    after: [],
-    rack: "",
-    requiredLabel: "",
-    maxPerServer: 0,
-    isGang: false,
-  };
-  const job = { id, payload: "", steps: [step], timeoutMs: 1000 };
-  const created = createLiveJob(job, QUEUE, {
+  const job = { id, payload: "", steps: [sampleStep()], timeoutMs: 1000 };
+  const created = createLiveJob(job, sampleQueue(), {
     submission: 1,
     arrivedAt: 0,
     dueAt,
--- a/packages/dispatch/src/placement_test.ts
+++ b/packages/dispatch/src/placement_test.ts
@@ -1,34 +1,14 @@
-import type { ServerReport, Step } from "@coltsfootreach/run";
+import type { ServerReport } from "@coltsfootreach/run";
+import { sampleReport, sampleStep } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import { choosePlace, type PlacementNeed } from "./placement.ts";
 import { createWorker, hear, type Worker } from "./workers.ts";
 
-const STEP: Step = {
-  count: 1,
-  resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
-  estimateMs: 100,
-  after: [],
-  rack: "",
-  requiredLabel: "",
-  maxPerServer: 0,
-  isGang: false,
-};
+const STEP = sampleStep();
 
 function worker(id: string, more: Partial<ServerReport> = {}): Worker {
-  const resources = { cpu: 4000, memoryMb: 1000, gpu: 0 };
   const created = createWorker(1, 0);
-  const server: ServerReport = {
-    id,
-    born: 1,
-    service: "pool",
-    capacity: resources,
-    labels: [],
-    room: resources,
-    isOpen: true,
-    slowness: 1,
-    isSuspect: false,
-    ...more,
-  };
+  const server = sampleReport({ id, labels: [], ...more });
   hear(created, { kind: "work", seen: 0, news: [], server, side: id }, 0);
   return created;
 }
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -1,4 +1,5 @@
 /** An entry: takes jobs, and holds the streams from sides. */
+import { setTimeout } from "node:timers/promises";
 import { LinkClosed } from "@coltsfootreach/errors";
 import {
   type Answer,
@@ -189,10 +190,6 @@
     };
   }
 
-  function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-  }
-
   return ok({
     table: () => configuration.table(),
     submit,
@@ -207,7 +204,7 @@
       // Callers keep coming on open connections until the balancer has seen
       // that this entry is not ready.
       const unreadyMs = Math.min(graceMs, UNREADY_MS);
-      await pause(unreadyMs);
+      await setTimeout(unreadyMs);
       await callers.close(graceMs - unreadyMs);
       await membership.leave();
       configuration.stop();
--- a/packages/runtime/src/entry_process_test.ts
+++ b/packages/runtime/src/entry_process_test.ts
@@ -1,38 +1,22 @@
 import { createLog } from "@coltsfootreach/log";
-import type { Job, Queue, QueueTable } from "@coltsfootreach/run";
-import { createFakeClock, createMemoryStore } from "@coltsfootreach/standin";
+import type { Job, QueueTable } from "@coltsfootreach/run";
+import {
+  createFakeClock,
+  createMemoryStore,
+  sampleQueue,
+  sampleStep,
+} from "@coltsfootreach/standin";
 import { expect } from "chai";
 import { ok } from "neverthrow";
 import { startEntry } from "./entry_process.ts";
 
 const TABLE: QueueTable = { version: 1, queues: [], maxBodyBytes: 1000 };
 
-const QUEUE: Queue = {
-  name: "short",
-  hostname: "jobs.example",
-  prefix: "/short/",
-  service: "pool",
-  priority: 0,
-  attempts: 2,
-  slackFactor: 1.6,
-  extraMs: 60,
-  needsAdvice: false,
-};
-
 const JOB: Job = {
   id: "5c0e7a21d94b36f8",
   payload: "p",
   timeoutMs: 200,
-  steps: [{
-    count: 1,
-    resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
-    estimateMs: 10,
-    after: [],
-    rack: "",
-    requiredLabel: "",
-    maxPerServer: 0,
-    isGang: false,
-  }],
+  steps: [sampleStep()],
 };
 
 /** Beyond the time in which the balancer notices that an entry stops. */
@@ -58,7 +42,7 @@
     let answer: unknown = "none";
     await entry.stop(GRACE_MS, {
       async close() {
-        const pending = entry.submit(QUEUE, JOB);
+        const pending = entry.submit(sampleQueue(), JOB);
         const late = new Promise((resolve) => setTimeout(resolve, 500, "none"));
         answer = await Promise.race([pending.answer, late]);
       },
--- a/packages/runtime/src/membership.ts
+++ b/packages/runtime/src/membership.ts
@@ -5,6 +5,7 @@
  */
 import type { Log } from "@coltsfootreach/log";
 import type { Lease, Store } from "@coltsfootreach/store";
+import { createReachability } from "./reachability.ts";
 
 const PREFIX = "entries/";
 
@@ -39,16 +40,9 @@
   let missing = 0;
   let known = "";
   let isLeaving = false;
-  let isReachable: boolean | undefined;
+  const reachability = createReachability(log, "store");
   let timer: NodeJS.Timeout | undefined;
 
-  function noteReachable(next: boolean, reason: string): void {
-    if (next === isReachable) return;
-    isReachable = next;
-    if (next) log.info("store reached");
-    else log.warn("store lost", { reason });
-  }
-
   async function renew(): Promise<void> {
     if (lease === undefined) return;
     const renewed = await store.renew(lease);
@@ -85,11 +79,8 @@
 
   async function look(): Promise<void> {
     const listing = await store.listStale(PREFIX);
-    noteReachable(
-      listing.isOk(),
-      listing.isErr() ? listing.error.message : "",
-    );
-    if (listing.isErr()) return;
+    if (listing.isErr()) return reachability.lost(listing.error.message);
+    reachability.reached();
     const { values } = listing.value;
     checkOwnKey(values.some((item) => item.key === key));
     const addresses = values.map((item) => item.value).sort();
@@ -144,8 +135,8 @@
 export function findEntries(options: FinderOptions): { stop(): void } {
   const { store, log } = options;
   let timer: NodeJS.Timeout | undefined;
+  const reachability = createReachability(log, "store");
   let lookedAt = -Infinity;
-  let isReachable: boolean | undefined;
 
   async function turn(): Promise<void> {
     const waitMs = options.isLonely() ? LONELY_LOOK_MS : QUIET_LOOK_MS;
@@ -156,15 +147,8 @@
   async function look(): Promise<void> {
     lookedAt = performance.now();
     const listing = await store.listStale(PREFIX);
-    if (listing.isErr()) {
-      if (isReachable !== false) {
-        log.warn("store lost", { reason: listing.error.message });
-      }
-      isReachable = false;
-      return;
-    }
-    if (isReachable === false) log.info("store reached");
-    isReachable = true;
+    if (listing.isErr()) return reachability.lost(listing.error.message);
+    reachability.reached();
     options.found(listing.value.values.map((item) => item.value));
   }
 
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -1,4 +1,5 @@
 /** A side: the one process that talks to the backend server of its VM. */
+import { setTimeout } from "node:timers/promises";
 import type { Log } from "@coltsfootreach/log";
 import type { Announcement } from "@coltsfootreach/run";
 import type { Store } from "@coltsfootreach/store";
@@ -133,7 +134,7 @@
       loop.poke();
       const deadline = steadyNow() + graceMs;
       while (core.runs() > 0 && steadyNow() < deadline) {
-        await new Promise((resolve) => setTimeout(resolve, DRAIN_LOOK_MS));
+        await setTimeout(DRAIN_LOOK_MS);
       }
       finder.stop();
       streams.stop();
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -1,5 +1,6 @@
 /** One play: a fleet, callers and faults, all drawn from a seed. */
-import type { Queue, RunRef } from "@coltsfootreach/run";
+import type { RunRef } from "@coltsfootreach/run";
+import { sampleQueue } from "@coltsfootreach/standin";
 import { playCallers } from "./callers.ts";
 import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
 import { createClock } from "./clock.ts";
@@ -38,18 +39,6 @@
 /** After the last hand-in, time for everything to end. */
 const END_MS = 20_000;
 
-const QUEUE: Queue = {
-  name: "short",
-  hostname: "jobs.example",
-  prefix: "/short/",
-  service: "pool",
-  priority: 0,
-  attempts: 2,
-  slackFactor: 1.6,
-  extraMs: 60,
-  needsAdvice: false,
-};
-
 export function play(options: PlayOptions): PlayResult {
   const clock = createClock();
   const random = createRandom(options.seed);
@@ -75,7 +64,7 @@
     random,
     fleet,
     checker,
-    queue: QUEUE,
+    queue: sampleQueue(),
     jobsPerSecond: options.jobsPerSecond,
     untilMs,
     shape: {
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -26,3 +26,4 @@
   type SideStandin,
   type SideStandinOptions,
 } from "./side/side_standin.ts";
+export { sampleQueue, sampleReport, sampleStep } from "./run/samples.ts";
