--- a/packages/worker/src/lists.ts
+++ b/packages/worker/src/lists.ts
@@ -21,9 +21,21 @@
 /** The same while a run is being stopped, whose end may never be listed. */
 const STOPPING_LIST_WAIT_MS = 40;
 
-/** Time before a list is sent again that was refused. */
+/**
+ * Least time between lists of which the first was refused or lost: a server
+ * that breaks its connections would be asked hundreds of times a second.
+ */
 const LIST_RETRY_MS = 50;
 
+/** The same for a server that runs nothing. */
+const IDLE_LIST_RETRY_MS = 200;
+
+/**
+ * A server that left so many lists in a row without an answer is taken for
+ * down; a lost answer by itself is no sign of that.
+ */
+const LOSSES_UNTIL_DOWN = 2;
+
 /** The server's clock may run this much slower than the side's. */
 const CLOCK_SLACK = 1.03;
 
@@ -52,6 +64,8 @@
   latest(): number;
   isPending(): boolean;
   isDue(now: number): boolean;
+  /** True after several lists in a row without an answer. */
+  isDown(): boolean;
   /** Looks whether the announced life answers, and what its clock shows. */
   probe(announcement: Announcement): ListOrder;
   next(life: CurrentLife, need: ListNeed, now: number): ListOrder;
@@ -80,6 +94,7 @@
   let leaseOverAt = 0;
   let lossyUntil = 0;
   let absences = 0;
+  let losses = 0;
 
   function leaseEnd(now: number): number {
     return now + maxLeaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
@@ -95,9 +110,14 @@
     latest: () => latest,
     isPending: () => pending !== undefined,
     isDue: (now) => pending === undefined && now >= nextAt,
+    isDown: () => losses >= LOSSES_UNTIL_DOWN,
     probe(announcement) {
       latest += 1;
-      pending = { number: latest, isProbe: true, leaseOverAt: 0 };
+      pending = {
+        number: latest,
+        isProbe: true,
+        leaseOverAt: 0,
+      };
       return {
         number: latest,
         server: lifeOf(announcement),
@@ -108,18 +128,22 @@
     },
     next(life, need, now) {
       latest += 1;
+      // What is asked of a server that seems to be down renews nothing, so that
+      // its runs are over for certain after one lease.
+      const isRenewal = need.hasRuns && losses < LOSSES_UNTIL_DOWN;
       pending = {
         number: latest,
         isProbe: false,
-        leaseOverAt: need.hasRuns ? leaseEnd(now) : 0,
+        leaseOverAt: isRenewal ? leaseEnd(now) : 0,
       };
+      nextAt = now + (need.hasRuns ? LIST_RETRY_MS : IDLE_LIST_RETRY_MS);
       const untilMs = serverClock(life, now) + maxLeaseMs;
       return {
         number: latest,
         server: life.life,
         fencingToken: life.fencingToken,
         observed: life.observed,
-        untilMs: need.hasRuns ? untilMs : undefined,
+        untilMs: isRenewal ? untilMs : undefined,
         waitMs: waitFor(need, now),
       };
     },
@@ -129,16 +153,18 @@
       pending = undefined;
       // A renewal may have taken effect whatever became of its answer.
       leaseOverAt = Math.max(leaseOverAt, taken.leaseOverAt);
-      nextAt = now + LIST_RETRY_MS;
       return taken;
     },
     forget() {
       pending = undefined;
+      losses = 0;
     },
     noteHeard() {
       absences = 0;
+      losses = 0;
     },
     noteLost(now) {
+      losses += 1;
       lossyUntil = now + LOSSY_MS;
     },
     noteAbsent() {
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -241,7 +241,8 @@
     pending: PendingList,
     now: number,
   ): void {
-    if (reply.kind !== "absent") lists.noteHeard();
+    const isHeard = reply.kind !== "absent" && reply.kind !== "unanswered";
+    if (isHeard) lists.noteHeard();
     switch (reply.kind) {
       case "listed":
         if (reply.born === life.life.born) takeList(life, reply, pending, now);
@@ -262,12 +263,18 @@
         if (lists.noteAbsent()) restartLife(reply.kind, now);
         return;
       case "unanswered":
-        lists.noteLost(now);
-        if (runs.count() > 0) sendList(now);
+        noteLost(now);
         return;
     }
   }
 
+  function noteLost(now: number): void {
+    const wasDown = lists.isDown();
+    lists.noteLost(now);
+    if (lists.isDown() && !wasDown) log({ message: "server does not answer" });
+    sendDueList(now);
+  }
+
   function restartLife(reason: string, now: number): void {
     log({ message: "server is gone", reason });
     endLife(reason, now);
@@ -447,6 +454,7 @@
 
   function isOpen(life: CurrentLife, now: number): boolean {
     if (isClosed || life.announcement.isDraining) return false;
+    if (lists.isDown()) return false;
     return runs.count() === 0 || now - life.answeredAt < UNREACHABLE_MS;
   }
 
@@ -615,7 +623,13 @@
     if (current === undefined) return;
     if (runs.count() > 0 && lists.isLeaseOver(now)) expireLease(current, now);
     retryStops(current, now);
-    if (runs.count() > 0 && lists.isDue(now)) sendList(now);
+    sendDueList(now);
+  }
+
+  /** What runs is listed all the time; so is a server that seems to be down. */
+  function sendDueList(now: number): void {
+    const isWanted = runs.count() > 0 || lists.isDown();
+    if (isWanted && lists.isDue(now)) sendList(now);
   }
 
   function busyOwners(): ReadonlySet<OwnerId> {
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -123,6 +123,17 @@
   );
 }
 
+function lists(effects: readonly WorkerEffect[]) {
+  return effects.filter((effect) => effect.kind === "list");
+}
+
+/** Starts one run, after which the side asks for its end. */
+function startOne(bench: Bench): void {
+  bench.offer(0, 10);
+  bench.take(10);
+  bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+}
+
 function row(index: number, run = 1): RunningRow {
   return { ref: refOf(index, run), percent: 1 };
 }
@@ -387,4 +398,53 @@
     bench.offer(4, 600);
     expect(starts(bench.take(600))).to.have.length(1);
   });
+
+  it("pauses between lists to a server that breaks its connections", () => {
+    const bench = createBench();
+    startOne(bench);
+    let sent = 0;
+    for (let now = 12; now < 212; now += 1) {
+      const isSent = lists(bench.take(now)).length > 0;
+      if (isSent) sent += 1;
+      if (isSent) bench.replyToList(now, { kind: "unanswered" });
+      if (now % 25 === 0) bench.core.tick(now);
+    }
+    expect(sent).to.be.within(1, 5);
+  });
+
+  it("takes no offers after two lists without an answer, until one has one", () => {
+    const bench = createBench();
+    startOne(bench);
+    expect(lists(bench.take(12))).to.have.length(1);
+    bench.replyToList(100, { kind: "unanswered" });
+    bench.offer(1, 101);
+    expect(starts(bench.take(101))).to.have.length(1);
+    bench.core.startReplied(refOf(1), { kind: "unanswered" }, 161);
+    bench.replyToList(170, { kind: "unanswered" });
+    bench.offer(2, 171);
+    const effects = bench.take(171);
+    expect(starts(effects)).to.deep.equal([]);
+    expect(lists(effects)).to.have.length(1);
+    bench.listed(180);
+    bench.offer(3, 181);
+    expect(starts(bench.take(181))).to.have.length(1);
+  });
+
+  it("goes on asking a server that gave no answers while it runs nothing", () => {
+    const bench = createBench();
+    startOne(bench);
+    bench.take(12);
+    bench.replyToList(80, { kind: "unanswered" });
+    let answered = 0;
+    for (let now = 100; now < 3000; now += 25) {
+      bench.core.tick(now);
+      if (lists(bench.take(now)).length === 0) continue;
+      answered = now;
+      bench.replyToList(now, { kind: "unanswered" });
+    }
+    expect(bench.core.runs()).to.equal(0);
+    expect(answered).to.be.above(2700);
+    bench.offer(1, 3000);
+    expect(starts(bench.take(3000))).to.deep.equal([]);
+  });
 });
