--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,8 +26,13 @@
   type LiveTask,
   unblock,
 } from "./live_job.ts";
-import { longestChainMs, objectiveMs, remainingChainMs } from "./objective.ts";
-import { latestStart } from "./order.ts";
+import {
+  longestChainMs,
+  objectiveMs,
+  remainingChainMs,
+  STALE_FACTOR,
+} from "./objective.ts";
+import { latestStart, latestUsefulStart } from "./order.ts";
 import { couldRun } from "./placement.ts";
 import { createPlacer } from "./placer.ts";
 import { createSides } from "./sides.ts";
@@ -155,11 +160,13 @@
     }
     const chain = longestChainMs(job) * soundSlowness;
     const objective = objectiveMs(chain, queue);
+    const timeoutMs = Math.max(0, job.timeoutMs - ANSWER_MARGIN_MS);
     const live = createLiveJob(job, queue, {
       submission: id,
       arrivedAt: now,
       dueAt: now + objective,
-      giveUpAt: now + Math.max(0, job.timeoutMs - ANSWER_MARGIN_MS),
+      staleAt: now + Math.min(objective * STALE_FACTOR, timeoutMs),
+      giveUpAt: now + timeoutMs,
       chainMs: remainingChainMs(job),
     });
     jobs.set(id, live);
@@ -473,7 +480,7 @@
     if (live.mayHaveRun) return;
     // Nobody else can do better while all of the fleet starts.
     if (!hasOpenServer(workers) && isStarting(now)) return;
-    if (now > latestStart(live, soundSlowness)) {
+    if (now > latestUsefulStart(live, soundSlowness)) {
       refuse(live, "overload", LATE_RETRY_MS, now);
     }
   }
--- a/packages/dispatch/src/live_job.ts
+++ b/packages/dispatch/src/live_job.ts
@@ -34,7 +34,9 @@
   readonly arrivedAt: number;
   /** When the answer is late. */
   readonly dueAt: number;
-  /** When the answer is of no use any more. */
+  /** When the answer is so late that it is hardly of use. */
+  readonly staleAt: number;
+  /** When the caller stops waiting. */
   readonly giveUpAt: number;
   /** Declared run time from each step's start to the job's end. */
   readonly chainMs: readonly number[];
@@ -49,6 +51,7 @@
   readonly submission: SubmissionId;
   readonly arrivedAt: number;
   readonly dueAt: number;
+  readonly staleAt: number;
   readonly giveUpAt: number;
   readonly chainMs: readonly number[];
 }
--- a/packages/dispatch/src/objective.ts
+++ b/packages/dispatch/src/objective.ts
@@ -23,6 +23,9 @@
   return remaining;
 }
 
+/** An answer after this many times the objective is hardly of use. */
+export const STALE_FACTOR = 3;
+
 /** Time from hand-in to the latest end that still meets the objective. */
 export function objectiveMs(
   chainMs: number,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -10,7 +10,12 @@
   type LiveTask,
   waitingTasks,
 } from "./live_job.ts";
-import { isLate, orderJobs, type RankedJob } from "./order.ts";
+import {
+  isLate,
+  latestUsefulStart,
+  orderJobs,
+  type RankedJob,
+} from "./order.ts";
 import { choosePlace, couldRun } from "./placement.ts";
 import { foretellWaitMs } from "./refusal.ts";
 import {
@@ -24,6 +29,12 @@
 /** Longest wait that is foretold, and so the longest Retry-After. */
 const LONGEST_WAIT_MS = 5000;
 
+/**
+ * Urgent jobs that come later go before late ones, so these wait longer than
+ * the work ahead of them foretells.
+ */
+const LATE_CAUTION = 1.5;
+
 export interface PlacerOptions {
   readonly workers: ReadonlyMap<SessionId, Worker>;
   /** Number from 0 to 1. */
@@ -78,18 +89,19 @@
 
   /**
    * Offers what finds room and returns the core-milliseconds that do not. A job
-   * is not begun, and is refused, when its rest is foretold to come too late.
+   * is not begun, and is refused, when its rest is foretold to come too late to
+   * be of use.
    */
   function placeJob(ranked: RankedJob, workAhead: number, now: number): number {
     const { live } = ranked;
     const { placements, workLeft } = planJob(ranked, now);
-    if (!live.mayHaveRun && !isInTime(ranked, workAhead + workLeft, now)) {
+    if (!live.mayHaveRun && !isOfUse(ranked, workAhead + workLeft, now)) {
       for (const { task, worker } of placements) {
         release(worker, task.step.resources);
       }
       return 0;
     }
-    for (const { task, worker } of placements) offer(live, task, worker, now);
+    for (const placement of placements) offer(live, placement, now);
     return workLeft;
   }
 
@@ -109,14 +121,19 @@
     return { placements, workLeft };
   }
 
-  /** Refuses a job whose tasks are foretold to find room too late. */
-  function isInTime(ranked: RankedJob, work: number, now: number): boolean {
+  /**
+   * Refuses a job whose tasks are foretold to find room too late. One that would
+   * be late is kept only while it is likely to be answered while that is of use.
+   */
+  function isOfUse(ranked: RankedJob, work: number, now: number): boolean {
     const { live } = ranked;
     // What is known of the fleet then says little about its room.
     if (options.isStarting(now) || !hasOpenServer(workers)) return true;
     const waitMs = foretellWaitMs({ work, rate: roomRate() }, LONGEST_WAIT_MS);
     const slackMs = ranked.latestStart - now;
     if (waitMs <= slackMs) return true;
+    const lateSlackMs = latestUsefulStart(live, slowness()) - now;
+    if (waitMs * LATE_CAUTION <= lateSlackMs) return true;
     options.log({
       message: "wait foretold",
       job: live.job.id,
@@ -124,10 +141,11 @@
       figures: {
         waitMs: Math.round(waitMs),
         slackMs: Math.round(slackMs),
+        lateSlackMs: Math.round(lateSlackMs),
         work: Math.round(work),
       },
     });
-    options.refuse(live, waitMs - slackMs, now);
+    options.refuse(live, waitMs - Math.max(0, slackMs), now);
     return false;
   }
 
@@ -179,8 +197,7 @@
 
   function offer(
     live: LiveJob,
-    task: LiveTask,
-    worker: Worker,
+    { task, worker }: Placement,
     now: number,
   ): void {
     const { report } = worker;
