--- /dev/null
+++ b/packages/runtime/src/pause.ts
@@ -0,0 +1,37 @@
+/**
+ * Notices that the process stood still: as a whole VM does when it is suspended,
+ * which the steady clock may leave out, or when it gets no processor time.
+ */
+
+/** Longest time between two looks of a process that runs. */
+const LONGEST_TURN_MS = 450;
+
+/** The time of day is corrected by less than this between two looks. */
+const CLOCK_CORRECTION_MS = 300;
+
+export interface PauseClocks {
+  /** Never jumps, and may leave out the time of a suspension. */
+  steadyMs(): number;
+  /** The time of day; may jump. */
+  wallMs(): number;
+}
+
+export interface PauseWatch {
+  /** True once after each pause; to be asked at every tick and every input. */
+  isOver(): boolean;
+}
+
+export function watchForPause(clocks: PauseClocks): PauseWatch {
+  let steadyMs = clocks.steadyMs();
+  let wallMs = clocks.wallMs();
+  return {
+    isOver() {
+      const turnMs = clocks.steadyMs() - steadyMs;
+      const wallTurnMs = clocks.wallMs() - wallMs;
+      steadyMs += turnMs;
+      wallMs += wallTurnMs;
+      return turnMs > LONGEST_TURN_MS ||
+        wallTurnMs - turnMs > CLOCK_CORRECTION_MS;
+    },
+  };
+}
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -9,6 +9,7 @@
 import { createEntryStreams } from "./entry_streams.ts";
 import { runLoop, steadyNow } from "./loop.ts";
 import { findEntries } from "./membership.ts";
+import { watchForPause } from "./pause.ts";
 import type { ServerCalls } from "./ports.ts";
 
 /** Time between ticks while something runs... */
@@ -48,9 +49,13 @@
     dataCentre: options.dataCentre,
     maxLeaseMs: options.maxLeaseMs,
   });
+  const pause = watchForPause({ steadyMs: steadyNow, wallMs: Date.now });
   const loop = runLoop({
     tickMs: () => core.runs() > 0 ? BUSY_TICK_MS : IDLE_TICK_MS,
-    tick: core.tick,
+    tick(now) {
+      if (pause.isOver()) core.suspended(now);
+      core.tick(now);
+    },
     carryOut,
   });
   const streams = createEntryStreams({
@@ -59,6 +64,7 @@
       loop.poke();
     },
     received(owner, frame) {
+      if (pause.isOver()) core.suspended(steadyNow());
       core.ownerSent(owner, frame, steadyNow());
       if (frame.entries !== undefined) streams.know(frame.entries);
       loop.poke();
@@ -117,7 +123,7 @@
       loop.poke();
     },
     left(id) {
-      core.left(id, steadyNow());
+      core.left(id);
       loop.poke();
     },
     metricsText() {
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -360,7 +360,7 @@
         clock.after(leaveMs, () => {
           if (server !== leaving || !leaving.isUp()) return;
           whenAwake(node, () => {
-            node.core.left(leaving.id, clock.now());
+            node.core.left(leaving.id);
             poke();
           });
           node.crashServer(1000);
--- a/packages/worker/src/lists.ts
+++ b/packages/worker/src/lists.ts
@@ -70,7 +70,7 @@
   probe(announcement: Announcement): ListOrder;
   next(life: CurrentLife, need: ListNeed, now: number): ListOrder;
   /** Takes the answer to a list; none when it is of no interest any more. */
-  answered(order: ListOrder, now: number): PendingList | undefined;
+  answered(order: ListOrder): PendingList | undefined;
   /** The life is over; what is on its way is of no interest. */
   forget(): void;
   /** The server answered, or a list got no answer. */
@@ -147,7 +147,7 @@
         waitMs: waitFor(need, now),
       };
     },
-    answered(order, now) {
+    answered(order) {
       const taken = pending;
       if (taken?.number !== order.number) return undefined;
       pending = undefined;
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -60,6 +60,9 @@
 /** A gap between ticks after which input may be waiting unread. */
 const PAUSE_MS = 400;
 
+/** Time to read what came while the process stood still. */
+const STALE_INPUT_MS = 50;
+
 const STOP_RETRY_MS = 150;
 
 /** Without an answer for this long the server gets no new runs. */
@@ -80,7 +83,7 @@
 
 export interface WorkerCore {
   announced(announcement: Announcement): void;
-  left(id: string, now: number): void;
+  left(id: string): void;
   ownerOpened(owner: OwnerId, now: number): void;
   ownerSent(owner: OwnerId, frame: DispatchFrame, now: number): void;
   ownerClosed(owner: OwnerId, now: number): void;
@@ -92,6 +95,11 @@
   /** Runs that may hold room. */
   runs(): number;
   tick(now: number): void;
+  /**
+   * The process stood still. What it reads next may come from entries that have
+   * given it up meanwhile, and repeated its runs elsewhere.
+   */
+  suspended(now: number): void;
   /** What is to be done since the last call. */
   takeEffects(now: number): readonly WorkerEffect[];
   counts(): WorkerCounts;
@@ -136,6 +144,7 @@
   let isClosed = false;
   let tickedAt = 0;
   let report: ServerReport | undefined;
+  let staleInputUntil = 0;
 
   function log(decision: WorkerDecision): void {
     const server = current?.life.id;
@@ -175,16 +184,16 @@
     });
   }
 
-  function left(id: string, now: number): void {
+  function left(id: string): void {
     if (candidate?.id === id) candidate = undefined;
     if (current?.life.id !== id) return;
     log({ message: "server left" });
-    endLife("server left", now);
+    endLife("server left");
   }
 
-  function endLife(reason: string, now: number): void {
+  function endLife(reason: string): void {
     if (current === undefined) return;
-    for (const run of runs.all()) lose(run, reason, now);
+    for (const run of runs.all()) lose(run, reason);
     current = undefined;
     lists.forget();
     slowness.reset();
@@ -207,7 +216,7 @@
       return;
     }
     candidate = undefined;
-    endLife("server replaced", now);
+    endLife("server replaced");
     current = adopt(announcement, reply.clockMs, now);
     log({
       message: "server joined",
@@ -228,7 +237,7 @@
   }
 
   function listReplied(order: ListOrder, reply: ListReply, now: number): void {
-    const pending = lists.answered(order, now);
+    const pending = lists.answered(order);
     if (pending === undefined) return;
     if (pending.isProbe) probeReplied(reply, now);
     else if (current !== undefined) takeReply(current, reply, pending, now);
@@ -246,7 +255,7 @@
     switch (reply.kind) {
       case "listed":
         if (reply.born === life.life.born) takeList(life, reply, pending, now);
-        else restartLife(reply.kind, now);
+        else restartLife(reply.kind);
         return;
       case "fenced":
         // Another process of this side has given orders since.
@@ -257,10 +266,10 @@
         log({ message: "token raised", reason: "fenced" });
         return;
       case "otherLife":
-        restartLife(reply.kind, now);
+        restartLife(reply.kind);
         return;
       case "absent":
-        if (lists.noteAbsent()) restartLife(reply.kind, now);
+        if (lists.noteAbsent()) restartLife(reply.kind);
         return;
       case "unanswered":
         noteLost(now);
@@ -275,9 +284,9 @@
     sendDueList(now);
   }
 
-  function restartLife(reason: string, now: number): void {
+  function restartLife(reason: string): void {
     log({ message: "server is gone", reason });
-    endLife(reason, now);
+    endLife(reason);
   }
 
   function takeList(
@@ -334,7 +343,7 @@
 
   function checkMissing(run: Run, list: number, now: number): void {
     if (list <= run.shownAfter) return;
-    if (run.state === "running") lose(run, "not listed", now);
+    if (run.state === "running") lose(run, "not listed");
     else if (run.state === "stopping" && run.isBarred) {
       finish(run, "stopped", now);
     }
@@ -377,7 +386,7 @@
     settle(run, { kind: "ended", ref: run.ref, end, ms });
   }
 
-  function lose(run: Run, reason: string, _now: number): void {
+  function lose(run: Run, reason: string): void {
     runs.remove(run);
     counts.lost += 1;
     logRun("run lost", run, reason);
@@ -442,6 +451,7 @@
 
   function whyNot(offer: Offer, now: number): RefusalReason | undefined {
     if (current === undefined || !isOpen(current, now)) return "closed";
+    if (now < staleInputUntil) return "closed";
     const { life } = current;
     if (offer.server !== life.id || offer.born !== life.born) {
       return "otherServer";
@@ -590,6 +600,7 @@
     // A silent entry has used up its time already.
     const reclaimMs = reason === "silent" ? 0 : RECLAIM_MS;
     owners.close(owner);
+    withdrawStarts(owner);
     const owned = runs.all().filter((run) => run.owner === owner);
     for (const run of owned) {
       run.owner = undefined;
@@ -603,6 +614,18 @@
     });
   }
 
+  /** Takes back the orders of this turn that nobody wants any more. */
+  function withdrawStarts(owner: OwnerId): void {
+    effects = effects.filter((effect) => {
+      if (effect.kind !== "start") return true;
+      const run = runs.find(effect.order.ref);
+      if (run?.owner !== owner) return true;
+      run.owner = undefined;
+      lose(run, "not started");
+      return false;
+    });
+  }
+
   function stopUnclaimed(now: number): void {
     for (const run of runs.all()) {
       const isUnclaimed = run.owner === undefined && run.state !== "stopping";
@@ -654,7 +677,7 @@
       message: "lease ran out",
       figures: { runs: runs.count(), silentMs: now - life.answeredAt },
     });
-    for (const run of runs.all()) lose(run, "lease ran out", now);
+    for (const run of runs.all()) lose(run, "lease ran out");
   }
 
   function retryStops(life: CurrentLife, now: number): void {
@@ -700,6 +723,10 @@
     },
     runs: () => runs.count(),
     tick,
+    suspended(now) {
+      staleInputUntil = now + STALE_INPUT_MS;
+      log({ message: "process stood still" });
+    },
     takeEffects(now) {
       refreshReport(now);
       for (const { owner, frame } of owners.takeDue(report, now)) {
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -399,6 +399,28 @@
     expect(starts(bench.take(600))).to.have.length(1);
   });
 
+  it("starts nothing that it reads after it stood still", () => {
+    const bench = createBench();
+    bench.core.suspended(10);
+    bench.offer(0, 10);
+    expect(bench.news(10)).to.deep.include({
+      kind: "refused",
+      ref: refOf(0),
+      reason: "closed",
+      highestRun: 0,
+    });
+    bench.offer(1, 70);
+    expect(starts(bench.take(70))).to.have.length(1);
+  });
+
+  it("orders nothing for an entry whose stream closes in the same turn", () => {
+    const bench = createBench();
+    bench.offer(0, 10);
+    bench.core.ownerClosed(OWNER, 10);
+    expect(starts(bench.take(10))).to.deep.equal([]);
+    expect(bench.core.runs()).to.equal(0);
+  });
+
   it("pauses between lists to a server that breaks its connections", () => {
     const bench = createBench();
     startOne(bench);
