--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -247,7 +247,7 @@
 
   it("takes the lease of runs it finds after a restart for just renewed", () => {
     const bench = createBench();
-    bench.core.left("server", 3);
+    bench.core.left("server");
     bench.core.announced({ ...ANNOUNCEMENT, id: "next" });
     bench.take(4);
     bench.replyToList(5, { kind: "fenced", clockMs: 9000 });
