--- a/packages/dispatch/src/sides.ts
+++ b/packages/dispatch/src/sides.ts
@@ -28,10 +28,10 @@
 
 /**
  * After this long the runs of a side that was given up are over: it stops them
- * when it has not heard from here for 650 ms, or their lease of at most
- * 1,000 ms runs out after that.
+ * when it has not heard from here for 650 ms, or their lease of at most 700 ms
+ * runs out after that.
  */
-const RUNS_OVER_MS = 1900;
+const RUNS_OVER_MS = 1500;
 
 /** After a refusal a side gets no offers for this long, or until it reports. */
 const REFUSED_PAUSE_MS = 40;
--- a/packages/worker/src/lists.ts
+++ b/packages/worker/src/lists.ts
@@ -87,7 +87,7 @@
   return Math.floor(now + life.clockOffsetMs);
 }
 
-export function createLists(maxLeaseMs: number): Lists {
+export function createLists(leaseMs: number): Lists {
   let pending: PendingList | undefined;
   let latest = 0;
   let nextAt = 0;
@@ -97,7 +97,7 @@
   let losses = 0;
 
   function leaseEnd(now: number): number {
-    return now + maxLeaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
+    return now + leaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
   }
 
   function waitFor(need: ListNeed, now: number): number {
@@ -137,7 +137,7 @@
         leaseOverAt: isRenewal ? leaseEnd(now) : 0,
       };
       nextAt = now + (need.hasRuns ? LIST_RETRY_MS : IDLE_LIST_RETRY_MS);
-      const untilMs = serverClock(life, now) + maxLeaseMs;
+      const untilMs = serverClock(life, now) + leaseMs;
       return {
         number: latest,
         server: life.life,
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -5,7 +5,6 @@
  */
 import {
   type Announcement,
-  areEqual,
   type Claim,
   type DispatchFrame,
   fits,
@@ -24,6 +23,7 @@
 import type { OwnerId, WorkerDecision, WorkerEffect } from "./effect.ts";
 import { createLists, type PendingList, serverClock } from "./lists.ts";
 import { createOwners } from "./owners.ts";
+import { isSameReport, reportOf } from "./report.ts";
 import { createRuns, type Run } from "./runs.ts";
 import { adopt, type CurrentLife, isSameLife, lifeOf } from "./server_life.ts";
 import { createSlowness } from "./slowness.ts";
@@ -63,6 +63,12 @@
 /** Time to read what came while the process stood still. */
 const STALE_INPUT_MS = 50;
 
+/**
+ * Lease of runs, where the server grants as much: it outlives a few lost
+ * renewals, and until it is over nothing can replace the runs of a dead server.
+ */
+const LEASE_MS = 700;
+
 const STOP_RETRY_MS = 150;
 
 /** Without an answer for this long the server gets no new runs. */
@@ -125,7 +131,8 @@
     idleHeartbeatMs: IDLE_HEARTBEAT_MS,
   });
   const runs = createRuns();
-  const lists = createLists(options.maxLeaseMs);
+  const leaseMs = Math.min(options.maxLeaseMs, LEASE_MS);
+  const lists = createLists(leaseMs);
   const claims = createClaims();
   const slowness = createSlowness();
   const suspicion = createSuspicion();
@@ -435,7 +442,7 @@
     if (runs.count() === 0) current.answeredAt = now;
     runs.add(run);
     if (suspicion.isSuspect()) suspicion.tried(now);
-    const untilMs = serverClock(current, now) + options.maxLeaseMs;
+    const untilMs = serverClock(current, now) + leaseMs;
     lists.extendLease(now);
     effects.push({
       kind: "start",
@@ -687,25 +694,14 @@
     }
   }
 
-  function currentReport(now: number): ServerReport | undefined {
-    if (current === undefined) return undefined;
-    const { life, announcement } = current;
-    return {
-      id: life.id,
-      born: life.born,
-      service: announcement.service,
-      capacity: announcement.capacity,
-      labels: announcement.labels,
+  /** Keeps the object while its content is the same, so that it is sent once. */
+  function refreshReport(now: number): void {
+    const next = current && reportOf(current, {
       room: room(current),
       isOpen: isOpen(current, now),
-      slowness: Math.round(slowness.value() * 100) / 100,
+      slowness: slowness.value(),
       isSuspect: suspicion.isSuspect(),
-    };
-  }
-
-  /** Keeps the object while its content is the same, so that it is sent once. */
-  function refreshReport(now: number): void {
-    const next = currentReport(now);
+    });
     if (!isSameReport(next, report)) report = next;
   }
 
@@ -740,26 +736,6 @@
   };
 }
 
-function isSameReport(
-  left: ServerReport | undefined,
-  right: ServerReport | undefined,
-): boolean {
-  if (left === undefined || right === undefined) return left === right;
-  return left.id === right.id && left.born === right.born &&
-    left.service === right.service &&
-    areSameLabels(left.labels, right.labels) &&
-    areEqual(left.capacity, right.capacity) &&
-    left.isOpen === right.isOpen && left.isSuspect === right.isSuspect &&
-    left.slowness === right.slowness && areEqual(left.room, right.room);
-}
-
-function areSameLabels(
-  left: readonly string[],
-  right: readonly string[],
-): boolean {
-  return left === right || left.join() === right.join();
-}
-
 const REFUSAL_BY_REPLY = {
   fence: "closed",
   old: "superseded",
