--- a/packages/chaos/src/relay.ts
+++ b/packages/chaos/src/relay.ts
@@ -1,6 +1,7 @@
 /**
  * A TCP relay on loopback in front of one entry's links. It refuses
- * connections, drops them, or lets them go silent without closing them.
+ * connections, drops them, delays what they carry, or lets them go silent
+ * without closing them.
  */
 import { connect, createServer, type Socket } from "node:net";
 import type { Direction } from "./act.ts";
@@ -15,6 +16,8 @@
   /** Makes open connections silent for good; `pick` chooses them. */
   silenceOpen(direction: Direction, pick: () => boolean): void;
   dropOpen(): void;
+  /** Delays what comes from now on, in both directions. */
+  setDelay(delayMs: number): void;
   close(): void;
 }
 
@@ -31,6 +34,7 @@
   const [host, port] = target.split(":") as [string, string];
   const pairs = new Set<Pair>();
   let mode: RelayMode = "pass";
+  let delayMs = 0;
 
   const server = createServer((near) => {
     if (mode === "refuse") {
@@ -46,8 +50,9 @@
       isSilentFromEntry: isSilent,
     };
     pairs.add(pair);
-    forward(near, far, () => pair.isSilentToEntry);
-    forward(far, near, () => pair.isSilentFromEntry);
+    const delay = () => delayMs;
+    forward(near, far, { isSilent: () => pair.isSilentToEntry, delay });
+    forward(far, near, { isSilent: () => pair.isSilentFromEntry, delay });
     const forget = () => {
       if (near.destroyed && far.destroyed) pairs.delete(pair);
     };
@@ -81,6 +86,9 @@
       }
     },
     dropOpen,
+    setDelay(next) {
+      delayMs = next;
+    },
     close() {
       server.close();
       dropOpen();
@@ -93,17 +101,33 @@
   if (direction !== "toEntry") pair.isSilentFromEntry = true;
 }
 
+interface Passage {
+  isSilent(): boolean;
+  /** Milliseconds that bytes are held up. */
+  delay(): number;
+}
+
 /** Passes bytes and the end on, unless this direction is silent. */
-function forward(from: Socket, to: Socket, isSilent: () => boolean): void {
-  from.setNoDelay(true);
-  from.on("data", (bytes) => {
-    if (isSilent() || to.destroyed) return;
+function forward(from: Socket, to: Socket, passage: Passage): void {
+  const held: Buffer[] = [];
+
+  function pass(bytes: Buffer): void {
+    if (passage.isSilent() || to.destroyed) return;
     if (to.write(bytes)) return;
     from.pause();
     to.once("drain", () => from.resume());
+  }
+
+  from.setNoDelay(true);
+  from.on("data", (bytes) => {
+    const delayMs = passage.delay();
+    if (delayMs === 0 && held.length === 0) return pass(bytes);
+    held.push(bytes);
+    // Whichever timer fires first passes the oldest bytes.
+    setTimeout(() => pass(held.shift()!), delayMs);
   });
   from.on("error", () => from.destroy());
   from.on("close", () => {
-    if (!isSilent()) to.destroy();
+    if (!passage.isSilent()) to.destroy();
   });
 }
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -9,6 +9,10 @@
   readonly args: readonly string[];
   /** File that takes its standard error. */
   readonly logFile: string;
+  /** Its log also takes standard output, which nobody reads otherwise. */
+  readonly logsOutput?: boolean;
+  /** Variables beside those of this process. */
+  readonly variables?: Readonly<Record<string, string>>;
 }
 
 export interface Child {
@@ -30,9 +34,11 @@
   function start(): ChildProcess {
     const started = spawn(process.execPath, command.args, {
       stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ...command.variables },
     });
     const log = createWriteStream(command.logFile, { flags: "a" });
     started.stderr!.pipe(log);
+    if (command.logsOutput) started.stdout!.pipe(log);
     log.write(`{"message":"started","pid":${started.pid}}\n`);
     return started;
   }
--- a/packages/simulate/src/index.ts
+++ b/packages/simulate/src/index.ts
@@ -1,4 +1,5 @@
 /** Plays a fleet on a clock of its own and checks its promises. */
+export * from "./checker.ts";
 export * from "./clock.ts";
 export * from "./play.ts";
 export * from "./random.ts";
--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,172 @@
+/**
+ * Callers that hand jobs in over HTTP on open connections, and hand a job in
+ * again, at any entry, when its answer was lost.
+ */
+import { Agent, request } from "node:http";
+import type { Checker, Random, TaskTruth } from "@coltsfootreach/simulate";
+
+const RESEND_MS = 1300;
+
+const DEADLINE_MS = 2500;
+
+const ATTEMPTS = 2;
+
+const FAIL_SHARE = 0.01;
+
+export const QUEUE = {
+  name: "short",
+  hostname: "jobs.example",
+  prefix: "/short/",
+  attempts: ATTEMPTS,
+  slack_factor: 1.6,
+  slo_ms: 60,
+  priority: 0,
+} as const;
+
+export interface CallersOptions {
+  /** Addresses of the entries, as `IP:port`. */
+  readonly addresses: readonly string[];
+  readonly random: Random;
+  readonly checker: Checker;
+  readonly jobsPerSecond: number;
+  readonly truths: Map<string, readonly TaskTruth[]>;
+}
+
+export interface Callers {
+  /** Jobs handed in and completed since the last call. */
+  takeShare(): { readonly asked: number; readonly completed: number };
+  stop(): void;
+}
+
+interface CallerJob {
+  readonly id: string;
+  readonly body: string;
+  readonly leavesAt: number;
+}
+
+export function startCallers(options: CallersOptions): Callers {
+  const { random, checker, truths } = options;
+  const agents = options.addresses.map(() => new Agent({ keepAlive: true }));
+  let made = 0;
+  let asked = 0;
+  let completed = 0;
+  let isStopped = false;
+
+  function makeJob(): CallerJob {
+    made += 1;
+    const id = made.toString(16).padStart(16, "0");
+    const count = 1 + random.below(6);
+    const resources = { cpu: 1600, memoryMb: 64, gpu: 0 };
+    const tasks = Array.from({ length: count }, () => ({
+      resources,
+      workMs: 200 * random.factor(0.7),
+      fails: random.chance(FAIL_SHARE),
+    }));
+    truths.set(id, tasks);
+    checker.jobMade({ id, tasks: count, attempts: ATTEMPTS });
+    const longestMs = Math.max(...tasks.map(({ workMs }) => workMs));
+    const step = {
+      count,
+      cpu: resources.cpu,
+      mem_mb: resources.memoryMb,
+      estimate_ms: Math.round(longestMs * random.factor(0.4)),
+    };
+    return {
+      id,
+      body: JSON.stringify({ spec: id, best_effort: true, steps: [step] }),
+      leavesAt: performance.now() + DEADLINE_MS,
+    };
+  }
+
+  function handIn(job: CallerJob): void {
+    const leftMs = job.leavesAt - performance.now();
+    if (leftMs <= 0 || isStopped) return;
+    const entry = random.below(options.addresses.length);
+    const [host, port] = options.addresses[entry]!.split(":");
+    const call = request({
+      host,
+      port,
+      path: QUEUE.prefix + job.id,
+      method: "POST",
+      agent: agents[entry]!,
+      headers: {
+        host: QUEUE.hostname,
+        "content-type": "application/json",
+        "coltsfootreach-deadline-ms": String(Math.floor(leftMs)),
+      },
+    });
+    let isOver = false;
+
+    function lose(): void {
+      if (isOver) return;
+      isOver = true;
+      clearTimeout(timer);
+      checker.unanswered(job.id);
+      setTimeout(() => handIn(job), RESEND_MS);
+    }
+
+    const timer = setTimeout(() => call.destroy(), leftMs);
+    call.on("error", lose);
+    call.on("response", async (response) => {
+      let text = "";
+      try {
+        for await (const chunk of response) text += chunk;
+      } catch {
+        // The connection broke midway, which "error" has not told.
+        lose();
+        return;
+      }
+      if (isOver) return;
+      isOver = true;
+      clearTimeout(timer);
+      answered(job, response.statusCode ?? 0, text);
+    });
+    call.end(job.body);
+  }
+
+  function answered(job: CallerJob, status: number, text: string): void {
+    if (status === 200) {
+      const isCompleted = JSON.parse(text).state === "completed";
+      if (isCompleted) completed += 1;
+      checker.answered(
+        job.id,
+        isCompleted
+          ? { kind: "completed" }
+          : { kind: "failed", reason: "attemptsUsed" },
+      );
+    } else if (status === 429 || status === 503) {
+      checker.answered(job.id, {
+        kind: "refused",
+        reason: "overload",
+        retryAfterMs: 0,
+      });
+    } else if (status === 504) {
+      checker.unanswered(job.id);
+      setTimeout(() => handIn(job), RESEND_MS);
+    } else {
+      checker.broke("ANSWER", `${job.id}: ${status} ${text}`);
+    }
+  }
+
+  function next(): void {
+    if (isStopped) return;
+    asked += 1;
+    handIn(makeJob());
+    const gapMs = -Math.log(1 - random.next()) * 1000 / options.jobsPerSecond;
+    setTimeout(next, gapMs);
+  }
+
+  next();
+  return {
+    takeShare() {
+      const share = { asked, completed };
+      asked = 0;
+      completed = 0;
+      return share;
+    },
+    stop() {
+      isStopped = true;
+      for (const agent of agents) agent.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/fleet.ts
@@ -0,0 +1,215 @@
+/** The processes of a soak and the stand-ins around them. */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { type Relay, startRelay } from "@coltsfootreach/chaos";
+import { type Child, startChild } from "@coltsfootreach/fleet";
+import { startServerApp, startStoreStandin } from "@coltsfootreach/platform";
+import type { StoreStandin } from "@coltsfootreach/platform";
+import {
+  type Checker,
+  createServerStandin,
+  type Random,
+  type ServerStandin,
+  type TaskTruth,
+} from "@coltsfootreach/simulate";
+import type { RunRef } from "@coltsfootreach/run";
+import type { Size } from "./sizes.ts";
+
+const PROGRAM = "target/coltsfootreach.cjs";
+
+export const SERVICE = "pool";
+
+export const GRACE_SECONDS = 4;
+
+const MAX_LEASE_MS = 1000;
+
+const STOP_MS = 50;
+
+/** A process that ended is started again after this long. */
+const RESTART_MS = 300;
+
+const RESTART_LOOK_MS = 100;
+
+export interface FleetOptions {
+  readonly size: Size;
+  readonly random: Random;
+  readonly checker: Checker;
+  /** Folder for settings and logs. */
+  readonly folder: string;
+  /** First two bytes of the loopback addresses to use. */
+  readonly network: string;
+  now(): number;
+  truth(ref: RunRef): TaskTruth;
+}
+
+export interface SoakedProcess {
+  readonly child: Child;
+  /** An end is expected from here on: it was told to, or was killed. */
+  isEnding: boolean;
+}
+
+export interface SoakedEntry extends SoakedProcess {
+  /** In front of its streams with sides. */
+  readonly links: Relay;
+  /** In front of its callers. */
+  readonly callers: Relay;
+}
+
+export interface SoakedSide extends SoakedProcess {
+  server(): ServerStandin;
+  crashServer(downMs: number): void;
+  setLossShare(share: number): void;
+}
+
+export interface Fleet {
+  readonly store: StoreStandin;
+  readonly entries: readonly SoakedEntry[];
+  readonly sides: readonly SoakedSide[];
+  stop(): Promise<void>;
+}
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const { size, random, checker, folder, network } = options;
+  const storeAddress = `${network}.4.1:8169`;
+  /** What sides see in place of the entries' own addresses. */
+  const relayed = new Map<string, string>();
+  const closing: { close(): void }[] = [];
+  let isStopping = false;
+  mkdirSync(folder, { recursive: true });
+
+  const store = await startStoreStandin({
+    address: storeAddress,
+    random: random.next,
+    readAs: (_key, value) => relayed.get(value) ?? value,
+  });
+  closing.push(store);
+
+  function startProgram(role: string, name: string, more: object): Child {
+    const settings = join(folder, `${name}.json`);
+    writeFileSync(
+      settings,
+      JSON.stringify({
+        node_name: name,
+        role,
+        zone: "a",
+        port_range: [7720, 7735],
+        bounds: { hold_max_ms: MAX_LEASE_MS, grace_s: GRACE_SECONDS },
+        platform: { address: storeAddress },
+        ...more,
+      }),
+    );
+    return startChild({
+      name,
+      args: [PROGRAM, role],
+      logFile: join(folder, `${name}.log`),
+      logsOutput: true,
+      variables: { COLTSFOOTREACH_BOOT: settings },
+    });
+  }
+
+  async function startEntry(index: number): Promise<SoakedEntry> {
+    const ip = `${network}.1.${index + 1}`;
+    const links = await startRelay(`${ip}:7720`);
+    const callers = await startRelay(`${ip}:8161`);
+    relayed.set(`${ip}:7720`, links.address);
+    closing.push(links, callers);
+    const listen = { frontend: `${ip}:8161`, readiness: `${ip}:8167` };
+    const child = startProgram("entry", `entry-${index}`, { ip, listen });
+    return { child, links, callers, isEnding: false };
+  }
+
+  async function startSide(index: number): Promise<SoakedSide> {
+    const ip = `${network}.2.${index + 1}`;
+    const address = `${network}.3.${index + 1}:8080`;
+    const sideAddress = `${ip}:8166`;
+    let lossShare = 0;
+    let lives = 0;
+    let server = makeServer();
+
+    function makeServer(): ServerStandin {
+      lives += 1;
+      return createServerStandin({
+        clock: {
+          now: options.now,
+          after: (delayMs, event) => setTimeout(event, delayMs),
+          runUntil() {},
+        },
+        id: `server-${index}-${lives}`,
+        born: 1_000_000 * (lives + 1) + Math.floor(options.now()),
+        capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
+        slowness: 1,
+        maxLeaseMs: MAX_LEASE_MS,
+        stopMs: STOP_MS,
+        truth: options.truth,
+        observer: checker,
+      });
+    }
+
+    closing.push(
+      await startServerApp({
+        address,
+        sideAddress,
+        service: SERVICE,
+        behaviour: () => server,
+        lossShare: () => lossShare,
+        random: random.next,
+      }),
+    );
+    const child = startProgram("side", `side-${index}`, {
+      ip,
+      app: address,
+      listen: { control_plane: sideAddress },
+    });
+    return {
+      child,
+      isEnding: false,
+      server: () => server,
+      crashServer(downMs) {
+        if (!server.isUp()) return;
+        server.crash();
+        setTimeout(() => {
+          if (!isStopping) server = makeServer();
+        }, downMs);
+      },
+      setLossShare(share) {
+        lossShare = share;
+      },
+    };
+  }
+
+  const indexes = (count: number) => [...Array(count).keys()];
+  const entries = await Promise.all(indexes(size.entries).map(startEntry));
+  const sides = await Promise.all(indexes(size.sides).map(startSide));
+
+  /** Starts what has ended again, as the platform does. */
+  function restartEnded(one: SoakedProcess): void {
+    if (isStopping || one.child.isRunning()) return;
+    if (!one.isEnding) checker.broke("EXIT", one.child.name);
+    one.isEnding = true;
+    setTimeout(() => {
+      if (isStopping || one.child.isRunning()) return;
+      one.isEnding = false;
+      one.child.restart();
+    }, RESTART_MS);
+  }
+
+  const watch = setInterval(() => {
+    for (const one of [...entries, ...sides]) restartEnded(one);
+  }, RESTART_LOOK_MS);
+
+  return {
+    store,
+    entries,
+    sides,
+    async stop() {
+      isStopping = true;
+      clearInterval(watch);
+      for (const { child } of [...entries, ...sides]) child.signal("SIGKILL");
+      await Promise.all(
+        [...entries, ...sides].map(({ child }) => child.ended()),
+      );
+      for (const side of sides) side.server().crash();
+      for (const one of closing) one.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,3 @@
+/** Holds the real programs to the promises under faults from outside. */
+export * from "./soak.ts";
+export * from "./sizes.ts";
--- /dev/null
+++ b/packages/soak/src/soak_test.ts
@@ -0,0 +1,37 @@
+import { execFileSync } from "node:child_process";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { expect } from "chai";
+import { SIZES } from "./sizes.ts";
+import { soak } from "./soak.ts";
+
+const SEED = 11;
+
+const SECONDS = 6;
+
+const BUILD_MS = 60_000;
+
+describe("a short soak of the real programs", () => {
+  const folder = mkdtempSync(join(tmpdir(), "soak-"));
+
+  before(function () {
+    this.timeout(BUILD_MS);
+    execFileSync(process.execPath, ["scripts/build_platform.mjs"]);
+  });
+
+  after(() => rmSync(folder, { recursive: true }));
+
+  it("keeps the promises under faults", async () => {
+    const result = await soak({
+      seed: SEED,
+      seconds: SECONDS,
+      size: SIZES.small,
+      folder,
+    });
+    expect(result.breaches).to.deep.equal([]);
+    expect(result.faults.length).to.be.above(3);
+    expect(result.counts.completed).to.be.above(result.counts.jobs / 2);
+  });
+});
