--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -13,6 +13,9 @@
 
 const FAIL_SHARE = 0.01;
 
+/** A connection may close just as a request is sent on it. */
+const LOSS_SLACK_MS = 200;
+
 export const QUEUE = {
   name: "short",
   hostname: "jobs.example",
@@ -29,6 +32,8 @@
   readonly random: Random;
   readonly checker: Checker;
   readonly jobsPerSecond: number;
+  /** Only planned faults come, which must cut no request. */
+  readonly isPlanned: boolean;
   readonly truths: Map<string, readonly TaskTruth[]>;
 }
 
@@ -95,25 +100,39 @@
         "coltsfootreach-deadline-ms": String(Math.floor(leftMs)),
       },
     });
+    const sentAt = performance.now();
     let isOver = false;
 
-    function lose(): void {
+    function lose(reason: string): void {
       if (isOver) return;
       isOver = true;
+      const ms = performance.now() - sentAt;
+      if (options.isPlanned && ms > LOSS_SLACK_MS && !isStopped) {
+        checker.broke(
+          "LOST",
+          `${job.id}: ${reason} after ${Math.round(ms)} ms`,
+        );
+      }
       clearTimeout(timer);
       checker.unanswered(job.id);
       setTimeout(() => handIn(job), RESEND_MS);
     }
 
-    const timer = setTimeout(() => call.destroy(), leftMs);
-    call.on("error", lose);
+    function leave(): void {
+      isOver = true;
+      checker.unanswered(job.id);
+      call.destroy();
+    }
+
+    const timer = setTimeout(leave, leftMs);
+    call.on("error", (error) => lose(error.message));
     call.on("response", async (response) => {
       let text = "";
       try {
         for await (const chunk of response) text += chunk;
       } catch {
         // The connection broke midway, which "error" has not told.
-        lose();
+        lose("cut midway");
         return;
       }
       if (isOver) return;
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -9,6 +9,8 @@
   /** Mean time between faults. */
   readonly everyMs: number;
   readonly forMs: number;
+  /** Only faults that operators bring about on purpose. */
+  readonly isPlanned: boolean;
   /** Writes the configuration under the next version. */
   changeConfiguration(): void;
   note(fault: string): void;
@@ -23,6 +25,15 @@
 
 const SERIES_GAP_MS = 250;
 
+/** Faults that must cut no request. */
+const PLANNED: readonly string[] = [
+  "termEntry",
+  "termSide",
+  "hupEntry",
+  "hupSide",
+  "changeConfiguration",
+];
+
 /** Resolves when the last fault is over. */
 export async function playFaults(options: FaultsOptions): Promise<void> {
   const { fleet, random } = options;
@@ -101,7 +112,7 @@
     storeLossy: () => troubleStore("lossy"),
     changeConfiguration: options.changeConfiguration,
   };
-  const names = Object.keys(faults);
+  const names = options.isPlanned ? PLANNED : Object.keys(faults);
 
   while (performance.now() < endsAt) {
     const name = pick(names);
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -1,6 +1,7 @@
 /** The processes of a soak and the stand-ins around them. */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
+import process from "node:process";
 import { type Relay, startRelay } from "@coltsfootreach/chaos";
 import { type Child, startChild } from "@coltsfootreach/fleet";
 import { startServerApp, startStoreStandin } from "@coltsfootreach/platform";
@@ -197,6 +198,13 @@
     for (const one of [...entries, ...sides]) restartEnded(one);
   }, RESTART_LOOK_MS);
 
+  function killAll(): void {
+    for (const { child } of [...entries, ...sides]) child.signal("SIGKILL");
+  }
+
+  // Nothing outlives a soak that fails itself.
+  process.once("exit", killAll);
+
   return {
     store,
     entries,
@@ -204,7 +212,8 @@
     async stop() {
       isStopping = true;
       clearInterval(watch);
-      for (const { child } of [...entries, ...sides]) child.signal("SIGKILL");
+      process.off("exit", killAll);
+      killAll();
       await Promise.all(
         [...entries, ...sides].map(({ child }) => child.ended()),
       );
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -11,11 +11,15 @@
   readonly seeds: number;
   readonly seconds: number;
   readonly size: SizeName;
+  readonly planned: boolean;
   readonly json: boolean;
 }
 
 const FOLDER = ".tmp/soak";
 
+/** Breaches that are printed for a seed; the result as JSON has all. */
+const MOST_SHOWN = 10;
+
 async function run(flags: Flags): Promise<void> {
   let failed = 0;
   for (let seed = flags.seed; seed < flags.seed + flags.seeds; seed += 1) {
@@ -26,6 +30,7 @@
       seed,
       seconds: flags.seconds,
       size: SIZES[flags.size],
+      isPlanned: flags.planned,
       folder,
       trace(at, what) {
         appendFileSync(join(folder, "trace.log"), `${at.toFixed(1)} ${what}\n`);
@@ -40,7 +45,7 @@
       `${verdict}; ${jobs} jobs, ${completed} completed, ${starts} starts, ` +
       `${result.faults.length} faults`;
     process.stdout.write(`${summary}\n`);
-    for (const { rule, at, what } of result.breaches) {
+    for (const { rule, at, what } of result.breaches.slice(0, MOST_SHOWN)) {
       process.stdout.write(`  ${rule} at ${Math.round(at)}: ${what}\n`);
     }
   }
@@ -54,6 +59,9 @@
   .option("--seeds <n>", "How many seeds to play", { default: 1 })
   .option("--seconds <n>", "Time in which faults come", { default: 15 })
   .option("--size <name>", "small, few-dozen or limit", { default: "small" })
+  .option("--planned", "Only faults that must cut no request", {
+    default: false,
+  })
   .option("--json", "Prints each result as JSON", { default: false })
   .action(run);
 cli.help();
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -17,6 +17,8 @@
   /** Time in which faults come. */
   readonly seconds: number;
   readonly size: Size;
+  /** Only planned faults, each of them some time after the one before. */
+  readonly isPlanned?: boolean | undefined;
   /** Folder for settings and logs. */
   readonly folder: string;
   trace?(at: number, what: string): void;
@@ -31,6 +33,9 @@
 
 const FAULT_EVERY_MS = 700;
 
+/** An entry takes some 3 s to stop and 1 s to be back. */
+const PLANNED_EVERY_MS = 5000;
+
 /** Time for processes to start, and to recover after the last fault. */
 const START_MS = 2500;
 
@@ -50,6 +55,7 @@
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const random = createRandom(seed);
+  const isPlanned = options.isPlanned ?? false;
   const truths = new Map<string, readonly TaskTruth[]>();
   const faults: string[] = [];
   let isOver = false;
@@ -82,12 +88,14 @@
     random: createRandom(seed + 1),
     checker,
     jobsPerSecond: size.jobsPerSecond,
+    isPlanned,
     truths,
   });
   await playFaults({
     fleet,
     random: createRandom(seed + 2),
-    everyMs: FAULT_EVERY_MS,
+    everyMs: isPlanned ? PLANNED_EVERY_MS : FAULT_EVERY_MS,
+    isPlanned,
     forMs: options.seconds * 1000,
     changeConfiguration,
     note(fault) {
