--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -30,13 +30,11 @@
   type ServerStandin,
   type TaskTruth,
 } from "./server_standin.ts";
+import { createNodes, type Node } from "./node.ts";
+import { createServerLine } from "./server_line.ts";
+import { createTrafficCounter, type Traffic } from "./traffic.ts";
 import { createWire, type Way, type Wire } from "./wire.ts";
 
-const TICK_MS = 25;
-
-/** Between input and what is done about it. */
-const LOOP_MS = 0.2;
-
 const MAX_LEASE_MS = 1000;
 
 const STOP_MS = 50;
@@ -45,13 +43,6 @@
 
 const REDIAL_MS = 100;
 
-const ORDER_TIMEOUT_MS = 60;
-
-const LIST_TIMEOUT_MS = 50;
-
-/** An order that got no answer may be carried out this much later. */
-const LATEST_ORDER_MS = 8000;
-
 export interface FleetOptions {
   readonly clock: SimulatedClock;
   readonly random: Random;
@@ -95,19 +86,6 @@
   drainServer(leaveMs: number): void;
 }
 
-/** Messages that were sent, by kind. */
-export interface Traffic {
-  /** Frames from entries that carry offers or stops... */
-  entryWork: number;
-  /** ...and those that carry nothing. */
-  entryHeartbeats: number;
-  /** Frames from sides with news of runs, with only a report, or with neither. */
-  sideNews: number;
-  sideReports: number;
-  sideHeartbeats: number;
-  lists: number;
-}
-
 export interface Fleet {
   readonly traffic: Readonly<Traffic>;
   readonly entries: readonly SimulatedEntry[];
@@ -117,13 +95,6 @@
   resetStream(entry: number, side: number): void;
 }
 
-interface Node {
-  isUp: boolean;
-  frozenUntil: number;
-  /** Counts the processes of the node. */
-  life: number;
-}
-
 interface EntryNode extends SimulatedEntry, Node {
   dispatcher: Dispatcher;
   readonly sessions: Map<SessionId, Stream>;
@@ -148,15 +119,9 @@
 
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, random, checker } = options;
+  const { canRun, whenAwake, createPoke, tickEvery } = createNodes(clock);
   const ways = new Map<string, Way>();
-  const traffic: Traffic = {
-    entryWork: 0,
-    entryHeartbeats: 0,
-    sideNews: 0,
-    sideReports: 0,
-    sideHeartbeats: 0,
-    lists: 0,
-  };
+  const counter = createTrafficCounter();
   let lastId = 0;
 
   function way(entry: number, side: number, toSide: boolean): Way {
@@ -178,49 +143,6 @@
     for (let side = 0; side < options.sides; side += 1) dial(entry, side);
   }
 
-  function canRun(node: Node): boolean {
-    return node.isUp && clock.now() >= node.frozenUntil;
-  }
-
-  /** Runs `work` now, or once the node is awake; never after it died. */
-  function whenAwake(node: Node, work: () => void): void {
-    if (!node.isUp) return;
-    const waitMs = node.frozenUntil - clock.now();
-    if (waitMs <= 0) {
-      work();
-      return;
-    }
-    const { life } = node;
-    clock.after(waitMs, () => {
-      if (node.life === life) whenAwake(node, work);
-    });
-  }
-
-  function createPoke(
-    node: () => Node,
-    carryOut: () => void,
-  ): () => void {
-    let isPoked = false;
-    return () => {
-      if (isPoked) return;
-      isPoked = true;
-      clock.after(LOOP_MS, () => {
-        isPoked = false;
-        whenAwake(node(), carryOut);
-      });
-    };
-  }
-
-  function tickEvery(
-    node: Node,
-    tick: () => void,
-  ): void {
-    clock.after(TICK_MS, () => {
-      if (canRun(node)) tick();
-      tickEvery(node, tick);
-    });
-  }
-
   // --- Entries ---
 
   function createEntryNode(index: number): EntryNode {
@@ -290,7 +212,7 @@
 
     function perform(effect: DispatchEffect): void {
       if (effect.kind === "send") {
-        countEntryFrame(effect.frame);
+        counter.entrySent(effect.frame);
         sessions.get(effect.session)?.toSide.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = sessions.get(effect.session);
@@ -316,6 +238,13 @@
   function createSideNode(index: number): SideNode {
     const owners = new Map<OwnerId, Stream>();
     const poke = createPoke(() => node, carryOut);
+    const line = createServerLine({
+      clock,
+      random,
+      whenAwake,
+      node: () => node,
+      poke,
+    });
     let server = makeServer();
     let sequence = 0;
     let isDraining = false;
@@ -421,93 +350,19 @@
 
     function perform(effect: WorkerEffect): void {
       if (effect.kind === "send") {
-        countSideFrame(effect.frame);
+        counter.sideSent(effect.frame);
         owners.get(effect.owner)?.toEntry.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = owners.get(effect.owner);
         if (stream !== undefined) endStream(stream);
-      } else if (effect.kind === "start") {
-        const { order } = effect;
-        call((target) => target.start(order), ORDER_TIMEOUT_MS, {
-          lost: { kind: "unanswered" },
-          reply: (reply) =>
-            node.core.startReplied(order.ref, reply, clock.now()),
-        });
-      } else if (effect.kind === "stop") {
-        const { order } = effect;
-        call((target) => target.stop(order), ORDER_TIMEOUT_MS, {
-          lost: { isBarred: false },
-          reply: (reply) =>
-            node.core.stopReplied(order.ref, reply, clock.now()),
-        });
-      } else if (effect.kind === "list") {
-        traffic.lists += 1;
-        callList(effect);
-      } else {
+      } else if (effect.kind === "log") {
         options.trace(`side ${index} ${JSON.stringify(effect.decision)}`);
+      } else {
+        if (effect.kind === "list") counter.listed();
+        line.carry(effect);
       }
     }
 
-    /** Gives an order that may be lost, late, or answered in vain. */
-    function call<Reply>(
-      carry: (target: ServerStandin) => Reply,
-      timeoutMs: number,
-      to: { readonly lost: Reply; reply(reply: Reply): void },
-    ): void {
-      const target = server;
-      const calledIn = node.life;
-      const answer = (reply: Reply) =>
-        clock.after(random.next(), () => {
-          if (node.life !== calledIn) return;
-          whenAwake(node, () => {
-            to.reply(reply);
-            poke();
-          });
-        });
-      if (random.chance(node.lossShare)) {
-        const lateMs = 2000 + random.next() * (LATEST_ORDER_MS - 2000);
-        const isLate = random.chance(0.5);
-        clock.after(isLate ? lateMs : 1, () => {
-          if (target.isUp()) carry(target);
-        });
-        clock.after(timeoutMs, () => answer(to.lost));
-        return;
-      }
-      clock.after(random.next(), () => {
-        if (target.isUp()) answer(carry(target));
-        else clock.after(timeoutMs, () => answer(to.lost));
-      });
-    }
-
-    function callList(
-      { order }: Extract<WorkerEffect, { kind: "list" }>,
-    ): void {
-      const target = server;
-      const calledIn = node.life;
-      let isAnswered = false;
-      const reply = (answer: Parameters<WorkerCore["listReplied"]>[1]) => {
-        if (isAnswered || node.life !== calledIn) return;
-        isAnswered = true;
-        whenAwake(node, () => {
-          node.core.listReplied(order, answer, clock.now());
-          poke();
-        });
-      };
-      clock.after(
-        order.waitMs + LIST_TIMEOUT_MS,
-        () => reply({ kind: "unanswered" }),
-      );
-      if (random.chance(node.lossShare)) return;
-      clock.after(
-        random.next(),
-        () =>
-          target.list(
-            order,
-            (answer) => clock.after(random.next(), () => reply(answer)),
-          ),
-      );
-    }
-
     function announceEvery(): void {
       announce();
       clock.after(ANNOUNCE_MS, announceEvery);
@@ -521,18 +376,6 @@
     return node;
   }
 
-  function countEntryFrame(frame: DispatchFrame): void {
-    const isWork = frame.offers.length > 0 || frame.stops.length > 0;
-    if (isWork) traffic.entryWork += 1;
-    else traffic.entryHeartbeats += 1;
-  }
-
-  function countSideFrame(frame: WorkFrame): void {
-    if (frame.news.length > 0) traffic.sideNews += 1;
-    else if ("server" in frame) traffic.sideReports += 1;
-    else traffic.sideHeartbeats += 1;
-  }
-
   // --- Streams ---
 
   function dial(entry: number, side: number): void {
@@ -610,7 +453,7 @@
   }
 
   return {
-    traffic,
+    traffic: counter.traffic,
     entries,
     sides,
     way,
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -5,9 +5,10 @@
 import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
 import { createClock } from "./clock.ts";
 import { playFaults } from "./faults.ts";
-import { createFleet, type Traffic } from "./fleet.ts";
+import { createFleet } from "./fleet.ts";
 import { createRandom } from "./random.ts";
 import type { TaskTruth } from "./server_standin.ts";
+import type { Traffic } from "./traffic.ts";
 
 export interface PlayOptions {
   readonly seed: number;
