--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -39,6 +39,9 @@
 
 const STOP_MS = 50;
 
+/** A server that is back before anyone has noticed that it was down. */
+const BRIEF_MS = 5;
+
 const ANNOUNCE_MS = 1500;
 
 const REDIAL_MS = 100;
@@ -245,6 +248,7 @@
       node: () => node,
       poke,
     });
+    let serverId = "";
     let server = makeServer();
     let sequence = 0;
     let isDraining = false;
@@ -273,8 +277,9 @@
       },
       crashServer(downMs) {
         if (!server.isUp()) return;
+        const isBrief = random.chance(0.3);
         server.crash();
-        clock.after(downMs, () => {
+        clock.after(isBrief ? BRIEF_MS : downMs, () => {
           server = makeServer();
           sequence = 0;
           isDraining = false;
@@ -307,9 +312,13 @@
 
     function makeServer(): ServerStandin {
       lastId += 1;
+      // A server may start again under the id that it had.
+      if (serverId === "" || random.chance(0.5)) {
+        serverId = `server-${index}-${lastId}`;
+      }
       return createServerStandin({
         clock,
-        id: `server-${index}-${lastId}`,
+        id: serverId,
         born: 1_000_000 + clock.now(),
         capacity: options.capacity,
         slowness: options.slowness[index % options.slowness.length]!,
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -125,17 +125,20 @@
     const sideAddress = `${ip}:8166`;
     let lossShare = 0;
     let lives = 0;
+    let id = "";
     let server = makeServer();
 
     function makeServer(): ServerStandin {
       lives += 1;
+      // A server may start again under the id that it had.
+      if (id === "" || random.chance(0.5)) id = `server-${index}-${lives}`;
       return createServerStandin({
         clock: {
           now: options.now,
           after: (delayMs, event) => setTimeout(event, delayMs),
           runUntil() {},
         },
-        id: `server-${index}-${lives}`,
+        id,
         born: 1_000_000 * (lives + 1) + Math.floor(options.now()),
         capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
         slowness: 1,
--- a/packages/worker/src/lists.ts
+++ b/packages/worker/src/lists.ts
@@ -156,6 +156,7 @@
       return taken;
     },
     forget() {
+      leaseOverAt = Math.max(leaseOverAt, pending?.leaseOverAt ?? 0);
       pending = undefined;
       losses = 0;
     },
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -69,6 +69,9 @@
  */
 const LEASE_MS = 700;
 
+/** Raises a token that is too low by so much; a life's clock may run for days. */
+const TOKEN_FACTOR = 16;
+
 const STOP_RETRY_MS = 150;
 
 /** Without an answer for this long the server gets no new runs. */
@@ -147,6 +150,8 @@
   };
   let effects: WorkerEffect[] = [];
   let current: CurrentLife | undefined;
+  /** The life before, while it is over. */
+  let previous: CurrentLife | undefined;
   let candidate: Announcement | undefined;
   let isClosed = false;
   let tickedAt = 0;
@@ -198,15 +203,47 @@
     endLife("server left");
   }
 
+  /** The life has ended, and so have its runs. */
   function endLife(reason: string): void {
-    if (current === undefined) return;
+    forgetLife();
     for (const run of runs.all()) lose(run, reason);
+  }
+
+  function forgetLife(): void {
+    if (current === undefined) return;
+    previous = current;
     current = undefined;
     lists.forget();
     slowness.reset();
     suspicion.reset();
   }
 
+  /**
+   * The server has started again, perhaps under the same id: orders that were
+   * meant for the life before may have reached the new one.
+   */
+  function suspectRuns(): void {
+    for (const run of runs.all()) {
+      run.state = "stopping";
+      run.isBarred = false;
+      logRun("run may be on the next life", run);
+    }
+  }
+
+  function startLife(announcement: Announcement, clockMs: number, now: number) {
+    const before = current ?? previous;
+    const isSameId = before?.life.id === announcement.id;
+    if (isSameId) suspectRuns();
+    else endLife("server replaced");
+    forgetLife();
+    const life = adopt(announcement, clockMs, now);
+    if (isSameId) {
+      life.fencingToken = Math.max(life.fencingToken, before.fencingToken + 1);
+    }
+    current = life;
+    for (const run of runs.all()) sendStop(life, run, now);
+  }
+
   function sendProbe(announcement: Announcement): void {
     effects.push({ kind: "list", order: lists.probe(announcement) });
   }
@@ -223,11 +260,10 @@
       return;
     }
     candidate = undefined;
-    endLife("server replaced");
-    current = adopt(announcement, reply.clockMs, now);
+    startLife(announcement, reply.clockMs, now);
     log({
       message: "server joined",
-      figures: { born: announcement.born, fence: current.fencingToken },
+      figures: { born: announcement.born, fence: current?.fencingToken ?? 0 },
     });
     sendList(now);
   }
@@ -262,12 +298,13 @@
     switch (reply.kind) {
       case "listed":
         if (reply.born === life.life.born) takeList(life, reply, pending, now);
-        else restartLife(reply.kind);
+        else expectNextLife();
         return;
       case "fenced":
-        // Another process of this side has given orders since.
+        // Another process of this side has given orders since, or an order to
+        // the life before has reached this one.
         life.fencingToken = Math.max(
-          life.fencingToken + 1,
+          life.fencingToken * TOKEN_FACTOR,
           Math.floor(reply.clockMs),
         );
         log({ message: "token raised", reason: "fenced" });
@@ -291,6 +328,13 @@
     sendDueList(now);
   }
 
+  /** Another life has answered under the same id; it announces itself soon. */
+  function expectNextLife(): void {
+    log({ message: "server has started again" });
+    suspectRuns();
+    forgetLife();
+  }
+
   function restartLife(reason: string): void {
     log({ message: "server is gone", reason });
     endLife(reason);
@@ -650,8 +694,8 @@
     owners.setBusy(busyOwners());
     if (!wasPaused) dropSilentOwners(now);
     stopUnclaimed(now);
+    if (runs.count() > 0 && lists.isLeaseOver(now)) expireLease();
     if (current === undefined) return;
-    if (runs.count() > 0 && lists.isLeaseOver(now)) expireLease(current, now);
     retryStops(current, now);
     sendDueList(now);
   }
@@ -679,11 +723,8 @@
   }
 
   /** Nothing has renewed the lease: whatever ran has been ended by it. */
-  function expireLease(life: CurrentLife, now: number): void {
-    log({
-      message: "lease ran out",
-      figures: { runs: runs.count(), silentMs: now - life.answeredAt },
-    });
+  function expireLease(): void {
+    log({ message: "lease ran out", figures: { runs: runs.count() } });
     for (const run of runs.all()) lose(run, "lease ran out");
   }
 
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -432,6 +432,71 @@
     expect(bench.core.runs()).to.equal(0);
   });
 
+  it("stops what the next life under the same id may have started", () => {
+    const bench = createBench();
+    startOne(bench);
+    bench.take(11);
+    bench.listed(20, { born: 78 });
+    expect(bench.news(20)).to.deep.equal([]);
+    bench.core.announced({ ...ANNOUNCEMENT, born: 78 });
+    bench.take(30);
+    bench.listed(31, { born: 78, clockMs: 40 });
+    const effects = bench.take(31);
+    expect(stops(effects)).to.deep.equal([refOf(0)]);
+    const [stop] = effects.flatMap((effect) =>
+      effect.kind === "stop" ? [effect.order] : []
+    );
+    // The next life may have seen the token of the start: 5,001.
+    expect(stop?.server.born).to.equal(78);
+    expect(stop?.fencingToken).to.be.above(5001);
+    bench.core.stopReplied(refOf(0), { isBarred: true }, 32);
+    bench.listed(33, { born: 78, running: [row(0)] });
+    expect(bench.news(33)).to.deep.equal([]);
+    bench.listed(60, { born: 78 });
+    expect(bench.news(60)).to.deep.equal([
+      { kind: "ended", ref: refOf(0), end: "stopped", ms: 49 },
+    ]);
+  });
+
+  it("waits for the lease of runs whose server has another life", () => {
+    const bench = createBench();
+    startOne(bench);
+    bench.take(11);
+    bench.listed(20, { born: 78 });
+    bench.core.ownerSent(OWNER, frame(9, {}), 700);
+    bench.core.tick(760);
+    expect(bench.news(760)).to.deep.equal([]);
+    bench.core.tick(800);
+    expect(bench.news(800)).to.deep.equal([
+      { kind: "lost", ref: refOf(0), reason: "lease ran out" },
+    ]);
+  });
+
+  it("gives up the runs of a server that another one has replaced", () => {
+    const bench = createBench();
+    startOne(bench);
+    bench.take(11);
+    bench.replyToList(20, { kind: "otherLife" });
+    expect(bench.news(20)).to.deep.equal([
+      { kind: "lost", ref: refOf(0), reason: "otherLife" },
+    ]);
+  });
+
+  it("gets above a token that it cannot know", () => {
+    const bench = createBench();
+    startOne(bench);
+    bench.take(11);
+    let tries = 0;
+    for (let now = 20; now < 400; now += 60) {
+      bench.replyToList(now, { kind: "fenced", clockMs: 5020 });
+      bench.core.tick(now + 59);
+      const [list] = lists(bench.take(now + 59));
+      tries += 1;
+      if (list?.kind === "list" && list.order.fencingToken > 1e8) break;
+    }
+    expect(tries).to.be.below(6);
+  });
+
   it("pauses between lists to a server that breaks its connections", () => {
     const bench = createBench();
     startOne(bench);
