--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -515,7 +515,7 @@
 
   function isOpen(life: CurrentLife, now: number): boolean {
     if (isClosed || life.announcement.isDraining) return false;
-    if (lists.isDown()) return false;
+    if (!life.isListed || lists.isDown()) return false;
     return runs.count() === 0 || now - life.answeredAt < UNREACHABLE_MS;
   }
 
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -432,6 +432,19 @@
     expect(bench.core.runs()).to.equal(0);
   });
 
+  it("takes no offers before it knows what runs", () => {
+    const bench = createBench();
+    bench.replyToList(10, { kind: "otherLife" });
+    bench.core.announced({ ...ANNOUNCEMENT, id: "next", born: 78 });
+    bench.take(20);
+    bench.listed(21, { born: 78 });
+    bench.offer(0, 21, { server: "next", born: 78 });
+    expect(starts(bench.take(21))).to.deep.equal([]);
+    bench.listed(22, { born: 78 });
+    bench.offer(1, 23, { server: "next", born: 78 });
+    expect(starts(bench.take(23))).to.have.length(1);
+  });
+
   it("stops what the next life under the same id may have started", () => {
     const bench = createBench();
     startOne(bench);
