--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -53,6 +53,11 @@
   process.exit(failed > 0 ? 1 : 0);
 }
 
+// Ends by way of "exit", which ends the processes of the soak too.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 const cli = cac("soak");
 cli.command("", "Soaks fleets of processes under faults")
   .option("--seed <n>", "First seed", { default: 1 })
