--- a/packages/simulate/src/callers.ts
+++ b/packages/simulate/src/callers.ts
@@ -4,6 +4,7 @@
  */
 import type { Answer } from "@coltsfootreach/dispatch";
 import type { Job, Queue } from "@coltsfootreach/run";
+import { sampleStep } from "@coltsfootreach/standin";
 import type { Checker } from "./checker.ts";
 import type { SimulatedClock } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
@@ -60,16 +61,11 @@
       id,
       payload: id,
       timeoutMs: 3 * (longest * queue.slackFactor + queue.extraMs),
-      steps: [{
+      steps: [sampleStep({
         count,
         resources,
         estimateMs: longest * random.factor(0.4),
-        after: [],
-        rack: "",
-        requiredLabel: "",
-        maxPerServer: 0,
-        isGang: false,
-      }],
+      })],
     };
   }
 
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,4 +1,5 @@
 /** Faults from outside the processes, drawn from a seed, which may overlap. */
+import { setTimeout as sleep } from "node:timers/promises";
 import type { StoreMode } from "@coltsfootreach/platform";
 import type { Random } from "@coltsfootreach/simulate";
 import type { Fleet, SoakedProcess } from "./fleet.ts";
@@ -126,7 +127,3 @@
   }
   await sleep(LONGEST_MS);
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -74,7 +74,7 @@
   const storeAddress = `${network}.4.1:8169`;
   /** What sides see in place of the entries' own addresses. */
   const relayed = new Map<string, string>();
-  const closing: { close(): void }[] = [];
+  const closing: { close(): unknown }[] = [];
   let isStopping = false;
   mkdirSync(folder, { recursive: true });
 
@@ -221,7 +221,7 @@
         [...entries, ...sides].map(({ child }) => child.ended()),
       );
       for (const side of sides) side.server().crash();
-      for (const one of closing) one.close();
+      await Promise.all(closing.map((one) => one.close()));
     },
   };
 }
