--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,34 +3,30 @@
  * again, at any entry, when its answer was lost.
  */
 import { Agent, request } from "node:http";
+import {
+  callerHeaders,
+  formatJob,
+  isCompleted,
+} from "@coltsfootreach/platform";
+import type { Queue } from "@coltsfootreach/run";
+import { sampleStep } from "@coltsfootreach/standin";
 import type { Checker, Random, TaskTruth } from "@coltsfootreach/simulate";
 
 const RESEND_MS = 1300;
 
 const DEADLINE_MS = 2500;
 
-const ATTEMPTS = 2;
-
 const FAIL_SHARE = 0.01;
 
 /** A connection may close just as a request is sent on it. */
 const LOSS_SLACK_MS = 200;
 
-export const QUEUE = {
-  name: "short",
-  hostname: "jobs.example",
-  prefix: "/short/",
-  attempts: ATTEMPTS,
-  slack_factor: 1.6,
-  slo_ms: 60,
-  priority: 0,
-} as const;
-
 export interface CallersOptions {
   /** Addresses of the entries, as `IP:port`. */
   readonly addresses: readonly string[];
   readonly random: Random;
   readonly checker: Checker;
+  readonly queue: Queue;
   readonly jobsPerSecond: number;
   /** Only planned faults come, which must cut no request. */
   readonly isPlanned: boolean;
@@ -50,7 +46,7 @@
 }
 
 export function startCallers(options: CallersOptions): Callers {
-  const { random, checker, truths } = options;
+  const { random, checker, truths, queue } = options;
   const agents = options.addresses.map(() => new Agent({ keepAlive: true }));
   let made = 0;
   let asked = 0;
@@ -70,17 +66,13 @@
       fails: random.chance(FAIL_SHARE),
     }));
     truths.set(id, tasks);
-    checker.jobMade({ id, tasks: count, attempts: ATTEMPTS });
+    checker.jobMade({ id, tasks: count, attempts: queue.attempts });
     const longestMs = Math.max(...tasks.map(({ workMs }) => workMs));
-    const step = {
-      count,
-      cpu: resources.cpu,
-      mem_mb: resources.memoryMb,
-      estimate_ms: Math.round(longestMs * random.factor(0.4)),
-    };
+    const estimateMs = longestMs * random.factor(0.4);
+    const step = sampleStep({ count, resources, estimateMs });
     return {
       id,
-      body: JSON.stringify({ spec: id, best_effort: true, steps: [step] }),
+      body: formatJob(id, step),
       leavesAt: performance.now() + DEADLINE_MS,
     };
   }
@@ -93,14 +85,10 @@
     const call = request({
       host,
       port,
-      path: QUEUE.prefix + job.id,
+      path: queue.prefix + job.id,
       method: "POST",
       agent: agents[entry]!,
-      headers: {
-        host: QUEUE.hostname,
-        "content-type": "application/json",
-        "coltsfootreach-deadline-ms": String(Math.floor(leftMs)),
-      },
+      headers: callerHeaders(queue, leftMs),
     });
     const sentAt = performance.now();
     let isOver = false;
@@ -152,11 +140,11 @@
 
   function answered(job: CallerJob, status: number, text: string): void {
     if (status === 200) {
-      const isCompleted = JSON.parse(text).state === "completed";
-      if (isCompleted) completed += 1;
+      const isDone = isCompleted(text);
+      if (isDone) completed += 1;
       checker.answered(
         job.id,
-        isCompleted
+        isDone
           ? { kind: "completed" }
           : { kind: "failed", reason: "attemptsUsed" },
       );
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -4,8 +4,13 @@
 import process from "node:process";
 import { type Relay, startRelay } from "@coltsfootreach/chaos";
 import { type Child, startChild } from "@coltsfootreach/fleet";
-import { startServerApp, startStoreStandin } from "@coltsfootreach/platform";
-import type { StoreStandin } from "@coltsfootreach/platform";
+import {
+  formatSettings,
+  type ProcessSettings,
+  startServerApp,
+  startStoreStandin,
+  type StoreStandin,
+} from "@coltsfootreach/platform";
 import {
   type Checker,
   createServerStandin,
@@ -18,9 +23,10 @@
 
 const PROGRAM = "target/coltsfootreach.cjs";
 
-export const SERVICE = "pool";
+/** Where entries listen for sides. */
+const LINK_PORT = 7720;
 
-export const GRACE_SECONDS = 4;
+const GRACE_SECONDS = 4;
 
 const MAX_LEASE_MS = 1000;
 
@@ -35,6 +41,8 @@
   readonly size: Size;
   readonly random: Random;
   readonly checker: Checker;
+  /** Pool of the backend servers. */
+  readonly service: string;
   /** Folder for settings and logs. */
   readonly folder: string;
   /** First two bytes of the loopback addresses to use. */
@@ -85,18 +93,21 @@
   });
   closing.push(store);
 
-  function startProgram(role: string, name: string, more: object): Child {
+  function startProgram(
+    place:
+      & Pick<ProcessSettings, "name" | "role" | "ip">
+      & Partial<ProcessSettings>,
+  ): Child {
+    const { name, role } = place;
     const settings = join(folder, `${name}.json`);
     writeFileSync(
       settings,
-      JSON.stringify({
-        node_name: name,
-        role,
-        zone: "a",
-        port_range: [7720, 7735],
-        bounds: { hold_max_ms: MAX_LEASE_MS, grace_s: GRACE_SECONDS },
-        platform: { address: storeAddress },
-        ...more,
+      formatSettings({
+        storeAddress,
+        firstPort: LINK_PORT,
+        maxLeaseMs: MAX_LEASE_MS,
+        graceSeconds: GRACE_SECONDS,
+        ...place,
       }),
     );
     return startChild({
@@ -110,12 +121,18 @@
 
   async function startEntry(index: number): Promise<SoakedEntry> {
     const ip = `${network}.1.${index + 1}`;
-    const links = await startRelay(`${ip}:7720`);
-    const callers = await startRelay(`${ip}:8161`);
-    relayed.set(`${ip}:7720`, links.address);
+    const callerAddress = `${ip}:8161`;
+    const links = await startRelay(`${ip}:${LINK_PORT}`);
+    const callers = await startRelay(callerAddress);
+    relayed.set(`${ip}:${LINK_PORT}`, links.address);
     closing.push(links, callers);
-    const listen = { frontend: `${ip}:8161`, readiness: `${ip}:8167` };
-    const child = startProgram("entry", `entry-${index}`, { ip, listen });
+    const child = startProgram({
+      name: `entry-${index}`,
+      role: "entry",
+      ip,
+      callerAddress,
+      readinessAddress: `${ip}:8167`,
+    });
     return { child, links, callers, isEnding: false };
   }
 
@@ -153,16 +170,18 @@
       await startServerApp({
         address,
         sideAddress,
-        service: SERVICE,
+        service: options.service,
         behaviour: () => server,
         lossShare: () => lossShare,
         random: random.next,
       }),
     );
-    const child = startProgram("side", `side-${index}`, {
+    const child = startProgram({
+      name: `side-${index}`,
+      role: "side",
       ip,
-      app: address,
-      listen: { control_plane: sideAddress },
+      serverAddress: address,
+      announcementAddress: sideAddress,
     });
     return {
       child,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,5 +1,9 @@
 /** One soak: a fleet of processes, callers and faults, all drawn from a seed. */
 import { setTimeout as sleep } from "node:timers/promises";
+import {
+  configurationDocument,
+  formatConfiguration,
+} from "@coltsfootreach/platform";
 import {
   type Breach,
   type CheckerCounts,
@@ -7,9 +11,10 @@
   createRandom,
   type TaskTruth,
 } from "@coltsfootreach/simulate";
-import { QUEUE, startCallers } from "./callers.ts";
+import { sampleQueue } from "@coltsfootreach/standin";
+import { startCallers } from "./callers.ts";
 import { playFaults } from "./faults.ts";
-import { SERVICE, startFleet } from "./fleet.ts";
+import { startFleet } from "./fleet.ts";
 import type { Size } from "./sizes.ts";
 
 export interface SoakOptions {
@@ -63,8 +68,10 @@
     if (!isOver) options.trace?.(now(), what);
   };
   const checker = createChecker({ now, trace });
+  const queue = sampleQueue();
   const fleet = await startFleet({
     size,
+    service: queue.service,
     random,
     checker,
     folder,
@@ -75,9 +82,8 @@
   let version = 1;
 
   function changeConfiguration(): void {
-    const routes = [{ ...QUEUE, service: SERVICE }];
-    const document = { version, routes, services: [], limits: {} };
-    fleet.store.write("op/config", JSON.stringify(document));
+    const document = formatConfiguration(version, queue);
+    fleet.store.write(configurationDocument.key, document);
     version += 3;
   }
 
@@ -87,6 +93,7 @@
     addresses: fleet.entries.map((entry) => entry.callers.address),
     random: createRandom(seed + 1),
     checker,
+    queue,
     jobsPerSecond: size.jobsPerSecond,
     isPlanned,
     truths,
