--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -183,6 +183,7 @@
       figures: {
         tasks: live.tasks.length,
         slackMs: Math.round(latestStart(live, soundSlowness) - now),
+        timeoutMs: Math.round(live.job.timeoutMs),
         servers: workers.size,
       },
     });
--- a/packages/runtime/src/entry_metrics.ts
+++ b/packages/runtime/src/entry_metrics.ts
@@ -1,6 +1,12 @@
 /** An entry's counters and response times, as text for a collector. */
 import type { Answer } from "@coltsfootreach/dispatch";
-import { createHistograms, type Histograms } from "@coltsfootreach/measure";
+import type { Histograms } from "@coltsfootreach/measure";
+
+/** The library is loaded when callers no longer wait for the start of it all. */
+const LOAD_AFTER_MS = 5000;
+
+/** Most answers that are kept until then. */
+const MAX_KEPT = 20_000;
 
 /** Most queues whose response times are kept apart. */
 const MAX_QUEUES = 500;
@@ -20,10 +26,20 @@
   counts: () => Readonly<Record<string, number>>,
 ): EntryMetrics {
   let histograms: Histograms | undefined;
+  let kept: AnsweredJob[] = [];
+
+  async function load(): Promise<void> {
+    const { createHistograms } = await import("@coltsfootreach/measure");
+    histograms = createHistograms(MAX_QUEUES);
+    for (const job of kept) record(histograms, job);
+    kept = [];
+  }
+
+  setTimeout(load, LOAD_AFTER_MS).unref();
   return {
-    answered({ queue, answer, responseMs }) {
-      histograms ??= createHistograms(MAX_QUEUES);
-      histograms.record(`${queue}\n${answer.kind}`, responseMs);
+    answered(job) {
+      if (histograms !== undefined) record(histograms, job);
+      else if (kept.length < MAX_KEPT) kept.push(job);
     },
     text() {
       const lines = formatCounts(counts());
@@ -35,6 +51,10 @@
   };
 }
 
+function record(histograms: Histograms, job: AnsweredJob): void {
+  histograms.record(`${job.queue}\n${job.answer.kind}`, job.responseMs);
+}
+
 /** Counters by name, one a line. */
 export function formatCounts(
   counts: Readonly<Record<string, number>>,
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -3,6 +3,17 @@
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { copyFileSync } from "node:fs";
+import path from "node:path";
+
+// The whole of undici also sets up fetch, WebSocket and caches at start.
+const usePoolAlone = {
+  name: "use-pool-alone",
+  setup(plugin) {
+    plugin.onResolve({ filter: /^undici$/ }, () => ({
+      path: path.resolve("scripts/undici_pool.cjs"),
+    }));
+  },
+};
 
 await build({
   entryPoints: ["platform/src/main.ts"],
@@ -12,6 +23,11 @@
   platform: "node",
   target: "node20",
   format: "cjs",
+  plugins: [usePoolAlone],
+  define: {
+    // The native decoder of long texts isn't in the bundle.
+    "process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED": '"true"',
+  },
   logLevel: "warning",
 });
 copyFileSync("scripts/load_compiled.cjs", "target/coltsfootreach.cjs");
