Tell callers that come back from new ones after a start, and open servers at once

Cause: after all machines had lost power, the two seconds after it were lost to callers that came back too late to be helped: to an entry they look like new ones, so they took the room of those that could still be in time. And of the time from a side's first word of its server to the entries' knowledge that it takes runs, up to 230 ms were the side's own: a report that is not due waited for the next tick, 200 ms on an idle side.

Ruled out: the start-up (0.14 to 0.26 s after power) and the configuration (50 ms after that) as the main part. Using the age at any time: callers with little time of their own would always be refused.

Change: a caller's age is what is missing of the time that its queue's callers usually have; entries learn that in calm times and keep it in the store (one key, looked at every 10 to 20 s). It counts in the six seconds after an entry's start. Jobs that can't be of use any more are refused at once, also while the entry starts. Sides report at once that a server takes runs or no longer does, and tick fast while an entry has not heard the newest report.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -58,6 +58,8 @@
   readonly job: Job;
   readonly queue: Queue;
   readonly configurationVersion: number;
+  /** How long the caller has waited before it came here, as far as known. */
+  readonly ageMs: number;
 }
 
 export interface Dispatcher {
@@ -161,37 +163,50 @@
     const chain = longestChainMs(job) * soundSlowness;
     const objective = objectiveMs(chain, queue);
     const timeoutMs = Math.max(0, job.timeoutMs - ANSWER_MARGIN_MS);
+    const sentAt = now - submission.ageMs;
     const live = createLiveJob(job, queue, {
       submission: id,
       arrivedAt: now,
-      dueAt: now + objective,
-      staleAt: now + Math.min(objective * STALE_FACTOR, timeoutMs),
+      dueAt: sentAt + objective,
+      staleAt: Math.min(sentAt + objective * STALE_FACTOR, now + timeoutMs),
       giveUpAt: now + timeoutMs,
       chainMs: remainingChainMs(job),
     });
     jobs.set(id, live);
     byJob.set(job.id, live);
-    admit(live, submission.configurationVersion, now);
+    logArrival(live, submission, now);
+    admit(live, now);
   }
 
-  function admit(live: LiveJob, version: number, now: number): void {
+  function logArrival(
+    live: LiveJob,
+    { configurationVersion, ageMs }: Submission,
+    now: number,
+  ): void {
     log({
       message: "job handed in",
       job: live.job.id,
       queue: live.queue.name,
-      configurationVersion: version,
+      configurationVersion,
       figures: {
         tasks: live.tasks.length,
         slackMs: Math.round(latestStart(live, soundSlowness) - now),
         timeoutMs: Math.round(live.job.timeoutMs),
+        ageMs: Math.round(ageMs),
         servers: workers.size,
       },
     });
+  }
+
+  function admit(live: LiveJob, now: number): void {
     const chainMs = Math.max(0, ...live.chainMs) * soundSlowness;
     if (now + chainMs * STOP_FACTOR > stopsAt) {
       return refuse(live, "stopping", 0, now);
     }
     if (!isSupported(live)) return refuse(live, "unsupported", 0, now);
+    if (now > latestUsefulStart(live, soundSlowness)) {
+      return refuse(live, "overload", LATE_RETRY_MS, now);
+    }
     if (live.tasks.length === 0) return complete(live, now);
     mayPlace = true;
     // Shortly after the start, servers are about to be heard of.
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -1,10 +1,11 @@
-import type {
-  DispatchFrame,
-  Job,
-  RunNews,
-  ServerReport,
-  Step,
-  WorkFrame,
+import {
+  type DispatchFrame,
+  type Job,
+  NO_RESOURCES,
+  type RunNews,
+  type ServerReport,
+  type Step,
+  type WorkFrame,
 } from "@coltsfootreach/run";
 import { sampleQueue, sampleReport, sampleStep } from "@coltsfootreach/standin";
 import { expect } from "chai";
@@ -28,7 +29,7 @@
   readonly answers: Map<number, Answer>;
   /** Frames to a session since the last call. */
   frames(session: number, now: number): readonly DispatchFrame[];
-  submit(id: number, job: Job, now: number): void;
+  submit(id: number, job: Job, now: number, ageMs?: number): void;
   join(session: number, side: string, server: ServerReport, now: number): void;
   hear(session: number, frame: Partial<WorkFrame>, now: number): void;
 }
@@ -65,11 +66,16 @@
       sent.delete(session);
       return frames;
     },
-    submit(id, one, now) {
-      dispatcher.submit(
-        { id, job: one, queue: sampleQueue(), configurationVersion: 1 },
-        now,
-      );
+    submit(id, one, now, ageMs = 0) {
+      const queue = sampleQueue();
+      const submission = {
+        id,
+        job: one,
+        queue,
+        configurationVersion: 1,
+        ageMs,
+      };
+      dispatcher.submit(submission, now);
       run(now);
     },
     join(session, side, server, now) {
@@ -359,4 +365,28 @@
       reason: "stopping",
     });
   });
+
+  it("refuses at once a caller that comes back too late to be helped", () => {
+    const bench = createBench();
+    bench.join(1, "side", report("server", 1000), 0);
+    const now = 100;
+    bench.submit(1, job("a"), now, 1500);
+    expect(bench.answers.get(1)).to.include({
+      kind: "refused",
+      reason: "overload",
+    });
+  });
+
+  it("starts callers that can be in time before those that came back", () => {
+    const bench = createBench();
+    const server = report("server", 1000);
+    bench.join(1, "side", { ...server, room: NO_RESOURCES }, START);
+    bench.submit(1, job("back"), START, 250);
+    bench.submit(2, job("new"), START, 0);
+    bench.hear(1, { server }, START + 10);
+    const offered = bench.frames(1, START + 10).flatMap((frame) =>
+      frame.offers.map((offer) => offer.task.job)
+    );
+    expect(offered).to.deep.equal(["new"]);
+  });
 });
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./objective.ts";
 export * from "./placement.ts";
 export * from "./refusal.ts";
+export * from "./patience.ts";
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -4,6 +4,7 @@
 import {
   type Answer,
   createDispatcher,
+  createPatience,
   type DispatchEffect,
   type SessionId,
   type SubmissionId,
@@ -25,6 +26,7 @@
 import { runLoop, steadyNow } from "./loop.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import { joinEntries } from "./membership.ts";
+import { keepPatience } from "./patience_record.ts";
 import type { ConfigurationDocument } from "./ports.ts";
 
 /** Time between ticks while something runs... */
@@ -33,6 +35,9 @@
 /** ...and otherwise. */
 const IDLE_TICK_MS = 200;
 
+/** Time after a start in which callers come back whose connections broke. */
+const RETURN_MS = 6000;
+
 /** The balancer looks once a second and wants to see two misses. */
 const UNREADY_MS = 2500;
 
@@ -90,6 +95,8 @@
     configurationVersion: configuration.table()?.version ?? 0,
     logLinesDropped: decisions.dropped(),
   }));
+  const patience = createPatience();
+  const startedAt = steadyNow();
   const streams = new Map<SessionId, Stream<DispatchFrame>>();
   const answers = new Map<SubmissionId, (answer: Answer) => void>();
   let lastSession = 0;
@@ -174,6 +181,22 @@
     changed: (addresses) => dispatcher.setEntries(addresses),
   });
 
+  const patienceRecord = keepPatience({
+    store: options.store,
+    patience,
+    log,
+    random: Math.random,
+  });
+
+  /** Only after a start do so many come back that their age matters. */
+  function ageOf(queue: Queue, job: Job, now: number): number {
+    if (now - startedAt < RETURN_MS) {
+      return patience.ageMs(queue.name, job.timeoutMs);
+    }
+    patience.learn(queue.name, job.timeoutMs);
+    return 0;
+  }
+
   function submit(queue: Queue, job: Job): PendingAnswer {
     lastSubmission += 1;
     const id = lastSubmission;
@@ -186,7 +209,8 @@
         resolve(to);
       })
     );
-    dispatcher.submit({ id, job, queue, configurationVersion }, since);
+    const ageMs = ageOf(queue, job, since);
+    dispatcher.submit({ id, job, queue, configurationVersion, ageMs }, since);
     loop.poke();
     return {
       answer,
@@ -216,6 +240,7 @@
       await callers.close(graceMs - unreadyMs);
       await membership.leave();
       configuration.stop();
+      patienceRecord.stop();
       loop.stop();
       server.value.close();
     },
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -12,7 +12,7 @@
 import { watchForPause } from "./pause.ts";
 import type { ServerCalls } from "./ports.ts";
 
-/** Time between ticks while something runs... */
+/** Time between ticks while something runs or is to be reported... */
 const BUSY_TICK_MS = 25;
 
 /** ...and otherwise. */
@@ -51,7 +51,8 @@
   });
   const pause = watchForPause({ steadyMs: steadyNow, wallMs: Date.now });
   const loop = runLoop({
-    tickMs: () => core.runs() > 0 ? BUSY_TICK_MS : IDLE_TICK_MS,
+    tickMs: () =>
+      core.runs() > 0 || core.hasUnsentReport() ? BUSY_TICK_MS : IDLE_TICK_MS,
     tick(now) {
       if (pause.isOver()) core.suspended(now);
       core.tick(now);
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -167,7 +167,13 @@
         lastId += 1;
         const id = lastId;
         callers.set(id, caller);
-        const submission = { id, job, queue, configurationVersion: 1 };
+        const submission = {
+          id,
+          job,
+          queue,
+          configurationVersion: 1,
+          ageMs: 0,
+        };
         whenAwake(node, () => {
           node.dispatcher.submit(submission, clock.now());
           poke();
--- a/packages/worker/src/owners.ts
+++ b/packages/worker/src/owners.ts
@@ -38,6 +38,8 @@
   setBusy(busy: ReadonlySet<OwnerId>): void;
   /** Streams that were silent for longer than they may be. */
   silent(limits: SilenceLimits, now: number): readonly OwnerId[];
+  /** True while some entry is still to hear of this report. */
+  isUnheard(report: ServerReport | undefined): boolean;
   /** Frames that are due, each with the newest report where it differs. */
   takeDue(report: ServerReport | undefined, now: number): readonly DueFrame[];
 }
@@ -61,6 +63,7 @@
     now: number,
   ): boolean {
     if (owner.news.length > 0 || !owner.isIntroduced) return true;
+    if (isOpen(owner.reported) !== isOpen(report)) return true;
     const quietMs = now - owner.sentAt;
     const reportMs = Math.max(
       options.reportMs,
@@ -135,6 +138,12 @@
       }
       return silent;
     },
+    isUnheard(report) {
+      for (const owner of owners.values()) {
+        if (owner.reported !== report) return true;
+      }
+      return false;
+    },
     takeDue(report, now) {
       const due: DueFrame[] = [];
       for (const [id, owner] of owners) {
@@ -145,3 +154,7 @@
     },
   };
 }
+
+function isOpen(report: ServerReport | undefined): boolean {
+  return report?.isOpen ?? false;
+}
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -103,6 +103,8 @@
   close(): void;
   /** Runs that may hold room. */
   runs(): number;
+  /** True while some entry has not heard the newest report of the server. */
+  hasUnsentReport(): boolean;
   tick(now: number): void;
   /**
    * The process stood still. What it reads next may come from entries that have
@@ -759,6 +761,7 @@
       isClosed = true;
     },
     runs: () => runs.count(),
+    hasUnsentReport: () => owners.isUnheard(report),
     tick,
     suspended(now) {
       staleInputUntil = now + STALE_INPUT_MS;
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -558,4 +558,57 @@
     bench.offer(1, 3000);
     expect(starts(bench.take(3000))).to.deep.equal([]);
   });
+
+  it("tells entries at once that a server takes runs, or no longer does", () => {
+    const core = createWorkerCore({
+      side: "side",
+      dataCentre: "a",
+      maxLeaseMs: 1000,
+    });
+    core.ownerOpened(OWNER, 0);
+    core.announced(ANNOUNCEMENT);
+    core.takeEffects(0);
+    answerLists(core, { from: 1, until: 3 });
+    expect(reports(core.takeEffects(3)).at(-1)?.isOpen).to.equal(true);
+    core.announced({ ...ANNOUNCEMENT, sequence: 2, isDraining: true });
+    expect(reports(core.takeEffects(4)).at(-1)?.isOpen).to.equal(false);
+  });
+
+  it("says while an entry has not heard the newest report", () => {
+    const bench = createBench();
+    expect(bench.core.hasUnsentReport()).to.equal(false);
+    bench.offer(0, 10);
+    bench.take(10);
+    expect(bench.core.hasUnsentReport()).to.equal(true);
+    bench.take(200);
+    expect(bench.core.hasUnsentReport()).to.equal(false);
+  });
 });
+
+function reports(effects: readonly WorkerEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.kind === "send" && effect.frame.server !== undefined
+      ? [effect.frame.server]
+      : []
+  );
+}
+
+/** Answers each list in the millisecond after it was sent. */
+function answerLists(
+  core: WorkerCore,
+  { from, until }: { readonly from: number; readonly until: number },
+): void {
+  for (let now = from; now < until; now += 1) {
+    const number = now;
+    const order = { number, server: ANNOUNCEMENT, fencingToken: 0 };
+    const reply: ListReply = {
+      kind: "listed",
+      clockMs: 5000,
+      born: 77,
+      running: [],
+      ends: [],
+    };
+    core.listReplied({ ...order, observed: 0, waitMs: 0 }, reply, now);
+    if (now + 1 < until) core.takeEffects(now);
+  }
+}
