Take the times of losses, and the factor of remote data, from the settings

Cause: the chain by which nothing runs twice counts on a resend after 1,300 ms, and its times stood as constants in two packages that had to agree.

Entries place by the declared factor.

The bounds that were constants of the simulation and the soak are one sample now.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -8,6 +8,7 @@
   Queue,
   RunNews,
   RunRef,
+  Timing,
   WorkFrame,
 } from "@coltsfootreach/run";
 import { keyOfTask } from "@coltsfootreach/run";
@@ -44,11 +45,11 @@
 /** Time from the start of an entry in which servers are still to be found. */
 const STARTING_MS = 2500;
 
-/** Time after which a gap between ticks counts as a pause of the process. */
-const PAUSE_MS = 400;
-
 export interface DispatcherOptions {
   readonly entry: string;
+  readonly timing: Timing;
+  /** A task takes this much longer away from the rack with its data. */
+  readonly remoteFactor: number;
   /** Number from 0 to 1. */
   random(): number;
 }
@@ -103,6 +104,7 @@
   const successors = new Map<string, Submission>();
   const sides = createSides({
     entry: options.entry,
+    timing: options.timing,
     workers,
     find,
     takeNews,
@@ -112,6 +114,7 @@
   });
   const placer = createPlacer({
     workers,
+    remoteFactor: options.remoteFactor,
     random: options.random,
     slowness: () => soundSlowness,
     entries: sides.entries,
@@ -465,7 +468,7 @@
 
   function tick(now: number): void {
     startedAt ??= now;
-    const wasPaused = now - tickedAt > PAUSE_MS;
+    const wasPaused = now - tickedAt > options.timing.pauseMs;
     tickedAt = now;
     if (!wasPaused) sides.loseSilent(now);
     sides.expireUnsure(now);
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -7,7 +7,13 @@
   type Step,
   type WorkFrame,
 } from "@coltsfootreach/run";
-import { sampleQueue, sampleReport, sampleStep } from "@coltsfootreach/standin";
+import {
+  SAMPLE_REMOTE_FACTOR,
+  SAMPLE_TIMING,
+  sampleQueue,
+  sampleReport,
+  sampleStep,
+} from "@coltsfootreach/standin";
 import { expect } from "chai";
 import type { Answer } from "./answer.ts";
 import { createDispatcher, type Dispatcher } from "./dispatcher.ts";
@@ -35,7 +41,12 @@
 }
 
 function createBench(): Bench {
-  const dispatcher = createDispatcher({ entry: "entry", random: () => 0 });
+  const dispatcher = createDispatcher({
+    entry: "entry",
+    timing: SAMPLE_TIMING,
+    remoteFactor: SAMPLE_REMOTE_FACTOR,
+    random: () => 0,
+  });
   const answers = new Map<number, Answer>();
   const sent = new Map<number, DispatchFrame[]>();
 
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -5,9 +5,6 @@
 import { fits, type Resources, type Step } from "@coltsfootreach/run";
 import type { Worker } from "./workers.ts";
 
-/** A task of a step whose data lies on another rack takes this much longer. */
-export const REMOTE_FACTOR = 1.5;
-
 /**
  * Expected times within this share of each other count as equal. Entries that
  * share servers and all took the very fastest would fill it at the same moment.
@@ -20,6 +17,8 @@
 export interface PlacementNeed {
   readonly step: Step;
   readonly service: string;
+  /** A task takes this much longer away from the rack with its data. */
+  readonly remoteFactor: number;
   readonly now: number;
   /** Servers that must not be used for it. */
   readonly avoid: ReadonlySet<string>;
@@ -34,11 +33,14 @@
 }
 
 /** Run time that is expected there, on the declared time. */
-export function expectedMs(step: Step, worker: Worker): number {
+export function expectedMs(
+  { step, remoteFactor }: Pick<PlacementNeed, "step" | "remoteFactor">,
+  worker: Worker,
+): number {
   const { report } = worker;
   if (report === undefined) return Infinity;
   const isRemote = step.rack !== "" && !report.labels.includes(step.rack);
-  return step.estimateMs * report.slowness * (isRemote ? REMOTE_FACTOR : 1);
+  return step.estimateMs * report.slowness * (isRemote ? remoteFactor : 1);
 }
 
 export function choosePlace(
@@ -49,7 +51,7 @@
   let bestCost = Infinity;
   for (const worker of workers) {
     if (!isCandidate(worker, need)) continue;
-    const endsInMs = expectedMs(need.step, worker);
+    const endsInMs = expectedMs(need, worker);
     if (need.endBy !== undefined && need.now + endsInMs > need.endBy) continue;
     const spread = 1 + EQUAL_SHARE * need.random() +
       LOAD_SHARE * usedShare(worker);
--- a/packages/dispatch/src/placement_test.ts
+++ b/packages/dispatch/src/placement_test.ts
@@ -1,5 +1,9 @@
 import type { ServerReport } from "@coltsfootreach/run";
-import { sampleReport, sampleStep } from "@coltsfootreach/standin";
+import {
+  SAMPLE_REMOTE_FACTOR,
+  sampleReport,
+  sampleStep,
+} from "@coltsfootreach/standin";
 import { expect } from "chai";
 import { choosePlace, type PlacementNeed } from "./placement.ts";
 import { createWorker, hear, type Worker } from "./workers.ts";
@@ -17,6 +21,7 @@
   return {
     step: STEP,
     service: "pool",
+    remoteFactor: SAMPLE_REMOTE_FACTOR,
     now: 0,
     avoid: new Set(),
     endBy: undefined,
@@ -46,6 +51,14 @@
     expect(choose([worker("far"), near], { step })).to.equal("near");
   });
 
+  it("counts it as much longer as the deployment declares", () => {
+    const step = { ...STEP, rack: "r1" };
+    const near = worker("near", { labels: ["r1"], slowness: 2 });
+    const workers = [worker("far"), near];
+    expect(choose(workers, { step })).to.equal("far");
+    expect(choose(workers, { step, remoteFactor: 3 })).to.equal("near");
+  });
+
   it("waits for a faster server while the job can still be in time there", () => {
     const slow = worker("slow", { slowness: 2 });
     expect(choose([slow], { endBy: 150 })).to.equal(undefined);
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -37,6 +37,8 @@
 
 export interface PlacerOptions {
   readonly workers: ReadonlyMap<SessionId, Worker>;
+  /** A task takes this much longer away from the rack with its data. */
+  readonly remoteFactor: number;
   /** Number from 0 to 1. */
   random(): number;
   /** Run time over declared time on a sound server. */
@@ -169,6 +171,7 @@
       endBy: isLate(ranked) ? undefined : live.dueAt - afterMs * slowness(),
       step: task.step,
       service: live.queue.service,
+      remoteFactor: options.remoteFactor,
       now,
       avoid: task.avoid,
       mayUseSuspects: task.failures === 0 && live.queue.attempts > 1,
--- a/packages/dispatch/src/sides.ts
+++ b/packages/dispatch/src/sides.ts
@@ -8,36 +8,25 @@
   keyOfTask,
   type RunNews,
   type RunRef,
+  type Timing,
   type WorkFrame,
 } from "@coltsfootreach/run";
 import type { DispatchDecision, SessionId } from "./effect.ts";
 import { askStop, type FoundTask } from "./live_job.ts";
 import { createWorker, hear, takeFrame, type Worker } from "./workers.ts";
 
-/** Longest time between frames to a side that holds runs... */
-const HEARTBEAT_MS = 200;
-
-/** ...and to one that holds none. */
+/** Longest time between frames to a side that holds no runs. */
 const IDLE_HEARTBEAT_MS = 1000;
 
-/** A side with runs that was not heard for this long is given up. */
-const SIDE_LOST_MS = 500;
-
-/** The same for a side without runs. */
+/** A side without runs that was not heard for this long is given up. */
 const IDLE_SIDE_LOST_MS = 2500;
 
-/**
- * After this long the runs of a side that was given up are over: it stops them
- * when it has not heard from here for 650 ms, or their lease of at most 700 ms
- * runs out after that.
- */
-const RUNS_OVER_MS = 1500;
-
 /** After a refusal a side gets no offers for this long, or until it reports. */
 const REFUSED_PAUSE_MS = 40;
 
 export interface SidesOptions {
   readonly entry: string;
+  readonly timing: Timing;
   /** Kept here and read by others. */
   readonly workers: Map<SessionId, Worker>;
   /** The task whose latest run this is. */
@@ -68,7 +57,7 @@
 }
 
 export function createSides(options: SidesOptions): Sides {
-  const { workers } = options;
+  const { workers, timing } = options;
   /** Runs on sides whose stream broke, by side. */
   const unsure = new Map<string, UnsureRun[]>();
   const lastServers = new Map<SessionId, string>();
@@ -131,7 +120,7 @@
     });
     const open: UnsureRun[] = [...worker.runs.values()].map((claim) => ({
       claim,
-      overAt: now + RUNS_OVER_MS,
+      overAt: now + timing.runsOverMs,
     }));
     for (const { claim } of open) markUnsure(claim);
     if (open.length === 0) return;
@@ -181,7 +170,7 @@
   function loseSilent(now: number): void {
     for (const worker of [...workers.values()]) {
       const isBusy = worker.runs.size > 0;
-      const limitMs = isBusy ? SIDE_LOST_MS : IDLE_SIDE_LOST_MS;
+      const limitMs = isBusy ? timing.sideLostMs : IDLE_SIDE_LOST_MS;
       const since = isBusy
         ? Math.max(worker.heardAt, worker.busySince)
         : worker.heardAt;
@@ -196,7 +185,7 @@
       const hasNews = told !== entriesVersion && entries !== undefined;
       const quietMs = now - worker.sentAt;
       const heartbeatMs = worker.runs.size > 0
-        ? HEARTBEAT_MS
+        ? timing.heartbeatMs
         : IDLE_HEARTBEAT_MS;
       const isDue = worker.offers.length > 0 || worker.stops.length > 0 ||
         hasNews || !worker.isIntroduced || quietMs >= heartbeatMs;
--- a/packages/run/src/index.ts
+++ b/packages/run/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./server.ts";
 export * from "./frame.ts";
 export * from "./frame_check.ts";
+export * from "./timing.ts";
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -11,11 +11,13 @@
 } from "@coltsfootreach/dispatch";
 import type { Log } from "@coltsfootreach/log";
 import {
+  BUSY_TICK_MS,
   type DispatchFrame,
   isWorkFrame,
   type Job,
   type Queue,
   type QueueTable,
+  type Timing,
   type WorkFrame,
 } from "@coltsfootreach/run";
 import type { Store } from "@coltsfootreach/store";
@@ -29,10 +31,7 @@
 import { keepPatience } from "./patience_record.ts";
 import type { ConfigurationDocument } from "./ports.ts";
 
-/** Time between ticks while something runs... */
-const BUSY_TICK_MS = 25;
-
-/** ...and otherwise. */
+/** Time between ticks while nothing runs. */
 const IDLE_TICK_MS = 200;
 
 /** Time after a start in which callers come back whose connections broke. */
@@ -47,6 +46,9 @@
   readonly listen: string;
   readonly store: Store;
   readonly document: ConfigurationDocument;
+  readonly timing: Timing;
+  /** A task takes this much longer away from the rack with its data. */
+  readonly remoteFactor: number;
   readonly log: Log;
 }
 
@@ -87,6 +89,8 @@
   const decisions = createDecisionLog(log);
   const dispatcher = createDispatcher({
     entry: options.name,
+    timing: options.timing,
+    remoteFactor: options.remoteFactor,
     random: Math.random,
   });
   const metrics = createEntryMetrics(() => ({
--- a/packages/runtime/src/entry_process_test.ts
+++ b/packages/runtime/src/entry_process_test.ts
@@ -3,6 +3,8 @@
 import {
   createFakeClock,
   createMemoryStore,
+  SAMPLE_REMOTE_FACTOR,
+  SAMPLE_TIMING,
   sampleQueue,
   sampleStep,
 } from "@coltsfootreach/standin";
@@ -36,6 +38,8 @@
       listen: "127.0.0.1:0",
       store: createMemoryStore(createFakeClock()),
       document: { key: "configuration", decode: () => ok(TABLE) },
+      timing: SAMPLE_TIMING,
+      remoteFactor: SAMPLE_REMOTE_FACTOR,
       log,
     });
     const entry = started._unsafeUnwrap();
--- a/packages/runtime/src/pause.ts
+++ b/packages/runtime/src/pause.ts
@@ -3,17 +3,16 @@
  * which the steady clock may leave out, or when it gets no processor time.
  */
 
-/** Longest time between two looks of a process that runs. */
-const LONGEST_TURN_MS = 450;
-
 /** The time of day is corrected by less than this between two looks. */
 const CLOCK_CORRECTION_MS = 300;
 
-export interface PauseClocks {
+export interface PauseOptions {
   /** Never jumps, and may leave out the time of a suspension. */
   steadyMs(): number;
   /** The time of day; may jump. */
   wallMs(): number;
+  /** Longest time between two looks of a process that runs. */
+  readonly longestTurnMs: number;
 }
 
 export interface PauseWatch {
@@ -21,7 +20,7 @@
   isOver(): boolean;
 }
 
-export function watchForPause(clocks: PauseClocks): PauseWatch {
+export function watchForPause(clocks: PauseOptions): PauseWatch {
   let steadyMs = clocks.steadyMs();
   let wallMs = clocks.wallMs();
   return {
@@ -30,7 +29,7 @@
       const wallTurnMs = clocks.wallMs() - wallMs;
       steadyMs += turnMs;
       wallMs += wallTurnMs;
-      return turnMs > LONGEST_TURN_MS ||
+      return turnMs > clocks.longestTurnMs ||
         wallTurnMs - turnMs > CLOCK_CORRECTION_MS;
     },
   };
--- a/packages/runtime/src/pause_test.ts
+++ b/packages/runtime/src/pause_test.ts
@@ -6,6 +6,7 @@
   const watch = watchForPause({
     steadyMs: () => clocks.steady,
     wallMs: () => clocks.wall,
+    longestTurnMs: 450,
   });
   return {
     isOverAfter(steadyMs: number, wallMs: number): boolean {
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -1,7 +1,11 @@
 /** A side: the one process that talks to the backend server of its VM. */
 import { setTimeout } from "node:timers/promises";
 import type { Log } from "@coltsfootreach/log";
-import type { Announcement } from "@coltsfootreach/run";
+import {
+  type Announcement,
+  BUSY_TICK_MS,
+  type Timing,
+} from "@coltsfootreach/run";
 import type { Store } from "@coltsfootreach/store";
 import { createWorkerCore, type WorkerEffect } from "@coltsfootreach/worker";
 import { createDecisionLog } from "./decision_log.ts";
@@ -12,10 +16,7 @@
 import { watchForPause } from "./pause.ts";
 import type { ServerCalls } from "./ports.ts";
 
-/** Time between ticks while something runs or is to be reported... */
-const BUSY_TICK_MS = 25;
-
-/** ...and otherwise. */
+/** Time between ticks while nothing runs or is to be reported. */
 const IDLE_TICK_MS = 200;
 
 /** Time between looks whether the last run has ended, while stopping. */
@@ -24,8 +25,7 @@
 export interface SideOptions {
   readonly name: string;
   readonly dataCentre: string;
-  /** Longest lease that the backend server grants. */
-  readonly maxLeaseMs: number;
+  readonly timing: Timing;
   readonly store: Store;
   readonly calls: ServerCalls;
   readonly log: Log;
@@ -47,9 +47,13 @@
   const core = createWorkerCore({
     side: options.name,
     dataCentre: options.dataCentre,
-    maxLeaseMs: options.maxLeaseMs,
+    timing: options.timing,
+  });
+  const pause = watchForPause({
+    steadyMs: steadyNow,
+    wallMs: Date.now,
+    longestTurnMs: options.timing.pauseMs,
   });
-  const pause = watchForPause({ steadyMs: steadyNow, wallMs: Date.now });
   const loop = runLoop({
     tickMs: () =>
       core.runs() > 0 || core.hasUnsentReport() ? BUSY_TICK_MS : IDLE_TICK_MS,
--- a/packages/simulate/src/callers.ts
+++ b/packages/simulate/src/callers.ts
@@ -4,15 +4,13 @@
  */
 import type { Answer } from "@coltsfootreach/dispatch";
 import type { Job, Queue } from "@coltsfootreach/run";
-import { sampleStep } from "@coltsfootreach/standin";
+import { SAMPLE_BOUNDS, sampleStep } from "@coltsfootreach/standin";
 import type { Checker } from "./checker.ts";
 import type { SimulatedClock } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Random } from "./random.ts";
 import type { TaskTruth } from "./server_standin.ts";
 
-const RESEND_MS = 1300;
-
 export interface CallerOptions {
   readonly clock: SimulatedClock;
   readonly random: Random;
@@ -78,7 +76,7 @@
     function sendAgain(): void {
       isOver = true;
       checker.unanswered(job.id);
-      clock.after(RESEND_MS, () => handIn(job, firstAt));
+      clock.after(SAMPLE_BOUNDS.resendMs, () => handIn(job, firstAt));
     }
 
     function answered(answer: Answer): void {
@@ -95,7 +93,7 @@
     const caller = { answered, broken: () => isOver || sendAgain() };
     const submitted = entry.submit(queue, job, caller);
     if (submitted === undefined) {
-      clock.after(RESEND_MS, () => handIn(job, firstAt));
+      clock.after(SAMPLE_BOUNDS.resendMs, () => handIn(job, firstAt));
       return;
     }
     clock.after(leavesAt - clock.now(), () => {
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -16,6 +16,11 @@
   RunRef,
   WorkFrame,
 } from "@coltsfootreach/run";
+import {
+  SAMPLE_BOUNDS,
+  SAMPLE_REMOTE_FACTOR,
+  SAMPLE_TIMING,
+} from "@coltsfootreach/standin";
 import {
   createWorkerCore,
   type OwnerId,
@@ -35,10 +40,6 @@
 import { createTrafficCounter, type Traffic } from "./traffic.ts";
 import { createWire, type Way, type Wire } from "./wire.ts";
 
-const MAX_LEASE_MS = 1000;
-
-const STOP_MS = 50;
-
 /** A server that is back before anyone has noticed that it was down. */
 const BRIEF_MS = 5;
 
@@ -209,6 +210,8 @@
       lastId += 1;
       return createDispatcher({
         entry: `entry-${index}-${lastId}`,
+        timing: SAMPLE_TIMING,
+        remoteFactor: SAMPLE_REMOTE_FACTOR,
         random: random.next,
       });
     }
@@ -312,7 +315,7 @@
       return createWorkerCore({
         side: `side-${index}`,
         dataCentre: "a",
-        maxLeaseMs: MAX_LEASE_MS,
+        timing: SAMPLE_TIMING,
       });
     }
 
@@ -328,8 +331,8 @@
         born: 1_000_000 + clock.now(),
         capacity: options.capacity,
         slowness: options.slowness[index % options.slowness.length]!,
-        maxLeaseMs: MAX_LEASE_MS,
-        stopMs: STOP_MS,
+        maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
+        stopMs: SAMPLE_BOUNDS.stopMs,
         truth: options.truth,
         observer: checker,
       });
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -9,11 +9,9 @@
   isCompleted,
 } from "@coltsfootreach/platform";
 import type { Queue } from "@coltsfootreach/run";
-import { sampleStep } from "@coltsfootreach/standin";
+import { SAMPLE_BOUNDS, sampleStep } from "@coltsfootreach/standin";
 import type { Checker, Random, TaskTruth } from "@coltsfootreach/simulate";
 
-const RESEND_MS = 1300;
-
 const DEADLINE_MS = 2500;
 
 const FAIL_SHARE = 0.01;
@@ -110,7 +108,7 @@
         );
       }
       checker.unanswered(job.id);
-      setTimeout(() => handIn(job), RESEND_MS);
+      setTimeout(() => handIn(job), SAMPLE_BOUNDS.resendMs);
     }
 
     function leave(): void {
@@ -156,7 +154,7 @@
       });
     } else if (status === 504) {
       checker.unanswered(job.id);
-      setTimeout(() => handIn(job), RESEND_MS);
+      setTimeout(() => handIn(job), SAMPLE_BOUNDS.resendMs);
     } else {
       checker.broke("ANSWER", `${job.id}: ${status} ${text}`);
     }
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -19,6 +19,7 @@
   type TaskTruth,
 } from "@coltsfootreach/simulate";
 import type { RunRef } from "@coltsfootreach/run";
+import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
 import type { Size } from "./sizes.ts";
 
 const PROGRAM = "target/coltsfootreach.cjs";
@@ -28,10 +29,6 @@
 
 const GRACE_SECONDS = 4;
 
-const MAX_LEASE_MS = 1000;
-
-const STOP_MS = 50;
-
 /** A process that ended is started again after this long. */
 const RESTART_MS = 300;
 
@@ -105,7 +102,8 @@
       formatSettings({
         storeAddress,
         firstPort: LINK_PORT,
-        maxLeaseMs: MAX_LEASE_MS,
+        bounds: SAMPLE_BOUNDS,
+        remoteFactor: SAMPLE_REMOTE_FACTOR,
         graceSeconds: GRACE_SECONDS,
         ...place,
       }),
@@ -159,8 +157,8 @@
         born: 1_000_000 * (lives + 1) + Math.floor(options.now()),
         capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
         slowness: 1,
-        maxLeaseMs: MAX_LEASE_MS,
-        stopMs: STOP_MS,
+        maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
+        stopMs: SAMPLE_BOUNDS.stopMs,
         truth: options.truth,
         observer: checker,
       });
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -26,4 +26,11 @@
   type SideStandin,
   type SideStandinOptions,
 } from "./side/side_standin.ts";
-export { sampleQueue, sampleReport, sampleStep } from "./run/samples.ts";
+export {
+  SAMPLE_BOUNDS,
+  SAMPLE_REMOTE_FACTOR,
+  SAMPLE_TIMING,
+  sampleQueue,
+  sampleReport,
+  sampleStep,
+} from "./run/samples.ts";
--- a/packages/standin/src/run/samples.ts
+++ b/packages/standin/src/run/samples.ts
@@ -1,5 +1,25 @@
 /** Made-up queues, steps and reports; a test states what matters to it. */
-import type { Queue, ServerReport, Step } from "@coltsfootreach/run";
+import {
+  deriveTiming,
+  type Queue,
+  type ServerReport,
+  type Step,
+  type Timing,
+  type TimingBounds,
+} from "@coltsfootreach/run";
+
+/** What stand-ins of callers and backend servers keep to. */
+export const SAMPLE_BOUNDS: TimingBounds = {
+  resendMs: 1300,
+  maxLeaseMs: 1000,
+  stopMs: 50,
+};
+
+export const SAMPLE_TIMING: Timing = deriveTiming(SAMPLE_BOUNDS)
+  ._unsafeUnwrap();
+
+/** A task takes this much longer away from the rack with its data. */
+export const SAMPLE_REMOTE_FACTOR = 1.5;
 
 export function sampleQueue(more: Partial<Queue> = {}): Queue {
   return {
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -17,6 +17,7 @@
   type RunRef,
   type ServerReport,
   subtract,
+  type Timing,
 } from "@coltsfootreach/run";
 import type { ListOrder, ListReply, StartReply, StopReply } from "./calls.ts";
 import { createClaims } from "./claims.ts";
@@ -35,40 +36,18 @@
 /** With many entries, more rarely: at most 50 reports a second in all. */
 const REPORT_MS_PER_ENTRY = 20;
 
-/** Longest time between frames to an entry that has runs here... */
-const HEARTBEAT_MS = 200;
-
-/** ...and to one that has none. */
+/** Longest time between frames to an entry that has no runs here. */
 const IDLE_HEARTBEAT_MS = 1000;
 
-/**
- * An entry that was not heard for this long loses its runs here. Its callers
- * may hand a job in again 1.3 s after they lost their connection; until then
- * the runs of the old submission must be over.
- */
-const OWNER_LOST_MS = 650;
-
-/** The same for an entry without runs here. */
+/** An entry without runs here that was not heard for this long is given up. */
 const IDLE_OWNER_LOST_MS = 3000;
 
-/** Time for an entry to open a stream again after one has broken. */
-const RECLAIM_MS = 300;
-
 /** Time for entries to claim runs that a new side process has found. */
 const FOUND_CLAIM_MS = 200;
 
-/** A gap between ticks after which input may be waiting unread. */
-const PAUSE_MS = 400;
-
 /** Time to read what came while the process stood still. */
 const STALE_INPUT_MS = 50;
 
-/**
- * Lease of runs, where the server grants as much: it outlives a few lost
- * renewals, and until it is over nothing can replace the runs of a dead server.
- */
-const LEASE_MS = 700;
-
 /** Raises a token that is too low by so much; a life's clock may run for days. */
 const TOKEN_FACTOR = 16;
 
@@ -86,8 +65,7 @@
 export interface WorkerOptions {
   readonly side: string;
   readonly dataCentre: string;
-  /** Longest lease that the backend server grants. */
-  readonly maxLeaseMs: number;
+  readonly timing: Timing;
 }
 
 export interface WorkerCore {
@@ -127,16 +105,17 @@
 }
 
 export function createWorkerCore(options: WorkerOptions): WorkerCore {
+  const { timing } = options;
   const owners = createOwners({
     side: options.side,
     dataCentre: options.dataCentre,
     reportMs: REPORT_MS,
     reportMsPerOwner: REPORT_MS_PER_ENTRY,
-    heartbeatMs: HEARTBEAT_MS,
+    heartbeatMs: timing.heartbeatMs,
     idleHeartbeatMs: IDLE_HEARTBEAT_MS,
   });
   const runs = createRuns();
-  const leaseMs = Math.min(options.maxLeaseMs, LEASE_MS);
+  const { leaseMs } = timing;
   const lists = createLists(leaseMs);
   const claims = createClaims();
   const slowness = createSlowness();
@@ -651,7 +630,7 @@
     if (!owners.has(owner)) return;
     const entry = owners.nameOf(owner);
     // A silent entry has used up its time already.
-    const reclaimMs = reason === "silent" ? 0 : RECLAIM_MS;
+    const reclaimMs = reason === "silent" ? 0 : timing.reclaimMs;
     owners.close(owner);
     withdrawStarts(owner);
     const owned = runs.all().filter((run) => run.owner === owner);
@@ -691,7 +670,7 @@
   // --- Time ---
 
   function tick(now: number): void {
-    const wasPaused = now - tickedAt > PAUSE_MS;
+    const wasPaused = now - tickedAt > timing.pauseMs;
     tickedAt = now;
     owners.setBusy(busyOwners());
     if (!wasPaused) dropSilentOwners(now);
@@ -717,7 +696,7 @@
   }
 
   function dropSilentOwners(now: number): void {
-    const limits = { busyMs: OWNER_LOST_MS, idleMs: IDLE_OWNER_LOST_MS };
+    const limits = { busyMs: timing.ownerLostMs, idleMs: IDLE_OWNER_LOST_MS };
     for (const owner of owners.silent(limits, now)) {
       dropOwner(owner, "silent", now);
       effects.push({ kind: "close", owner });
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -4,6 +4,7 @@
   Offer,
   RunNews,
 } from "@coltsfootreach/run";
+import { SAMPLE_TIMING } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import type { ListOrder, ListReply, RunningRow } from "./calls.ts";
 import type { WorkerEffect } from "./effect.ts";
@@ -51,7 +52,7 @@
   const core = createWorkerCore({
     side: "side",
     dataCentre: "a",
-    maxLeaseMs: 1000,
+    timing: SAMPLE_TIMING,
   });
   let listOrder: ListOrder | undefined;
   let sequence = 0;
@@ -278,7 +279,7 @@
     const core = createWorkerCore({
       side: "side",
       dataCentre: "a",
-      maxLeaseMs: 1000,
+      timing: SAMPLE_TIMING,
     });
     const orders: ListOrder[] = [];
     const take = (now: number) => {
@@ -563,7 +564,7 @@
     const core = createWorkerCore({
       side: "side",
       dataCentre: "a",
-      maxLeaseMs: 1000,
+      timing: SAMPLE_TIMING,
     });
     core.ownerOpened(OWNER, 0);
     core.announced(ANNOUNCEMENT);
