--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -28,12 +28,15 @@
 import { runLoop, steadyNow } from "./loop.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import { joinEntries } from "./membership.ts";
-import { keepPatience } from "./patience_record.ts";
 import type { ConfigurationDocument } from "./ports.ts";
+import { keepRecord } from "./shared_record.ts";
 
 /** Time between ticks while nothing runs. */
 const IDLE_TICK_MS = 200;
 
+/** Where the store keeps how much time callers usually have. */
+const PATIENCE_KEY = "shared/patience";
+
 /** Time after a start in which callers come back whose connections broke. */
 const RETURN_MS = 6000;
 
@@ -87,6 +90,7 @@
 ): Promise<Result<EntryProcess, LinkClosed>> {
   const { log } = options;
   const decisions = createDecisionLog(log);
+  const patience = createPatience();
   const dispatcher = createDispatcher({
     entry: options.name,
     timing: options.timing,
@@ -99,10 +103,11 @@
     configurationVersion: configuration.table()?.version ?? 0,
     logLinesDropped: decisions.dropped(),
   }));
-  const patience = createPatience();
   const startedAt = steadyNow();
   const streams = new Map<SessionId, Stream<DispatchFrame>>();
   const answers = new Map<SubmissionId, (answer: Answer) => void>();
+  /** Addresses, in an order that all entries share. */
+  let entries: readonly string[] = [];
   let lastSession = 0;
   let lastSubmission = 0;
   let isStopping = false;
@@ -182,14 +187,18 @@
     name: options.name,
     address: options.listen,
     log,
-    changed: (addresses) => dispatcher.setEntries(addresses),
+    changed(addresses) {
+      entries = addresses;
+      dispatcher.setEntries(addresses);
+    },
   });
 
-  const patienceRecord = keepPatience({
+  const record = keepRecord({
     store: options.store,
-    patience,
+    key: PATIENCE_KEY,
+    learner: patience,
     log,
-    random: Math.random,
+    isWriter: () => entries[0] === options.listen,
   });
 
   /** Only after a start do so many come back that their age matters. */
@@ -244,7 +253,7 @@
       await callers.close(graceMs - unreadyMs);
       await membership.leave();
       configuration.stop();
-      patienceRecord.stop();
+      record.stop();
       loop.stop();
       server.value.close();
     },
