Tell an end again when the stream broke before the entry heard it

This is one of the failures that operators of similar systems report: work that had run was run again after an answer was lost.

Change: a side keeps news of ended runs for a later claim whoever was told.

--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -14,13 +14,10 @@
   Queue,
   Resources,
   RunRef,
+  Timing,
   WorkFrame,
 } from "@coltsfootreach/run";
-import {
-  SAMPLE_BOUNDS,
-  SAMPLE_REMOTE_FACTOR,
-  SAMPLE_TIMING,
-} from "@coltsfootreach/standin";
+import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
 import {
   createWorkerCore,
   type OwnerId,
@@ -51,6 +48,7 @@
   readonly clock: SimulatedClock;
   readonly random: Random;
   readonly checker: Checker;
+  readonly timing: Timing;
   readonly entries: number;
   readonly sides: number;
   readonly capacity: Resources;
@@ -210,7 +208,7 @@
       lastId += 1;
       return createDispatcher({
         entry: `entry-${index}-${lastId}`,
-        timing: SAMPLE_TIMING,
+        timing: options.timing,
         remoteFactor: SAMPLE_REMOTE_FACTOR,
         random: random.next,
       });
@@ -315,7 +313,7 @@
       return createWorkerCore({
         side: `side-${index}`,
         dataCentre: "a",
-        timing: SAMPLE_TIMING,
+        timing: options.timing,
       });
     }
 
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/play.ts
@@ -1,11 +1,11 @@
 /** One play: a fleet, callers and faults, all drawn from a seed. */
-import type { RunRef } from "@coltsfootreach/run";
-import { sampleQueue } from "@coltsfootreach/standin";
+import type { RunRef, Timing } from "@coltsfootreach/run";
+import { SAMPLE_TIMING, sampleQueue } from "@coltsfootreach/standin";
 import { playCallers } from "./callers.ts";
 import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
-import { createClock } from "./clock.ts";
+import { createClock, type SimulatedClock } from "./clock.ts";
 import { playFaults } from "./faults.ts";
-import { createFleet } from "./fleet.ts";
+import { createFleet, type Fleet } from "./fleet.ts";
 import { createRandom } from "./random.ts";
 import type { TaskTruth } from "./server_standin.ts";
 import type { Traffic } from "./traffic.ts";
@@ -22,6 +22,10 @@
   readonly sides?: number | undefined;
   /** Run time over work, for each server in turn; all alike without it. */
   readonly slowness?: readonly number[] | undefined;
+  /** The times by which losses are noticed; those that add up without it. */
+  readonly timing?: Timing | undefined;
+  /** Faults at set times. */
+  script?(fleet: Fleet, clock: SimulatedClock): void;
   /** Told of every decision, order and fault. */
   trace?(at: number, what: string): void;
 }
@@ -31,6 +35,8 @@
   readonly breaches: readonly Breach[];
   readonly counts: CheckerCounts;
   readonly inTime: number;
+  /** Tasks of all jobs; more starts than these are repeats. */
+  readonly tasks: number;
   /** Jobs that an entry still holds long after the last caller has left. */
   readonly stuck: number;
   readonly faults: readonly string[];
@@ -53,6 +59,7 @@
     random,
     checker,
     trace,
+    timing: options.timing ?? SAMPLE_TIMING,
     entries: options.entries ?? 3,
     sides: options.sides ?? 6,
     slowness: options.slowness ?? [1],
@@ -88,6 +95,7 @@
       },
     });
   }
+  options.script?.(fleet, clock);
   clock.runUntil(untilMs + END_MS);
   const stuck = fleet.entries.reduce((sum, one) => sum + one.liveJobs(), 0);
   return {
@@ -95,6 +103,7 @@
     breaches: checker.breaches(),
     counts: checker.counts(),
     inTime: callers.inTime(),
+    tasks: [...truths.values()].reduce((sum, one) => sum + one.length, 0),
     stuck,
     faults,
     traffic: fleet.traffic,
--- a/packages/worker/src/claims.ts
+++ b/packages/worker/src/claims.ts
@@ -22,7 +22,7 @@
   /** Keeps a claim until it is known what runs. */
   wait(waiting: WaitingClaim): void;
   takeWaiting(): readonly WaitingClaim[];
-  /** Keeps news of a run without an owner. */
+  /** Keeps news that its owner may not have heard. */
   remember(news: RunNews): void;
   recall(ref: RunRef): RunNews | undefined;
 }
@@ -30,7 +30,7 @@
 export function createClaims(): Claims {
   let waiting: WaitingClaim[] = [];
   /** Oldest first. */
-  const unclaimed: RunNews[] = [];
+  const settled: RunNews[] = [];
   return {
     wait(one) {
       waiting.push(one);
@@ -41,10 +41,10 @@
       return taken;
     },
     remember(news) {
-      unclaimed.push(news);
-      if (unclaimed.length > MAX_REMEMBERED_ENDS) unclaimed.shift();
+      settled.push(news);
+      if (settled.length > MAX_REMEMBERED_ENDS) settled.shift();
     },
-    recall: (ref) => unclaimed.find((news) => isSameRun(news.ref, ref)),
+    recall: (ref) => settled.find((news) => isSameRun(news.ref, ref)),
   };
 }
 
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -425,10 +425,10 @@
     settle(run, { kind: "lost", ref: run.ref, reason });
   }
 
-  /** Tells the owner, or keeps the news for one that comes back. */
+  /** Tells the owner, which may claim the run later if its stream breaks now. */
   function settle(run: Run, news: RunNews): void {
     tell(run.owner, news);
-    if (run.owner === undefined) claims.remember(news);
+    claims.remember(news);
   }
 
   function refuse(owner: OwnerId, offer: Offer, reason: RefusalReason): void {
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -560,6 +560,26 @@
     expect(starts(bench.take(3000))).to.deep.equal([]);
   });
 
+  it("tells an end again to an entry whose stream broke before it heard it", () => {
+    const bench = createBench();
+    startOne(bench);
+    bench.take(20);
+    const done = { number: 1, ref: refOf(0), end: "done" } as const;
+    bench.listed(100, { ends: [done] });
+    expect(bench.news(100)).to.have.length(1);
+    bench.core.ownerClosed(OWNER, 101);
+    bench.core.ownerOpened(OWNER + 1, 150);
+    const claim = {
+      ref: refOf(0),
+      resources: { cpu: 1000, memoryMb: 10, gpu: 0 },
+      estimateMs: 100,
+    };
+    bench.core.ownerSent(OWNER + 1, frame(1, { claims: [claim] }), 160);
+    expect(bench.news(160)).to.deep.include.members([
+      { kind: "ended", ref: refOf(0), end: "done", ms: 89 },
+    ]);
+  });
+
   it("tells entries at once that a server takes runs, or no longer does", () => {
     const core = createWorkerCore({
       side: "side",
