--- a/packages/stream/src/listen.ts
+++ b/packages/stream/src/listen.ts
@@ -39,7 +39,8 @@
 
   const [host, port] = options.address.split(":");
   const bound = new Promise<StreamServer>((resolve, reject) => {
-    server.once("error", reject);
+    // Later ones, as of a connection that can't be accepted, end nothing.
+    server.on("error", reject);
     server.listen(
       { host: host!, port: Number(port), backlog: BACKLOG_CONNECTIONS },
       () => resolve({ port: (server.address() as AddressInfo).port, close }),
