--- a/packages/soak/src/rehearsal.ts
+++ b/packages/soak/src/rehearsal.ts
@@ -2,8 +2,7 @@
  * Lets the program's two roles work for some seconds while it is built, so that
  * V8's compiled code for what they use can be kept beside the program.
  */
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { rmSync } from "node:fs";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
 import {
@@ -31,6 +30,9 @@
 
 const SEED = 1;
 
+/** For settings and logs, while it lasts. */
+const FOLDER = "target/rehearsal";
+
 /** Builds may run side by side; each has loopback addresses of its own. */
 const FIRST_NETWORK = 221;
 
@@ -49,7 +51,7 @@
     service: queue.service,
     random,
     checker,
-    folder: join(tmpdir(), `coltsfootreach-rehearsal-${process.pid}`),
+    folder: FOLDER,
     network: `127.${FIRST_NETWORK + process.pid % NETWORKS}`,
     now,
     truth: ({ task }) => truths.get(task.job)![task.index]!,
@@ -68,6 +70,7 @@
   await sleep(END_MS - START_MS);
   callers.stop();
   await fleet.stop();
+  rmSync(FOLDER, { recursive: true });
 }
 
 await rehearse();
