--- a/packages/soak/src/rehearsal.ts
+++ b/packages/soak/src/warm_up.ts
@@ -31,14 +31,14 @@
 const SEED = 1;
 
 /** For settings and logs, while it lasts. */
-const FOLDER = "target/rehearsal";
+const FOLDER = "target/warm_up";
 
 /** Builds may run side by side; each has loopback addresses of its own. */
 const FIRST_NETWORK = 221;
 
 const NETWORKS = 30;
 
-async function rehearse(): Promise<void> {
+async function warmUp(): Promise<void> {
   process.env.COLTSFOOTREACH_COMPILE_AFTER_MS = String(COMPILE_AFTER_MS);
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
@@ -73,5 +73,5 @@
   rmSync(FOLDER, { recursive: true });
 }
 
-await rehearse();
+await warmUp();
 process.exit(0);
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -5,9 +5,9 @@
 import { copyFileSync, rmSync } from "node:fs";
 import path from "node:path";
 
-const REHEARSAL = "packages/soak/src/rehearsal.ts";
+const WARM_UP = "packages/soak/src/warm_up.ts";
 
-const REHEARSAL_TIMEOUT_MS = 60_000;
+const WARM_UP_TIMEOUT_MS = 60_000;
 
 // The whole of undici also sets up fetch, WebSocket and caches at start.
 const usePoolAlone = {
@@ -41,9 +41,9 @@
 
 // Without compiled code the program starts more slowly, and is the same.
 try {
-  execFileSync(process.execPath, ["--import=tsx", REHEARSAL], {
+  execFileSync(process.execPath, ["--import=tsx", WARM_UP], {
     stdio: "ignore",
-    timeout: REHEARSAL_TIMEOUT_MS,
+    timeout: WARM_UP_TIMEOUT_MS,
   });
 } catch (error) {
   console.error(`not compiled in advance: ${error.message}`);
