Reword the run, log and measure packages

Comments, test names, two reasons of the timing error and internal names in these packages were informal or specific to this project.

The prefix of TimingConflict's message stays, since platform/src/decoding_test.ts matches it. Behaviour is unchanged.

--- a/packages/log/src/index.ts
+++ b/packages/log/src/index.ts
@@ -1,4 +1,4 @@
-/** JSON-line logs. */
+/** Structured logging as JSON lines. */
 export * from "./line_writer.ts";
 export * from "./log.ts";
 export * from "./redact.ts";
--- a/packages/log/src/line_writer.ts
+++ b/packages/log/src/line_writer.ts
@@ -1,91 +1,95 @@
 /**
- * Writes lines to a file descriptor without ever waiting for it: lines are
- * gathered for a moment, written in the background, and left out while too much
- * is unwritten. The next line after that says how many are missing.
+ * Writes lines to a file descriptor without blocking. Lines are buffered
+ * briefly and written asynchronously. If the buffer is full, lines are dropped;
+ * the next accepted line is preceded by a notice with the number of dropped
+ * lines.
  */
 import { write, writeSync } from "node:fs";
 import process from "node:process";
 
-/** Time for which lines are gathered into one write. */
-const GATHER_MS = 100;
+/** Time for which lines are batched into one write. */
+const FLUSH_DELAY_MS = 100;
 
-/** Most text that may wait for a slow reader. */
-const MAX_WAITING_BYTES = 1024 * 1024;
+/** Limits the memory used while the reader is slow. */
+const DEFAULT_MAX_BUFFERED_CHARS = 1024 * 1024;
 
 export interface LineWriterOptions {
   readonly descriptor: number;
-  /** Most text that may wait, in characters; 1 MiB without it. */
-  readonly maxWaiting?: number | undefined;
+  /** Buffer limit; defaults to 1,048,576 characters. */
+  readonly maxBufferedChars?: number | undefined;
 }
 
 export interface LineWriter {
-  /** Takes one line, its line break included. */
+  /** Queues one line, which must include its line break. */
   write(line: string): void;
 }
 
 export function openLineWriter(options: LineWriterOptions): LineWriter {
   const { descriptor } = options;
-  const maxWaiting = options.maxWaiting ?? MAX_WAITING_BYTES;
-  let waiting: string[] = [];
-  let waitingLength = 0;
-  let dropped = 0;
+  const maxBufferedChars = options.maxBufferedChars ??
+    DEFAULT_MAX_BUFFERED_CHARS;
+  let buffered: string[] = [];
+  let bufferedChars = 0;
+  let droppedLines = 0;
   let isWriting = false;
   let timer: NodeJS.Timeout | undefined;
 
-  function take(): string {
-    const text = waiting.join("");
-    waiting = [];
-    waitingLength = 0;
+  function takeBuffered(): string {
+    const text = buffered.join("");
+    buffered = [];
+    bufferedChars = 0;
     return text;
   }
 
   function flush(): void {
     timer = undefined;
-    if (isWriting || waiting.length === 0) return;
-    writeAll(Buffer.from(take()));
+    if (isWriting || buffered.length === 0) return;
+    writeAll(Buffer.from(takeBuffered()));
   }
 
   function writeAll(bytes: Buffer): void {
     isWriting = true;
     write(descriptor, bytes, (error, written) => {
       isWriting = false;
-      // A reader that is gone cannot be told, and must not end the process.
-      if (error !== null && error.code !== "EAGAIN") return schedule();
-      const rest = bytes.subarray(error === null ? written : 0);
-      if (rest.length > 0) setTimeout(() => writeAll(rest), GATHER_MS);
-      else schedule();
+      // If the reader has closed the pipe, discard the batch and keep running.
+      if (error !== null && error.code !== "EAGAIN") return scheduleFlush();
+      const remaining = bytes.subarray(error === null ? written : 0);
+      if (remaining.length > 0) {
+        setTimeout(() => writeAll(remaining), FLUSH_DELAY_MS);
+      } else scheduleFlush();
     });
   }
 
-  function schedule(): void {
-    if (timer !== undefined || waiting.length === 0) return;
-    timer = setTimeout(flush, GATHER_MS);
+  function scheduleFlush(): void {
+    if (timer !== undefined || buffered.length === 0) return;
+    timer = setTimeout(flush, FLUSH_DELAY_MS);
     timer.unref();
   }
 
   process.on("exit", () => {
-    if (waiting.length === 0) return;
+    if (buffered.length === 0) return;
     try {
-      writeSync(descriptor, take());
+      writeSync(descriptor, takeBuffered());
     } catch {
-      // Nobody reads any more, and the process ends.
+      // The reader is gone and the process is exiting.
     }
   });
 
   return {
     write(line) {
-      if (waitingLength + line.length > maxWaiting) {
-        dropped += 1;
+      if (bufferedChars + line.length > maxBufferedChars) {
+        droppedLines += 1;
         return;
       }
-      if (dropped > 0) {
-        const note = `{"message":"log lines dropped","lines":${dropped}}\n`;
-        dropped = 0;
-        waiting.push(note);
+      if (droppedLines > 0) {
+        const dropNotice =
+          `{"message":"log lines dropped","lines":${droppedLines}}\n`;
+        droppedLines = 0;
+        buffered.push(dropNotice);
       }
-      waiting.push(line);
-      waitingLength += line.length;
-      schedule();
+      buffered.push(line);
+      bufferedChars += line.length;
+      scheduleFlush();
     },
   };
 }
--- a/packages/log/src/line_writer_test.ts
+++ b/packages/log/src/line_writer_test.ts
@@ -10,10 +10,10 @@
 import { expect } from "chai";
 import { openLineWriter } from "./line_writer.ts";
 
-/** Longer than lines are gathered. */
-const WRITTEN_MS = 300;
+/** Longer than the flush delay. */
+const FLUSH_WAIT_MS = 300;
 
-describe("the line writer", () => {
+describe("openLineWriter", () => {
   let folder: string;
   let path: string;
   let descriptor: number;
@@ -29,27 +29,27 @@
     rmSync(folder, { recursive: true });
   });
 
-  async function written(): Promise<string> {
-    await new Promise((resolve) => setTimeout(resolve, WRITTEN_MS));
+  async function readFlushedOutput(): Promise<string> {
+    await new Promise((resolve) => setTimeout(resolve, FLUSH_WAIT_MS));
     return readFileSync(path, "utf8");
   }
 
-  it("writes lines in order, later", async () => {
+  it("writes lines asynchronously and in order", async () => {
     const writer = openLineWriter({ descriptor });
     writer.write("one\n");
     writer.write("two\n");
     expect(readFileSync(path, "utf8")).to.equal("");
-    expect(await written()).to.equal("one\ntwo\n");
+    expect(await readFlushedOutput()).to.equal("one\ntwo\n");
   });
 
-  it("leaves out what does not fit and says how much", async () => {
-    const writer = openLineWriter({ descriptor, maxWaiting: 8 });
+  it("drops lines beyond the buffer limit and reports the count", async () => {
+    const writer = openLineWriter({ descriptor, maxBufferedChars: 8 });
     writer.write("12345\n");
     writer.write("12345\n");
     writer.write("12345\n");
-    expect(await written()).to.equal("12345\n");
+    expect(await readFlushedOutput()).to.equal("12345\n");
     writer.write("next\n");
-    expect(await written()).to.equal(
+    expect(await readFlushedOutput()).to.equal(
       '12345\n{"message":"log lines dropped","lines":2}\nnext\n',
     );
   });
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -1,19 +1,19 @@
 /**
- * A process's log: one JSON object a line, with who wrote it and which run of
- * the process it was. Lines go to standard error unless told otherwise.
+ * Structured log of a process: one JSON object per line, with the role, name
+ * and incarnation of the process. Lines go to standard error by default.
  */
 import process from "node:process";
 import { type ConsolaReporter, createConsola, LogLevels } from "consola/basic";
-import { createRedaction, type Redaction } from "./redact.ts";
+import { createRedactor, type Redactor } from "./redact.ts";
 
 export type Level = "error" | "warn" | "info" | "debug";
 
-/** What a line may say besides its message. */
+/** Optional fields of a log line. */
 export interface LogFields {
-  /** The job's name across tenants. */
+  /** Job identifier that is unique across tenants. */
   readonly job?: string | undefined;
   readonly index?: number | undefined;
-  /** Run of the process; goes before the one that the log was made with. */
+  /** Incarnation of the process; overrides the one set in `LogOptions`. */
   readonly incarnation?: string | undefined;
   readonly tenant?: string | undefined;
   readonly class?: string | undefined;
@@ -27,7 +27,7 @@
   readonly verdict?: string | undefined;
   readonly reason?: string | undefined;
   readonly error?: unknown;
-  /** Durations and counts by name. */
+  /** Named durations and counts. */
   readonly figures?: Readonly<Record<string, number>> | undefined;
 }
 
@@ -36,7 +36,7 @@
   warn(message: string, fields?: LogFields): void;
   info(message: string, fields?: LogFields): void;
   debug(message: string, fields?: LogFields): void;
-  /** A log that adds the given fields to each of its lines. */
+  /** Returns a child log that adds the given fields to each line. */
   with(fields: LogFields): Log;
 }
 
@@ -45,9 +45,9 @@
   readonly name: string;
   readonly incarnation: string;
   readonly level: Level;
-  /** Texts that must never be written, such as the management token. */
+  /** Strings to redact from every line, such as the management token. */
   readonly secrets?: readonly string[] | undefined;
-  /** Takes each line, its line break included. */
+  /** Receives each line, including its line break. */
   readonly write?: ((line: string) => void) | undefined;
 }
 
@@ -58,31 +58,31 @@
     throttle: 0,
   });
 
-  function logWith(common: LogFields): Log {
+  function createChildLog(inheritedFields: LogFields): Log {
     return {
       error: (message, fields) =>
-        consola.error(message, { ...common, ...fields }),
+        consola.error(message, { ...inheritedFields, ...fields }),
       warn: (message, fields) =>
-        consola.warn(message, { ...common, ...fields }),
+        consola.warn(message, { ...inheritedFields, ...fields }),
       info: (message, fields) =>
-        consola.info(message, { ...common, ...fields }),
+        consola.info(message, { ...inheritedFields, ...fields }),
       debug: (message, fields) =>
-        consola.debug(message, { ...common, ...fields }),
-      with: (fields) => logWith({ ...common, ...fields }),
+        consola.debug(message, { ...inheritedFields, ...fields }),
+      with: (fields) => createChildLog({ ...inheritedFields, ...fields }),
     };
   }
 
-  return logWith({});
+  return createChildLog({});
 }
 
 function createReporter(options: LogOptions): ConsolaReporter {
   const { role, name, incarnation } = options;
-  const redaction = createRedaction(options.secrets ?? []);
-  const write = options.write ?? writeToStandardError;
+  const redactor = createRedactor(options.secrets ?? []);
+  const write = options.write ?? writeToStderr;
   return {
     log(entry) {
       const [message, fields] = entry.args as [string, LogFields?];
-      write(formatLine(redaction, {
+      write(formatLine(redactor, {
         ...fields,
         time: entry.date.toISOString(),
         level: entry.type,
@@ -95,7 +95,7 @@
   };
 }
 
-interface Line extends Omit<LogFields, "incarnation"> {
+interface LogRecord extends Omit<LogFields, "incarnation"> {
   readonly time: string;
   readonly level: string;
   readonly role: string;
@@ -104,12 +104,12 @@
   readonly message: string;
 }
 
-function formatLine(redaction: Redaction, line: Line): string {
+function formatLine(redactor: Redactor, line: LogRecord): string {
   const { time, level, role, name, incarnation, message, ...fields } = line;
-  const ordered = { time, level, role, name, incarnation, message, ...fields };
-  return `${JSON.stringify(redaction.redact(ordered))}\n`;
+  const record = { time, level, role, name, incarnation, message, ...fields };
+  return `${JSON.stringify(redactor.redact(record))}\n`;
 }
 
-function writeToStandardError(line: string): void {
+function writeToStderr(line: string): void {
   process.stderr.write(line);
 }
--- a/packages/log/src/log_test.ts
+++ b/packages/log/src/log_test.ts
@@ -17,8 +17,8 @@
   return [log, () => lines.map((line) => JSON.parse(line))];
 }
 
-describe("the log", () => {
-  it("writes who, what and the typed fields", () => {
+describe("createLog", () => {
+  it("writes the process identity, the message and the fields", () => {
     const [log, lines] = createRecordedLog("info");
     log.with({ job: "t\nk" }).info("job ended", { configurationVersion: 3 });
     expect(lines()).to.have.lengthOf(1);
@@ -33,7 +33,7 @@
     });
   });
 
-  it("leaves out what is below its level", () => {
+  it("omits lines below the configured level", () => {
     const [log, lines] = createRecordedLog("warn");
     log.info("no");
     log.debug("no");
@@ -42,13 +42,13 @@
     expect(lines()).to.have.lengthOf(2);
   });
 
-  it("writes every one of many equal lines", () => {
+  it("does not throttle repeated lines", () => {
     const [log, lines] = createRecordedLog("info");
     for (let i = 0; i < 50; i++) log.info("again");
     expect(lines()).to.have.lengthOf(50);
   });
 
-  it("never writes a secret, wherever it stands", () => {
+  it("redacts secrets in messages, errors and fields", () => {
     const [log, lines] = createRecordedLog("debug");
     const error = new Error(`bad header: Bearer ${TOKEN}`);
     const fields = { headers: { Authorization: "Bearer x" }, token: "x" };
@@ -60,7 +60,7 @@
     expect(lines()[0]).to.include({ token: REDACTED });
   });
 
-  it("keeps a field from passing for the writer's identity", () => {
+  it("does not let fields override the role or level", () => {
     const [log, lines] = createRecordedLog("info");
     const fields = { role: "side", level: "debug", job: "j" };
     log.info("hello", fields);
--- a/packages/log/src/redact.ts
+++ b/packages/log/src/redact.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps secrets out of logs. Values of keys that hold secrets are replaced,
- * and so is each known secret wherever it turns up inside a text.
+ * Redacts secrets from log output: values of sensitive keys are replaced, and
+ * so is each occurrence of a known secret within a string.
  */
 
 export const REDACTED = "[redacted]";
@@ -15,25 +15,25 @@
   "token",
 ]);
 
-/** Nesting below this is left out; log fields are meant to be flat. */
-const DEEPEST = 6;
+/** Deeper nesting is omitted, since log fields are expected to be flat. */
+const MAX_DEPTH = 6;
 
-function isSecret(key: string): boolean {
+function isSecretKey(key: string): boolean {
   return SECRET_KEYS.has(key.toLowerCase());
 }
 
-export interface Redaction {
-  /** The value with its secrets replaced; the argument stays as it is. */
+export interface Redactor {
+  /** Returns a copy of the value with all secrets replaced. */
   redact(value: unknown): unknown;
 }
 
-/** `secrets` are texts that must never be written, such as a token. */
-export function createRedaction(secrets: readonly string[]): Redaction {
-  const known = secrets.filter((secret) => secret !== "");
+/** `secrets` are strings to redact wherever they occur, such as a token. */
+export function createRedactor(secrets: readonly string[]): Redactor {
+  const nonEmptySecrets = secrets.filter((secret) => secret !== "");
 
   function redactText(text: string): string {
-    return known.reduce(
-      (rest, secret) => rest.replaceAll(secret, REDACTED),
+    return nonEmptySecrets.reduce(
+      (redacted, secret) => redacted.replaceAll(secret, REDACTED),
       text,
     );
   }
@@ -43,13 +43,13 @@
     if (typeof value === "bigint") return value.toString();
     if (value instanceof Error) return redactText(value.message);
     if (value === null || typeof value !== "object") return value;
-    if (depth > DEEPEST) return "[nested]";
+    if (depth > MAX_DEPTH) return "[nested]";
     if (Array.isArray(value)) {
       return value.map((item) => redactValue(item, depth + 1));
     }
     const fields = Object.entries(value).map(([key, item]) => [
       redactText(key),
-      isSecret(key) ? REDACTED : redactValue(item, depth + 1),
+      isSecretKey(key) ? REDACTED : redactValue(item, depth + 1),
     ]);
     return Object.fromEntries(fields);
   }
--- a/packages/measure/src/flow.ts
+++ b/packages/measure/src/flow.ts
@@ -1,18 +1,18 @@
-/** What became of requests, counted per tenant and class. */
+/** Counts request outcomes per tenant and class. */
 import type { Reply } from "@coltsfootreach/types";
 import { createHistograms, type HistogramBucket } from "./histograms.ts";
 
-/** Most pairs of tenant and class that are counted apart. */
-const MAX_FLOWS = 2000;
+/** Limits the number of tenant and class pairs that are tracked separately. */
+const MAX_SERIES = 2000;
 
-export interface AnsweredRequest {
+export interface CompletedRequest {
   readonly tenant: string;
   readonly class: string;
   readonly responseMs: number;
   readonly reply: Reply;
 }
 
-/** One tenant and class. */
+/** Statistics of one tenant and class. */
 export interface Flow {
   readonly tenant: string;
   readonly class: string;
@@ -33,7 +33,7 @@
 }
 
 export interface Flows {
-  record(request: AnsweredRequest): void;
+  record(request: CompletedRequest): void;
   list(): readonly Flow[];
 }
 
@@ -50,12 +50,12 @@
 
 export function createFlows(): Flows {
   const counters = new Map<string, Counter>();
-  const histograms = createHistograms(MAX_FLOWS);
+  const histograms = createHistograms(MAX_SERIES);
 
-  function find(tenant: string, className: string): Counter {
-    const name = nameOf(tenant, className);
-    const known = counters.get(name);
-    if (known !== undefined) return known;
+  function findOrCreateCounter(tenant: string, className: string): Counter {
+    const name = seriesName(tenant, className);
+    const existing = counters.get(name);
+    if (existing !== undefined) return existing;
     const counter: Counter = {
       tenant,
       class: className,
@@ -64,19 +64,19 @@
       late: 0,
       refused: 0,
     };
-    if (counters.size < MAX_FLOWS) counters.set(name, counter);
+    if (counters.size < MAX_SERIES) counters.set(name, counter);
     return counter;
   }
 
   return {
     record({ tenant, class: className, responseMs, reply }) {
-      const counter = find(tenant, className);
+      const counter = findOrCreateCounter(tenant, className);
       if (reply.kind === "refused") counter.refused += 1;
       if (reply.kind !== "answered") return;
       counter.ended += 1;
       if (reply.answer.state === "failed") counter.failed += 1;
       if (reply.answer.late) counter.late += 1;
-      histograms.record(nameOf(tenant, className), responseMs);
+      histograms.record(seriesName(tenant, className), responseMs);
     },
     list() {
       return [...counters].map(([name, counter]) => ({
@@ -90,6 +90,6 @@
   };
 }
 
-function nameOf(tenant: string, className: string): string {
+function seriesName(tenant: string, className: string): string {
   return `${tenant}\n${className}`;
 }
--- a/packages/measure/src/histograms.ts
+++ b/packages/measure/src/histograms.ts
@@ -1,11 +1,11 @@
-/** Response-time histograms by name, such as one for each tenant or class. */
+/** Named response-time histograms, such as one per tenant or class. */
 import { build, type Histogram } from "hdr-histogram-js";
 
-const LONGEST_MS = 600_000;
+const MAX_DURATION_MS = 600_000;
 
 const SIGNIFICANT_DIGITS = 3;
 
-/** Upper bounds of the buckets that are shown, in milliseconds. */
+/** Upper bounds of the exported buckets. */
 const BUCKET_BOUNDS_MS = [
   10,
   25,
@@ -18,7 +18,7 @@
   5000,
   10_000,
   30_000,
-  LONGEST_MS,
+  MAX_DURATION_MS,
 ];
 
 export interface Percentiles {
@@ -29,7 +29,7 @@
   readonly max: number;
 }
 
-/** Counts values up to a bound and above that of the bucket before. */
+/** Counts values above the previous bucket's bound, up to `upTo` inclusive. */
 export interface HistogramBucket {
   readonly upTo: number;
   readonly count: number;
@@ -45,32 +45,32 @@
 
 interface Series {
   readonly histogram: Histogram;
-  /** Values counted by the bound of their bucket. */
+  /** Value counts, indexed like `BUCKET_BOUNDS_MS`. */
   readonly counts: number[];
 }
 
 export function createHistograms(maxNames: number): Histograms {
-  const all = new Map<string, Series>();
+  const seriesByName = new Map<string, Series>();
 
-  function find(name: string): Series {
-    const known = all.get(name);
-    if (known !== undefined) return known;
-    const key = all.size < maxNames ? name : "other";
-    const series = all.get(key) ?? createSeries();
-    all.set(key, series);
+  function findOrCreateSeries(name: string): Series {
+    const existing = seriesByName.get(name);
+    if (existing !== undefined) return existing;
+    const key = seriesByName.size < maxNames ? name : "other";
+    const series = seriesByName.get(key) ?? createSeries();
+    seriesByName.set(key, series);
     return series;
   }
 
   return {
     record(name, ms) {
-      const bounded = Math.round(Math.min(LONGEST_MS, Math.max(0, ms)));
-      const { histogram, counts } = find(name);
-      histogram.recordValue(bounded);
-      const bucket = BUCKET_BOUNDS_MS.findIndex((bound) => bounded <= bound);
+      const durationMs = Math.round(Math.min(MAX_DURATION_MS, Math.max(0, ms)));
+      const { histogram, counts } = findOrCreateSeries(name);
+      histogram.recordValue(durationMs);
+      const bucket = BUCKET_BOUNDS_MS.findIndex((bound) => durationMs <= bound);
       counts[bucket]! += 1;
     },
     percentiles(name) {
-      const histogram = all.get(name)?.histogram;
+      const histogram = seriesByName.get(name)?.histogram;
       if (histogram === undefined) return undefined;
       return {
         count: histogram.totalCount,
@@ -81,18 +81,18 @@
       };
     },
     buckets(name) {
-      const counts = all.get(name)?.counts ?? [];
+      const counts = seriesByName.get(name)?.counts ?? [];
       return counts.map((count, index) => {
         return { upTo: BUCKET_BOUNDS_MS[index]!, count };
       });
     },
-    names: () => [...all.keys()].sort(),
+    names: () => [...seriesByName.keys()].sort(),
   };
 }
 
 function createSeries(): Series {
   const histogram = build({
-    highestTrackableValue: LONGEST_MS,
+    highestTrackableValue: MAX_DURATION_MS,
     numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
   });
   return { histogram, counts: BUCKET_BOUNDS_MS.map(() => 0) };
--- a/packages/measure/src/metrics.ts
+++ b/packages/measure/src/metrics.ts
@@ -1,14 +1,14 @@
-/** An entry's metrics as text in the usual exposition format. */
-import { type AnsweredRequest, createFlows, type Flow } from "./flow.ts";
+/** Metrics of an entry in the Prometheus text exposition format. */
+import { type CompletedRequest, createFlows, type Flow } from "./flow.ts";
 
-/** Counters by group and name. */
-export type Counts = Readonly<Record<string, object>>;
+/** Counter values by group and name. */
+export type CounterGroups = Readonly<Record<string, object>>;
 
 export interface Metrics {
-  answered(request: AnsweredRequest): void;
-  /** One for each tenant and class. */
+  answered(request: CompletedRequest): void;
+  /** Returns the statistics of each tenant and class. */
   flows(): readonly Flow[];
-  text(counts: Counts): string;
+  text(counts: CounterGroups): string;
 }
 
 export function createMetrics(): Metrics {
@@ -26,7 +26,7 @@
   };
 }
 
-function counterLines(counts: Counts): string[] {
+function counterLines(counts: CounterGroups): string[] {
   return Object.entries(counts).flatMap(([group, values]) =>
     Object.entries<number>({ ...values }).map(([kind, value]) =>
       `coltsfootreach_${group}_total{kind="${kind}"} ${value}`
@@ -35,21 +35,21 @@
 }
 
 function flowLines(flow: Flow): string[] {
-  const tags = `tenant=${JSON.stringify(flow.tenant)},` +
+  const labels = `tenant=${JSON.stringify(flow.tenant)},` +
     `class=${JSON.stringify(flow.class)}`;
   const { response } = flow;
-  const time = "coltsfootreach_response_ms";
-  const jobs = "coltsfootreach_jobs_total";
-  let upTo = 0;
+  const metric = "coltsfootreach_response_ms";
+  const jobsMetric = "coltsfootreach_jobs_total";
+  let cumulative = 0;
   return [
-    `${jobs}{${tags},kind="ended"} ${flow.ended}`,
-    `${jobs}{${tags},kind="failed"} ${flow.failed}`,
-    `${jobs}{${tags},kind="late"} ${flow.late}`,
-    `${jobs}{${tags},kind="refused"} ${flow.refused}`,
+    `${jobsMetric}{${labels},kind="ended"} ${flow.ended}`,
+    `${jobsMetric}{${labels},kind="failed"} ${flow.failed}`,
+    `${jobsMetric}{${labels},kind="late"} ${flow.late}`,
+    `${jobsMetric}{${labels},kind="refused"} ${flow.refused}`,
     ...response.buckets.map((bucket) => {
-      upTo += bucket.count;
-      return `${time}_bucket{${tags},le="${bucket.upTo}"} ${upTo}`;
+      cumulative += bucket.count;
+      return `${metric}_bucket{${labels},le="${bucket.upTo}"} ${cumulative}`;
     }),
-    `${time}_count{${tags}} ${response.count}`,
+    `${metric}_count{${labels}} ${response.count}`,
   ];
 }
--- a/packages/run/src/frame.ts
+++ b/packages/run/src/frame.ts
@@ -1,7 +1,7 @@
 /**
- * What an entry and a side tell each other. The entry decides which task runs
- * where; the side alone says whether there is room, and it alone talks to its
- * backend server.
+ * Frames that an entry and a side exchange. The entry decides where each task
+ * runs. Only the side admits runs against the free capacity of its backend
+ * server, and only the side communicates with that server.
  */
 import type { Resources, TaskRef } from "./job.ts";
 import type { ServerReport } from "./server.ts";
@@ -9,18 +9,18 @@
 /** Asks a side to start one run of a task. */
 export interface Offer {
   readonly task: TaskRef;
-  /** Number of the run; rises over the runs of a task. */
+  /** Run number; increases with each run of a task. */
   readonly run: number;
   readonly payload: string;
   readonly resources: Resources;
-  /** The caller's guess of the run time, for the side's estimates. */
+  /** Run time estimated by the caller; input to the side's own estimates. */
   readonly estimateMs: number;
-  /** Life of the backend server that the entry has in mind. */
+  /** Backend server that the entry targets; `born` identifies its instance. */
   readonly server: string;
   readonly born: number;
 }
 
-/** A run that an entry believes to be on a side after the stream broke. */
+/** A run that an entry expects to find on a side after a reconnect. */
 export interface Claim {
   readonly ref: RunRef;
   readonly resources: Resources;
@@ -32,18 +32,18 @@
   readonly run: number;
 }
 
-/** From an entry to a side. Each frame also counts as a heartbeat. */
+/** Sent from an entry to a side. Each frame also counts as a heartbeat. */
 export interface DispatchFrame {
   readonly kind: "dispatch";
-  /** Rises with each frame of the stream. */
+  /** Increases with each frame of the stream. */
   readonly sequence: number;
   readonly offers: readonly Offer[];
   readonly stops: readonly RunRef[];
-  /** Only on the first frame of a stream. */
+  /** Sent only in the first frame of a stream. */
   readonly claims?: readonly Claim[] | undefined;
-  /** Addresses of all entries that this one knows. */
+  /** Addresses of all entries known to the sender. */
   readonly entries?: readonly string[] | undefined;
-  /** Incarnation of the entry; on the first frame. */
+  /** Incarnation of the entry; sent in the first frame. */
   readonly entry?: string | undefined;
 }
 
@@ -52,18 +52,18 @@
   | "closed"
   | "suspect"
   | "otherServer"
-  /** A run with this number or a higher one is known there. */
+  /** The side already knows a run with this number or a higher one. */
   | "superseded";
 
 export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "broken";
 
-/** What became of a run. */
+/** A status change of a run. */
 export type RunNews =
   | {
     readonly kind: "refused";
     readonly ref: RunRef;
     readonly reason: RefusalReason;
-    /** Highest run of the task that is known there. */
+    /** Highest run number of the task that the side knows. */
     readonly highestRun: number;
   }
   | {
@@ -72,20 +72,20 @@
     readonly end: RunEnd;
     readonly ms: number;
   }
-  /** Does not run and will not, whether or not it ever ran. */
+  /** The run is not executing and never will; it may have executed before. */
   | { readonly kind: "lost"; readonly ref: RunRef; readonly reason: string }
-  /** Makes no progress; the owner may want to stop it. */
+  /** The run makes no progress; the entry may decide to stop it. */
   | { readonly kind: "stalled"; readonly ref: RunRef };
 
-/** From a side to an entry. Each frame also counts as a heartbeat. */
+/** Sent from a side to an entry. Each frame also counts as a heartbeat. */
 export interface WorkFrame {
   readonly kind: "work";
-  /** Last frame of the entry that this one takes into account. */
+  /** Sequence number of the last frame from the entry that was processed. */
   readonly seen: number;
   readonly news: readonly RunNews[];
-  /** Left out while nothing has changed. */
+  /** Omitted if unchanged since the last report. */
   readonly server?: ServerReport | undefined;
-  /** Name of the side's VM; on the first frame. */
+  /** Name of the side's VM; sent in the first frame. */
   readonly side?: string | undefined;
   readonly dataCentre?: string | undefined;
 }
--- a/packages/run/src/frame_check.ts
+++ b/packages/run/src/frame_check.ts
@@ -1,4 +1,4 @@
-/** Tells well-formed frames from whatever else a connection may carry. */
+/** Type guards that validate frames received over a connection. */
 import type {
   Claim,
   DispatchFrame,
@@ -9,31 +9,32 @@
 import type { Resources, TaskRef } from "./job.ts";
 import type { ServerReport } from "./server.ts";
 
-type Fields = Readonly<Record<string, unknown>>;
+type UnknownRecord = Readonly<Record<string, unknown>>;
 
 export function isDispatchFrame(value: unknown): value is DispatchFrame {
   return isRecord(value) && value.kind === "dispatch" &&
     isNumber(value.sequence) &&
-    isListOf(value.offers, isOffer) &&
-    isListOf(value.stops, isRunRef) &&
-    isOptional(value.claims, (claims) => isListOf(claims, isClaim)) &&
-    isOptional(value.entries, isTexts) &&
-    isOptional(value.entry, isText);
+    isArrayOf(value.offers, isOffer) &&
+    isArrayOf(value.stops, isRunRef) &&
+    isOptional(value.claims, (claims) => isArrayOf(claims, isClaim)) &&
+    isOptional(value.entries, isStringArray) &&
+    isOptional(value.entry, isString);
 }
 
 export function isWorkFrame(value: unknown): value is WorkFrame {
   return isRecord(value) && value.kind === "work" &&
     isNumber(value.seen) &&
-    isListOf(value.news, isNews) &&
-    isOptional(value.server, isReport) &&
-    isOptional(value.side, isText) &&
-    isOptional(value.dataCentre, isText);
+    isArrayOf(value.news, isRunUpdate) &&
+    isOptional(value.server, isServerReport) &&
+    isOptional(value.side, isString) &&
+    isOptional(value.dataCentre, isString);
 }
 
 function isOffer(value: unknown): value is Offer {
-  return isRecord(value) && isTask(value.task) && isNumber(value.run) &&
-    isText(value.payload) && isResources(value.resources) &&
-    isNumber(value.estimateMs) && isText(value.server) && isNumber(value.born);
+  return isRecord(value) && isTaskRef(value.task) && isNumber(value.run) &&
+    isString(value.payload) && isResources(value.resources) &&
+    isNumber(value.estimateMs) && isString(value.server) &&
+    isNumber(value.born);
 }
 
 function isClaim(value: unknown): value is Claim {
@@ -41,34 +42,34 @@
     isResources(value.resources) && isNumber(value.estimateMs);
 }
 
-function isNews(value: unknown): value is RunNews {
+function isRunUpdate(value: unknown): value is RunNews {
   if (!isRecord(value) || !isRunRef(value.ref)) return false;
   switch (value.kind) {
     case "refused":
-      return isText(value.reason) && isNumber(value.highestRun);
+      return isString(value.reason) && isNumber(value.highestRun);
     case "ended":
-      return isText(value.end) && isNumber(value.ms);
+      return isString(value.end) && isNumber(value.ms);
     case "lost":
-      return isText(value.reason);
+      return isString(value.reason);
     default:
       return value.kind === "stalled";
   }
 }
 
-function isReport(value: unknown): value is ServerReport {
-  return isRecord(value) && isText(value.id) && isNumber(value.born) &&
-    isText(value.service) && isResources(value.capacity) &&
-    isTexts(value.labels) && isResources(value.room) &&
-    isFlag(value.isOpen) && isNumber(value.slowness) &&
-    isFlag(value.isSuspect);
+function isServerReport(value: unknown): value is ServerReport {
+  return isRecord(value) && isString(value.id) && isNumber(value.born) &&
+    isString(value.service) && isResources(value.capacity) &&
+    isStringArray(value.labels) && isResources(value.room) &&
+    isBoolean(value.isOpen) && isNumber(value.slowness) &&
+    isBoolean(value.isSuspect);
 }
 
 function isRunRef(value: unknown): boolean {
-  return isRecord(value) && isTask(value.task) && isNumber(value.run);
+  return isRecord(value) && isTaskRef(value.task) && isNumber(value.run);
 }
 
-function isTask(value: unknown): value is TaskRef {
-  return isRecord(value) && isText(value.job) && isNumber(value.occurrence) &&
+function isTaskRef(value: unknown): value is TaskRef {
+  return isRecord(value) && isString(value.job) && isNumber(value.occurrence) &&
     isNumber(value.step) && isNumber(value.index);
 }
 
@@ -77,7 +78,7 @@
     isNumber(value.gpu);
 }
 
-function isRecord(value: unknown): value is Fields {
+function isRecord(value: unknown): value is UnknownRecord {
   return typeof value === "object" && value !== null;
 }
 
@@ -85,25 +86,28 @@
   return typeof value === "number" && Number.isFinite(value);
 }
 
-function isText(value: unknown): value is string {
+function isString(value: unknown): value is string {
   return typeof value === "string";
 }
 
-function isFlag(value: unknown): value is boolean {
+function isBoolean(value: unknown): value is boolean {
   return typeof value === "boolean";
 }
 
-function isTexts(value: unknown): value is readonly string[] {
-  return isListOf(value, isText);
+function isStringArray(value: unknown): value is readonly string[] {
+  return isArrayOf(value, isString);
 }
 
-function isListOf(value: unknown, isItem: (item: unknown) => boolean): boolean {
+function isArrayOf(
+  value: unknown,
+  isItem: (item: unknown) => boolean,
+): boolean {
   return Array.isArray(value) && value.every(isItem);
 }
 
 function isOptional(
   value: unknown,
-  isPresent: (value: unknown) => boolean,
+  isValid: (value: unknown) => boolean,
 ): boolean {
-  return value === undefined || isPresent(value);
+  return value === undefined || isValid(value);
 }
--- a/packages/run/src/index.ts
+++ b/packages/run/src/index.ts
@@ -1,4 +1,4 @@
-/** Jobs, runs of their tasks, and what entries and sides say about them. */
+/** Jobs, task runs, and the frames that entries and sides exchange. */
 export * from "./job.ts";
 export * from "./queue_table.ts";
 export * from "./server.ts";
--- a/packages/run/src/job.ts
+++ b/packages/run/src/job.ts
@@ -1,8 +1,8 @@
-/** A job as a caller hands it in: steps of tasks, some of them after others. */
+/** A job as submitted by a caller: a graph of steps, each a set of tasks. */
 
-/** What a task takes from its backend server while it runs. */
+/** Resources that a task uses on its backend server while it runs. */
 export interface Resources {
-  /** Thousandths of a core. */
+  /** In thousandths of a core. */
   readonly cpu: number;
   readonly memoryMb: number;
   readonly gpu: number;
@@ -12,34 +12,34 @@
   /** Number of tasks. */
   readonly count: number;
   readonly resources: Resources;
-  /** The caller's guess of one task's run time. */
+  /** Run time of one task, as estimated by the caller. */
   readonly estimateMs: number;
-  /** Positions of earlier steps whose tasks must all be done first. */
+  /** Indexes of earlier steps whose tasks must all complete first. */
   readonly after: readonly number[];
-  /** Rack that holds the data; "" for none. */
+  /** Rack that holds the input data; "" for none. */
   readonly rack: string;
-  /** Label that the backend server must have; "" for none. */
+  /** Label required of the backend server; "" for none. */
   readonly requiredLabel: string;
-  /** Most tasks of the step on one backend server; 0 for no bound. */
+  /** Maximum tasks of the step per backend server; 0 for no limit. */
   readonly maxPerServer: number;
-  /** All tasks work only while all of them are present. */
+  /** Gang scheduling: tasks make progress only while all of them run. */
   readonly isGang: boolean;
 }
 
 export interface Job {
-  /** The caller's name for the job; a repeated submission carries it again. */
+  /** Idempotency key set by the caller; resubmissions reuse it. */
   readonly id: string;
-  /** Text that backend servers get with each task. */
+  /** Payload sent to backend servers with each task. */
   readonly payload: string;
   readonly steps: readonly Step[];
-  /** How long the caller waits for the answer. */
+  /** Time that the caller waits for the response. */
   readonly timeoutMs: number;
 }
 
-/** One task of a job. */
+/** Identifies one task of a job. */
 export interface TaskRef {
   readonly job: string;
-  /** Repetition of the job, counted from 0. */
+  /** Repetition of the job, starting at 0. */
   readonly occurrence: number;
   readonly step: number;
   readonly index: number;
@@ -73,7 +73,7 @@
 
 export const NO_RESOURCES: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
 
-/** A key for maps; equal for equal tasks. */
+/** Returns a map key that is equal for equal task references. */
 export function keyOfTask(task: TaskRef): string {
   return `${task.job}/${task.occurrence}/${task.step}/${task.index}`;
 }
--- a/packages/run/src/queue_table.ts
+++ b/packages/run/src/queue_table.ts
@@ -1,32 +1,32 @@
-/** The queues that callers may use, as one version of the configuration. */
+/** Queues available to callers in one version of the configuration. */
 
 export interface Queue {
   readonly name: string;
   readonly hostname: string;
-  /** Start of the paths that belong to the queue. */
+  /** Path prefix that selects the queue. */
   readonly prefix: string;
-  /** Pool of backend servers that run its tasks. */
+  /** Pool of backend servers that run the queue's tasks. */
   readonly service: string;
-  /** 0 comes first. */
+  /** 0 is the highest priority. */
   readonly priority: number;
-  /** Runs of one task that may end in failure. */
+  /** Maximum number of failed runs per task. */
   readonly attempts: number;
-  /** Objective of a job: this many times its longest chain of run times... */
+  /** A job's objective is its critical path length times this factor... */
   readonly slackFactor: number;
-  /** ...and this much more. */
+  /** ...plus this constant. */
   readonly extraMs: number;
-  /** Backend servers take its tasks only with a permit from a third party. */
+  /** Backend servers accept its tasks only with a third-party permit. */
   readonly needsAdvice: boolean;
 }
 
 export interface QueueTable {
-  /** Rises with each change. */
+  /** Increases with each change. */
   readonly version: number;
   readonly queues: readonly Queue[];
   readonly maxBodyBytes: number;
 }
 
-/** The queue with this host name and the longest prefix of the path. */
+/** Returns the host's queue with the longest prefix that matches the path. */
 export function findQueue(
   table: QueueTable,
   hostname: string,
--- a/packages/run/src/server.ts
+++ b/packages/run/src/server.ts
@@ -1,38 +1,38 @@
-/** What a backend server says of itself, and what a side says of it. */
+/** State that a backend server announces and that its side reports. */
 import type { Resources } from "./job.ts";
 
-/** One life of a backend server. */
+/** Announces one instance of a backend server. */
 export interface Announcement {
   readonly id: string;
-  /** Tells lives under one id apart: the start as Unix milliseconds. */
+  /** Start time in Unix milliseconds; distinguishes instances with one id. */
   readonly born: number;
   readonly service: string;
-  /** Where it takes orders, as `IP:port`. */
+  /** Address that accepts run requests, as `IP:port`. */
   readonly address: string;
   readonly dataCentre: string;
   readonly capacity: Resources;
-  /** Its kind and its rack. */
+  /** Server type and rack. */
   readonly labels: readonly string[];
   readonly isDraining: boolean;
-  /** Least time left while it drains. */
+  /** Minimum time left until shutdown while draining. */
   readonly remainingMs: number;
-  /** Rises with each announcement of one life. */
+  /** Increases with each announcement of one instance. */
   readonly sequence: number;
 }
 
-/** A side's last word on its backend server. */
+/** Latest state of a backend server, as reported by its side. */
 export interface ServerReport {
   readonly id: string;
   readonly born: number;
   readonly service: string;
   readonly capacity: Resources;
   readonly labels: readonly string[];
-  /** Room that no run takes, those being stopped included. */
+  /** Capacity not used by any run; runs being stopped still count as used. */
   readonly room: Resources;
-  /** Takes new runs. */
+  /** Whether the server accepts new runs. */
   readonly isOpen: boolean;
-  /** Run time over the declared time, as learnt from ends and progress. */
+  /** Ratio of actual to declared run time, from completed and running tasks. */
   readonly slowness: number;
-  /** Failures or standstill seen lately: only a few runs at a time. */
+  /** Runs failed or stalled recently; only a few may run concurrently. */
   readonly isSuspect: boolean;
 }
--- a/packages/run/src/timing.ts
+++ b/packages/run/src/timing.ts
@@ -1,38 +1,38 @@
 /**
- * The times by which entries and sides notice that the other is gone, worked
- * out together: by the time a caller whose connection broke hands its job in
- * again, no run of the earlier submission may be at work any more.
+ * Derives the failure detection timeouts of entries and sides. They depend on
+ * each other: when a caller resubmits a job after its connection broke, no run
+ * of the earlier submission may still be executing.
  */
 import { err, ok, type Result } from "neverthrow";
 
-/** What the deployment declares. */
+/** Timing guarantees that the deployment declares. */
 export interface TimingBounds {
-  /** Callers hand a job in again this long after their connection broke. */
+  /** Delay after which callers resubmit a job whose connection broke. */
   readonly resendMs: number;
-  /** Longest lease that backend servers grant. */
+  /** Maximum lease duration that backend servers grant. */
   readonly maxLeaseMs: number;
-  /** Longest time that a backend server takes to stop a run. */
+  /** Maximum time that a backend server takes to stop a run. */
   readonly stopMs: number;
 }
 
 export interface Timing {
-  /** Longest time between frames on a stream with runs. */
+  /** Maximum interval between frames on a stream with active runs. */
   readonly heartbeatMs: number;
-  /** An entry gives up a side with runs that was silent for this long. */
+  /** Silence after which an entry considers a side with runs lost. */
   readonly sideLostMs: number;
-  /** A side stops the runs of an entry that was silent for this long. */
+  /** Silence after which a side stops the runs of an entry. */
   readonly ownerLostMs: number;
-  /** Time for an entry to claim its runs after their stream has broken. */
+  /** Time that an entry has to reclaim its runs after their stream broke. */
   readonly reclaimMs: number;
-  /** Lease of runs on backend servers. */
+  /** Lease duration of runs on backend servers. */
   readonly leaseMs: number;
-  /** Runs on a side that was given up are over after this long. */
+  /** Time after which all runs of a lost side are certain to have ended. */
   readonly runsOverMs: number;
-  /** A gap between ticks after which input may be waiting unread. */
+  /** Tick gap beyond which the process was paused and may have unread input. */
   readonly pauseMs: number;
 }
 
-/** The declared times are too short to work with. */
+/** The declared times are too short to derive safe timeouts from. */
 export class TimingConflict extends Error {
   constructor(reason: string) {
     super(`the declared times leave too little room: ${reason}`);
@@ -40,60 +40,62 @@
   }
 }
 
-/** Time between ticks of a process that holds runs. */
+/** Tick interval of a process with active runs. */
 export const BUSY_TICK_MS = 25;
 
-/** Clocks may run this much slower than they should. */
-const CLOCK_SLACK = 1.02;
+/** Maximum factor by which a clock may run slow. */
+const CLOCK_DRIFT_FACTOR = 1.02;
 
-/** Allows for the time that frames and orders take. */
+/** Allowance for the latency of frames and of requests to backend servers. */
 const MARGIN_MS = 100;
 
-/** Longer leases and silences only delay the repeat of lost runs. */
-const LONGEST_LEASE_MS = 700;
+/** Longer leases and silence timeouts only delay the retry of lost runs. */
+const MAX_LEASE_MS = 700;
 
-const LONGEST_SILENCE_MS = 650;
+const MAX_SILENCE_MS = 650;
 
-const LONGEST_RECLAIM_MS = 300;
+const MAX_RECLAIM_MS = 300;
 
-/** A lease must outlive a few lost renewals. */
-const SHORTEST_LEASE_MS = 250;
+/** A lease must survive a few lost renewals. */
+const MIN_LEASE_MS = 250;
 
-/** Some heartbeats must fit into the time of silence. */
-const SHORTEST_SILENCE_MS = 250;
+/** Several heartbeats must fit into the silence timeout. */
+const MIN_SILENCE_MS = 250;
 
-/** Shares of the time of silence. */
-const HEARTBEAT_SHARE = 0.31;
+/** Ratios to the silence timeout. */
+const HEARTBEAT_RATIO = 0.31;
 
-const SIDE_LOST_SHARE = 0.77;
+const SIDE_LOST_RATIO = 0.77;
 
-const PAUSE_SHARE = 0.62;
+const PAUSE_RATIO = 0.62;
 
-/** Works the times out, and checks that they add up. */
+/** Derives the timeouts, or fails if the declared times are too short. */
 export function deriveTiming(
   { resendMs, maxLeaseMs, stopMs }: TimingBounds,
 ): Result<Timing, TimingConflict> {
-  const usableMs = resendMs / CLOCK_SLACK - MARGIN_MS;
+  const usableMs = resendMs / CLOCK_DRIFT_FACTOR - MARGIN_MS;
   const ownerLostMs = Math.floor(
-    Math.min(LONGEST_SILENCE_MS, usableMs - BUSY_TICK_MS - stopMs),
+    Math.min(MAX_SILENCE_MS, usableMs - BUSY_TICK_MS - stopMs),
   );
-  const leaseMs = Math.floor(Math.min(LONGEST_LEASE_MS, maxLeaseMs, usableMs));
-  if (ownerLostMs < SHORTEST_SILENCE_MS) {
-    return err(new TimingConflict(`${ownerLostMs} ms to notice a lost entry`));
+  const leaseMs = Math.floor(Math.min(MAX_LEASE_MS, maxLeaseMs, usableMs));
+  if (ownerLostMs < MIN_SILENCE_MS) {
+    return err(
+      new TimingConflict(`only ${ownerLostMs} ms to detect a lost entry`),
+    );
   }
-  if (leaseMs < SHORTEST_LEASE_MS) {
-    return err(new TimingConflict(`leases of ${leaseMs} ms`));
+  if (leaseMs < MIN_LEASE_MS) {
+    return err(new TimingConflict(`leases would last only ${leaseMs} ms`));
   }
   return ok({
-    heartbeatMs: Math.floor(ownerLostMs * HEARTBEAT_SHARE),
-    sideLostMs: Math.floor(ownerLostMs * SIDE_LOST_SHARE),
+    heartbeatMs: Math.floor(ownerLostMs * HEARTBEAT_RATIO),
+    sideLostMs: Math.floor(ownerLostMs * SIDE_LOST_RATIO),
     ownerLostMs,
-    reclaimMs: Math.min(LONGEST_RECLAIM_MS, ownerLostMs),
+    reclaimMs: Math.min(MAX_RECLAIM_MS, ownerLostMs),
     leaseMs,
-    // The side renews until it notices, and then the lease has to run out.
+    // The side renews leases until it detects the loss; then they must expire.
     runsOverMs: Math.ceil(
-      (ownerLostMs + BUSY_TICK_MS + leaseMs) * CLOCK_SLACK + MARGIN_MS,
+      (ownerLostMs + BUSY_TICK_MS + leaseMs) * CLOCK_DRIFT_FACTOR + MARGIN_MS,
     ),
-    pauseMs: Math.floor(ownerLostMs * PAUSE_SHARE),
+    pauseMs: Math.floor(ownerLostMs * PAUSE_RATIO),
   });
 }
