--- a/packages/daemon/src/management.ts
+++ b/packages/daemon/src/management.ts
@@ -34,7 +34,7 @@
     store: () => entry.storeStatus(),
     newestVersion: () => entry.newestVersion(),
     tenants: () =>
-      assembleTenantTops(metrics.flows(), entry.core().records.open()),
+      assembleTenantTops(metrics.classStats(), entry.core().records.open()),
   });
   const app = createManagementApp({ view, token: management.token });
   return await serveManagement(app, management.listen);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -6,8 +6,8 @@
 import type {
   Job,
   Queue,
-  RunNews,
   RunRef,
+  RunUpdate,
   Timing,
   WorkFrame,
 } from "@coltsfootreach/run";
@@ -220,7 +220,7 @@
 
   /** Gangs and permits are not built yet; such jobs would never end. */
   function isSupported(live: LiveJob): boolean {
-    return !live.queue.needsAdvice &&
+    return !live.queue.isPermitRequired &&
       !live.job.steps.some((step) => step.isGang);
   }
 
@@ -376,7 +376,7 @@
     return { live, task };
   }
 
-  function takeNews(news: RunNews, now: number): void {
+  function takeNews(news: RunUpdate, now: number): void {
     const found = find(news.ref);
     if (found === undefined) return;
     const { live, task } = found;
@@ -410,7 +410,7 @@
   function takeEnd(
     live: LiveJob,
     task: LiveTask,
-    end: Extract<RunNews, { kind: "ended" }>["end"],
+    end: Extract<RunUpdate, { kind: "ended" }>["end"],
     now: number,
   ): void {
     if (end === "done") {
@@ -468,7 +468,7 @@
 
   function tick(now: number): void {
     startedAt ??= now;
-    const wasPaused = now - tickedAt > options.timing.pauseMs;
+    const wasPaused = now - tickedAt > options.timing.pauseThresholdMs;
     tickedAt = now;
     if (!wasPaused) sides.loseSilent(now);
     sides.expireUnsure(now);
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -2,7 +2,7 @@
   type DispatchFrame,
   type Job,
   NO_RESOURCES,
-  type RunNews,
+  type RunUpdate,
   type ServerReport,
   type Step,
   type WorkFrame,
@@ -109,7 +109,7 @@
   id: string,
   end: "done" | "failed" | "stopped",
   { run = 1, step = 0, index = 0 } = {},
-): RunNews {
+): RunUpdate {
   const task = { job: id, occurrence: 0, step, index };
   return { kind: "ended", ref: { task, run }, end, ms: 100 };
 }
@@ -282,7 +282,7 @@
     bench.submit(1, job("j"), START);
     bench.frames(1, START);
     const task = { job: "j", occurrence: 0, step: 0, index: 0 };
-    const news: RunNews = {
+    const news: RunUpdate = {
       kind: "refused",
       ref: { task, run: 1 },
       reason: "superseded",
@@ -330,7 +330,7 @@
     bench.frames(1, START);
     bench.join(2, "two", report("s2", 4000), START + 1);
     const task = { job: "j", occurrence: 0, step: 0, index: 0 };
-    const stalled: RunNews = { kind: "stalled", ref: { task, run: 1 } };
+    const stalled: RunUpdate = { kind: "stalled", ref: { task, run: 1 } };
     bench.hear(1, { news: [stalled] }, START + 300);
     expect(stops(bench.frames(1, START + 300))).to.have.length(1);
     expect(offers(bench.frames(2, START + 300))).to.deep.equal([]);
--- a/packages/dispatch/src/sides.ts
+++ b/packages/dispatch/src/sides.ts
@@ -6,8 +6,8 @@
   type Claim,
   type DispatchFrame,
   keyOfTask,
-  type RunNews,
   type RunRef,
+  type RunUpdate,
   type Timing,
   type WorkFrame,
 } from "@coltsfootreach/run";
@@ -31,7 +31,7 @@
   readonly workers: Map<SessionId, Worker>;
   /** The task whose latest run this is. */
   find(ref: RunRef): FoundTask | undefined;
-  takeNews(news: RunNews, now: number): void;
+  takeNews(news: RunUpdate, now: number): void;
   send(session: SessionId, frame: DispatchFrame): void;
   close(session: SessionId): void;
   log(decision: DispatchDecision): void;
@@ -120,7 +120,7 @@
     });
     const open: UnsureRun[] = [...worker.runs.values()].map((claim) => ({
       claim,
-      overAt: now + timing.runsOverMs,
+      overAt: now + timing.runExpiryMs,
     }));
     for (const { claim } of open) markUnsure(claim);
     if (open.length === 0) return;
--- a/packages/dispatch/src/workers.ts
+++ b/packages/dispatch/src/workers.ts
@@ -3,7 +3,7 @@
  * the offers that the report does not take into account yet.
  */
 import {
-  add,
+  addResources,
   type Claim,
   type DispatchFrame,
   keyOfTask,
@@ -11,7 +11,7 @@
   type Resources,
   type RunRef,
   type ServerReport,
-  subtract,
+  subtractResources,
   type WorkFrame,
 } from "@coltsfootreach/run";
 import type { SessionId } from "./effect.ts";
@@ -78,7 +78,7 @@
   }
   let room = worker.report?.room;
   for (const offer of worker.unseen) {
-    if (room !== undefined) room = subtract(room, offer.resources);
+    if (room !== undefined) room = subtractResources(room, offer.resources);
   }
   worker.room = room;
 }
@@ -98,12 +98,16 @@
 
 /** Takes room for a task that is about to be offered... */
 export function reserve(worker: Worker, resources: Resources): void {
-  if (worker.room !== undefined) worker.room = subtract(worker.room, resources);
+  if (worker.room !== undefined) {
+    worker.room = subtractResources(worker.room, resources);
+  }
 }
 
 /** ...and gives it back when it is not offered after all. */
 export function release(worker: Worker, resources: Resources): void {
-  if (worker.room !== undefined) worker.room = add(worker.room, resources);
+  if (worker.room !== undefined) {
+    worker.room = addResources(worker.room, resources);
+  }
 }
 
 export interface FrameOptions {
--- a/packages/entry/src/tenant_tops.ts
+++ b/packages/entry/src/tenant_tops.ts
@@ -1,7 +1,7 @@
 /** Adds what is waiting and running now to what has ended, per tenant. */
 import type { JobRecord } from "@coltsfootreach/admit";
 import type { TenantTop } from "@coltsfootreach/manage";
-import type { Flow } from "@coltsfootreach/measure";
+import type { ClassStats } from "@coltsfootreach/measure";
 
 const NO_RESPONSE = { count: 0, p50: 0, p99: 0, p999: 0, max: 0, buckets: [] };
 
@@ -13,7 +13,7 @@
 }
 
 export function assembleTenantTops(
-  flows: readonly Flow[],
+  flows: readonly ClassStats[],
   open: Iterable<JobRecord>,
 ): readonly TenantTop[] {
   const tallies = countOpen(open);
--- a/packages/measure/src/flow.ts
+++ b/packages/measure/src/flow.ts
@@ -13,7 +13,7 @@
 }
 
 /** Statistics of one tenant and class. */
-export interface Flow {
+export interface ClassStats {
   readonly tenant: string;
   readonly class: string;
   readonly ended: number;
@@ -32,9 +32,9 @@
   readonly buckets: readonly HistogramBucket[];
 }
 
-export interface Flows {
+export interface ClassStatsTable {
   record(request: CompletedRequest): void;
-  list(): readonly Flow[];
+  list(): readonly ClassStats[];
 }
 
 interface Counter {
@@ -48,7 +48,7 @@
 
 const NO_PERCENTILES = { count: 0, p50: 0, p99: 0, p999: 0, max: 0 };
 
-export function createFlows(): Flows {
+export function createClassStatsTable(): ClassStatsTable {
   const counters = new Map<string, Counter>();
   const histograms = createHistograms(MAX_SERIES);
 
--- a/packages/measure/src/metrics.ts
+++ b/packages/measure/src/metrics.ts
@@ -1,5 +1,9 @@
 /** Metrics of an entry in the Prometheus text exposition format. */
-import { type CompletedRequest, createFlows, type Flow } from "./flow.ts";
+import {
+  type ClassStats,
+  type CompletedRequest,
+  createClassStatsTable,
+} from "./flow.ts";
 
 /** Counter values by group and name. */
 export type CounterGroups = Readonly<Record<string, object>>;
@@ -7,19 +11,19 @@
 export interface Metrics {
   answered(request: CompletedRequest): void;
   /** Returns the statistics of each tenant and class. */
-  flows(): readonly Flow[];
+  classStats(): readonly ClassStats[];
   text(counts: CounterGroups): string;
 }
 
 export function createMetrics(): Metrics {
-  const flows = createFlows();
+  const statsTable = createClassStatsTable();
   return {
-    answered: (request) => flows.record(request),
-    flows: () => flows.list(),
+    answered: (request) => statsTable.record(request),
+    classStats: () => statsTable.list(),
     text(counts) {
       const lines = [
         ...counterLines(counts),
-        ...flows.list().flatMap(flowLines),
+        ...statsTable.list().flatMap(classStatsLines),
       ];
       return `${lines.join("\n")}\n`;
     },
@@ -34,18 +38,18 @@
   );
 }
 
-function flowLines(flow: Flow): string[] {
-  const labels = `tenant=${JSON.stringify(flow.tenant)},` +
-    `class=${JSON.stringify(flow.class)}`;
-  const { response } = flow;
+function classStatsLines(stats: ClassStats): string[] {
+  const labels = `tenant=${JSON.stringify(stats.tenant)},` +
+    `class=${JSON.stringify(stats.class)}`;
+  const { response } = stats;
   const metric = "coltsfootreach_response_ms";
   const jobsMetric = "coltsfootreach_jobs_total";
   let cumulative = 0;
   return [
-    `${jobsMetric}{${labels},kind="ended"} ${flow.ended}`,
-    `${jobsMetric}{${labels},kind="failed"} ${flow.failed}`,
-    `${jobsMetric}{${labels},kind="late"} ${flow.late}`,
-    `${jobsMetric}{${labels},kind="refused"} ${flow.refused}`,
+    `${jobsMetric}{${labels},kind="ended"} ${stats.ended}`,
+    `${jobsMetric}{${labels},kind="failed"} ${stats.failed}`,
+    `${jobsMetric}{${labels},kind="late"} ${stats.late}`,
+    `${jobsMetric}{${labels},kind="refused"} ${stats.refused}`,
     ...response.buckets.map((bucket) => {
       cumulative += bucket.count;
       return `${metric}_bucket{${labels},le="${bucket.upTo}"} ${cumulative}`;
--- a/packages/run/src/frame.ts
+++ b/packages/run/src/frame.ts
@@ -55,10 +55,10 @@
   /** The side already knows a run with this number or a higher one. */
   | "superseded";
 
-export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "broken";
+export type RunOutcome = "done" | "failed" | "stopped" | "lapsed" | "broken";
 
 /** A status change of a run. */
-export type RunNews =
+export type RunUpdate =
   | {
     readonly kind: "refused";
     readonly ref: RunRef;
@@ -69,7 +69,7 @@
   | {
     readonly kind: "ended";
     readonly ref: RunRef;
-    readonly end: RunEnd;
+    readonly end: RunOutcome;
     readonly ms: number;
   }
   /** The run is not executing and never will; it may have executed before. */
@@ -82,7 +82,7 @@
   readonly kind: "work";
   /** Sequence number of the last frame from the entry that was processed. */
   readonly seen: number;
-  readonly news: readonly RunNews[];
+  readonly news: readonly RunUpdate[];
   /** Omitted if unchanged since the last report. */
   readonly server?: ServerReport | undefined;
   /** Name of the side's VM; sent in the first frame. */
--- a/packages/run/src/frame_check.ts
+++ b/packages/run/src/frame_check.ts
@@ -3,7 +3,7 @@
   Claim,
   DispatchFrame,
   Offer,
-  RunNews,
+  RunUpdate,
   WorkFrame,
 } from "./frame.ts";
 import type { Resources, TaskRef } from "./job.ts";
@@ -42,7 +42,7 @@
     isResources(value.resources) && isNumber(value.estimateMs);
 }
 
-function isRunUpdate(value: unknown): value is RunNews {
+function isRunUpdate(value: unknown): value is RunUpdate {
   if (!isRecord(value) || !isRunRef(value.ref)) return false;
   switch (value.kind) {
     case "refused":
--- a/packages/run/src/job.ts
+++ b/packages/run/src/job.ts
@@ -50,7 +50,7 @@
     need.gpu <= room.gpu;
 }
 
-export function add(left: Resources, right: Resources): Resources {
+export function addResources(left: Resources, right: Resources): Resources {
   return {
     cpu: left.cpu + right.cpu,
     memoryMb: left.memoryMb + right.memoryMb,
@@ -58,7 +58,10 @@
   };
 }
 
-export function subtract(left: Resources, right: Resources): Resources {
+export function subtractResources(
+  left: Resources,
+  right: Resources,
+): Resources {
   return {
     cpu: left.cpu - right.cpu,
     memoryMb: left.memoryMb - right.memoryMb,
@@ -66,7 +69,7 @@
   };
 }
 
-export function areEqual(left: Resources, right: Resources): boolean {
+export function areResourcesEqual(left: Resources, right: Resources): boolean {
   return left.cpu === right.cpu && left.memoryMb === right.memoryMb &&
     left.gpu === right.gpu;
 }
--- a/packages/run/src/queue_table.ts
+++ b/packages/run/src/queue_table.ts
@@ -16,7 +16,7 @@
   /** ...plus this constant. */
   readonly extraMs: number;
   /** Backend servers accept its tasks only with a third-party permit. */
-  readonly needsAdvice: boolean;
+  readonly isPermitRequired: boolean;
 }
 
 export interface QueueTable {
--- a/packages/run/src/timing.ts
+++ b/packages/run/src/timing.ts
@@ -21,15 +21,15 @@
   /** Silence after which an entry considers a side with runs lost. */
   readonly sideLostMs: number;
   /** Silence after which a side stops the runs of an entry. */
-  readonly ownerLostMs: number;
+  readonly entryLostMs: number;
   /** Time that an entry has to reclaim its runs after their stream broke. */
   readonly reclaimMs: number;
   /** Lease duration of runs on backend servers. */
   readonly leaseMs: number;
   /** Time after which all runs of a lost side are certain to have ended. */
-  readonly runsOverMs: number;
+  readonly runExpiryMs: number;
   /** Tick gap beyond which the process was paused and may have unread input. */
-  readonly pauseMs: number;
+  readonly pauseThresholdMs: number;
 }
 
 /** The declared times are too short to derive safe timeouts from. */
@@ -74,28 +74,29 @@
   { resendMs, maxLeaseMs, stopMs }: TimingBounds,
 ): Result<Timing, TimingConflict> {
   const usableMs = resendMs / CLOCK_DRIFT_FACTOR - MARGIN_MS;
-  const ownerLostMs = Math.floor(
+  const silenceTimeoutMs = Math.floor(
     Math.min(MAX_SILENCE_MS, usableMs - BUSY_TICK_MS - stopMs),
   );
   const leaseMs = Math.floor(Math.min(MAX_LEASE_MS, maxLeaseMs, usableMs));
-  if (ownerLostMs < MIN_SILENCE_MS) {
+  if (silenceTimeoutMs < MIN_SILENCE_MS) {
     return err(
-      new TimingConflict(`only ${ownerLostMs} ms to detect a lost entry`),
+      new TimingConflict(`only ${silenceTimeoutMs} ms to detect a lost entry`),
     );
   }
   if (leaseMs < MIN_LEASE_MS) {
     return err(new TimingConflict(`leases would last only ${leaseMs} ms`));
   }
   return ok({
-    heartbeatMs: Math.floor(ownerLostMs * HEARTBEAT_RATIO),
-    sideLostMs: Math.floor(ownerLostMs * SIDE_LOST_RATIO),
-    ownerLostMs,
-    reclaimMs: Math.min(MAX_RECLAIM_MS, ownerLostMs),
+    heartbeatMs: Math.floor(silenceTimeoutMs * HEARTBEAT_RATIO),
+    sideLostMs: Math.floor(silenceTimeoutMs * SIDE_LOST_RATIO),
+    entryLostMs: silenceTimeoutMs,
+    reclaimMs: Math.min(MAX_RECLAIM_MS, silenceTimeoutMs),
     leaseMs,
     // The side renews leases until it detects the loss; then they must expire.
-    runsOverMs: Math.ceil(
-      (ownerLostMs + BUSY_TICK_MS + leaseMs) * CLOCK_DRIFT_FACTOR + MARGIN_MS,
+    runExpiryMs: Math.ceil(
+      (silenceTimeoutMs + BUSY_TICK_MS + leaseMs) * CLOCK_DRIFT_FACTOR +
+        MARGIN_MS,
     ),
-    pauseMs: Math.floor(ownerLostMs * PAUSE_RATIO),
+    pauseThresholdMs: Math.floor(silenceTimeoutMs * PAUSE_RATIO),
   });
 }
--- a/packages/run/src/timing_test.ts
+++ b/packages/run/src/timing_test.ts
@@ -9,20 +9,20 @@
 
 function expectConsistentTiming(bounds: TimingBounds): void {
   const timing = deriveTiming(bounds)._unsafeUnwrap();
-  const { ownerLostMs, leaseMs } = timing;
-  const stoppedMs = (ownerLostMs + TICK_MS + bounds.stopMs) *
+  const { entryLostMs: silenceTimeoutMs, leaseMs } = timing;
+  const stoppedMs = (silenceTimeoutMs + TICK_MS + bounds.stopMs) *
     CLOCK_DRIFT_FACTOR;
   expect(stoppedMs, "runs of a lost entry").to.be.below(bounds.resendMs);
   expect(leaseMs * CLOCK_DRIFT_FACTOR, "runs of a lost side").to.be.below(
     bounds.resendMs,
   );
   expect(leaseMs).to.be.at.most(bounds.maxLeaseMs);
-  const expiryMs = (ownerLostMs + TICK_MS + leaseMs) * CLOCK_DRIFT_FACTOR;
-  expect(timing.runsOverMs, "repeats").to.be.above(expiryMs);
-  expect(timing.sideLostMs).to.be.below(ownerLostMs);
-  expect(timing.reclaimMs).to.be.at.most(ownerLostMs);
-  expect(timing.heartbeatMs * 3).to.be.below(ownerLostMs);
-  expect(timing.pauseMs).to.be.below(ownerLostMs);
+  const expiryMs = (silenceTimeoutMs + TICK_MS + leaseMs) * CLOCK_DRIFT_FACTOR;
+  expect(timing.runExpiryMs, "repeats").to.be.above(expiryMs);
+  expect(timing.sideLostMs).to.be.below(silenceTimeoutMs);
+  expect(timing.reclaimMs).to.be.at.most(silenceTimeoutMs);
+  expect(timing.heartbeatMs * 3).to.be.below(silenceTimeoutMs);
+  expect(timing.pauseThresholdMs).to.be.below(silenceTimeoutMs);
 }
 
 describe("deriveTiming", () => {
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -52,7 +52,7 @@
   const pause = watchForPause({
     steadyMs: steadyNow,
     wallMs: Date.now,
-    longestTurnMs: options.timing.pauseMs,
+    longestTurnMs: options.timing.pauseThresholdMs,
   });
   const loop = runLoop({
     tickMs: () =>
--- a/packages/simulate/src/checker.ts
+++ b/packages/simulate/src/checker.ts
@@ -1,6 +1,6 @@
 /** Checks the promises from what callers and backend servers see. */
 import type { Answer } from "@coltsfootreach/dispatch";
-import { keyOfTask, type RunEnd, type RunRef } from "@coltsfootreach/run";
+import { keyOfTask, type RunOutcome, type RunRef } from "@coltsfootreach/run";
 import type { ServerStandin } from "./server_standin.ts";
 
 export interface Breach {
@@ -18,7 +18,7 @@
 export interface Checker {
   jobMade(job: JobView): void;
   started(server: ServerStandin, ref: RunRef): void;
-  ended(server: ServerStandin, ref: RunRef, end: RunEnd): void;
+  ended(server: ServerStandin, ref: RunRef, end: RunOutcome): void;
   broke(rule: string, what: string): void;
   /** A submission of the job was answered. */
   answered(job: string, answer: Answer): void;
--- a/packages/simulate/src/losses_test.ts
+++ b/packages/simulate/src/losses_test.ts
@@ -80,7 +80,7 @@
   });
 
   it("would have them started again if entries were hastier", () => {
-    const hasty = { sideLostMs: 100, runsOverMs: 150 };
+    const hasty = { sideLostMs: 100, runExpiryMs: 150 };
     const result = playScript(silenceSides(SILENT_MS), hasty);
     expect(result.counts.starts).to.be.above(result.tasks);
   });
@@ -107,7 +107,7 @@
   it("would run tasks twice if entries did not wait for the leases", () => {
     const result = playScript(freezeSides, {
       sideLostMs: 150,
-      runsOverMs: 0,
+      runExpiryMs: 0,
     });
     expect(result.breaches.map(({ rule }) => rule)).to.include("TWICE");
   });
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -4,11 +4,11 @@
  * they are taken in. It reports each breach of the promises to the checker.
  */
 import {
-  add,
+  addResources,
   keyOfTask,
   NO_RESOURCES,
   type Resources,
-  type RunEnd,
+  type RunOutcome,
   type RunRef,
 } from "@coltsfootreach/run";
 import type {
@@ -31,7 +31,7 @@
 
 export interface ServerObserver {
   started(server: ServerStandin, ref: RunRef): void;
-  ended(server: ServerStandin, ref: RunRef, end: RunEnd): void;
+  ended(server: ServerStandin, ref: RunRef, end: RunOutcome): void;
   broke(rule: string, what: string): void;
 }
 
@@ -113,7 +113,9 @@
 
   function usage(): Resources {
     let sum = NO_RESOURCES;
-    for (const run of running.values()) sum = add(sum, run.truth.resources);
+    for (const run of running.values()) {
+      sum = addResources(sum, run.truth.resources);
+    }
     return sum;
   }
 
@@ -124,7 +126,7 @@
     if (isOver) observer.broke("LIMIT", `${options.id} ${used.cpu}`);
   }
 
-  function end(run: LocalRun, how: RunEnd): void {
+  function end(run: LocalRun, how: RunOutcome): void {
     if (run.isOver) return;
     run.isOver = true;
     running.delete(keyOfTask(run.ref.task));
--- a/packages/standin/src/run/samples.ts
+++ b/packages/standin/src/run/samples.ts
@@ -31,7 +31,7 @@
     attempts: 2,
     slackFactor: 1.6,
     extraMs: 60,
-    needsAdvice: false,
+    isPermitRequired: false,
     ...more,
   };
 }
--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -1,5 +1,5 @@
 /** Orders to a backend server and what it answers. */
-import type { RunEnd, RunRef } from "@coltsfootreach/run";
+import type { RunOutcome, RunRef } from "@coltsfootreach/run";
 
 /** Names the life of a backend server that an order is meant for. */
 export interface ServerLife {
@@ -57,7 +57,7 @@
   /** Counts the ends of one life of the backend server. */
   readonly number: number;
   readonly ref: RunRef;
-  readonly end: RunEnd;
+  readonly end: RunOutcome;
 }
 
 export type ListReply =
--- a/packages/worker/src/claims.ts
+++ b/packages/worker/src/claims.ts
@@ -5,8 +5,8 @@
 import {
   type Claim,
   keyOfTask,
-  type RunNews,
   type RunRef,
+  type RunUpdate,
 } from "@coltsfootreach/run";
 import type { OwnerId } from "./effect.ts";
 
@@ -23,14 +23,14 @@
   wait(waiting: WaitingClaim): void;
   takeWaiting(): readonly WaitingClaim[];
   /** Keeps news that its owner may not have heard. */
-  remember(news: RunNews): void;
-  recall(ref: RunRef): RunNews | undefined;
+  remember(news: RunUpdate): void;
+  recall(ref: RunRef): RunUpdate | undefined;
 }
 
 export function createClaims(): Claims {
   let waiting: WaitingClaim[] = [];
   /** Oldest first. */
-  const settled: RunNews[] = [];
+  const settled: RunUpdate[] = [];
   return {
     wait(one) {
       waiting.push(one);
--- a/packages/worker/src/owners.ts
+++ b/packages/worker/src/owners.ts
@@ -1,5 +1,5 @@
 /** Streams from entries: when each was heard, and what it is still to be told. */
-import type { RunNews, ServerReport, WorkFrame } from "@coltsfootreach/run";
+import type { RunUpdate, ServerReport, WorkFrame } from "@coltsfootreach/run";
 import type { OwnerId } from "./effect.ts";
 
 interface Owner {
@@ -8,7 +8,7 @@
   sentAt: number;
   entry: string;
   seen: number;
-  news: RunNews[];
+  news: RunUpdate[];
   reported: ServerReport | undefined;
   isIntroduced: boolean;
 }
@@ -33,7 +33,7 @@
   heard(owner: OwnerId, sequence: number, now: number): void;
   named(owner: OwnerId, entry: string): void;
   nameOf(owner: OwnerId): string;
-  tell(owner: OwnerId, news: RunNews): void;
+  tell(owner: OwnerId, news: RunUpdate): void;
   /** Says which streams have runs here. */
   setBusy(busy: ReadonlySet<OwnerId>): void;
   /** Streams that were silent for longer than they may be. */
--- a/packages/worker/src/report.ts
+++ b/packages/worker/src/report.ts
@@ -1,5 +1,5 @@
 /** What a side tells entries about its backend server. */
-import { areEqual, type ServerReport } from "@coltsfootreach/run";
+import { areResourcesEqual, type ServerReport } from "@coltsfootreach/run";
 import type { CurrentLife } from "./server_life.ts";
 
 /** What the side believes of the server beside what the server says itself. */
@@ -35,8 +35,8 @@
   return left.id === right.id && left.born === right.born &&
     left.service === right.service &&
     areSameLabels(left.labels, right.labels) &&
-    areEqual(left.capacity, right.capacity) &&
-    areEqual(left.room, right.room) && left.isOpen === right.isOpen &&
+    areResourcesEqual(left.capacity, right.capacity) &&
+    areResourcesEqual(left.room, right.room) && left.isOpen === right.isOpen &&
     left.slowness === right.slowness && left.isSuspect === right.isSuspect;
 }
 
--- a/packages/worker/src/runs.ts
+++ b/packages/worker/src/runs.ts
@@ -1,6 +1,6 @@
 /** The runs that may hold room on a backend server, whatever their state. */
 import {
-  add,
+  addResources,
   keyOfTask,
   NO_RESOURCES,
   type Resources,
@@ -89,7 +89,7 @@
     used() {
       let sum = NO_RESOURCES;
       for (const run of runs.values()) {
-        if (run.resources !== undefined) sum = add(sum, run.resources);
+        if (run.resources !== undefined) sum = addResources(sum, run.resources);
       }
       return sum;
     },
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -12,11 +12,11 @@
   type Offer,
   type RefusalReason,
   type Resources,
-  type RunEnd,
-  type RunNews,
+  type RunOutcome,
   type RunRef,
+  type RunUpdate,
   type ServerReport,
-  subtract,
+  subtractResources,
   type Timing,
 } from "@coltsfootreach/run";
 import type { ListOrder, ListReply, StartReply, StopReply } from "./calls.ts";
@@ -150,7 +150,7 @@
     log({ message, job: ref.task.job, run: ref.run, reason, entry });
   }
 
-  function tell(owner: OwnerId | undefined, news: RunNews): void {
+  function tell(owner: OwnerId | undefined, news: RunUpdate): void {
     if (owner !== undefined) owners.tell(owner, news);
   }
 
@@ -401,7 +401,7 @@
 
   // --- Runs ---
 
-  function finish(run: Run, end: RunEnd, now: number): void {
+  function finish(run: Run, end: RunOutcome, now: number): void {
     runs.remove(run);
     const ms = now - run.startedAt;
     if (end === "done") {
@@ -426,7 +426,7 @@
   }
 
   /** Tells the owner, which may claim the run later if its stream breaks now. */
-  function settle(run: Run, news: RunNews): void {
+  function settle(run: Run, news: RunUpdate): void {
     tell(run.owner, news);
     claims.remember(news);
   }
@@ -502,7 +502,7 @@
 
   function room(life: CurrentLife): Resources {
     if (runs.hasUnsized()) return NO_RESOURCES;
-    return subtract(life.announcement.capacity, runs.used());
+    return subtractResources(life.announcement.capacity, runs.used());
   }
 
   function startReplied(ref: RunRef, reply: StartReply, now: number): void {
@@ -670,7 +670,7 @@
   // --- Time ---
 
   function tick(now: number): void {
-    const wasPaused = now - tickedAt > timing.pauseMs;
+    const wasPaused = now - tickedAt > timing.pauseThresholdMs;
     tickedAt = now;
     owners.setBusy(busyOwners());
     if (!wasPaused) dropSilentOwners(now);
@@ -696,7 +696,7 @@
   }
 
   function dropSilentOwners(now: number): void {
-    const limits = { busyMs: timing.ownerLostMs, idleMs: IDLE_OWNER_LOST_MS };
+    const limits = { busyMs: timing.entryLostMs, idleMs: IDLE_OWNER_LOST_MS };
     for (const owner of owners.silent(limits, now)) {
       dropOwner(owner, "silent", now);
       effects.push({ kind: "close", owner });
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -2,7 +2,7 @@
   Announcement,
   DispatchFrame,
   Offer,
-  RunNews,
+  RunUpdate,
 } from "@coltsfootreach/run";
 import { SAMPLE_TIMING } from "@coltsfootreach/standin";
 import { expect } from "chai";
@@ -29,7 +29,7 @@
   readonly core: WorkerCore;
   /** Effects since the last call. */
   take(now: number): readonly WorkerEffect[];
-  news(now: number): readonly RunNews[];
+  news(now: number): readonly RunUpdate[];
   offer(index: number, now: number, more?: Partial<Offer>): void;
   /** Answers the list that is on its way. */
   listed(
@@ -378,7 +378,7 @@
     bench.take(10);
     bench.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
     bench.take(11);
-    const stalled: RunNews[] = [];
+    const stalled: RunUpdate[] = [];
     for (let now = 50; now <= 400; now += 50) {
       bench.listed(now, { running: [row(0)] });
       stalled.push(...bench.news(now));
