--- a/packages/admit/src/record.ts
+++ b/packages/admit/src/record.ts
@@ -7,7 +7,7 @@
   Job,
   JobEvidence,
   JobId,
-  RecordSnapshot,
+  JobRecordSnapshot,
   TaskOutcome,
   TaskState,
   Verdict,
@@ -80,7 +80,10 @@
   };
 }
 
-export function snapshotOf(record: JobRecord, nowMs: number): RecordSnapshot {
+export function snapshotOf(
+  record: JobRecord,
+  nowMs: number,
+): JobRecordSnapshot {
   return {
     id: record.id,
     job: record.job,
@@ -92,7 +95,7 @@
 }
 
 export function recordFromSnapshot(
-  snapshot: RecordSnapshot,
+  snapshot: JobRecordSnapshot,
   nowMs: number,
 ): JobRecord {
   const tasks = [...snapshot.tasks];
--- a/packages/admit/src/records.ts
+++ b/packages/admit/src/records.ts
@@ -9,7 +9,7 @@
   type JobEvidence,
   type JobId,
   jobId,
-  type RecordSnapshot,
+  type JobRecordSnapshot,
   type Refusal,
   type TaskOutcome,
   type TaskState,
@@ -73,9 +73,9 @@
     nowMs: number,
   ): JobRecord;
   /** Takes in a record from its earlier owner. */
-  take(snapshot: RecordSnapshot, nowMs: number): JobRecord;
+  take(snapshot: JobRecordSnapshot, nowMs: number): JobRecord;
   /** Gives up a record to its next owner. */
-  release(id: JobId, nowMs: number): RecordSnapshot | undefined;
+  release(id: JobId, nowMs: number): JobRecordSnapshot | undefined;
   all(): Iterable<JobRecord>;
   /** Records of jobs that have not ended. */
   open(): Iterable<JobRecord>;
@@ -257,7 +257,7 @@
 }
 
 /** Adds what a snapshot knows to a record that evidence made before it. */
-function merge(record: JobRecord, snapshot: RecordSnapshot): void {
+function merge(record: JobRecord, snapshot: JobRecordSnapshot): void {
   record.job ??= snapshot.job;
   record.answer ??= snapshot.answer;
   snapshot.tasks.forEach((task, index) => {
--- a/packages/cli/src/cli_test.ts
+++ b/packages/cli/src/cli_test.ts
@@ -11,7 +11,7 @@
 } from "@coltsfootreach/manage";
 import { createKvStandin, type KvStandin } from "@coltsfootreach/standin";
 import { createEtcdStore } from "@coltsfootreach/store";
-import type { Act, Answer } from "@coltsfootreach/types";
+import type { Answer, AutomaticAction } from "@coltsfootreach/types";
 import { runCli } from "./cli.ts";
 
 const TOKEN = "a-token-of-the-operators";
@@ -19,7 +19,7 @@
 const EXAMPLES = new URL("../../../examples/", import.meta.url);
 const DELTA = readFileSync(new URL("delta.toml", EXAMPLES), "utf8");
 
-const ACT: Act = {
+const ACT: AutomaticAction = {
   id: "i1-1",
   kind: "eject",
   subject: "pot-dispatch-03",
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,7 +1,7 @@
 /** The commands as the command line names them; each has a folder with its run. */
 import { err, ok, type Result } from "neverthrow";
 import { parseDuration } from "@coltsfootreach/settings";
-import { ACT_KINDS, type ActKind } from "@coltsfootreach/types";
+import { ACTION_KINDS, type ActionKind } from "@coltsfootreach/types";
 import type { RuleList } from "@coltsfootreach/inventory";
 import { run as acts } from "./commands/acts/run.ts";
 import { run as cancel } from "./commands/cancel/run.ts";
@@ -239,8 +239,8 @@
   listed: boolean,
 ): CommandResult | Promise<CommandResult> {
   const kind = args[0]!;
-  if (!ACT_KINDS.includes(kind as ActKind)) {
-    const kinds = ACT_KINDS.join(", ");
+  if (!ACTION_KINDS.includes(kind as ActionKind)) {
+    const kinds = ACTION_KINDS.join(", ");
     return err(new UsageError(`"${kind}" is none of ${kinds}`));
   }
   const note = `${listed ? "hold" : "release"} ${kind}`;
--- a/packages/cli/src/commands/acts/run.ts
+++ b/packages/cli/src/commands/acts/run.ts
@@ -1,12 +1,12 @@
 /** Lists what the entries did by themselves. */
-import type { Act } from "@coltsfootreach/types";
+import type { AutomaticAction } from "@coltsfootreach/types";
 import type { Context } from "../../context.ts";
 import { askAll } from "../../management.ts";
 import { type CommandResult, succeed } from "../../report.ts";
 import { formatTable, formatTime } from "../../text.ts";
 
 export async function run(context: Context): Promise<CommandResult> {
-  const asked = await askAll<readonly Act[]>(context, "/acts");
+  const asked = await askAll<readonly AutomaticAction[]>(context, "/acts");
   return asked.map(({ bodies, failures }) => {
     const acts = bodies.flat().sort((a, b) => a.atMs - b.atMs);
     const table = formatTable([
--- a/packages/cli/src/commands/explain/run.ts
+++ b/packages/cli/src/commands/explain/run.ts
@@ -1,7 +1,7 @@
 /** Explains where a job or a task stands, or why an act was done. */
 import { err } from "neverthrow";
 import type { JobExplanation, TaskExplanation } from "@coltsfootreach/manage";
-import type { Act } from "@coltsfootreach/types";
+import type { AutomaticAction } from "@coltsfootreach/types";
 import type { Context } from "../../context.ts";
 import { askAny } from "../../management.ts";
 import { type CommandResult, succeed, UsageError } from "../../report.ts";
@@ -66,7 +66,10 @@
   context: Context,
   id: string,
 ): Promise<CommandResult> {
-  const act = await askAny<Act>(context, `/acts/${encodeURIComponent(id)}`);
+  const act = await askAny<AutomaticAction>(
+    context,
+    `/acts/${encodeURIComponent(id)}`,
+  );
   return act.map((found) => succeed(formatAct(found), found));
 }
 
@@ -105,7 +108,7 @@
   return String(Math.round(value * 1000) / 1000);
 }
 
-function formatAct(act: Act): string {
+function formatAct(act: AutomaticAction): string {
   const figures = Object.entries(act.figures)
     .map(([name, value]) => `  ${name} = ${formatFigure(value)}`);
   const undone = act.undoneAtMs === undefined
--- a/packages/cli/src/commands/undo/run.ts
+++ b/packages/cli/src/commands/undo/run.ts
@@ -1,13 +1,13 @@
 /** Undoes an automatic act by an edit of the rules, so that it stays undone. */
 import { err } from "neverthrow";
-import type { Act, ActKind } from "@coltsfootreach/types";
+import type { ActionKind, AutomaticAction } from "@coltsfootreach/types";
 import type { Context } from "../../context.ts";
 import { askAny } from "../../management.ts";
 import { CommandFailed, type CommandResult } from "../../report.ts";
 import { run as editRules } from "../edit_rules/run.ts";
 
 /** Why acts of a kind are not undone, and what to do. */
-const ADVICE: Readonly<Record<Exclude<ActKind, "eject">, string>> = {
+const ADVICE: Readonly<Record<Exclude<ActionKind, "eject">, string>> = {
   readmit: "drain the backend server instead",
   takeOver: "a take-over stands; hold takeOver to stop further ones",
   shed: "refused jobs stay refused; hold shed to stop further refusals",
@@ -19,7 +19,10 @@
   context: Context,
   id: string,
 ): Promise<CommandResult> {
-  const found = await askAny<Act>(context, `/acts/${encodeURIComponent(id)}`);
+  const found = await askAny<AutomaticAction>(
+    context,
+    `/acts/${encodeURIComponent(id)}`,
+  );
   if (found.isErr()) return err(found.error);
   const act = found.value;
   if (act.kind !== "eject") {
--- a/packages/cli/src/configuration.ts
+++ b/packages/cli/src/configuration.ts
@@ -13,7 +13,7 @@
   type ReadFault,
 } from "@coltsfootreach/configure";
 import { parseEstate } from "@coltsfootreach/inventory";
-import type { Configuration, Estate } from "@coltsfootreach/types";
+import type { Configuration, ParsedConfiguration } from "@coltsfootreach/types";
 import type { Context } from "./context.ts";
 import { CommandFailed, fail, type Report, succeed } from "./report.ts";
 import { formatTime, formatValue } from "./text.ts";
@@ -63,7 +63,7 @@
 /** The estate of a configuration; an absent one has none. */
 export function estateOf(
   configuration: Configuration | undefined,
-): Estate | undefined {
+): ParsedConfiguration | undefined {
   if (configuration === undefined) return undefined;
   return parseEstate(configuration).unwrapOr(undefined);
 }
--- a/packages/configure/src/difference.ts
+++ b/packages/configure/src/difference.ts
@@ -1,6 +1,6 @@
 /** What differs between two estates, item by item and field by field. */
 import { isDeepStrictEqual } from "node:util";
-import type { Estate } from "@coltsfootreach/types";
+import type { ParsedConfiguration } from "@coltsfootreach/types";
 
 export type Section =
   | "dataCentres"
@@ -39,8 +39,8 @@
 
 /** Differences from one estate to the next; an absent one has no items. */
 export function findDifferences(
-  from: Estate | undefined,
-  to: Estate,
+  from: ParsedConfiguration | undefined,
+  to: ParsedConfiguration,
 ): readonly Difference[] {
   return [
     ...ITEM_SECTIONS.flatMap((section) =>
@@ -81,8 +81,8 @@
 }
 
 function compareRules(
-  from: Estate | undefined,
-  to: Estate,
+  from: ParsedConfiguration | undefined,
+  to: ParsedConfiguration,
 ): readonly Difference[] {
   if (from === undefined) return [];
   const fields = compareFields(from.rules, to.rules);
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -2,7 +2,7 @@
  * What a change of configuration does to running work, in the words that an
  * operator reads before applying it.
  */
-import type { ActKind, Estate } from "@coltsfootreach/types";
+import type { ActionKind, ParsedConfiguration } from "@coltsfootreach/types";
 
 /** What runs and waits at the moment, as the entries report it. */
 export interface Running {
@@ -47,8 +47,8 @@
 }
 
 export interface EffectContext {
-  readonly from: Estate;
-  readonly to: Estate;
+  readonly from: ParsedConfiguration;
+  readonly to: ParsedConfiguration;
   readonly running: Running;
 }
 
@@ -162,7 +162,7 @@
   return to !== 0 && (from === 0 || to < from);
 }
 
-function shareOf({ tenants }: Estate, name: string): string {
+function shareOf({ tenants }: ParsedConfiguration, name: string): string {
   const weight = tenants.find((tenant) => tenant.name === name)?.weight ?? 0;
   const share = weight / sum(tenants.map((tenant) => tenant.weight));
   return `${(share * 100).toFixed(1)} %`;
@@ -198,7 +198,7 @@
   const held = compareLists(context, "held");
   const gone = compareLists(context, "gone");
   return [
-    ...held.added.map((kind) => HELD_EFFECTS[kind as ActKind]),
+    ...held.added.map((kind) => HELD_EFFECTS[kind as ActionKind]),
     ...held.removed.map((kind) => notice(kind, "may be done again")),
     ...gone.added.map((entry) =>
       running.entries.includes(entry)
@@ -208,7 +208,7 @@
   ];
 }
 
-const HELD_EFFECTS: Readonly<Record<ActKind, Effect>> = {
+const HELD_EFFECTS: Readonly<Record<ActionKind, Effect>> = {
   eject: notice("eject", "is held: it is not done any more; past ones stand"),
   readmit: notice("readmit", "is held: what is ejected stays out"),
   takeOver: warning(
--- a/packages/configure/src/holder.ts
+++ b/packages/configure/src/holder.ts
@@ -6,7 +6,7 @@
 import {
   type Configuration,
   DEFAULT_RULES,
-  type Estate,
+  type ParsedConfiguration,
   type Rules,
 } from "@coltsfootreach/types";
 
@@ -15,7 +15,7 @@
 
 export interface InForce {
   readonly configuration: Configuration;
-  readonly estate: Estate;
+  readonly estate: ParsedConfiguration;
   /** When this process took it, on its own clock. */
   readonly sinceMs: number;
   readonly source: ConfigurationSource;
@@ -56,7 +56,7 @@
 export interface HolderOptions {
   readonly parse: (
     configuration: Configuration,
-  ) => Result<Estate, { readonly message: string }>;
+  ) => Result<ParsedConfiguration, { readonly message: string }>;
 }
 
 export function createConfigurationHolder(
@@ -85,7 +85,10 @@
       : "different";
   }
 
-  function putInForce(news: ConfigurationNews, estate: Estate): Taken {
+  function putInForce(
+    news: ConfigurationNews,
+    estate: ParsedConfiguration,
+  ): Taken {
     const { configuration, source, nowMs } = news;
     inForce = { configuration, estate, source, sinceMs: nowMs };
     if (rejected !== undefined && rejected.version <= configuration.version) {
--- a/packages/configure/src/holder_test.ts
+++ b/packages/configure/src/holder_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { err, ok } from "neverthrow";
-import type { Estate } from "@coltsfootreach/types";
+import type { ParsedConfiguration } from "@coltsfootreach/types";
 import { createConfigurationHolder } from "./holder.ts";
 import { LAG_BOUND_MS, laggards } from "./laggard.ts";
 import { createVersionTimes } from "./version_times.ts";
@@ -12,9 +12,9 @@
 function createHolder() {
   return createConfigurationHolder({
     parse: ({ version, text }) =>
-      text.startsWith("bad")
-        ? err({ message: text })
-        : ok({ version } as Partial<Estate> as Estate),
+      text.startsWith("bad") ? err({ message: text }) : ok(
+        { version } as Partial<ParsedConfiguration> as ParsedConfiguration,
+      ),
   });
 }
 
--- a/packages/configure/src/plan.ts
+++ b/packages/configure/src/plan.ts
@@ -1,5 +1,5 @@
 /** Shows a change of configuration before it is made. */
-import type { Estate } from "@coltsfootreach/types";
+import type { ParsedConfiguration } from "@coltsfootreach/types";
 import { type Difference, findDifferences } from "./difference.ts";
 import { type Effect, findEffects, type Running } from "./effect.ts";
 
@@ -12,8 +12,8 @@
 
 /** What would change, and what that does to the work that runs now. */
 export function planChange(
-  current: Estate | undefined,
-  next: Estate,
+  current: ParsedConfiguration | undefined,
+  next: ParsedConfiguration,
   running: Running,
 ): Plan {
   return {
--- a/packages/configure/src/plan_test.ts
+++ b/packages/configure/src/plan_test.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import { expect } from "chai";
 import { parseEstate } from "@coltsfootreach/inventory";
-import type { Estate } from "@coltsfootreach/types";
+import type { ParsedConfiguration } from "@coltsfootreach/types";
 import type { Running } from "./effect.ts";
 import { planChange } from "./plan.ts";
 
@@ -20,7 +20,7 @@
   entries: ["entry-1-aa"],
 };
 
-function parse(text: string, version: number): Estate {
+function parse(text: string, version: number): ParsedConfiguration {
   return parseEstate({ version, text })._unsafeUnwrap();
 }
 
--- a/packages/coordinate/src/candidates.ts
+++ b/packages/coordinate/src/candidates.ts
@@ -4,7 +4,7 @@
  * many tasks between two such changes.
  */
 import type { Candidate } from "@coltsfootreach/place";
-import { type Need, serves } from "@coltsfootreach/types";
+import { canServe, type TaskRequirements } from "@coltsfootreach/types";
 import type { Sides, SideState } from "./sides.ts";
 
 /** Pauses and lags end with time alone, so a list is made anew after this. */
@@ -22,7 +22,7 @@
 }
 
 export interface Candidates {
-  find(need: Need, nowMs: number): readonly Candidate[];
+  find(need: TaskRequirements, nowMs: number): readonly Candidate[];
   /** Something has changed besides the sides themselves. */
   changed(): void;
 }
@@ -37,7 +37,7 @@
   const lists = new Map<string, List>();
   let revision = -1;
 
-  function make(need: Need, nowMs: number): readonly Candidate[] {
+  function make(need: TaskRequirements, nowMs: number): readonly Candidate[] {
     const found: Candidate[] = [];
     for (const side of sides.all()) {
       if (isLive(side, nowMs) && fits(side, need)) {
@@ -75,9 +75,9 @@
   };
 }
 
-function fits(side: SideState, need: Need): boolean {
+function fits(side: SideState, need: TaskRequirements): boolean {
   const offer = side.announcement;
-  return offer !== undefined && serves(offer, need);
+  return offer !== undefined && canServe(offer, need);
 }
 
 /** A view of a side that stays current while it is on a list. */
--- a/packages/coordinate/src/configuration_desk.ts
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -12,7 +12,7 @@
 } from "@coltsfootreach/configure";
 import {
   type Configuration,
-  type Estate,
+  type ParsedConfiguration,
   type Rules,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -25,7 +25,7 @@
     nowMs: number,
   ): Taken;
   version(): number;
-  estate(): Estate | undefined;
+  estate(): ParsedConfiguration | undefined;
   rules(): Rules;
   /** Tells a side of the version in force unless it was told already. */
   updateSide(side: SideState): void;
--- a/packages/coordinate/src/configuration_desk_test.ts
+++ b/packages/coordinate/src/configuration_desk_test.ts
@@ -3,12 +3,12 @@
   createConfigurationHolder,
   LAG_BOUND_MS,
 } from "@coltsfootreach/configure";
-import { DEFAULT_RULES, type Estate } from "@coltsfootreach/types";
+import { DEFAULT_RULES, type ParsedConfiguration } from "@coltsfootreach/types";
 import { ok } from "neverthrow";
 import { createConfigurationDesk } from "./configuration_desk.ts";
 import { createSides } from "./sides.ts";
 
-const ESTATE: Estate = {
+const ESTATE: ParsedConfiguration = {
   version: 1,
   dataCentres: [],
   workers: [],
--- a/packages/coordinate/src/effect.ts
+++ b/packages/coordinate/src/effect.ts
@@ -7,11 +7,11 @@
 import type { Limits } from "./limits.ts";
 import type { Policy } from "@coltsfootreach/place";
 import type {
-  Act,
+  AutomaticAction,
   EntryMessage,
-  Estate,
-  Figures,
+  Measurements,
   Member,
+  ParsedConfiguration,
   PeerMessage,
   Reply,
 } from "@coltsfootreach/types";
@@ -51,12 +51,12 @@
   };
 
 /** Something the core did by itself; the journal gives it its identity. */
-export type NewAct = Omit<Act, "id" | "undoneAtMs">;
+export type NewAct = Omit<AutomaticAction, "id" | "undoneAtMs">;
 
 /** Names the act that stands by what was done to whom. */
-export interface UndoneAct extends Pick<Act, "kind" | "subject"> {
+export interface UndoneAct extends Pick<AutomaticAction, "kind" | "subject"> {
   /** What came to light while it stood. */
-  readonly figures: Figures;
+  readonly figures: Measurements;
 }
 
 export interface EntryOptions {
@@ -70,7 +70,7 @@
   /** The configuration of this process, kept across runs. */
   readonly holder: ConfigurationHolder;
   /** The part of a configuration that sides need. */
-  excerptForSides(estate: Estate): string;
+  excerptForSides(estate: ParsedConfiguration): string;
   /** How long a side trusts a confirmation of its table. */
   readonly freshnessMs: number;
   /** Silence after which a side is out of placement. */
--- a/packages/coordinate/src/eligibility.ts
+++ b/packages/coordinate/src/eligibility.ts
@@ -3,13 +3,13 @@
  * they follow it, and by how their tasks have ended lately.
  */
 import type { Candidate } from "@coltsfootreach/place";
-import type { Need } from "@coltsfootreach/types";
+import type { TaskRequirements } from "@coltsfootreach/types";
 import { createCandidates } from "./candidates.ts";
 import type { EntryContext } from "./context.ts";
 import type { SideState } from "./sides.ts";
 
 export interface Eligibility {
-  candidates(need: Need, nowMs: number): readonly Candidate[];
+  candidates(need: TaskRequirements, nowMs: number): readonly Candidate[];
   /** Operators may have taken ejected backend servers in again. */
   followRules(): void;
   /** A side on probation gets one task, whose outcome decides. */
--- a/packages/coordinate/src/entry_core_test.ts
+++ b/packages/coordinate/src/entry_core_test.ts
@@ -4,6 +4,7 @@
 import { ownerOf } from "@coltsfootreach/ownership";
 import { createLeastOutstanding } from "@coltsfootreach/place";
 import {
+  type ComputeResources,
   type EntryMessage,
   type Hello,
   type Job,
@@ -12,7 +13,6 @@
   type Reply,
   type SideFrame,
   type SideMessage,
-  type Size,
   type Start,
   type Table,
 } from "@coltsfootreach/types";
@@ -21,7 +21,7 @@
 import { createEntryCore, type EntryCore } from "./entry_core.ts";
 import { NO_LIMITS } from "./limits.ts";
 
-const SIZE: Size = { cores: 4, memoryMb: 1000, accelerators: 0 };
+const SIZE: ComputeResources = { cores: 4, memoryMb: 1000, accelerators: 0 };
 
 const WALL_MS = 1_000_000_000;
 
@@ -35,7 +35,10 @@
 
 const TABLE: Table = { version: 1, members: [ME], removals: [] };
 
-function jobOf(key: string, sizes: readonly Partial<Size>[] = [{}]): Job {
+function jobOf(
+  key: string,
+  sizes: readonly Partial<ComputeResources>[] = [{}],
+): Job {
   return {
     key,
     tenant: "t",
--- a/packages/coordinate/src/fit.ts
+++ b/packages/coordinate/src/fit.ts
@@ -2,7 +2,12 @@
  * Finds tasks that no worker can ever run, so that their job is answered at
  * once and does not wait for its deadline.
  */
-import { type Estate, holds, type Job, type Size } from "@coltsfootreach/types";
+import {
+  type ComputeResources,
+  hasCapacityFor,
+  type Job,
+  type ParsedConfiguration,
+} from "@coltsfootreach/types";
 import type { SideState } from "./sides.ts";
 
 /** How long the list of worker sizes is used before it is made anew. */
@@ -12,7 +17,7 @@
   /** Sides that this entry knows. */
   sides(): Iterable<SideState>;
   /** The estate in force, if any. */
-  estate(): Estate | undefined;
+  estate(): ParsedConfiguration | undefined;
 }
 
 export interface Fit {
@@ -24,7 +29,7 @@
 }
 
 export function createFit(options: FitOptions): Fit {
-  let offers: readonly Size[] = [];
+  let offers: readonly ComputeResources[] = [];
   let madeAtMs = -Infinity;
 
   function refresh(nowMs: number): void {
@@ -34,7 +39,7 @@
 
   function findIndex(job: Job): number {
     return job.tasks.findIndex(({ size }) =>
-      !offers.some((offer) => holds(offer, size))
+      !offers.some((offer) => hasCapacityFor(offer, size))
     );
   }
 
@@ -51,7 +56,7 @@
   };
 }
 
-function describe(size: Size, index: number): string {
+function describe(size: ComputeResources, index: number): string {
   const { cores, memoryMb, accelerators } = size;
   return `task ${index} fits no worker: it needs ${cores} cores, ` +
     `${memoryMb} MB and ${accelerators} accelerators`;
@@ -60,10 +65,10 @@
 /** The distinct sizes of workers, whether they are live or expected. */
 function knownSizes(
   sides: Iterable<SideState>,
-  estate: Estate | undefined,
-): readonly Size[] {
-  const sizes = new Map<string, Size>();
-  const add = ({ cores, memoryMb, accelerators }: Size) =>
+  estate: ParsedConfiguration | undefined,
+): readonly ComputeResources[] {
+  const sizes = new Map<string, ComputeResources>();
+  const add = ({ cores, memoryMb, accelerators }: ComputeResources) =>
     sizes.set(`${cores}/${memoryMb}/${accelerators}`, {
       cores,
       memoryMb,
--- a/packages/coordinate/src/outgoing.ts
+++ b/packages/coordinate/src/outgoing.ts
@@ -2,30 +2,30 @@
  * Job records on their way to their next owners, kept until the owner says
  * that it has them.
  */
-import type { JobId, RecordSnapshot } from "@coltsfootreach/types";
+import type { JobId, JobRecordSnapshot } from "@coltsfootreach/types";
 
 export interface Batch {
   readonly number: number;
-  readonly records: readonly RecordSnapshot[];
+  readonly records: readonly JobRecordSnapshot[];
 }
 
 export interface Outgoing {
-  add(entry: string, snapshot: RecordSnapshot): void;
+  add(entry: string, snapshot: JobRecordSnapshot): void;
   /** Takes what is to be sent to an entry now; may be empty. */
   nextBatch(entry: string): Batch;
   taken(entry: string, batch: number): void;
   /** Makes every batch that was not taken due again, on a new stream. */
   repeat(entry: string): void;
   /** Takes out the records that now belong to another entry. */
-  takeBack(isOwner: IsOwner): readonly RecordSnapshot[];
+  takeBack(isOwner: IsOwner): readonly JobRecordSnapshot[];
   isEmpty(): boolean;
 }
 
 export type IsOwner = (entry: string, job: JobId) => boolean;
 
 interface Lane {
-  readonly unsent: Map<JobId, RecordSnapshot>;
-  readonly sent: Map<number, readonly RecordSnapshot[]>;
+  readonly unsent: Map<JobId, JobRecordSnapshot>;
+  readonly sent: Map<number, readonly JobRecordSnapshot[]>;
 }
 
 export function createOutgoing(): Outgoing {
@@ -66,7 +66,7 @@
       lane.sent.clear();
     },
     takeBack(isOwner) {
-      const moved = new Map<JobId, RecordSnapshot>();
+      const moved = new Map<JobId, JobRecordSnapshot>();
       for (const [entry, lane] of lanes) {
         const records = [...lane.sent.values()].flat();
         for (const record of [...records, ...lane.unsent.values()]) {
@@ -87,7 +87,7 @@
 
 function removeFrom(
   lane: Lane,
-  isMoved: (record: RecordSnapshot) => boolean,
+  isMoved: (record: JobRecordSnapshot) => boolean,
 ): void {
   for (const record of lane.unsent.values()) {
     if (isMoved(record)) lane.unsent.delete(record.id);
--- a/packages/coordinate/src/sides.ts
+++ b/packages/coordinate/src/sides.ts
@@ -5,13 +5,13 @@
   Announcement,
   Hello,
   Load,
-  RefusedReason,
   SideFrame,
   SideIdentity,
+  StartRefusalReason,
 } from "@coltsfootreach/types";
 
 /** How long a side is passed over after a refusal, in milliseconds. */
-const PAUSE_MS: Partial<Record<RefusedReason, number>> = {
+const PAUSE_MS: Partial<Record<StartRefusalReason, number>> = {
   staleTable: 100,
   notOwner: 100,
   notRegistered: 100,
@@ -51,7 +51,7 @@
   earlierRuns(identity: SideIdentity): readonly SideState[];
   heard(side: SideState, frame: SideFrame, nowMs: number): void;
   closed(incarnation: string): void;
-  refused(side: SideState, reason: RefusedReason, nowMs: number): void;
+  refused(side: SideState, reason: StartRefusalReason, nowMs: number): void;
   remove(incarnation: string): void;
   all(): Iterable<SideState>;
   /** Gives up a side that has been silent for too long. */
--- a/packages/coordinate/src/standing_acts.ts
+++ b/packages/coordinate/src/standing_acts.ts
@@ -2,7 +2,7 @@
  * Acts that stand until something undoes them: a server or an entry that is
  * away until it returns, a tenant whose jobs are refused until that ends.
  */
-import type { ActKind, Figures } from "@coltsfootreach/types";
+import type { ActionKind, Measurements } from "@coltsfootreach/types";
 import type { ActDescription } from "./context.ts";
 import type { UndoneAct } from "./effect.ts";
 
@@ -10,7 +10,7 @@
   /** Records an act unless the same stands already. */
   begin(act: ActDescription): void;
   /** Marks an act as undone, with figures that came since; if it stands. */
-  end(kind: ActKind, subject: string, figures?: Figures): void;
+  end(kind: ActionKind, subject: string, figures?: Measurements): void;
 }
 
 export interface Journaling {
@@ -35,6 +35,6 @@
   };
 }
 
-function nameOf(kind: ActKind, subject: string): string {
+function nameOf(kind: ActionKind, subject: string): string {
   return `${kind} ${subject}`;
 }
--- a/packages/coordinate/src/table_desk.ts
+++ b/packages/coordinate/src/table_desk.ts
@@ -10,11 +10,11 @@
   type HandOver,
   type JobId,
   jobId,
+  type JobRecordSnapshot,
   type PeerFrame,
   type PeerMessage,
-  type RecordSnapshot,
   type Registration,
-  type SideEnding,
+  type RegistrationEnd,
   type Table,
 } from "@coltsfootreach/types";
 import type { EntryContext } from "./context.ts";
@@ -139,7 +139,7 @@
   }
 
   /** Takes in a record here, or passes it on to its owner. */
-  function takeRecord(snapshot: RecordSnapshot, nowMs: number): void {
+  function takeRecord(snapshot: JobRecordSnapshot, nowMs: number): void {
     const owner = ownerIn(snapshot.id);
     if (owner !== undefined && owner !== me) {
       outgoing.add(owner, snapshot);
@@ -210,7 +210,7 @@
     });
   }
 
-  function sideEnding(nowMs: number): SideEnding | undefined {
+  function sideEnding(nowMs: number): RegistrationEnd | undefined {
     const ending = settlement.registry.lastEnding();
     if (ending === undefined) return undefined;
     return { wallMs: ending.wallMs, ageMs: nowMs - ending.nowMs };
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -7,10 +7,10 @@
 import { ownerOf } from "@coltsfootreach/ownership";
 import type {
   Evidence,
-  Refused,
-  RefusedReason,
-  Result,
   Start,
+  StartRefusal,
+  StartRefusalReason,
+  TaskResult,
 } from "@coltsfootreach/types";
 import { type AnswerDesk, createAnswerDesk } from "./answer_desk.ts";
 import type { EntryContext } from "./context.ts";
@@ -30,8 +30,8 @@
   revokeSent(record: JobRecord): void;
   /** A task sent to this side is no longer counted there. */
   release(side: string): void;
-  takeResult(side: SideState, message: Result, nowMs: number): void;
-  takeRefusal(side: SideState, message: Refused, nowMs: number): void;
+  takeResult(side: SideState, message: TaskResult, nowMs: number): void;
+  takeRefusal(side: SideState, message: StartRefusal, nowMs: number): void;
   takeEvidence(side: SideState, message: Evidence, nowMs: number): void;
   /** Counts anew the tasks that are with a side. */
   recountOutstanding(side: SideState): void;
@@ -42,7 +42,7 @@
 }
 
 /** Refusals after a try at a backend server; the others are flow control. */
-const COSTLY_REFUSALS: readonly RefusedReason[] = [
+const COSTLY_REFUSALS: readonly StartRefusalReason[] = [
   "connectionRefused",
   "doesNotFit",
 ];
@@ -165,7 +165,11 @@
     });
   }
 
-  function takeResult(side: SideState, message: Result, nowMs: number): void {
+  function takeResult(
+    side: SideState,
+    message: TaskResult,
+    nowMs: number,
+  ): void {
     const record = records.find(message.job);
     if (record === undefined) return;
     const { outcome } = message;
@@ -192,7 +196,7 @@
   /** Why a refused task is not tried again; undefined when it is. */
   function reasonToEnd(
     record: JobRecord,
-    reason: RefusedReason,
+    reason: StartRefusalReason,
     nowMs: number,
   ): string | undefined {
     if (reason === "revoked") return "cancelled";
@@ -204,7 +208,11 @@
     return "a backend server did not take it and too many tasks are retried";
   }
 
-  function takeRefusal(side: SideState, message: Refused, nowMs: number): void {
+  function takeRefusal(
+    side: SideState,
+    message: StartRefusal,
+    nowMs: number,
+  ): void {
     const record = records.find(message.job);
     if (record === undefined) return;
     const { index, attempt, reason } = message;
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -34,7 +34,7 @@
 }
 
 /** Listening for links or streams from other processes failed. */
-export class LinkClosed extends Error {
+export class ListenFailed extends Error {
   constructor(readonly verdict: Verdict, reason: string) {
     super(reason);
     this.name = "ListenFailed";
--- a/packages/guard/src/fence.ts
+++ b/packages/guard/src/fence.ts
@@ -3,7 +3,11 @@
  * heard its registration, and the table must be confirmed fresh.
  */
 import { createFreshness } from "@coltsfootreach/ownership";
-import type { EntryFrame, RefusedReason, Table } from "@coltsfootreach/types";
+import type {
+  EntryFrame,
+  StartRefusalReason,
+  Table,
+} from "@coltsfootreach/types";
 
 export interface Fence {
   hear(frame: EntryFrame): void;
@@ -14,7 +18,7 @@
   /** Takes a new registration unless the lost one is over; true if it did. */
   registerAnew(lost: number, nowMs: number): boolean;
   /** Why nothing may start under a table now; undefined when it may. */
-  closedBecause(table: Table, nowMs: number): RefusedReason | undefined;
+  closedBecause(table: Table, nowMs: number): StartRefusalReason | undefined;
 }
 
 export function createFence(freshnessMs: number): Fence {
--- a/packages/guard/src/guard.ts
+++ b/packages/guard/src/guard.ts
@@ -7,23 +7,23 @@
 import { isMember, ownerOf } from "@coltsfootreach/ownership";
 import {
   type Announcement,
-  type Collect,
+  canServe,
+  type CollectEvidence,
   EMPTY_TABLE,
   type EntryFrame,
   type EntryMessage,
   type Hello,
   type JobId,
   type Load,
-  type Refused,
-  type RefusedReason,
   type Revoke,
   type SealJob,
-  serves,
   type SideIdentity,
   type SideMessage,
   type Start,
+  type StartRefusal,
+  type StartRefusalReason,
   type Table,
-  type TaskName,
+  type TaskId,
   type TaskOutcome,
 } from "@coltsfootreach/types";
 import {
@@ -46,7 +46,7 @@
 /** What the side must do next. */
 export type GuardEffect =
   | { readonly kind: "run"; readonly start: Start }
-  | { readonly kind: "stop"; readonly name: TaskName }
+  | { readonly kind: "stop"; readonly name: TaskId }
   | {
     readonly kind: "send";
     readonly entry: string;
@@ -84,7 +84,7 @@
   /** True when starts would be accepted from the owner of their job. */
   isOpen(nowMs: number): boolean;
   /** Why starts are refused now, for operators; undefined when they are not. */
-  closedBecause(nowMs: number): RefusedReason | undefined;
+  closedBecause(nowMs: number): StartRefusalReason | undefined;
 }
 
 export function createGuard(options: GuardOptions): Guard {
@@ -109,12 +109,12 @@
   }
 
   /** Why nothing may start now, whether accepted before or not. */
-  function fencedBecause(nowMs: number): RefusedReason | undefined {
+  function fencedBecause(nowMs: number): StartRefusalReason | undefined {
     if (announcement === undefined) return "noServer";
     return fence.closedBecause(table, nowMs);
   }
 
-  function closedBecause(nowMs: number): RefusedReason | undefined {
+  function closedBecause(nowMs: number): StartRefusalReason | undefined {
     return isDraining || isDrained ? "draining" : fencedBecause(nowMs);
   }
 
@@ -125,7 +125,7 @@
 
   function refuse(
     entry: string,
-    refused: Omit<Refused, "kind">,
+    refused: Omit<StartRefusal, "kind">,
   ): GuardEffect {
     return { kind: "send", entry, message: { kind: "refused", ...refused } };
   }
@@ -134,14 +134,14 @@
     start: Start,
     frame: EntryFrame,
     nowMs: number,
-  ): RefusedReason | undefined {
+  ): StartRefusalReason | undefined {
     if (frame.tableVersion !== table.version) return "staleTable";
     if (ownerOf(table, start.job)?.incarnation !== frame.entry) {
       return "notOwner";
     }
     const closed = closedBecause(nowMs);
     if (closed !== undefined) return closed;
-    if (!serves(announcement!, start)) return "doesNotFit";
+    if (!canServe(announcement!, start)) return "doesNotFit";
     const room = slots() * (1 + options.queuePerSlot);
     return runningFor.length + queue.length < room ? undefined : "queueFull";
   }
@@ -237,7 +237,7 @@
   function refusalOfQueued(
     queued: QueuedStart,
     nowMs: number,
-  ): RefusedReason | undefined {
+  ): StartRefusalReason | undefined {
     const fenced = fencedBecause(nowMs);
     if (fenced !== undefined) return fenced;
     const leftMs = queued.start.leftMs - (nowMs - queued.queuedAtMs);
@@ -286,7 +286,7 @@
   }
 
   function collect(
-    message: Collect,
+    message: CollectEvidence,
     frame: EntryFrame,
   ): readonly GuardEffect[] {
     if (message.tableVersion > table.version) return [];
--- a/packages/inventory/src/edit.ts
+++ b/packages/inventory/src/edit.ts
@@ -5,7 +5,11 @@
 import { isDeepStrictEqual } from "node:util";
 import type { Result } from "neverthrow";
 import type { InvalidFile } from "@coltsfootreach/errors";
-import type { Configuration, Estate, Rules } from "@coltsfootreach/types";
+import type {
+  Configuration,
+  ParsedConfiguration,
+  Rules,
+} from "@coltsfootreach/types";
 import { formatEstate, formatRules } from "./format.ts";
 import { parseEstate } from "./parse.ts";
 
@@ -33,7 +37,7 @@
 ): Result<string, InvalidFile> {
   return parseEstate(configuration).andThen((estate) => {
     const rules = applyEdit(estate.rules, edit);
-    const edited: Estate = { ...estate, rules };
+    const edited: ParsedConfiguration = { ...estate, rules };
     if (isDeepStrictEqual(edited, estate)) {
       return parseEstate(configuration).map(() => configuration.text);
     }
@@ -52,7 +56,10 @@
 
 function writeEdit(
   { version, text }: Configuration,
-  { edited, list }: { readonly edited: Estate; readonly list: RuleList },
+  { edited, list }: {
+    readonly edited: ParsedConfiguration;
+    readonly list: RuleList;
+  },
 ): Result<string, InvalidFile> {
   const inPlace = replaceList(text, list, edited.rules);
   const kept = parseEstate({ version, text: inPlace })
--- a/packages/inventory/src/format.ts
+++ b/packages/inventory/src/format.ts
@@ -1,13 +1,15 @@
 /** Writes an estate as a configuration document. */
 import { stringify } from "smol-toml";
 import { formatDuration } from "@coltsfootreach/settings";
-import type { Estate, Rules } from "@coltsfootreach/types";
+import type { ParsedConfiguration, Rules } from "@coltsfootreach/types";
 import type { EstateContent } from "./schema.ts";
 
 const MB_PER_GB = 1_024;
 
 /** The document of an estate as TOML; its version is not part of it. */
-export function formatEstate(estate: EstateContent | Estate): string {
+export function formatEstate(
+  estate: EstateContent | ParsedConfiguration,
+): string {
   return stringify({
     data_centres: estate.dataCentres.map(({ delayMs, ...rest }) => ({
       ...rest,
@@ -41,7 +43,9 @@
  * The document without its workers and backend servers. It is what sides need,
  * and small however large the fleet is.
  */
-export function excerptForSides(estate: EstateContent | Estate): string {
+export function excerptForSides(
+  estate: EstateContent | ParsedConfiguration,
+): string {
   return formatEstate({ ...estate, workers: [], servers: [] });
 }
 
--- a/packages/inventory/src/parse.ts
+++ b/packages/inventory/src/parse.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { InvalidFile } from "@coltsfootreach/errors";
 import { checkDocument, parseToml } from "@coltsfootreach/settings";
-import type { Configuration, Estate } from "@coltsfootreach/types";
+import type { Configuration, ParsedConfiguration } from "@coltsfootreach/types";
 import { findFault } from "./check.ts";
 import { estateSchema } from "./schema.ts";
 
@@ -13,7 +13,7 @@
 export function parseEstate(
   configuration: Configuration,
   file: string = `configuration ${configuration.version}`,
-): Result<Estate, InvalidFile> {
+): Result<ParsedConfiguration, InvalidFile> {
   return parseToml(file, configuration.text)
     .andThen((document) => checkDocument(file, document, estateSchema))
     .andThen((content) => {
--- a/packages/inventory/src/parser.ts
+++ b/packages/inventory/src/parser.ts
@@ -10,8 +10,8 @@
 import { parseToml } from "@coltsfootreach/settings";
 import type {
   Configuration,
-  Estate,
   ExpectedServer,
+  ParsedConfiguration,
   Worker,
 } from "@coltsfootreach/types";
 import { findFault } from "./check.ts";
@@ -21,7 +21,7 @@
 
 export interface EstateParser {
   /** Same result as `parseEstate`; quick for what is prepared. */
-  parse(configuration: Configuration): Result<Estate, InvalidFile>;
+  parse(configuration: Configuration): Result<ParsedConfiguration, InvalidFile>;
   prepare(configuration: Configuration): Promise<void>;
 }
 
@@ -65,7 +65,7 @@
 
   function parse(
     configuration: Configuration,
-  ): Result<Estate, InvalidFile> {
+  ): Result<ParsedConfiguration, InvalidFile> {
     const parts = new Map<string, Part>();
     const pieces = splitText(configuration.text);
     for (const piece of pieces) {
@@ -94,12 +94,12 @@
 function assemble(
   version: number,
   parts: readonly Part[],
-): Estate | undefined {
+): ParsedConfiguration | undefined {
   const rest = mergeTables(parts.map((part) => part.rest));
   if (rest === undefined) return undefined;
   const checked = estateSchema.safeParse(rest);
   if (!checked.success) return undefined;
-  const estate: Estate = {
+  const estate: ParsedConfiguration = {
     ...checked.data,
     version,
     workers: parts.flatMap((part) => part.workers),
--- a/packages/inventory/src/schema.ts
+++ b/packages/inventory/src/schema.ts
@@ -11,10 +11,10 @@
   size,
 } from "@coltsfootreach/settings";
 import {
-  ACT_KINDS,
+  ACTION_KINDS,
   type DataCentre,
   DEFAULT_RULES,
-  type Estate,
+  type ParsedConfiguration,
   type RequestClass,
   type Rules,
   type Tenant,
@@ -78,7 +78,7 @@
 const share = () => z.number().min(0).max(1);
 
 const rulesSchema = z.strictObject({
-  held: z.array(z.enum(ACT_KINDS)).default([]),
+  held: z.array(z.enum(ACTION_KINDS)).default([]),
   drained: z.array(name()).default([]),
   never_ejected: z.array(name()).default([]),
   gone: z.array(IDENTITY).default([]),
@@ -100,7 +100,7 @@
 }));
 
 /** The document without its version, which the store gives. */
-export type EstateContent = Omit<Estate, "version">;
+export type EstateContent = Omit<ParsedConfiguration, "version">;
 
 export const estateSchema = z.strictObject({
   /** The version that the document was edited from. */
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -2,7 +2,7 @@
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 import { ResultAsync } from "neverthrow";
-import { LinkClosed } from "@coltsfootreach/errors";
+import { ListenFailed } from "@coltsfootreach/errors";
 import type { EntryFrame, PeerFrame, SideFrame } from "@coltsfootreach/types";
 import { CHANNEL_OPTIONS, LINK_SERVICE } from "./service.ts";
 import type { Accept } from "@coltsfootreach/stream";
@@ -25,7 +25,7 @@
 
 export function listenForLinks(
   options: LinkServerOptions,
-): ResultAsync<LinkServer, LinkClosed> {
+): ResultAsync<LinkServer, ListenFailed> {
   const server = new Server(CHANNEL_OPTIONS);
   server.addService(LINK_SERVICE, {
     side: (call: Duplex) => accept(call, options.acceptSide),
@@ -40,7 +40,7 @@
   });
   return ResultAsync.fromPromise(
     bound,
-    (error) => new LinkClosed("notRun", String(error)),
+    (error) => new ListenFailed("notRun", String(error)),
   );
 }
 
--- a/packages/manage/src/app_test.ts
+++ b/packages/manage/src/app_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import type { Act } from "@coltsfootreach/types";
+import type { AutomaticAction } from "@coltsfootreach/types";
 import { createManagementApp } from "./app.ts";
 import { createActJournal, type NewAct } from "./journal.ts";
 import { serveManagement } from "./serve.ts";
@@ -138,14 +138,14 @@
 
   it("gives each act its own name, whatever its maker called it", () => {
     const journal = createActJournal({ incarnation: "i", limit: 3 });
-    const named: Act = { ...ACT, id: "" };
+    const named: AutomaticAction = { ...ACT, id: "" };
     expect(journal.record(named).id).to.equal("i-1");
     expect(journal.record(named).id).to.equal("i-2");
   });
 
   it("finds the act that stands", () => {
     const journal = createActJournal({ incarnation: "i", limit: 9 });
-    const standing = (): Act | undefined =>
+    const standing = (): AutomaticAction | undefined =>
       journal.findStanding("eject", ACT.subject);
     const first = journal.record(ACT);
     const second = journal.record(ACT);
--- a/packages/manage/src/journal.ts
+++ b/packages/manage/src/journal.ts
@@ -2,26 +2,29 @@
  * Keeps records of what an entry did by itself. The oldest are dropped beyond
  * a bound.
  */
-import type { Act, Figures } from "@coltsfootreach/types";
+import type { AutomaticAction, Measurements } from "@coltsfootreach/types";
 
 /** An act as its decider describes it; the journal gives it its identity. */
-export type NewAct = Omit<Act, "id" | "undoneAtMs">;
+export type NewAct = Omit<AutomaticAction, "id" | "undoneAtMs">;
 
 export interface ActJournal {
-  record(act: NewAct): Act;
+  record(act: NewAct): AutomaticAction;
   /** Marks an act as undone; an act that is gone or undone stays as it is. */
   markUndone(id: string, undoing: Undoing): void;
   /** From the oldest to the newest. */
-  list(): readonly Act[];
-  find(id: string): Act | undefined;
+  list(): readonly AutomaticAction[];
+  find(id: string): AutomaticAction | undefined;
   /** The newest act of a kind on a subject that stands. */
-  findStanding(kind: Act["kind"], subject: string): Act | undefined;
+  findStanding(
+    kind: AutomaticAction["kind"],
+    subject: string,
+  ): AutomaticAction | undefined;
 }
 
 /** When an act ceased to stand, and what came to light until then. */
 export interface Undoing {
   readonly atMs: number;
-  readonly figures?: Figures | undefined;
+  readonly figures?: Measurements | undefined;
 }
 
 export interface JournalOptions {
@@ -35,12 +38,12 @@
   { incarnation, limit }: JournalOptions,
 ): ActJournal {
   /** In the order of their making, as a map keeps its insertion order. */
-  const acts = new Map<string, Act>();
+  const acts = new Map<string, AutomaticAction>();
   let count = 0;
 
-  function record(act: NewAct): Act {
+  function record(act: NewAct): AutomaticAction {
     count++;
-    const recorded: Act = { ...act, id: `${incarnation}-${count}` };
+    const recorded: AutomaticAction = { ...act, id: `${incarnation}-${count}` };
     acts.set(recorded.id, recorded);
     if (acts.size > limit) dropOldest();
     return recorded;
@@ -61,7 +64,10 @@
     });
   }
 
-  function findStanding(kind: Act["kind"], subject: string): Act | undefined {
+  function findStanding(
+    kind: AutomaticAction["kind"],
+    subject: string,
+  ): AutomaticAction | undefined {
     return [...acts.values()].findLast((act) =>
       act.kind === kind && act.subject === subject &&
       act.undoneAtMs === undefined
--- a/packages/manage/src/view.ts
+++ b/packages/manage/src/view.ts
@@ -9,14 +9,19 @@
   Laggard,
   Rejected,
 } from "@coltsfootreach/configure";
-import type { Act, Answer, Table, TaskOutcome } from "@coltsfootreach/types";
+import type {
+  Answer,
+  AutomaticAction,
+  Table,
+  TaskOutcome,
+} from "@coltsfootreach/types";
 
 /** The interface that an entry implements for its operators. */
 export interface EntryView {
   status(): EntryStatus;
   /** Kept acts from the oldest to the newest. */
-  acts(): readonly Act[];
-  act(id: string): Act | undefined;
+  acts(): readonly AutomaticAction[];
+  act(id: string): AutomaticAction | undefined;
   /** Undefined when this entry holds no record of the job. */
   job(tenant: string, key: string): JobExplanation | undefined;
   top(): Top;
--- a/packages/model/src/mutations.ts
+++ b/packages/model/src/mutations.ts
@@ -14,7 +14,12 @@
   type GuardOptions,
 } from "@coltsfootreach/guard";
 import type { Mutation } from "@coltsfootreach/scenario";
-import type { Doubt, EntryFrame, Start, Table } from "@coltsfootreach/types";
+import type {
+  EntryFrame,
+  EvidenceGaps,
+  Start,
+  Table,
+} from "@coltsfootreach/types";
 import type { World } from "./world.ts";
 import {
   CROWDED,
@@ -237,7 +242,7 @@
 /** An entry that hands over its keys as if it knew all about them. */
 function createCertainCore(options: EntryOptions): EntryCore {
   const core = createEntryCore(options);
-  const doubt: Doubt = {
+  const doubt: EvidenceGaps = {
     tableVersion: 0,
     bornBeforeWallMs: 0,
     leftMs: 0,
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -5,14 +5,14 @@
  * outcome readmits it or keeps it out for twice as long. Failures that all
  * sides share, for example of one tenant's broken tasks, eject nobody.
  */
-import type { Act, Rules } from "@coltsfootreach/types";
+import type { AutomaticAction, Rules } from "@coltsfootreach/types";
 
 /** Whether a side may take a task: any, one trial task, or none. */
 export type Standing = "in" | "trial" | "out";
 
 export interface Health {
   /** Takes in how a started task ended; returns what was done about it. */
-  observe(outcome: Outcome, nowMs: number): Act | undefined;
+  observe(outcome: Outcome, nowMs: number): AutomaticAction | undefined;
   standing(side: string, nowMs: number): Standing;
   /** A trial task was sent; the side takes no other until it ends. */
   startTrial(side: string, nowMs: number): void;
@@ -69,7 +69,7 @@
 }
 
 interface Ejection {
-  readonly act: Act;
+  readonly act: AutomaticAction;
   readonly doublings: number;
   readonly untilMs: number;
   trialUnderWay: boolean;
@@ -125,9 +125,9 @@
       ratio >= MIN_EXCESS * ratioOfOthers(tally);
   }
 
-  function eject(side: string, tally: Tally, nowMs: number): Act {
+  function eject(side: string, tally: Tally, nowMs: number): AutomaticAction {
     const { configurationVersion, ejectFailureRatio, probationMs } = rules();
-    const act: Act = {
+    const act: AutomaticAction = {
       id: nextId(),
       kind: "eject",
       subject: side,
@@ -159,7 +159,11 @@
     });
   }
 
-  function readmitted(side: string, ejection: Ejection, nowMs: number): Act {
+  function readmitted(
+    side: string,
+    ejection: Ejection,
+    nowMs: number,
+  ): AutomaticAction {
     ejections.delete(side);
     tallies.delete(side);
     return {
@@ -181,7 +185,7 @@
     ejection: Ejection,
     { side, failed }: Outcome,
     nowMs: number,
-  ): Act | undefined {
+  ): AutomaticAction | undefined {
     if (!ejection.trialUnderWay) return undefined;
     if (!failed) return readmitted(side, ejection, nowMs);
     prolong(side, ejection, nowMs);
--- a/packages/place/src/policy.ts
+++ b/packages/place/src/policy.ts
@@ -2,7 +2,7 @@
  * A placement policy picks the side for one task. Policies are pure: they are
  * told what happens and the time, and decide from that alone.
  */
-import type { Load, Size } from "@coltsfootreach/types";
+import type { ComputeResources, Load } from "@coltsfootreach/types";
 
 /** A side as the placing entry knows it. */
 export interface Candidate {
@@ -18,14 +18,14 @@
   /** Starts of this entry that the side had taken in when it said so. */
   readonly outstandingAtLoad: number;
   readonly classes: readonly string[];
-  readonly size: Size;
+  readonly size: ComputeResources;
 }
 
 /** What is known of a task before it starts. */
 export interface Placing {
   readonly class: string;
   readonly tenant: string;
-  readonly size: Size;
+  readonly size: ComputeResources;
   readonly declaredMs: number;
   /** Tasks of the same job that have not been placed yet, this one included. */
   readonly unplaced: number;
--- a/packages/propagation/src/bed.ts
+++ b/packages/propagation/src/bed.ts
@@ -8,7 +8,7 @@
   startFleet,
 } from "@coltsfootreach/fleet";
 import type { StatusReport, Top } from "@coltsfootreach/manage";
-import type { Act } from "@coltsfootreach/types";
+import type { AutomaticAction } from "@coltsfootreach/types";
 import { latestRuns, type ProcessRun, readRuns } from "./version_log.ts";
 
 /** Sides that are processes of their own. */
@@ -30,7 +30,7 @@
   status(entry: number): Promise<StatusReport | undefined>;
   top(entry: number): Promise<Top | undefined>;
   /** Acts on record at an entry; none when it is silent. */
-  acts(entry: number): Promise<readonly Act[]>;
+  acts(entry: number): Promise<readonly AutomaticAction[]>;
   isReady(entry: number): Promise<boolean>;
   setStoreFaults(faults: object): Promise<void>;
   stop(): Promise<boolean>;
@@ -77,7 +77,8 @@
     latest: () => latestRuns(readRuns(logs)),
     status: (entry) => ask<StatusReport>(entry, "/status"),
     top: (entry) => ask<Top>(entry, "/top"),
-    acts: async (entry) => await ask<readonly Act[]>(entry, "/acts") ?? [],
+    acts: async (entry) =>
+      await ask<readonly AutomaticAction[]>(entry, "/acts") ?? [],
     async isReady(entry) {
       const { origin } = fleet.entries[entry]!;
       const signal = AbortSignal.timeout(500);
--- a/packages/propagation/src/operator.ts
+++ b/packages/propagation/src/operator.ts
@@ -10,7 +10,7 @@
 } from "@coltsfootreach/configure";
 import { editRules, parseEstate } from "@coltsfootreach/inventory";
 import { createEtcdStore } from "@coltsfootreach/store";
-import type { ActKind } from "@coltsfootreach/types";
+import type { ActionKind } from "@coltsfootreach/types";
 import { v4 } from "uuid";
 
 const EXAMPLE = new URL("../../../examples/delta.toml", import.meta.url);
@@ -24,7 +24,7 @@
 /** Changes the share of a tenant, or holds or releases a kind of act. */
 export type Edit =
   | { readonly tenant: string; readonly weight: number }
-  | { readonly kind: ActKind; readonly held: boolean };
+  | { readonly kind: ActionKind; readonly held: boolean };
 
 export interface Accepted {
   readonly version: number;
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -1,6 +1,6 @@
 /** An entry: takes jobs, and holds the streams from sides. */
 import { setTimeout } from "node:timers/promises";
-import { LinkClosed } from "@coltsfootreach/errors";
+import { ListenFailed } from "@coltsfootreach/errors";
 import {
   type Answer,
   createDispatcher,
@@ -87,7 +87,7 @@
 
 export async function startEntry(
   options: EntryOptions,
-): Promise<Result<EntryProcess, LinkClosed>> {
+): Promise<Result<EntryProcess, ListenFailed>> {
   const { log } = options;
   const decisions = createDecisionLog(log);
   const patience = createPatience();
--- a/packages/scenario/src/server.ts
+++ b/packages/scenario/src/server.ts
@@ -2,16 +2,11 @@
  * Fake backend servers. Each knows which tasks it has started, keeps running
  * them when its side is gone, and may be down, slow, or fail everything.
  */
-import type {
-  JobId,
-  Start,
-  TaskName,
-  TaskOutcome,
-} from "@coltsfootreach/types";
+import type { JobId, Start, TaskId, TaskOutcome } from "@coltsfootreach/types";
 import type { Agenda } from "./agenda.ts";
 
 export interface StartLog {
-  note(task: TaskName, server: string): void;
+  note(task: TaskId, server: string): void;
   startsOf(job: JobId, index: number): readonly string[];
   all(): ReadonlyMap<string, readonly string[]>;
 }
@@ -34,7 +29,7 @@
 export interface Server {
   readonly name: string;
   run(start: Start, ended: (outcome: TaskOutcome) => void): void;
-  stop(task: TaskName): void;
+  stop(task: TaskId): void;
   setRunMs(runMs: number): void;
   setMode(mode: "up" | "down" | "failing"): void;
   /** Everything about the server that can matter later. */
--- a/packages/side/src/runner.ts
+++ b/packages/side/src/runner.ts
@@ -8,7 +8,7 @@
 import type {
   Announcement,
   Start,
-  TaskName,
+  TaskId,
   TaskOutcome,
 } from "@coltsfootreach/types";
 
@@ -38,7 +38,7 @@
   /** Never rejects; the outcome says what is known. */
   run(start: Start): Promise<TaskOutcome>;
   /** Asks the backend server to stop a task that runs. */
-  stop(name: TaskName): void;
+  stop(name: TaskId): void;
   /** Closes idle connections; running tasks go on. */
   close(): void;
 }
@@ -52,7 +52,7 @@
     bodyTimeout: 0,
   });
 
-  function pathOf(name: TaskName): string {
+  function pathOf(name: TaskId): string {
     return `/tasks/${encodeURIComponent(`${name.job}\n${name.index}`)}`;
   }
 
--- a/packages/standin/src/backend/backend_standin.ts
+++ b/packages/standin/src/backend/backend_standin.ts
@@ -2,7 +2,7 @@
  * A stand-in for a backend server: it announces itself to its side, takes
  * tasks over HTTP on loopback and keeps a record of every start.
  */
-import type { Announcement, Size } from "@coltsfootreach/types";
+import type { Announcement, ComputeResources } from "@coltsfootreach/types";
 import type { Socket } from "node:net";
 import { SYSTEM_CLOCK } from "../clock/clock.ts";
 import { startHttpServer } from "../http/http_server.ts";
@@ -20,7 +20,7 @@
   readonly slots?: number | undefined;
   readonly connections?: number | undefined;
   readonly classes?: readonly string[] | undefined;
-  readonly size?: Size | undefined;
+  readonly size?: ComputeResources | undefined;
   /** Divides the time that tasks take. */
   readonly speed?: number | undefined;
   readonly failEverything?: boolean | undefined;
@@ -41,7 +41,11 @@
 
 const DEFAULT_SLOTS = 8;
 const DEFAULT_CONNECTIONS = 60;
-const DEFAULT_SIZE: Size = { cores: 16, memoryMb: 65_536, accelerators: 0 };
+const DEFAULT_SIZE: ComputeResources = {
+  cores: 16,
+  memoryMb: 65_536,
+  accelerators: 0,
+};
 
 export async function createBackendStandin(
   options: BackendStandinOptions,
--- a/packages/stream/src/listen.ts
+++ b/packages/stream/src/listen.ts
@@ -1,6 +1,6 @@
 /** Takes in streams that other processes open. */
 import { type AddressInfo, createServer, type Socket } from "node:net";
-import { LinkClosed } from "@coltsfootreach/errors";
+import { ListenFailed } from "@coltsfootreach/errors";
 import { ResultAsync } from "neverthrow";
 import { streamOver } from "./socket_stream.ts";
 import type { Accept, FrameCheck } from "./stream.ts";
@@ -23,7 +23,7 @@
 
 export function listenForStreams<In, Out>(
   options: ListenOptions<In, Out>,
-): ResultAsync<StreamServer, LinkClosed> {
+): ResultAsync<StreamServer, ListenFailed> {
   const sockets = new Set<Socket>();
   const server = createServer({ noDelay: true }, (socket) => {
     sockets.add(socket);
@@ -48,6 +48,6 @@
   });
   return ResultAsync.fromPromise(
     bound,
-    (error) => new LinkClosed("notRun", String(error)),
+    (error) => new ListenFailed("notRun", String(error)),
   );
 }
--- a/packages/takeover/src/settlement.ts
+++ b/packages/takeover/src/settlement.ts
@@ -8,8 +8,8 @@
  */
 import { ownerOf } from "@coltsfootreach/ownership";
 import {
-  type Doubt,
   EMPTY_TABLE,
+  type EvidenceGaps,
   type JobId,
   type Table,
 } from "@coltsfootreach/types";
@@ -58,7 +58,7 @@
 export interface HandedOver {
   readonly entry: string;
   readonly tableVersion: number;
-  readonly doubt: Doubt;
+  readonly doubt: EvidenceGaps;
 }
 
 export interface Settlement {
@@ -70,7 +70,7 @@
   /** A member has handed over all it had for a table version. */
   handedOver(handedOver: HandedOver, nowMs: number): void;
   /** What to tell others with the records that are handed over to them. */
-  doubt(nowMs: number): Doubt;
+  doubt(nowMs: number): EvidenceGaps;
   /** Operators have declared these incarnations gone for good. */
   declareGone(entries: ReadonlySet<string>): void;
   /** Forgets registrations that no member will ever use again. */
--- a/packages/takeover/src/settlement_test.ts
+++ b/packages/takeover/src/settlement_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { joined, ownerOf, without } from "@coltsfootreach/ownership";
-import type { Doubt, Member, Table } from "@coltsfootreach/types";
+import type { EvidenceGaps, Member, Table } from "@coltsfootreach/types";
 import { createSettlement, type Settlement } from "./settlement.ts";
 
 const FRESHNESS_MS = 3000;
@@ -32,7 +32,7 @@
   removals: [],
 };
 
-const NO_DOUBT: Doubt = {
+const NO_DOUBT: EvidenceGaps = {
   tableVersion: 0,
   bornBeforeWallMs: 0,
   leftMs: 0,
--- a/packages/types/src/estate.ts
+++ b/packages/types/src/estate.ts
@@ -45,7 +45,7 @@
 }
 
 /** Kinds of automatic action, as written in rules and commands. */
-export const ACT_KINDS = [
+export const ACTION_KINDS = [
   "eject",
   "readmit",
   "takeOver",
@@ -54,11 +54,11 @@
   "drain",
 ] as const;
 
-export type ActKind = typeof ACT_KINDS[number];
+export type ActionKind = typeof ACTION_KINDS[number];
 
 export interface Rules {
   /** Kinds of automatic action that operators have disabled. */
-  readonly held: readonly ActKind[];
+  readonly held: readonly ActionKind[];
   /** Backend servers that receive no new tasks. */
   readonly drained: readonly string[];
   /** Backend servers that are never ejected; permanently undoes an ejection. */
@@ -87,7 +87,7 @@
   retryShare: 0.1,
 };
 
-export interface Estate {
+export interface ParsedConfiguration {
   readonly version: number;
   readonly dataCentres: readonly DataCentre[];
   readonly workers: readonly Worker[];
@@ -98,17 +98,17 @@
 }
 
 /** Numeric measurements by name. */
-export type Figures = Readonly<Record<string, number>>;
+export type Measurements = Readonly<Record<string, number>>;
 
 /** A record of an action that the system took automatically. */
-export interface Act {
+export interface AutomaticAction {
   readonly id: string;
-  readonly kind: ActKind;
+  readonly kind: ActionKind;
   /** The target of the action: a backend server, an entry or a tenant. */
   readonly subject: string;
   readonly why: string;
   /** The measurements behind the decision, by name. */
-  readonly figures: Figures;
+  readonly figures: Measurements;
   readonly configurationVersion: number;
   readonly atMs: number;
   readonly undoneAtMs?: number | undefined;
--- a/packages/types/src/job.ts
+++ b/packages/types/src/job.ts
@@ -6,7 +6,7 @@
 import type { Verdict } from "./verdict.ts";
 
 /** The compute resources that a task requires or a worker provides. */
-export interface Size {
+export interface ComputeResources {
   readonly cores: number;
   readonly memoryMb: number;
   readonly accelerators: number;
@@ -16,7 +16,7 @@
 export interface Task {
   /** Opaque to the system; passed to the backend server unchanged. */
   readonly body: string;
-  readonly size: Size;
+  readonly size: ComputeResources;
   /** The caller's estimate of the run time, in milliseconds. */
   readonly declaredMs: number;
   readonly idempotent: boolean;
@@ -44,7 +44,7 @@
 }
 
 /** Identifies one task of one job. */
-export interface TaskName {
+export interface TaskId {
   readonly job: JobId;
   readonly index: number;
 }
--- a/packages/types/src/message.ts
+++ b/packages/types/src/message.ts
@@ -5,11 +5,11 @@
  */
 import type {
   Answer,
+  ComputeResources,
   Job,
   JobId,
   Reply,
-  Size,
-  TaskName,
+  TaskId,
   TaskOutcome,
 } from "./job.ts";
 import type { Announcement, Load, SideIdentity } from "./server.ts";
@@ -34,7 +34,7 @@
   readonly of: number;
   readonly class: string;
   readonly body: string;
-  readonly size: Size;
+  readonly size: ComputeResources;
   readonly declaredMs: number;
   /** Time left until the job's deadline, in milliseconds. */
   readonly leftMs: number;
@@ -73,7 +73,7 @@
  * `tableVersion` and has no record of. They can include jobs that it started
  * itself and handed over to an entry that was lost since.
  */
-export interface Collect {
+export interface CollectEvidence {
   readonly kind: "collect";
   readonly tableVersion: number;
   /**
@@ -92,12 +92,12 @@
   readonly registration: number;
 }
 
-export interface TableNews {
+export interface TableUpdate {
   readonly kind: "table";
   readonly table: Table;
 }
 
-export interface ConfigurationNews {
+export interface ConfigurationUpdate {
   readonly kind: "configuration";
   readonly configuration: Configuration;
 }
@@ -107,10 +107,10 @@
   | Revoke
   | CloseJob
   | SealJob
-  | Collect
+  | CollectEvidence
   | RegistrationLost
-  | TableNews
-  | ConfigurationNews;
+  | TableUpdate
+  | ConfigurationUpdate;
 
 export interface EntryFrame {
   readonly entry: string;
@@ -148,23 +148,23 @@
 }
 
 /** How a started task ended. */
-export interface Result {
+export interface TaskResult {
   readonly kind: "result";
   readonly job: JobId;
   readonly outcome: TaskOutcome;
 }
 
 /** A refused start: this attempt did not run and never will. */
-export interface Refused {
+export interface StartRefusal {
   readonly kind: "refused";
   readonly job: JobId;
   readonly index: number;
   /** The refused attempt; later attempts may still be valid. */
   readonly attempt: number;
-  readonly reason: RefusedReason;
+  readonly reason: StartRefusalReason;
 }
 
-export type RefusedReason =
+export type StartRefusalReason =
   | "staleTable"
   | "unconfirmedTable"
   | "notOwner"
@@ -216,8 +216,8 @@
 
 export type SideMessage =
   | Hello
-  | Result
-  | Refused
+  | TaskResult
+  | StartRefusal
   | Evidence
   | JobSealed
   | Goodbye;
@@ -279,25 +279,25 @@
   readonly kind: "handOver";
   readonly batch: number;
   readonly tableVersion: number;
-  readonly records: readonly RecordSnapshot[];
+  readonly records: readonly JobRecordSnapshot[];
   /** Side registrations known to the sender. */
   readonly sides: readonly Registration[];
   /** Side registrations that the sender knows to have ended. */
   readonly endedSides: readonly Registration[];
   /** When the last ended registration known to the sender ended, if any. */
-  readonly sideEnding?: SideEnding | undefined;
-  readonly doubt: Doubt;
+  readonly sideEnding?: RegistrationEnd | undefined;
+  readonly doubt: EvidenceGaps;
 }
 
 /** The time at which the end of a side's registration was detected. */
-export interface SideEnding {
+export interface RegistrationEnd {
   /** In Unix milliseconds. */
   readonly wallMs: number;
   readonly ageMs: number;
 }
 
 /** Gaps in an entry's knowledge of the keys that it hands over. */
-export interface Doubt {
+export interface EvidenceGaps {
   /**
    * Version of the newest table that the entry adopted before it had all
    * evidence of the keys that it owned; 0 if there is none.
@@ -315,7 +315,7 @@
 }
 
 /** Confirms that the receiver owns and has stored all records of a batch. */
-export interface HandOverTaken {
+export interface HandOverAck {
   readonly kind: "handOverTaken";
   readonly batch: number;
 }
@@ -341,10 +341,10 @@
   | ForwardedReply
   | NotOwner
   | HandOver
-  | HandOverTaken
+  | HandOverAck
   | SidesLost
-  | TableNews
-  | ConfigurationNews;
+  | TableUpdate
+  | ConfigurationUpdate;
 
 /** Starts per second that an entry requests for one tenant. */
 export interface TenantDemand {
@@ -376,7 +376,7 @@
  * A job record as sent between entries. The job is absent when only evidence of
  * it is known.
  */
-export interface RecordSnapshot {
+export interface JobRecordSnapshot {
   readonly id: JobId;
   readonly job?: Job | undefined;
   /** Time since the record was created, in milliseconds. */
@@ -387,4 +387,4 @@
   readonly answer?: Answer | undefined;
 }
 
-export type { Member, TaskName };
+export type { Member, TaskId as TaskName };
--- a/packages/types/src/server.ts
+++ b/packages/types/src/server.ts
@@ -1,7 +1,7 @@
 /**
  * Announcements of backend servers, and the identity and load of sides.
  */
-import type { Size } from "./job.ts";
+import type { ComputeResources } from "./job.ts";
 
 /** Sent by a backend server to the side on its VM. */
 export interface Announcement {
@@ -15,7 +15,7 @@
   /** Names of the request classes that the server supports. */
   readonly classes: readonly string[];
   /** Compute resources that the worker provides to one task. */
-  readonly size: Size;
+  readonly size: ComputeResources;
 }
 
 /** One incarnation of a side process and the worker that it runs on. */
@@ -37,23 +37,26 @@
 }
 
 /** What a task requires from a backend server. */
-export interface Need {
+export interface TaskRequirements {
   readonly class: string;
-  readonly size: Size;
+  readonly size: ComputeResources;
 }
 
 /** Returns whether the available resources cover the required ones. */
-export function holds(available: Size, required: Size): boolean {
+export function hasCapacityFor(
+  available: ComputeResources,
+  required: ComputeResources,
+): boolean {
   return available.cores >= required.cores &&
     available.memoryMb >= required.memoryMb &&
     available.accelerators >= required.accelerators;
 }
 
 /** Returns whether a backend server can run a task, regardless of load. */
-export function serves(
+export function canServe(
   announcement: Announcement,
-  requirements: Need,
+  requirements: TaskRequirements,
 ): boolean {
   return announcement.classes.includes(requirements.class) &&
-    holds(announcement.size, requirements.size);
+    hasCapacityFor(announcement.size, requirements.size);
 }
