--- a/packages/runtime/src/configuration.ts
+++ b/packages/runtime/src/configuration.ts
@@ -1,17 +1,18 @@
 /**
- * Keeps the newest configuration. A watch brings changes at once; a cheap read
- * beside it notices a watch that has gone silent. Versions only rise.
+ * Follows the newest configuration. A watch delivers changes immediately, and
+ * periodic stale reads, which are cheap, detect a watch that has stopped
+ * delivering. Only a higher version replaces the current one.
  */
 import type { Log } from "@coltsfootreach/log";
 import type { QueueTable } from "@coltsfootreach/run";
 import type { Store, Versioned, Watch } from "@coltsfootreach/store";
 import type { ConfigurationDocument } from "./ports.ts";
 
-/** Time between cheap reads. */
-const READ_MS = 1000;
+/** Interval of the stale reads. */
+const POLL_INTERVAL_MS = 1000;
 
-/** Time before a watch is opened again, or the first read is repeated. */
-const RETRY_MS = 200;
+/** Delay before reopening a watch, or retrying the read that precedes it. */
+const RETRY_DELAY_MS = 200;
 
 export interface ConfigurationOptions {
   readonly store: Store;
@@ -20,12 +21,12 @@
 }
 
 export interface Configuration {
-  /** None before the first one was read. */
+  /** Undefined until the first valid configuration has been read. */
   table(): QueueTable | undefined;
   stop(): void;
 }
 
-export function followConfiguration(
+export function watchConfiguration(
   options: ConfigurationOptions,
 ): Configuration {
   const { store, document, log } = options;
@@ -33,70 +34,75 @@
   let revision = 0;
   let watch: Watch | undefined;
   let isStopped = false;
-  let readTimer: NodeJS.Timeout | undefined;
+  let pollTimer: NodeJS.Timeout | undefined;
 
-  function take(item: Pick<Versioned, "value" | "revision">): void {
+  function applyVersion(item: Pick<Versioned, "value" | "revision">): void {
     if (item.revision <= revision) return;
     revision = item.revision;
     const decoded = document.decode(item.value);
     if (decoded.isErr()) {
-      log.error("configuration not usable", { reason: decoded.error.message });
+      log.error("configuration is invalid and was not applied", {
+        reason: decoded.error.message,
+      });
       return;
     }
     const next = decoded.value;
     if (table !== undefined && next.version <= table.version) return;
     table = next;
-    log.info("configuration in force", { configurationVersion: next.version });
+    log.info("configuration applied", { configurationVersion: next.version });
   }
 
   async function openWatch(): Promise<void> {
     if (isStopped) return;
-    const read = await store.list(document.key);
+    const listing = await store.list(document.key);
     if (isStopped) return;
-    if (read.isErr()) {
-      setTimeout(openWatch, RETRY_MS);
+    if (listing.isErr()) {
+      setTimeout(openWatch, RETRY_DELAY_MS);
       return;
     }
-    const item = read.value.values.find(({ key }) => key === document.key);
-    if (item !== undefined) take(item);
-    watch = store.watch(document.key, read.value.revision + 1, {
+    const item = listing.value.values.find(({ key }) => key === document.key);
+    if (item !== undefined) applyVersion(item);
+    watch = store.watch(document.key, listing.value.revision + 1, {
       changed(change) {
         const { key, value } = change;
         if (key !== document.key) return;
-        if (value === undefined) log.error("configuration removed");
-        else take({ value, revision: change.revision });
+        if (value === undefined) {
+          log.error(
+            "configuration was deleted from the store; keeping the current one",
+          );
+        } else applyVersion({ value, revision: change.revision });
       },
       ended() {
         watch = undefined;
-        setTimeout(openWatch, RETRY_MS);
+        setTimeout(openWatch, RETRY_DELAY_MS);
       },
     });
   }
 
-  async function readCheaply(): Promise<void> {
-    const read = await store.listStale(document.key);
-    const item = read.isErr()
+  async function poll(): Promise<void> {
+    const listing = await store.listStale(document.key);
+    const item = listing.isErr()
       ? undefined
-      : read.value.values.find(({ key }) => key === document.key);
+      : listing.value.values.find(({ key }) => key === document.key);
     if (item !== undefined && item.revision > revision) {
-      take(item);
+      applyVersion(item);
       if (watch !== undefined) {
-        log.warn("watch of the configuration was silent");
+        log.warn("configuration watch missed a change; reopening it");
         watch.close();
         watch = undefined;
         openWatch();
       }
     }
-    if (!isStopped) readTimer = setTimeout(readCheaply, READ_MS);
+    if (!isStopped) pollTimer = setTimeout(poll, POLL_INTERVAL_MS);
   }
 
   openWatch();
-  readTimer = setTimeout(readCheaply, READ_MS);
+  pollTimer = setTimeout(poll, POLL_INTERVAL_MS);
   return {
     table: () => table,
     stop() {
       isStopped = true;
-      clearTimeout(readTimer);
+      clearTimeout(pollTimer);
       watch?.close();
     },
   };
--- a/packages/runtime/src/decision_log.ts
+++ b/packages/runtime/src/decision_log.ts
@@ -1,11 +1,11 @@
 /**
- * Writes decisions as lines of the log, at most so many a second: under load
- * the rest is counted, and the count is written when there is room again.
+ * Logs decisions with a rate limit. Lines above the limit are dropped and counted,
+ * and the count is logged once a new window starts.
  */
 import type { Log, LogFields } from "@coltsfootreach/log";
 
-/** Lines a second; a line costs some 10 µs of a small VM's processor. */
-const LINES_PER_SECOND = 200;
+/** A line costs about 10 µs of CPU time on a small VM. */
+const MAX_LINES_PER_SECOND = 200;
 
 const WINDOW_MS = 1000;
 
@@ -15,35 +15,37 @@
 
 export interface DecisionLog {
   write(decision: Decision, now: number): void;
-  /** Lines that were left out so far. */
+  /** Total number of dropped lines. */
   dropped(): number;
 }
 
 export function createDecisionLog(log: Log): DecisionLog {
-  let windowStart = 0;
-  let written = 0;
-  let droppedNow = 0;
-  let droppedInAll = 0;
+  let windowStartMs = 0;
+  let writtenInWindow = 0;
+  let droppedInWindow = 0;
+  let totalDropped = 0;
 
   function startWindow(now: number): void {
-    windowStart = now;
-    written = 0;
-    if (droppedNow === 0) return;
-    log.warn("decisions not logged", { figures: { lines: droppedNow } });
-    droppedNow = 0;
+    windowStartMs = now;
+    writtenInWindow = 0;
+    if (droppedInWindow === 0) return;
+    log.warn("decision log rate limit exceeded; lines were dropped", {
+      figures: { lines: droppedInWindow },
+    });
+    droppedInWindow = 0;
   }
 
   return {
     write({ message, ...fields }, now) {
-      if (now - windowStart >= WINDOW_MS) startWindow(now);
-      if (written >= LINES_PER_SECOND) {
-        droppedNow += 1;
-        droppedInAll += 1;
+      if (now - windowStartMs >= WINDOW_MS) startWindow(now);
+      if (writtenInWindow >= MAX_LINES_PER_SECOND) {
+        droppedInWindow += 1;
+        totalDropped += 1;
         return;
       }
-      written += 1;
+      writtenInWindow += 1;
       log.info(message, fields);
     },
-    dropped: () => droppedInAll,
+    dropped: () => totalDropped,
   };
 }
--- a/packages/runtime/src/entry_metrics.ts
+++ b/packages/runtime/src/entry_metrics.ts
@@ -1,15 +1,15 @@
-/** An entry's counters and response times, as text for a collector. */
+/** An entry's counters and response times as Prometheus text. */
 import type { Answer } from "@coltsfootreach/dispatch";
 import type { Histograms } from "@coltsfootreach/measure";
 
-/** The library is loaded when callers no longer wait for the start of it all. */
-const LOAD_AFTER_MS = 5000;
+/** Loading the histogram library later keeps it from delaying startup. */
+const HISTOGRAM_LOAD_DELAY_MS = 5000;
 
-/** Most answers that are kept until then. */
-const MAX_KEPT = 20_000;
+/** Maximum number of answers buffered until the histograms are loaded. */
+const MAX_BUFFERED_ANSWERS = 20_000;
 
-/** Most queues whose response times are kept apart. */
-const MAX_QUEUES = 500;
+/** Maximum number of histograms; each covers one queue and answer kind. */
+const MAX_HISTOGRAMS = 500;
 
 export interface AnsweredJob {
   readonly queue: string;
@@ -26,23 +26,23 @@
   counts: () => Readonly<Record<string, number>>,
 ): EntryMetrics {
   let histograms: Histograms | undefined;
-  let kept: AnsweredJob[] = [];
+  let buffered: AnsweredJob[] = [];
 
-  async function load(): Promise<void> {
+  async function loadHistograms(): Promise<void> {
     const { createHistograms } = await import("@coltsfootreach/measure");
-    histograms = createHistograms(MAX_QUEUES);
-    for (const job of kept) record(histograms, job);
-    kept = [];
+    histograms = createHistograms(MAX_HISTOGRAMS);
+    for (const job of buffered) recordResponse(histograms, job);
+    buffered = [];
   }
 
-  setTimeout(load, LOAD_AFTER_MS).unref();
+  setTimeout(loadHistograms, HISTOGRAM_LOAD_DELAY_MS).unref();
   return {
     answered(job) {
-      if (histograms !== undefined) record(histograms, job);
-      else if (kept.length < MAX_KEPT) kept.push(job);
+      if (histograms !== undefined) recordResponse(histograms, job);
+      else if (buffered.length < MAX_BUFFERED_ANSWERS) buffered.push(job);
     },
     text() {
-      const lines = formatCounts(counts());
+      const lines = formatCounters(counts());
       for (const name of histograms?.names() ?? []) {
         lines.push(...formatHistogram(histograms!, name));
       }
@@ -51,12 +51,12 @@
   };
 }
 
-function record(histograms: Histograms, job: AnsweredJob): void {
+function recordResponse(histograms: Histograms, job: AnsweredJob): void {
   histograms.record(`${job.queue}\n${job.answer.kind}`, job.responseMs);
 }
 
-/** Counters by name, one a line. */
-export function formatCounts(
+/** Formats one counter per line. */
+export function formatCounters(
   counts: Readonly<Record<string, number>>,
 ): string[] {
   return Object.entries(counts).map(([kind, value]) =>
@@ -66,12 +66,12 @@
 
 function formatHistogram(histograms: Histograms, name: string): string[] {
   const [queue, answer] = name.split("\n");
-  const tags = `queue="${queue}",answer="${answer}"`;
+  const labels = `queue="${queue}",answer="${answer}"`;
   const metric = "coltsfootreach_response_ms";
-  let upTo = 0;
+  let cumulativeCount = 0;
   const buckets = histograms.buckets(name).map((bucket) => {
-    upTo += bucket.count;
-    return `${metric}_bucket{${tags},le="${bucket.upTo}"} ${upTo}`;
+    cumulativeCount += bucket.count;
+    return `${metric}_bucket{${labels},le="${bucket.upTo}"} ${cumulativeCount}`;
   });
-  return [...buckets, `${metric}_count{${tags}} ${upTo}`];
+  return [...buckets, `${metric}_count{${labels}} ${cumulativeCount}`];
 }
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -1,4 +1,4 @@
-/** An entry: takes jobs, and holds the streams from sides. */
+/** The entry process: accepts jobs from callers and streams from sides. */
 import { setTimeout } from "node:timers/promises";
 import { ListenFailed } from "@coltsfootreach/errors";
 import {
@@ -23,65 +23,65 @@
 import type { Store } from "@coltsfootreach/store";
 import { listenForStreams, type Stream } from "@coltsfootreach/stream";
 import { err, ok, type Result } from "neverthrow";
-import { type Configuration, followConfiguration } from "./configuration.ts";
+import { type Configuration, watchConfiguration } from "./configuration.ts";
 import { createDecisionLog } from "./decision_log.ts";
-import { runLoop, steadyNow } from "./loop.ts";
+import { monotonicNowMs, startCoreLoop } from "./loop.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
-import { joinEntries } from "./membership.ts";
+import { joinMembership } from "./membership.ts";
 import type { ConfigurationDocument } from "./ports.ts";
-import { keepRecord } from "./shared_record.ts";
+import { syncSharedRecord } from "./shared_record.ts";
 
-/** Time between ticks while nothing runs. */
+/** Tick interval while no job is live. */
 const IDLE_TICK_MS = 200;
 
-/** Where the store keeps how much time callers usually have. */
-const PATIENCE_KEY = "shared/patience";
+/** Store key of the estimates of callers' usual timeouts. */
+const TIMEOUT_ESTIMATES_KEY = "shared/patience";
 
-/** Time after a start in which callers come back whose connections broke. */
-const RETURN_MS = 6000;
+/** Time after startup in which callers with broken connections reconnect. */
+const RECONNECT_WINDOW_MS = 6000;
 
-/** The balancer looks once a second and wants to see two misses. */
-const UNREADY_MS = 2500;
+/** The load balancer probes once a second and needs two failed probes. */
+const READINESS_PROPAGATION_MS = 2500;
 
 export interface EntryOptions {
   readonly name: string;
-  /** Where to listen for sides, as `IP:port`. */
+  /** Address to listen on for sides, as `IP:port`. */
   readonly listen: string;
   readonly store: Store;
   readonly document: ConfigurationDocument;
   readonly timing: Timing;
-  /** A task takes this much longer away from the rack with its data. */
+  /** Factor by which a task takes longer outside the rack that has its data. */
   readonly remoteFactor: number;
   readonly log: Log;
 }
 
-/** A job that was handed in. */
+/** The answer to a submitted job. */
 export interface PendingAnswer {
-  /** Resolves once; never when the job was abandoned. */
+  /** Never resolves if the job was abandoned. */
   readonly answer: Promise<Answer>;
-  /** The caller has left. */
+  /** Called when the caller has disconnected. */
   abandon(): void;
 }
 
-/** The connections on which callers hand jobs in. */
+/** The connections on which callers submit jobs. */
 export interface CallerConnections {
   /**
-   * Takes no new connections, closes idle ones, and waits until the others have
-   * got their answers, at most so long.
+   * Stops accepting connections, closes idle ones, and waits until the others
+   * have received their answers or the timeout has passed.
    */
-  close(longestMs: number): Promise<void>;
+  close(timeoutMs: number): Promise<void>;
 }
 
 export interface EntryProcess {
   table(): QueueTable | undefined;
   submit(queue: Queue, job: Job): PendingAnswer;
-  /** True while the balancer should send callers here. */
+  /** True while the load balancer should route callers to this entry. */
   isReady(): boolean;
-  /** True once `stop` was called: callers should turn elsewhere. */
+  /** True once `stop` was called: callers should use another entry. */
   isStopping(): boolean;
-  /** Counters and response times, as text for a collector. */
+  /** Counters and response times as Prometheus text. */
   metricsText(): string;
-  /** Serves callers until their connections are closed, and leaves. */
+  /** Drains: serves callers until their connections close, then deregisters. */
   stop(graceMs: number, callers: CallerConnections): Promise<void>;
 }
 
@@ -89,8 +89,8 @@
   options: EntryOptions,
 ): Promise<Result<EntryProcess, ListenFailed>> {
   const { log } = options;
-  const decisions = createDecisionLog(log);
-  const patience = createPatience();
+  const decisionLog = createDecisionLog(log);
+  const timeoutEstimator = createPatience();
   const dispatcher = createDispatcher({
     entry: options.name,
     timing: options.timing,
@@ -101,28 +101,28 @@
     ...dispatcher.counts(),
     jobsLive: dispatcher.liveJobs(),
     configurationVersion: configuration.table()?.version ?? 0,
-    logLinesDropped: decisions.dropped(),
+    logLinesDropped: decisionLog.dropped(),
   }));
-  const startedAt = steadyNow();
+  const startedAtMs = monotonicNowMs();
   const streams = new Map<SessionId, Stream<DispatchFrame>>();
-  const answers = new Map<SubmissionId, (answer: Answer) => void>();
-  /** Addresses, in an order that all entries share. */
+  const answerCallbacks = new Map<SubmissionId, (answer: Answer) => void>();
+  /** Entry addresses, in the same order on all entries. */
   let entries: readonly string[] = [];
-  let lastSession = 0;
-  let lastSubmission = 0;
+  let lastSessionId = 0;
+  let lastSubmissionId = 0;
   let isStopping = false;
 
-  const loop = runLoop({
+  const loop = startCoreLoop({
     tickMs: () => dispatcher.liveJobs() > 0 ? BUSY_TICK_MS : IDLE_TICK_MS,
     tick: dispatcher.tick,
-    carryOut,
+    applyEffects,
   });
 
-  function carryOut(now: number): void {
-    for (const effect of dispatcher.takeEffects(now)) perform(effect, now);
+  function applyEffects(now: number): void {
+    for (const effect of dispatcher.takeEffects(now)) applyEffect(effect, now);
   }
 
-  function perform(effect: DispatchEffect, now: number): void {
+  function applyEffect(effect: DispatchEffect, now: number): void {
     switch (effect.kind) {
       case "send":
         streams.get(effect.session)?.send(effect.frame);
@@ -131,11 +131,11 @@
         closeStream(effect.session);
         return;
       case "answer":
-        answers.get(effect.submission)?.(effect.answer);
-        answers.delete(effect.submission);
+        answerCallbacks.get(effect.submission)?.(effect.answer);
+        answerCallbacks.delete(effect.submission);
         return;
       case "log":
-        decisions.write(effect.decision, now);
+        decisionLog.write(effect.decision, now);
     }
   }
 
@@ -145,24 +145,27 @@
     stream?.close();
   }
 
-  function acceptWork(stream: Stream<DispatchFrame>) {
-    lastSession += 1;
-    const session = lastSession;
+  function acceptSideStream(stream: Stream<DispatchFrame>) {
+    lastSessionId += 1;
+    const session = lastSessionId;
     streams.set(session, stream);
-    dispatcher.sessionOpened(session, steadyNow());
+    dispatcher.sessionOpened(session, monotonicNowMs());
     return {
       received(frame: WorkFrame) {
-        dispatcher.sessionSent(session, frame, steadyNow());
-        loop.poke();
+        dispatcher.sessionSent(session, frame, monotonicNowMs());
+        loop.wake();
       },
       drained() {},
-      closed(fault?: Error) {
-        if (fault !== undefined) {
-          log.error("stream ended", { reason: fault.message });
+      closed(error?: Error) {
+        if (error !== undefined) {
+          log.error(
+            "stream from a side closed: a frame could not be decoded or handled",
+            { reason: error.message },
+          );
         }
         streams.delete(session);
-        dispatcher.sessionClosed(session, steadyNow());
-        loop.poke();
+        dispatcher.sessionClosed(session, monotonicNowMs());
+        loop.wake();
       },
     };
   }
@@ -170,19 +173,19 @@
   const server = await listenForStreams({
     address: options.listen,
     isFrame: isWorkFrame,
-    accept: acceptWork,
+    accept: acceptSideStream,
   });
   if (server.isErr()) {
     loop.stop();
     return err(server.error);
   }
 
-  const configuration: Configuration = followConfiguration({
+  const configuration: Configuration = watchConfiguration({
     store: options.store,
     document: options.document,
     log,
   });
-  const membership = joinEntries({
+  const membership = joinMembership({
     store: options.store,
     name: options.name,
     address: options.listen,
@@ -193,44 +196,47 @@
     },
   });
 
-  const record = keepRecord({
+  const sharedRecord = syncSharedRecord({
     store: options.store,
-    key: PATIENCE_KEY,
-    learner: patience,
+    key: TIMEOUT_ESTIMATES_KEY,
+    estimator: timeoutEstimator,
     log,
     isWriter: () => entries[0] === options.listen,
   });
 
-  /** Only after a start do so many come back that their age matters. */
-  function ageOf(queue: Queue, job: Job, now: number): number {
-    if (now - startedAt < RETURN_MS) {
-      return patience.ageMs(queue.name, job.timeoutMs);
+  /** Only after startup do enough callers reconnect for their age to matter. */
+  function estimateAgeMs(queue: Queue, job: Job, now: number): number {
+    if (now - startedAtMs < RECONNECT_WINDOW_MS) {
+      return timeoutEstimator.ageMs(queue.name, job.timeoutMs);
     }
-    patience.learn(queue.name, job.timeoutMs);
+    timeoutEstimator.learn(queue.name, job.timeoutMs);
     return 0;
   }
 
   function submit(queue: Queue, job: Job): PendingAnswer {
-    lastSubmission += 1;
-    const id = lastSubmission;
+    lastSubmissionId += 1;
+    const id = lastSubmissionId;
     const configurationVersion = configuration.table()?.version ?? 0;
-    const since = steadyNow();
+    const submittedAtMs = monotonicNowMs();
     const answer = new Promise<Answer>((resolve) =>
-      answers.set(id, (to) => {
-        const responseMs = steadyNow() - since;
-        metrics.answered({ queue: queue.name, answer: to, responseMs });
-        resolve(to);
+      answerCallbacks.set(id, (value) => {
+        const responseMs = monotonicNowMs() - submittedAtMs;
+        metrics.answered({ queue: queue.name, answer: value, responseMs });
+        resolve(value);
       })
     );
-    const ageMs = ageOf(queue, job, since);
-    dispatcher.submit({ id, job, queue, configurationVersion, ageMs }, since);
-    loop.poke();
+    const ageMs = estimateAgeMs(queue, job, submittedAtMs);
+    dispatcher.submit(
+      { id, job, queue, configurationVersion, ageMs },
+      submittedAtMs,
+    );
+    loop.wake();
     return {
       answer,
       abandon() {
-        if (!answers.delete(id)) return;
-        dispatcher.abandon(id, steadyNow());
-        loop.poke();
+        if (!answerCallbacks.delete(id)) return;
+        dispatcher.abandon(id, monotonicNowMs());
+        loop.wake();
       },
     };
   }
@@ -245,15 +251,15 @@
     metricsText: metrics.text,
     async stop(graceMs, callers) {
       isStopping = true;
-      dispatcher.stopBy(steadyNow() + graceMs);
-      // Callers keep coming on open connections until the balancer has seen
-      // that this entry is not ready.
-      const unreadyMs = Math.min(graceMs, UNREADY_MS);
-      await setTimeout(unreadyMs);
-      await callers.close(graceMs - unreadyMs);
+      dispatcher.stopBy(monotonicNowMs() + graceMs);
+      // Callers keep submitting on open connections until the load balancer has
+      // detected that this entry is not ready.
+      const propagationMs = Math.min(graceMs, READINESS_PROPAGATION_MS);
+      await setTimeout(propagationMs);
+      await callers.close(graceMs - propagationMs);
       await membership.leave();
       configuration.stop();
-      record.stop();
+      sharedRecord.stop();
       loop.stop();
       server.value.close();
     },
--- a/packages/runtime/src/entry_process_test.ts
+++ b/packages/runtime/src/entry_process_test.ts
@@ -21,11 +21,11 @@
   steps: [sampleStep()],
 };
 
-/** Beyond the time in which the balancer notices that an entry stops. */
+/** Exceeds the time the load balancer needs to detect that an entry stops. */
 const GRACE_MS = 3000;
 
-describe("an entry that stops", () => {
-  it("answers what comes on open connections until they are closed", async () => {
+describe("stopping an entry", () => {
+  it("answers jobs on open connections until they are closed", async () => {
     const log = createLog({
       role: "entry",
       name: "test",
@@ -47,8 +47,10 @@
     await entry.stop(GRACE_MS, {
       async close() {
         const pending = entry.submit(sampleQueue(), JOB);
-        const late = new Promise((resolve) => setTimeout(resolve, 500, "none"));
-        answer = await Promise.race([pending.answer, late]);
+        const timeout = new Promise((resolve) =>
+          setTimeout(resolve, 500, "none")
+        );
+        answer = await Promise.race([pending.answer, timeout]);
       },
     });
     expect(answer).to.deep.include({ kind: "refused", reason: "overload" });
--- a/packages/runtime/src/entry_streams.ts
+++ b/packages/runtime/src/entry_streams.ts
@@ -1,4 +1,4 @@
-/** A side's streams to entries: one to each entry that it knows. */
+/** A side's streams to entries: one per known address. */
 import {
   type DispatchFrame,
   isDispatchFrame,
@@ -7,31 +7,31 @@
 import { dialStream, type Stream } from "@coltsfootreach/stream";
 import type { OwnerId } from "@coltsfootreach/worker";
 
-/** Pauses between attempts; a dead address is tried ever more rarely. */
-const FIRST_PAUSE_MS = 50;
+/** Delay before the first retry; doubles until an entry answers. */
+const INITIAL_RETRY_DELAY_MS = 50;
 
-const LONGEST_PAUSE_MS = 2000;
+const MAX_RETRY_DELAY_MS = 2000;
 
-/** An entry that says nothing on a new stream for this long is not there. */
-const FIRST_FRAME_MS = 1000;
+/** A new stream is closed if the entry sends no frame within this time. */
+const FIRST_FRAME_TIMEOUT_MS = 1000;
 
-/** An address outside the list that does not answer is forgotten after this. */
-const FORGET_MS = 15_000;
+/** An unlisted address that does not answer is removed after this time. */
+const ADDRESS_RETENTION_MS = 15_000;
 
 export interface EntryStreamsOptions {
   opened(owner: OwnerId): void;
   received(owner: OwnerId, frame: DispatchFrame): void;
   closed(owner: OwnerId): void;
-  /** What an entry sent could not be decoded or handled. */
-  failed(address: string, fault: Error): void;
+  /** A frame from an entry could not be decoded or handled. */
+  failed(address: string, error: Error): void;
 }
 
 export interface EntryStreams {
-  /** Adds addresses; ones that are known already stay. */
-  know(addresses: readonly string[]): void;
+  /** Adds new addresses and refreshes known ones; it never removes any. */
+  addAddresses(addresses: readonly string[]): void;
   send(owner: OwnerId, frame: WorkFrame): void;
   close(owner: OwnerId): void;
-  /** Entries that have answered on their stream. */
+  /** Number of entries that have answered on their stream. */
   connected(): number;
   stop(): void;
 }
@@ -40,83 +40,83 @@
   readonly address: string;
   owner: OwnerId;
   stream: Stream<WorkFrame> | undefined;
-  isHeard: boolean;
-  pauseMs: number;
+  hasAnswered: boolean;
+  retryDelayMs: number;
   timer: NodeJS.Timeout | undefined;
-  /** Last sign of the entry, or of its address in a list. */
-  seenAt: number;
+  /** When the entry last sent a frame or its address was last listed. */
+  lastSeenAtMs: number;
 }
 
 export function createEntryStreams(options: EntryStreamsOptions): EntryStreams {
   const peers = new Map<string, Peer>();
-  const byOwner = new Map<OwnerId, Peer>();
-  let lastOwner = 0;
+  const peersByOwner = new Map<OwnerId, Peer>();
+  let lastOwnerId = 0;
   let isStopped = false;
 
   function dial(peer: Peer): void {
     if (isStopped) return;
-    lastOwner += 1;
-    const owner = lastOwner;
+    lastOwnerId += 1;
+    const owner = lastOwnerId;
     peer.owner = owner;
-    peer.isHeard = false;
-    byOwner.set(owner, peer);
+    peer.hasAnswered = false;
+    peersByOwner.set(owner, peer);
     options.opened(owner);
-    const target = { address: peer.address, isFrame: isDispatchFrame };
-    peer.stream = dialStream<DispatchFrame, WorkFrame>(target, {
+    const dialOptions = { address: peer.address, isFrame: isDispatchFrame };
+    peer.stream = dialStream<DispatchFrame, WorkFrame>(dialOptions, {
       received(frame) {
         if (peer.owner !== owner) return;
-        noteHeard(peer);
+        markAnswered(peer);
         options.received(owner, frame);
       },
       drained() {},
-      closed(fault) {
-        if (fault !== undefined) options.failed(peer.address, fault);
-        end(peer, owner);
+      closed(error) {
+        if (error !== undefined) options.failed(peer.address, error);
+        endStream(peer, owner);
       },
     });
     clearTimeout(peer.timer);
     peer.timer = setTimeout(() => {
-      if (!peer.isHeard) end(peer, owner);
-    }, FIRST_FRAME_MS);
+      if (!peer.hasAnswered) endStream(peer, owner);
+    }, FIRST_FRAME_TIMEOUT_MS);
   }
 
-  function noteHeard(peer: Peer): void {
-    peer.isHeard = true;
-    peer.pauseMs = FIRST_PAUSE_MS;
-    peer.seenAt = performance.now();
+  function markAnswered(peer: Peer): void {
+    peer.hasAnswered = true;
+    peer.retryDelayMs = INITIAL_RETRY_DELAY_MS;
+    peer.lastSeenAtMs = performance.now();
   }
 
-  /** Ends one stream and tries again after a pause. */
-  function end(peer: Peer, owner: OwnerId): void {
-    if (!byOwner.delete(owner)) return;
+  /** Closes a stream and schedules a reconnect, or removes a stale address. */
+  function endStream(peer: Peer, owner: OwnerId): void {
+    if (!peersByOwner.delete(owner)) return;
     const { stream } = peer;
     peer.stream = undefined;
     stream?.close();
     options.closed(owner);
-    if (performance.now() - peer.seenAt > FORGET_MS) {
+    if (performance.now() - peer.lastSeenAtMs > ADDRESS_RETENTION_MS) {
       peers.delete(peer.address);
       return;
     }
     clearTimeout(peer.timer);
-    peer.timer = setTimeout(() => dial(peer), peer.pauseMs);
-    peer.pauseMs = Math.min(LONGEST_PAUSE_MS, peer.pauseMs * 2);
+    peer.timer = setTimeout(() => dial(peer), peer.retryDelayMs);
+    peer.retryDelayMs = Math.min(MAX_RETRY_DELAY_MS, peer.retryDelayMs * 2);
   }
 
-  function know(addresses: readonly string[]): void {
+  function addAddresses(addresses: readonly string[]): void {
     for (const address of addresses) {
-      const known = peers.get(address);
-      if (known !== undefined) {
-        known.seenAt = performance.now();
+      const existing = peers.get(address);
+      if (existing !== undefined) {
+        existing.lastSeenAtMs = performance.now();
         continue;
       }
       const peer: Peer = {
         address,
         owner: 0,
         stream: undefined,
-        isHeard: false,
-        pauseMs: FIRST_PAUSE_MS,
+        hasAnswered: false,
+        retryDelayMs: INITIAL_RETRY_DELAY_MS,
         timer: undefined,
-        seenAt: performance.now(),
+        lastSeenAtMs: performance.now(),
       };
       peers.set(address, peer);
       dial(peer);
@@ -124,13 +124,14 @@
   }
 
   return {
-    know,
-    send: (owner, frame) => byOwner.get(owner)?.stream?.send(frame),
+    addAddresses,
+    send: (owner, frame) => peersByOwner.get(owner)?.stream?.send(frame),
     close(owner) {
-      const peer = byOwner.get(owner);
-      if (peer !== undefined) end(peer, owner);
+      const peer = peersByOwner.get(owner);
+      if (peer !== undefined) endStream(peer, owner);
     },
-    connected: () => [...peers.values()].filter((one) => one.isHeard).length,
+    connected: () =>
+      [...peers.values()].filter((peer) => peer.hasAnswered).length,
     stop() {
       isStopped = true;
       for (const peer of peers.values()) {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,4 @@
-/** The entry and the side as processes. */
+/** The entry and side processes. */
 export * from "./configuration.ts";
 export * from "./decision_log.ts";
 export * from "./entry_metrics.ts";
--- a/packages/runtime/src/loop.ts
+++ b/packages/runtime/src/loop.ts
@@ -1,69 +1,69 @@
 /**
- * Runs a core: its input may come in bursts, and what it decides is carried out
- * once the sockets have been read, so that no decision rests on a state that
- * waiting input has already changed.
+ * Drives a core with ticks and applies its effects. Input may arrive in bursts,
+ * so effects are applied only after all readable sockets have been read;
+ * otherwise decisions would be based on state that pending input makes outdated.
  */
 
-export interface Loop {
-  /** Something was handed to the core. */
-  poke(): void;
+export interface CoreLoop {
+  /** Schedules applying the effects after new input to the core. */
+  wake(): void;
   stop(): void;
 }
 
-export interface LoopOptions {
-  /** Time to the next tick; shorter while there is something to watch. */
+export interface CoreLoopOptions {
+  /** Time until the next tick; shorter while the core is busy. */
   tickMs(): number;
   tick(now: number): void;
-  /** Carries out what the core wants done. */
-  carryOut(now: number): void;
+  /** Applies the effects that the core has requested. */
+  applyEffects(now: number): void;
 }
 
-/** Milliseconds on a clock that never jumps. */
-export function steadyNow(): number {
+/** Milliseconds on a monotonic clock. */
+export function monotonicNowMs(): number {
   return performance.now();
 }
 
-export function runLoop(options: LoopOptions): Loop {
-  let isPoked = false;
+export function startCoreLoop(options: CoreLoopOptions): CoreLoop {
+  let isWakePending = false;
 
-  function poke(): void {
-    if (isPoked) return;
-    isPoked = true;
+  function wake(): void {
+    if (isWakePending) return;
+    isWakePending = true;
     // Immediates run after the poll phase, in which sockets are read.
     setImmediate(() => {
-      isPoked = false;
-      options.carryOut(steadyNow());
-      hasten();
+      isWakePending = false;
+      options.applyEffects(monotonicNowMs());
+      rescheduleIfSooner();
     });
   }
 
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
-  let dueAt = Infinity;
+  let nextTickAtMs = Infinity;
 
-  function schedule(): void {
+  function scheduleTick(): void {
     if (isStopped) return;
     const tickMs = options.tickMs();
-    dueAt = steadyNow() + tickMs;
+    nextTickAtMs = monotonicNowMs() + tickMs;
     timer = setTimeout(tick, tickMs);
   }
 
   function tick(): void {
-    options.tick(steadyNow());
-    poke();
-    schedule();
+    options.tick(monotonicNowMs());
+    wake();
+    scheduleTick();
   }
 
-  /** Brings the next tick forward once there is something to watch. */
-  function hasten(): void {
-    if (dueAt - steadyNow() <= options.tickMs()) return;
+  /** Moves the next tick forward if the tick interval has become shorter. */
+  function rescheduleIfSooner(): void {
+    if (nextTickAtMs - monotonicNowMs() <= options.tickMs()) return;
     clearTimeout(timer);
-    schedule();
+    scheduleTick();
   }
 
-  schedule();
+  scheduleTick();
   return {
-    poke,
+    wake,
     stop() {
       isStopped = true;
       clearTimeout(timer);
--- a/packages/runtime/src/membership.ts
+++ b/packages/runtime/src/membership.ts
@@ -1,46 +1,46 @@
 /**
- * Entries find each other, and sides find entries, through the store. An entry
- * keeps a key under a lease; sides have none, so that their number costs the
- * store nothing.
+ * Service discovery through the store: entries discover each other, and sides
+ * discover entries. An entry registers a key with a lease. Sides don't register,
+ * so that the store's load for registrations doesn't grow with their number.
  */
 import type { Log } from "@coltsfootreach/log";
 import type { Lease, Store } from "@coltsfootreach/store";
-import { createReachability } from "./reachability.ts";
+import { createReachabilityLog } from "./reachability.ts";
 
-const PREFIX = "entries/";
+const ENTRY_KEY_PREFIX = "entries/";
 
-const LEASE_SECONDS = 4;
+const LEASE_TTL_SECONDS = 4;
 
-/** Time between looks at the list; the lease is renewed as often. */
-const LOOK_MS = 1000;
+/** Interval for reading the list of entries and renewing the lease. */
+const REFRESH_INTERVAL_MS = 1000;
 
-/** Looks without the own key before it is written again. */
-const MISSING_LOOKS = 2;
+/** Consecutive reads without the entry's own key before it registers again. */
+const MISSING_READS_LIMIT = 2;
 
 export interface MembershipOptions {
   readonly store: Store;
   readonly name: string;
-  /** Where sides reach this entry, as `IP:port`. */
+  /** Address at which sides reach this entry, as `IP:port`. */
   readonly address: string;
   readonly log: Log;
-  /** Told whenever the list changes. */
+  /** Called with the sorted addresses whenever the list changes. */
   changed(addresses: readonly string[]): void;
 }
 
 export interface Membership {
-  /** Takes the entry out of the list. */
+  /** Revokes the lease, which removes the entry from the list. */
   leave(): Promise<void>;
 }
 
-export function joinEntries(options: MembershipOptions): Membership {
+export function joinMembership(options: MembershipOptions): Membership {
   const { store, log } = options;
-  const key = PREFIX + options.name;
+  const key = ENTRY_KEY_PREFIX + options.name;
   let lease: Lease | undefined;
   let isRegistered = false;
-  let missing = 0;
-  let known = "";
+  let missingReads = 0;
+  let lastAddresses = "";
   let isLeaving = false;
-  const reachability = createReachability(log, "store");
+  const reachability = createReachabilityLog(log, "store");
   let timer: NodeJS.Timeout | undefined;
 
   async function renew(): Promise<void> {
@@ -48,7 +48,7 @@
     const renewed = await store.renew(lease);
     if (renewed.isErr()) return;
     if (renewed.value) return;
-    log.warn("registration lapsed");
+    log.warn("registration lease expired; registering again");
     lease = undefined;
     isRegistered = false;
   }
@@ -56,58 +56,64 @@
   async function register(): Promise<void> {
     if (isRegistered) return;
     if (lease === undefined) {
-      const granted = await store.grant(LEASE_SECONDS);
+      const granted = await store.grant(LEASE_TTL_SECONDS);
       if (granted.isErr()) return;
       lease = granted.value;
     }
-    const before = await store.read(key);
-    if (before.isErr()) return;
+    const current = await store.read(key);
+    if (current.isErr()) return;
     const swapped = await store.swap({
       key,
       value: options.address,
-      expectedRevision: before.value?.revision ?? 0,
+      expectedRevision: current.value?.revision ?? 0,
       lease,
     });
     if (swapped.isErr()) {
-      log.warn("registration not answered", { reason: swapped.error.message });
+      log.warn("registration was not confirmed by the store; retrying", {
+        reason: swapped.error.message,
+      });
       return;
     }
     isRegistered = swapped.value.kind === "swapped";
-    missing = 0;
-    if (isRegistered) log.info("registered", { address: options.address });
+    missingReads = 0;
+    if (isRegistered) {
+      log.info("entry registered in the store", { address: options.address });
+    }
   }
 
-  async function look(): Promise<void> {
-    const listing = await store.listStale(PREFIX);
+  async function refreshEntries(): Promise<void> {
+    const listing = await store.listStale(ENTRY_KEY_PREFIX);
     if (listing.isErr()) return reachability.lost(listing.error.message);
     reachability.reached();
     const { values } = listing.value;
-    checkOwnKey(values.some((item) => item.key === key));
+    checkRegistration(values.some((item) => item.key === key));
     const addresses = values.map((item) => item.value).sort();
-    const text = addresses.join(",");
-    if (text === known) return;
-    known = text;
-    log.info("entries changed", { figures: { entries: addresses.length } });
+    const joinedAddresses = addresses.join(",");
+    if (joinedAddresses === lastAddresses) return;
+    lastAddresses = joinedAddresses;
+    log.info("list of entries changed", {
+      figures: { entries: addresses.length },
+    });
     options.changed(addresses);
   }
 
-  /** Keys can vanish while their lease is renewed without complaint. */
-  function checkOwnKey(isListed: boolean): void {
-    missing = isListed ? 0 : missing + 1;
-    if (!isRegistered || missing < MISSING_LOOKS) return;
-    log.warn("registration vanished");
+  /** A key can disappear from the store although renewing its lease succeeds. */
+  function checkRegistration(isListed: boolean): void {
+    missingReads = isListed ? 0 : missingReads + 1;
+    if (!isRegistered || missingReads < MISSING_READS_LIMIT) return;
+    log.warn("registration key is missing from the store; registering again");
     isRegistered = false;
     lease = undefined;
   }
 
-  async function turn(): Promise<void> {
+  async function runCycle(): Promise<void> {
     await renew();
     await register();
-    await look();
-    if (!isLeaving) timer = setTimeout(turn, LOOK_MS);
+    await refreshEntries();
+    if (!isLeaving) timer = setTimeout(runCycle, REFRESH_INTERVAL_MS);
   }
 
-  turn();
+  runCycle();
   return {
     async leave() {
       isLeaving = true;
@@ -117,41 +123,43 @@
   };
 }
 
-export interface FinderOptions {
+export interface DiscoveryOptions {
   readonly store: Store;
   readonly log: Log;
-  /** True while more entries would be of use at once. */
-  isLonely(): boolean;
+  /** True while no entry is connected, which shortens the poll interval. */
+  isDisconnected(): boolean;
   found(addresses: readonly string[]): void;
 }
 
-/** Time between looks while no entry is known... */
-const LONELY_LOOK_MS = 300;
+/** Poll interval while no entry is connected. */
+const DISCONNECTED_POLL_INTERVAL_MS = 300;
 
-/** ...and otherwise, as entries pass on the list themselves. */
-const QUIET_LOOK_MS = 5000;
+/** Longer while connected, since entries send their list to the sides. */
+const CONNECTED_POLL_INTERVAL_MS = 5000;
 
-/** Looks for entries on behalf of a side. */
-export function findEntries(options: FinderOptions): { stop(): void } {
+/** Discovers entries for a side. */
+export function discoverEntries(options: DiscoveryOptions): { stop(): void } {
   const { store, log } = options;
   let timer: NodeJS.Timeout | undefined;
-  const reachability = createReachability(log, "store");
-  let lookedAt = -Infinity;
-
-  async function turn(): Promise<void> {
-    const waitMs = options.isLonely() ? LONELY_LOOK_MS : QUIET_LOOK_MS;
-    if (performance.now() - lookedAt >= waitMs) await look();
-    timer = setTimeout(turn, LONELY_LOOK_MS);
+  const reachability = createReachabilityLog(log, "store");
+  let lastPollAtMs = -Infinity;
+
+  async function runCycle(): Promise<void> {
+    const waitMs = options.isDisconnected()
+      ? DISCONNECTED_POLL_INTERVAL_MS
+      : CONNECTED_POLL_INTERVAL_MS;
+    if (performance.now() - lastPollAtMs >= waitMs) await poll();
+    timer = setTimeout(runCycle, DISCONNECTED_POLL_INTERVAL_MS);
   }
 
-  async function look(): Promise<void> {
-    lookedAt = performance.now();
-    const listing = await store.listStale(PREFIX);
+  async function poll(): Promise<void> {
+    lastPollAtMs = performance.now();
+    const listing = await store.listStale(ENTRY_KEY_PREFIX);
     if (listing.isErr()) return reachability.lost(listing.error.message);
     reachability.reached();
     options.found(listing.value.values.map((item) => item.value));
   }
 
-  turn();
+  runCycle();
   return { stop: () => clearTimeout(timer) };
 }
--- a/packages/runtime/src/pause.ts
+++ b/packages/runtime/src/pause.ts
@@ -1,36 +1,38 @@
 /**
- * Notices that the process stood still: as a whole VM does when it is suspended,
- * which the steady clock may leave out, or when it gets no processor time.
+ * Detects that the process was paused, either because the whole VM was suspended,
+ * which the monotonic clock may not count, or because it got no CPU time.
  */
 
-/** The time of day is corrected by less than this between two looks. */
-const CLOCK_CORRECTION_MS = 300;
+/** Clock synchronization adjusts the wall clock by less between two checks. */
+const MAX_CLOCK_CORRECTION_MS = 300;
 
-export interface PauseOptions {
-  /** Never jumps, and may leave out the time of a suspension. */
-  steadyMs(): number;
-  /** The time of day; may jump. */
+export interface PauseDetectorOptions {
+  /** Monotonic clock; may not count time during a suspension. */
+  monotonicMs(): number;
+  /** Wall clock; may jump. */
   wallMs(): number;
-  /** Longest time between two looks of a process that runs. */
-  readonly longestTurnMs: number;
+  /** Maximum time between two checks while the process is running. */
+  readonly maxIntervalMs: number;
 }
 
-export interface PauseWatch {
-  /** True once after each pause; to be asked at every tick and every input. */
-  isOver(): boolean;
+export interface PauseDetector {
+  /** True once after each pause; must be called on every tick and every input. */
+  hasPaused(): boolean;
 }
 
-export function watchForPause(clocks: PauseOptions): PauseWatch {
-  let steadyMs = clocks.steadyMs();
-  let wallMs = clocks.wallMs();
+export function createPauseDetector(
+  options: PauseDetectorOptions,
+): PauseDetector {
+  let lastMonotonicMs = options.monotonicMs();
+  let lastWallMs = options.wallMs();
   return {
-    isOver() {
-      const turnMs = clocks.steadyMs() - steadyMs;
-      const wallTurnMs = clocks.wallMs() - wallMs;
-      steadyMs += turnMs;
-      wallMs += wallTurnMs;
-      return turnMs > clocks.longestTurnMs ||
-        wallTurnMs - turnMs > CLOCK_CORRECTION_MS;
+    hasPaused() {
+      const monotonicElapsedMs = options.monotonicMs() - lastMonotonicMs;
+      const wallElapsedMs = options.wallMs() - lastWallMs;
+      lastMonotonicMs += monotonicElapsedMs;
+      lastWallMs += wallElapsedMs;
+      return monotonicElapsedMs > options.maxIntervalMs ||
+        wallElapsedMs - monotonicElapsedMs > MAX_CLOCK_CORRECTION_MS;
     },
   };
 }
--- a/packages/runtime/src/pause_test.ts
+++ b/packages/runtime/src/pause_test.ts
@@ -1,37 +1,37 @@
 import { expect } from "chai";
-import { watchForPause } from "./pause.ts";
+import { createPauseDetector } from "./pause.ts";
 
-function createBench() {
-  const clocks = { steady: 0, wall: 1_000_000 };
-  const watch = watchForPause({
-    steadyMs: () => clocks.steady,
+function createHarness() {
+  const clocks = { monotonic: 0, wall: 1_000_000 };
+  const detector = createPauseDetector({
+    monotonicMs: () => clocks.monotonic,
     wallMs: () => clocks.wall,
-    longestTurnMs: 450,
+    maxIntervalMs: 450,
   });
   return {
-    isOverAfter(steadyMs: number, wallMs: number): boolean {
-      clocks.steady += steadyMs;
+    hasPausedAfter(monotonicMs: number, wallMs: number): boolean {
+      clocks.monotonic += monotonicMs;
       clocks.wall += wallMs;
-      return watch.isOver();
+      return detector.hasPaused();
     },
   };
 }
 
-describe("a watch for pauses", () => {
-  it("notices a turn that took too long, once", () => {
-    const bench = createBench();
-    expect(bench.isOverAfter(200, 200)).to.equal(false);
-    expect(bench.isOverAfter(3000, 3000)).to.equal(true);
-    expect(bench.isOverAfter(25, 25)).to.equal(false);
+describe("pause detector", () => {
+  it("reports an overlong interval between checks once", () => {
+    const harness = createHarness();
+    expect(harness.hasPausedAfter(200, 200)).to.equal(false);
+    expect(harness.hasPausedAfter(3000, 3000)).to.equal(true);
+    expect(harness.hasPausedAfter(25, 25)).to.equal(false);
   });
 
-  it("notices a suspension that the steady clock leaves out", () => {
-    const bench = createBench();
-    expect(bench.isOverAfter(10, 3010)).to.equal(true);
-    expect(bench.isOverAfter(10, 10)).to.equal(false);
+  it("detects a suspension that the monotonic clock does not count", () => {
+    const harness = createHarness();
+    expect(harness.hasPausedAfter(10, 3010)).to.equal(true);
+    expect(harness.hasPausedAfter(10, 10)).to.equal(false);
   });
 
-  it("takes no notice of a time of day that is set back", () => {
-    expect(createBench().isOverAfter(25, -2400)).to.equal(false);
+  it("ignores a wall clock that is set back", () => {
+    expect(createHarness().hasPausedAfter(25, -2400)).to.equal(false);
   });
 });
--- a/packages/runtime/src/ports.ts
+++ b/packages/runtime/src/ports.ts
@@ -1,4 +1,4 @@
-/** What the processes need from whoever speaks to the outside. */
+/** Interfaces of the external systems that the processes depend on. */
 import type { QueueTable } from "@coltsfootreach/run";
 import type {
   ListOrder,
@@ -10,21 +10,20 @@
 } from "@coltsfootreach/worker";
 import type { Result } from "neverthrow";
 
-/** Gives orders to the backend server of this VM; never rejects. */
+/** Client of this VM's backend server; its promises never reject. */
 export interface ServerCalls {
   start(order: StartOrder): Promise<StartReply>;
   stop(order: StopOrder): Promise<StopReply>;
   list(order: ListOrder): Promise<ListReply>;
 }
 
-/** Where the operators' configuration lies, and how it is read. */
+/** Store key of the operators' configuration, and its decoder. */
 export interface ConfigurationDocument {
-  /** Key in the store. */
   readonly key: string;
   decode(text: string): Result<QueueTable, InvalidDocument>;
 }
 
-/** A document that cannot be used, with the field at fault. */
+/** A document that fails validation, with the invalid field. */
 export class InvalidDocument extends Error {
   constructor(readonly field: string, reason: string) {
     super(`${field}: ${reason}`);
--- a/packages/runtime/src/reachability.ts
+++ b/packages/runtime/src/reachability.ts
@@ -1,27 +1,27 @@
-/** Logs a line when a dependency is lost, and one when it is regained. */
+/** Logs when a dependency becomes unreachable and when it is reachable again. */
 import type { Log } from "@coltsfootreach/log";
 
-export interface Reachability {
+export interface ReachabilityLog {
   reached(): void;
-  /** May be called again and again; only the first loss is logged. */
+  /** May be called repeatedly; only the first call of an outage is logged. */
   lost(reason: string): void;
 }
 
-export function createReachability(
+export function createReachabilityLog(
   log: Log,
   dependency: string,
-): Reachability {
+): ReachabilityLog {
   let isReachable: boolean | undefined;
   return {
     reached() {
       if (isReachable === true) return;
       isReachable = true;
-      log.info(`${dependency} reached`);
+      log.info(`${dependency} is reachable`);
     },
     lost(reason) {
       if (isReachable === false) return;
       isReachable = false;
-      log.warn(`${dependency} lost`, { reason });
+      log.warn(`${dependency} is unreachable`, { reason });
     },
   };
 }
--- a/packages/runtime/src/shared_record.ts
+++ b/packages/runtime/src/shared_record.ts
@@ -1,86 +1,99 @@
 /**
- * Keeps in the store what entries have learnt, for those that start after an
- * outage and know nothing yet. Every entry reads it when it starts; one of them
- * writes it.
+ * Persists the entries' estimates in the store, for entries that start after an
+ * outage without any observations. Every entry reads the record when it starts;
+ * a single entry writes it.
  */
 import type { Log } from "@coltsfootreach/log";
 import type { Store, Versioned } from "@coltsfootreach/store";
 
-/** Numbers by name. */
-export type NumberTable = Readonly<Record<string, number>>;
+/** Estimated values by name. */
+export type EstimateTable = Readonly<Record<string, number>>;
 
-/** What learns, such as how much time callers usually have. */
-export interface Learner {
-  table(): NumberTable;
-  adopt(table: NumberTable): void;
+/** Derives estimates from observations, such as callers' usual timeouts. */
+export interface Estimator {
+  table(): EstimateTable;
+  adopt(table: EstimateTable): void;
 }
 
-/** Time between looks of the entry that writes. */
-const LOOK_MS = 5000;
+/** Interval at which the writing entry synchronizes the record. */
+const SYNC_INTERVAL_MS = 5000;
 
-/** Until the record has been read, an entry that starts asks this often. */
-const FIRST_LOOK_MS = 500;
+/** Interval at which a starting entry retries until it has read the record. */
+const INITIAL_READ_INTERVAL_MS = 500;
 
-/** Changes of less than this share aren't written. */
-const CHANGE_SHARE = 0.1;
+/** Smaller relative changes are not written. */
+const MIN_RELATIVE_CHANGE = 0.1;
 
 export interface SharedRecordOptions {
   readonly store: Store;
   readonly key: string;
-  readonly learner: Learner;
+  readonly estimator: Estimator;
   readonly log: Log;
   /** True for one entry of the fleet. */
   isWriter(): boolean;
 }
 
-export function keepRecord(options: SharedRecordOptions): { stop(): void } {
-  const { store, key, learner, log } = options;
+export function syncSharedRecord(
+  options: SharedRecordOptions,
+): { stop(): void } {
+  const { store, key, estimator, log } = options;
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
-  let isRead = false;
+  let hasRead = false;
 
-  async function turn(): Promise<void> {
-    if (!isRead || options.isWriter()) await look();
-    if (!isStopped) timer = setTimeout(turn, isRead ? LOOK_MS : FIRST_LOOK_MS);
+  async function runCycle(): Promise<void> {
+    if (!hasRead || options.isWriter()) await sync();
+    if (!isStopped) {
+      timer = setTimeout(
+        runCycle,
+        hasRead ? SYNC_INTERVAL_MS : INITIAL_READ_INTERVAL_MS,
+      );
+    }
   }
 
-  async function look(): Promise<void> {
+  async function sync(): Promise<void> {
     const listing = await store.listStale(key);
-    // A store that is away is reported by the looks for entries.
+    // Membership already logs that the store is unreachable.
     if (listing.isErr()) return;
-    const item = listing.value.values.find((one) => one.key === key);
+    const item = listing.value.values.find((candidate) =>
+      candidate.key === key
+    );
     const recorded = item === undefined ? {} : decode(item);
-    learner.adopt(recorded);
-    isRead = true;
-    const table = learner.table();
-    const isDue = options.isWriter() && hasChanged(recorded, table);
-    if (isDue && !isStopped) await write(table, item);
+    estimator.adopt(recorded);
+    hasRead = true;
+    const table = estimator.table();
+    const isWriteNeeded = options.isWriter() && hasChanged(recorded, table);
+    if (isWriteNeeded && !isStopped) await write(table, item);
   }
 
   async function write(
-    table: NumberTable,
-    before: Versioned | undefined,
+    table: EstimateTable,
+    previous: Versioned | undefined,
   ): Promise<void> {
     const swapped = await store.swap({
       key,
       value: JSON.stringify(table),
-      expectedRevision: before?.revision ?? 0,
+      expectedRevision: previous?.revision ?? 0,
     });
-    // What another entry has written meanwhile is compared at the next look.
+    // After a conflict, the next sync compares with the other entry's write.
     if (swapped.isOk()) return;
-    log.warn("record not written", { reason: swapped.error.message });
+    log.warn("write of the shared record was not confirmed", {
+      reason: swapped.error.message,
+    });
   }
 
-  function decode(item: Versioned): NumberTable {
+  function decode(item: Versioned): EstimateTable {
     try {
-      return onlyNumbers(JSON.parse(item.value));
+      return selectPositiveNumbers(JSON.parse(item.value));
     } catch (error) {
-      log.warn("record not usable", { reason: `${key}: ${error}` });
+      log.warn("shared record is invalid and was ignored", {
+        reason: `${key}: ${error}`,
+      });
       return {};
     }
   }
 
-  turn();
+  runCycle();
   return {
     stop() {
       isStopped = true;
@@ -89,17 +102,18 @@
   };
 }
 
-function onlyNumbers(document: unknown): NumberTable {
-  const rows = Object.entries(document ?? {}).filter(([, value]) =>
+function selectPositiveNumbers(document: unknown): EstimateTable {
+  const pairs = Object.entries(document ?? {}).filter(([, value]) =>
     typeof value === "number" && value > 0
   );
-  return Object.fromEntries(rows);
+  return Object.fromEntries(pairs);
 }
 
-function hasChanged(before: NumberTable, after: NumberTable): boolean {
-  return Object.entries(after).some(([name, value]) => {
-    const known = before[name];
-    if (known === undefined) return true;
-    return Math.abs(value - known) > known * CHANGE_SHARE;
+function hasChanged(recorded: EstimateTable, current: EstimateTable): boolean {
+  return Object.entries(current).some(([name, value]) => {
+    const recordedValue = recorded[name];
+    if (recordedValue === undefined) return true;
+    return Math.abs(value - recordedValue) >
+      recordedValue * MIN_RELATIVE_CHANGE;
   });
 }
--- a/packages/runtime/src/shared_record_test.ts
+++ b/packages/runtime/src/shared_record_test.ts
@@ -3,7 +3,7 @@
 import { createFakeClock, createMemoryStore } from "@coltsfootreach/standin";
 import type { Store } from "@coltsfootreach/store";
 import { expect } from "chai";
-import { keepRecord, type Learner } from "./shared_record.ts";
+import { type Estimator, syncSharedRecord } from "./shared_record.ts";
 
 const LOG = createLog({
   role: "entry",
@@ -15,60 +15,62 @@
 
 const KEY = "shared/test";
 
-/** One entry's life: it reads, learns nothing more, writes and ends. */
-async function live(
+/** Runs an entry that reads the record, writes it if it may, and stops. */
+async function runEntry(
   store: Store,
-  learner: Learner,
+  estimator: Estimator,
   isWriter = true,
 ): Promise<void> {
-  const record = keepRecord({
+  const sharedRecord = syncSharedRecord({
     store,
     key: KEY,
-    learner,
+    estimator,
     log: LOG,
     isWriter: () => isWriter,
   });
   await new Promise((resolve) => setTimeout(resolve, 20));
-  record.stop();
+  sharedRecord.stop();
 }
 
-function learnt(queue: string): Patience {
-  const patience = createPatience();
-  for (let count = 0; count < 20; count += 1) patience.learn(queue, 2000);
-  return patience;
+function createTrainedEstimator(queue: string): Patience {
+  const estimator = createPatience();
+  for (let count = 0; count < 20; count += 1) estimator.learn(queue, 2000);
+  return estimator;
 }
 
-describe("what entries have learnt", () => {
-  it("outlives the entry that has written it", async () => {
+describe("shared record", () => {
+  it("is available after its writer has stopped", async () => {
     const store = createMemoryStore(createFakeClock());
-    await live(store, learnt("a"));
-    const after = createPatience();
-    await live(store, after, false);
-    expect(after.ageMs("a", 800)).to.equal(1000);
+    await runEntry(store, createTrainedEstimator("a"));
+    const restarted = createPatience();
+    await runEntry(store, restarted, false);
+    expect(restarted.ageMs("a", 800)).to.equal(1000);
   });
 
-  it("is written by one entry only", async () => {
+  it("is written only by the writer", async () => {
     const store = createMemoryStore(createFakeClock());
-    await live(store, learnt("a"), false);
-    const after = createPatience();
-    await live(store, after);
-    expect(after.table()).to.deep.equal({});
+    await runEntry(store, createTrainedEstimator("a"), false);
+    const restarted = createPatience();
+    await runEntry(store, restarted);
+    expect(restarted.table()).to.deep.equal({});
   });
 
-  it("keeps what the writer has not heard of", async () => {
+  it("keeps values that the current writer has not observed", async () => {
     const store = createMemoryStore(createFakeClock());
-    for (const queue of ["a", "b"]) await live(store, learnt(queue));
-    const after = createPatience();
-    await live(store, after);
-    expect(after.table()).to.deep.equal({ a: 2000, b: 2000 });
+    for (const queue of ["a", "b"]) {
+      await runEntry(store, createTrainedEstimator(queue));
+    }
+    const restarted = createPatience();
+    await runEntry(store, restarted);
+    expect(restarted.table()).to.deep.equal({ a: 2000, b: 2000 });
   });
 
-  it("is left out where it can't be read", async () => {
+  it("is ignored if it can't be decoded", async () => {
     const store = createMemoryStore(createFakeClock());
     const value = '{"a":"fast","b":';
     await store.swap({ key: KEY, value, expectedRevision: 0 });
-    const patience = createPatience();
-    await live(store, patience);
-    expect(patience.table()).to.deep.equal({});
+    const estimator = createPatience();
+    await runEntry(store, estimator);
+    expect(estimator.table()).to.deep.equal({});
   });
 });
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -1,4 +1,4 @@
-/** A side: the one process that talks to the backend server of its VM. */
+/** The side process: the only client of its VM's backend server. */
 import { setTimeout } from "node:timers/promises";
 import type { Log } from "@coltsfootreach/log";
 import {
@@ -9,18 +9,18 @@
 import type { Store } from "@coltsfootreach/store";
 import { createWorkerCore, type WorkerEffect } from "@coltsfootreach/worker";
 import { createDecisionLog } from "./decision_log.ts";
-import { formatCounts } from "./entry_metrics.ts";
+import { formatCounters } from "./entry_metrics.ts";
 import { createEntryStreams } from "./entry_streams.ts";
-import { runLoop, steadyNow } from "./loop.ts";
-import { findEntries } from "./membership.ts";
-import { watchForPause } from "./pause.ts";
+import { monotonicNowMs, startCoreLoop } from "./loop.ts";
+import { discoverEntries } from "./membership.ts";
+import { createPauseDetector } from "./pause.ts";
 import type { ServerCalls } from "./ports.ts";
 
-/** Time between ticks while nothing runs or is to be reported. */
+/** Tick interval while there are no runs and no unsent report. */
 const IDLE_TICK_MS = 200;
 
-/** Time between looks whether the last run has ended, while stopping. */
-const DRAIN_LOOK_MS = 50;
+/** Interval for checking whether all runs have ended while draining. */
+const DRAIN_POLL_INTERVAL_MS = 50;
 
 export interface SideOptions {
   readonly name: string;
@@ -33,67 +33,70 @@
 
 export interface SideProcess {
   announced(announcement: Announcement): void;
-  /** The backend server with this id has left. */
+  /** The backend server with this ID has left. */
   left(id: string): void;
-  /** Counters, as text for a collector. */
+  /** Counters as Prometheus text. */
   metricsText(): string;
-  /** Starts nothing more, lets runs end for at most so long, and leaves. */
+  /** Drains: starts no new runs, waits up to `graceMs` for runs, then stops. */
   stop(graceMs: number): Promise<void>;
 }
 
 export function startSide(options: SideOptions): SideProcess {
-  const { log, calls } = options;
-  const decisions = createDecisionLog(log);
+  const { log, calls: server } = options;
+  const decisionLog = createDecisionLog(log);
   const core = createWorkerCore({
     side: options.name,
     dataCentre: options.dataCentre,
     timing: options.timing,
   });
-  const pause = watchForPause({
-    steadyMs: steadyNow,
+  const pauseDetector = createPauseDetector({
+    monotonicMs: monotonicNowMs,
     wallMs: Date.now,
-    longestTurnMs: options.timing.pauseThresholdMs,
+    maxIntervalMs: options.timing.pauseThresholdMs,
   });
-  const loop = runLoop({
+  const loop = startCoreLoop({
     tickMs: () =>
       core.runs() > 0 || core.hasUnsentReport() ? BUSY_TICK_MS : IDLE_TICK_MS,
     tick(now) {
-      if (pause.isOver()) core.suspended(now);
+      if (pauseDetector.hasPaused()) core.suspended(now);
       core.tick(now);
     },
-    carryOut,
+    applyEffects,
   });
   const streams = createEntryStreams({
     opened(owner) {
-      core.ownerOpened(owner, steadyNow());
-      loop.poke();
+      core.ownerOpened(owner, monotonicNowMs());
+      loop.wake();
     },
     received(owner, frame) {
-      if (pause.isOver()) core.suspended(steadyNow());
-      core.ownerSent(owner, frame, steadyNow());
-      if (frame.entries !== undefined) streams.know(frame.entries);
-      loop.poke();
+      if (pauseDetector.hasPaused()) core.suspended(monotonicNowMs());
+      core.ownerSent(owner, frame, monotonicNowMs());
+      if (frame.entries !== undefined) streams.addAddresses(frame.entries);
+      loop.wake();
     },
     closed(owner) {
-      core.ownerClosed(owner, steadyNow());
-      loop.poke();
+      core.ownerClosed(owner, monotonicNowMs());
+      loop.wake();
     },
-    failed(entry, fault) {
-      log.error("stream ended", { entry, reason: fault.message });
+    failed(entry, error) {
+      log.error(
+        "stream to an entry closed: a frame could not be decoded or handled",
+        { entry, reason: error.message },
+      );
     },
   });
-  const finder = findEntries({
+  const discovery = discoverEntries({
     store: options.store,
     log,
-    isLonely: () => streams.connected() === 0,
-    found: streams.know,
+    isDisconnected: () => streams.connected() === 0,
+    found: streams.addAddresses,
   });
 
-  function carryOut(now: number): void {
-    for (const effect of core.takeEffects(now)) perform(effect, now);
+  function applyEffects(now: number): void {
+    for (const effect of core.takeEffects(now)) applyEffect(effect, now);
   }
 
-  function perform(effect: WorkerEffect, now: number): void {
+  function applyEffect(effect: WorkerEffect, now: number): void {
     switch (effect.kind) {
       case "send":
         streams.send(effect.owner, effect.frame);
@@ -102,55 +105,55 @@
         streams.close(effect.owner);
         return;
       case "log":
-        decisions.write(effect.decision, now);
+        decisionLog.write(effect.decision, now);
         return;
       default:
-        call(effect);
+        callServer(effect);
     }
   }
 
-  async function call(
+  async function callServer(
     effect: Extract<WorkerEffect, { kind: "start" | "stop" | "list" }>,
   ): Promise<void> {
     if (effect.kind === "start") {
-      const reply = await calls.start(effect.order);
-      core.startReplied(effect.order.ref, reply, steadyNow());
+      const reply = await server.start(effect.order);
+      core.startReplied(effect.order.ref, reply, monotonicNowMs());
     } else if (effect.kind === "stop") {
-      const reply = await calls.stop(effect.order);
-      core.stopReplied(effect.order.ref, reply, steadyNow());
+      const reply = await server.stop(effect.order);
+      core.stopReplied(effect.order.ref, reply, monotonicNowMs());
     } else {
-      const reply = await calls.list(effect.order);
-      core.listReplied(effect.order, reply, steadyNow());
+      const reply = await server.list(effect.order);
+      core.listReplied(effect.order, reply, monotonicNowMs());
     }
-    loop.poke();
+    loop.wake();
   }
 
   return {
     announced(announcement) {
       core.announced(announcement);
-      loop.poke();
+      loop.wake();
     },
     left(id) {
       core.left(id);
-      loop.poke();
+      loop.wake();
     },
     metricsText() {
       const counts = {
         ...core.counts(),
         runsLive: core.runs(),
         entriesConnected: streams.connected(),
-        logLinesDropped: decisions.dropped(),
+        logLinesDropped: decisionLog.dropped(),
       };
-      return `${formatCounts(counts).join("\n")}\n`;
+      return `${formatCounters(counts).join("\n")}\n`;
     },
     async stop(graceMs) {
       core.close();
-      loop.poke();
-      const deadline = steadyNow() + graceMs;
-      while (core.runs() > 0 && steadyNow() < deadline) {
-        await setTimeout(DRAIN_LOOK_MS);
+      loop.wake();
+      const deadline = monotonicNowMs() + graceMs;
+      while (core.runs() > 0 && monotonicNowMs() < deadline) {
+        await setTimeout(DRAIN_POLL_INTERVAL_MS);
       }
-      finder.stop();
+      discovery.stop();
       streams.stop();
       loop.stop();
     },
--- a/packages/stream/src/index.ts
+++ b/packages/stream/src/index.ts
@@ -1,4 +1,4 @@
-/** Streams of frames between entries and sides. */
+/** Frame streams between entries and sides. */
 export * from "./stream.ts";
 export * from "./dial.ts";
 export * from "./listen.ts";
--- a/packages/stream/src/listen.ts
+++ b/packages/stream/src/listen.ts
@@ -1,23 +1,23 @@
-/** Takes in streams that other processes open. */
+/** Accepts incoming streams from other processes. */
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { ListenFailed } from "@coltsfootreach/errors";
 import { ResultAsync } from "neverthrow";
-import { streamOver } from "./socket_stream.ts";
-import type { Accept, FrameCheck } from "./stream.ts";
+import { createSocketStream } from "./socket_stream.ts";
+import type { Accept, FrameGuard } from "./stream.ts";
 
-/** After an outage all sides of a fleet may connect at the same moment. */
+/** After an outage, all sides of a fleet may connect at the same time. */
 const BACKLOG_CONNECTIONS = 4096;
 
 export interface ListenOptions<In, Out> {
-  /** As `IP:port`; port 0 picks a free one. */
+  /** As `IP:port`; port 0 selects a free port. */
   readonly address: string;
-  readonly isFrame: FrameCheck<In>;
+  readonly isFrame: FrameGuard<In>;
   readonly accept: Accept<In, Out>;
 }
 
 export interface StreamServer {
   readonly port: number;
-  /** Ends all streams and takes no more. */
+  /** Closes all streams and stops accepting new ones. */
   close(): void;
 }
 
@@ -28,7 +28,10 @@
   const server = createServer({ noDelay: true }, (socket) => {
     sockets.add(socket);
     socket.on("close", () => sockets.delete(socket));
-    const { stream, listen } = streamOver<In, Out>(socket, options.isFrame);
+    const { stream, listen } = createSocketStream<In, Out>(
+      socket,
+      options.isFrame,
+    );
     listen(options.accept(stream));
   });
 
@@ -38,8 +41,8 @@
   }
 
   const [host, port] = options.address.split(":");
-  const bound = new Promise<StreamServer>((resolve, reject) => {
-    // Later ones, as of a connection that can't be accepted, end nothing.
+  const listening = new Promise<StreamServer>((resolve, reject) => {
+    // Errors after startup, such as a failed accept, don't stop the server.
     server.on("error", reject);
     server.listen(
       { host: host!, port: Number(port), backlog: BACKLOG_CONNECTIONS },
@@ -47,7 +50,7 @@
     );
   });
   return ResultAsync.fromPromise(
-    bound,
+    listening,
     (error) => new ListenFailed("notRun", String(error)),
   );
 }
--- a/packages/stream/src/socket_stream.ts
+++ b/packages/stream/src/socket_stream.ts
@@ -1,15 +1,15 @@
-/** Makes a `Stream` of a TCP connection. */
+/** Implements `Stream` over a TCP connection. */
 import type { Socket } from "node:net";
 import { Packr, UnpackrStream } from "msgpackr";
-import type { FrameCheck, Stream, StreamListener } from "./stream.ts";
+import type { FrameGuard, Stream, StreamListener } from "./stream.ts";
 
-/** Largest frame that is waited for. */
+/** Maximum size of an incomplete frame that is buffered. */
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-/** What was written before the end has this long to leave. */
-const FLUSH_MS = 1000;
+/** Time to flush pending writes after closing, before the socket is destroyed. */
+const FLUSH_TIMEOUT_MS = 1000;
 
-/** Bytes that hold no frame. */
+/** Received bytes that are not a valid frame. */
 export class InvalidFrame extends Error {
   constructor(reason: string) {
     super(`invalid frame: ${reason}`);
@@ -19,68 +19,72 @@
 
 export interface SocketStream<In, Out> {
   readonly stream: Stream<Out>;
-  /** Starts to report to the listener. */
+  /** Sets the listener that receives the stream's events. */
   listen(listener: StreamListener<In>): void;
 }
 
-export function streamOver<In, Out>(
+export function createSocketStream<In, Out>(
   socket: Socket,
-  isFrame: FrameCheck<In>,
+  isFrame: FrameGuard<In>,
 ): SocketStream<In, Out> {
-  // Each record layout is written once for a connection.
+  // Each record structure is sent only once per connection.
   const packr = new Packr({ sequential: true });
   const unpackr = new UnpackrStream({
     maxIncompleteBufferSize: MAX_FRAME_BYTES,
   });
   let listener: StreamListener<In> | undefined;
-  let isOver = false;
+  let isClosed = false;
   let isSaturated = false;
 
-  function end(fault?: Error): void {
-    if (isOver) return;
-    isOver = true;
-    if (fault === undefined) socket.end();
+  function closeStream(error?: Error): void {
+    if (isClosed) return;
+    isClosed = true;
+    if (error === undefined) socket.end();
     else socket.destroy();
-    setTimeout(() => socket.destroy(), FLUSH_MS).unref();
-    listener?.closed(fault);
+    setTimeout(() => socket.destroy(), FLUSH_TIMEOUT_MS).unref();
+    listener?.closed(error);
   }
 
-  function take(frame: unknown): void {
-    if (isOver) return;
-    if (!isFrame(frame)) return end(new InvalidFrame("wrong shape"));
+  function handleFrame(frame: unknown): void {
+    if (isClosed) return;
+    if (!isFrame(frame)) {
+      return closeStream(
+        new InvalidFrame("value does not match the frame type"),
+      );
+    }
     try {
       listener?.received(frame);
     } catch (error) {
-      // A frame that can't be handled costs its sender the connection only.
-      end(error instanceof Error ? error : new Error(String(error)));
+      // A frame that can't be handled closes only the connection it came from.
+      closeStream(error instanceof Error ? error : new Error(String(error)));
     }
   }
 
   socket.on("data", (bytes) => {
-    if (!isOver) unpackr.write(bytes);
+    if (!isClosed) unpackr.write(bytes);
   });
-  unpackr.on("data", take);
-  unpackr.on("error", (error) => end(new InvalidFrame(error.message)));
+  unpackr.on("data", handleFrame);
+  unpackr.on("error", (error) => closeStream(new InvalidFrame(error.message)));
   socket.on("drain", () => {
     isSaturated = false;
-    if (!isOver) listener?.drained();
+    if (!isClosed) listener?.drained();
   });
-  // The end of a connection that broke follows as "close".
+  // A "close" event follows the error and closes the stream.
   socket.on("error", () => {});
-  socket.on("end", () => end());
-  socket.on("close", () => end());
+  socket.on("end", () => closeStream());
+  socket.on("close", () => closeStream());
 
   return {
     stream: {
       send(frame) {
-        if (!isOver) isSaturated = !socket.write(packr.pack(frame));
+        if (!isClosed) isSaturated = !socket.write(packr.pack(frame));
       },
       isSaturated: () => isSaturated,
-      close: () => end(),
+      close: () => closeStream(),
     },
-    listen(next) {
-      listener = next;
-      if (isOver) next.closed();
+    listen(newListener) {
+      listener = newListener;
+      if (isClosed) newListener.closed();
     },
   };
 }
--- a/packages/stream/src/stream.ts
+++ b/packages/stream/src/stream.ts
@@ -1,29 +1,29 @@
 /**
- * A stream of frames to another process. It carries frames in order while it
- * lives and says when it is over; nothing is repeated by itself.
+ * A stream of frames to another process. It delivers frames in order while it is
+ * open and reports when it has closed; it never retransmits frames.
  */
 
 export interface Stream<Out> {
-  /** Writes a frame; frames written after the end are dropped. */
+  /** Writes a frame; frames written after the stream closed are dropped. */
   send(frame: Out): void;
-  /** True while the transport holds as much as it should. */
+  /** True while the transport's write buffer is full. */
   isSaturated(): boolean;
   close(): void;
 }
 
 export interface StreamListener<In> {
   received(frame: In): void;
-  /** The transport takes frames again. */
+  /** The transport's write buffer has drained and accepts frames again. */
   drained(): void;
   /**
-   * Called once, however the stream ended; with the error when what came could
-   * not be decoded or handled.
+   * Called exactly once when the stream closes, for whatever reason; has the
+   * error if a received frame could not be decoded or handled.
    */
-  closed(fault?: Error): void;
+  closed(error?: Error): void;
 }
 
-/** Told of each stream that another process opens. */
+/** Called for each incoming stream; returns the listener for its events. */
 export type Accept<In, Out> = (stream: Stream<Out>) => StreamListener<In>;
 
-/** Tells frames from other values. */
-export type FrameCheck<Frame> = (value: unknown) => value is Frame;
+/** Type guard for received values. */
+export type FrameGuard<Frame> = (value: unknown) => value is Frame;
