--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the two shipped binaries; libraries stay outside the bundle.
+// Bundles the two distributed binaries; npm dependencies stay external.
 import { build } from "esbuild";
 
 const BINARIES = [
@@ -6,13 +6,13 @@
   ["packages/cli/src/main.ts", "packages/cli/dist/coltsfootreach.js"],
 ];
 
-// Workspace packages are source, so they go into the bundle; npm packages do not.
-const keepNpmPackagesOutside = {
-  name: "keep-npm-packages-outside",
+// Workspace packages exist only as source, so they are bundled.
+const externalizeNpmPackages = {
+  name: "externalize-npm-packages",
   setup(plugin) {
     plugin.onResolve({ filter: /^[^./]/ }, (request) => {
-      const own = request.path.startsWith("@coltsfootreach/");
-      return own || request.kind === "entry-point"
+      const isWorkspacePackage = request.path.startsWith("@coltsfootreach/");
+      return isWorkspacePackage || request.kind === "entry-point"
         ? undefined
         : { path: request.path, external: true };
     });
@@ -29,7 +29,7 @@
     format: "esm",
     sourcemap: true,
     banner: { js: "#!/usr/bin/env node" },
-    plugins: [keepNpmPackagesOutside],
+    plugins: [externalizeNpmPackages],
     logLevel: "warning",
   });
 }
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -1,17 +1,18 @@
-// Bundles the program for the users' platform into one file, libraries
-// included, with V8's compiled code beside it: small VMs start in half the time.
+// Bundles the executable for the users' platform and its dependencies into one
+// file, with a V8 code cache beside it that halves the start-up time on small
+// VMs.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { copyFileSync, rmSync } from "node:fs";
 import path from "node:path";
 
-const WARM_UP = "packages/soak/src/warm_up.ts";
+const WARM_UP_SCRIPT = "packages/soak/src/warm_up.ts";
 
 const WARM_UP_TIMEOUT_MS = 60_000;
 
-// The whole of undici also sets up fetch, WebSocket and caches at start.
-const usePoolAlone = {
-  name: "use-pool-alone",
+// The main module of undici also sets up fetch, WebSocket and caches on load.
+const useUndiciPoolOnly = {
+  name: "use-undici-pool-only",
   setup(plugin) {
     plugin.onResolve({ filter: /^undici$/ }, () => ({
       path: path.resolve("scripts/undici_pool.cjs"),
@@ -27,9 +28,9 @@
   platform: "node",
   target: "node20",
   format: "cjs",
-  plugins: [usePoolAlone],
+  plugins: [useUndiciPoolOnly],
   define: {
-    // The native decoder of long texts isn't in the bundle.
+    // msgpackr's native string decoder is not part of the bundle.
     "process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED": '"true"',
   },
   logLevel: "warning",
@@ -39,12 +40,14 @@
 }
 copyFileSync("scripts/load_compiled.cjs", "target/coltsfootreach.cjs");
 
-// Without compiled code the program starts more slowly, and is the same.
+// The code cache only speeds up start-up, so a failure here is not fatal.
 try {
-  execFileSync(process.execPath, ["--import=tsx", WARM_UP], {
+  execFileSync(process.execPath, ["--import=tsx", WARM_UP_SCRIPT], {
     stdio: "ignore",
     timeout: WARM_UP_TIMEOUT_MS,
   });
 } catch (error) {
-  console.error(`not compiled in advance: ${error.message}`);
+  console.error(
+    `built without V8 code cache; start-up will be slower: ${error.message}`,
+  );
 }
--- a/scripts/load_compiled.cjs
+++ b/scripts/load_compiled.cjs
@@ -1,33 +1,33 @@
-// Runs the bundled program with V8's compiled code, where that fits this
-// version of Node.js; it is compiled anew otherwise. Each role has a file of
-// its own: what it has used by the time the file is written.
+// Runs the bundled program with its V8 code cache. V8 rejects a cache from an
+// incompatible version of Node.js and compiles the program instead. Each role
+// has its own cache, with the functions it had used when the cache was written.
 const fs = require("node:fs");
 const path = require("node:path");
 const vm = require("node:vm");
 
 const PROGRAM = path.join(__dirname, "program.cjs");
 
-const COMPILED = path.join(__dirname, `program.${process.argv[2]}.compiled`);
+const CODE_CACHE = path.join(__dirname, `program.${process.argv[2]}.compiled`);
 
 const source = `(function (require, __dirname) {${
   fs.readFileSync(PROGRAM, "utf8")
 }\n})`;
 
-const cachedData = fs.existsSync(COMPILED)
-  ? fs.readFileSync(COMPILED)
+const cachedData = fs.existsSync(CODE_CACHE)
+  ? fs.readFileSync(CODE_CACHE)
   : undefined;
 
 const script = new vm.Script(source, { filename: PROGRAM, cachedData });
 
 script.runInThisContext()(require, __dirname);
 
-// The build lets the program run for so many milliseconds.
-const compileAfterMs = Number(process.env.COLTSFOOTREACH_COMPILE_AFTER_MS);
+// Set by the build: run time in ms before the cache is written.
+const writeCacheAfterMs = Number(process.env.COLTSFOOTREACH_COMPILE_AFTER_MS);
 
-if (compileAfterMs > 0) {
+if (writeCacheAfterMs > 0) {
   setTimeout(() => {
-    fs.writeFileSync(`${COMPILED}.${process.pid}`, script.createCachedData());
-    fs.renameSync(`${COMPILED}.${process.pid}`, COMPILED);
+    fs.writeFileSync(`${CODE_CACHE}.${process.pid}`, script.createCachedData());
+    fs.renameSync(`${CODE_CACHE}.${process.pid}`, CODE_CACHE);
     process.exit(0);
-  }, compileAfterMs);
+  }, writeCacheAfterMs);
 }
--- a/scripts/undici_pool.cjs
+++ b/scripts/undici_pool.cjs
@@ -1,2 +1,2 @@
-// Stands for undici in the platform's bundle.
+// Replaces undici in the platform bundle; exports only `Pool`.
 exports.Pool = require("undici/lib/dispatcher/pool.js");
