--- a/packages/dispatch/src/answer.ts
+++ b/packages/dispatch/src/answer.ts
@@ -1,13 +1,13 @@
-/** What a caller is told about its job. */
+/** Final results of jobs, as reported to callers. */
 
 export type Answer =
-  /** All tasks have ended as done. */
+  /** All tasks completed successfully. */
   | { readonly kind: "completed" }
-  /** Cannot be completed. */
+  /** The job cannot be completed. */
   | { readonly kind: "failed"; readonly reason: FailureReason }
-  /** The caller's time is up; some of its tasks may have run. */
+  /** The caller's timeout expired; some tasks may have run. */
   | { readonly kind: "timedOut" }
-  /** No task has run, and none will. */
+  /** No task has run or will run. */
   | {
     readonly kind: "refused";
     readonly reason: RefusalReason;
@@ -15,19 +15,19 @@
   };
 
 export type FailureReason =
-  /** A task has failed as often as its queue allows. */
+  /** A task used all the attempts that its queue allows. */
   | "attemptsUsed"
-  /** No backend server is large enough or has the label. */
+  /** No backend server has the required capacity or label. */
   | "fitsNowhere";
 
 export type RefusalReason =
-  /** The work ahead of it would make it late. */
+  /** The queued work would delay it beyond its deadline. */
   | "overload"
-  /** No configuration, or no backend server, is known. */
+  /** No configuration or no backend server is available. */
   | "unavailable"
-  /** A kind of job that is not carried out yet. */
+  /** The job uses a feature that is not implemented yet. */
   | "unsupported"
-  /** This entry is about to stop. */
+  /** This entry is shutting down. */
   | "stopping"
-  /** The caller has left. */
+  /** The caller disconnected or resubmitted the job. */
   | "abandoned";
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -1,7 +1,7 @@
 /**
- * An entry's decisions about its callers' jobs: takes or refuses them, offers
- * their tasks to sides, repeats what failed, and answers. A job lives in one
- * entry only; the sides end its runs when the entry is gone.
+ * Accepts or refuses callers' jobs, offers their tasks to sides, retries failed
+ * runs and answers the callers. Only one entry holds the state of a job; the
+ * sides stop its runs when that entry is lost.
  */
 import type {
   Job,
@@ -20,37 +20,37 @@
   SubmissionId,
 } from "./effect.ts";
 import {
-  askStop,
   createLiveJob,
-  type FoundTask,
   type LiveJob,
   type LiveTask,
-  unblock,
+  requestStop,
+  type TaskWithJob,
+  unblockTasks,
 } from "./live_job.ts";
 import {
-  longestChainMs,
+  criticalPathMs,
   objectiveMs,
-  remainingChainMs,
+  remainingPathMs,
   STALE_FACTOR,
 } from "./objective.ts";
 import { latestStart, latestUsefulStart } from "./order.ts";
-import { couldRun } from "./placement.ts";
+import { isCapable } from "./placement.ts";
 import { createPlacer } from "./placer.ts";
-import { createSides } from "./sides.ts";
+import { createSideSessions } from "./sides.ts";
 import { hasOpenServer, type Worker } from "./workers.ts";
 
-/** Time that the answer takes to reach the caller. */
+/** Allowance for the delivery of the answer to the caller. */
 const ANSWER_MARGIN_MS = 60;
 
-/** Time from the start of an entry in which servers are still to be found. */
-const STARTING_MS = 2500;
+/** Time after the start of an entry in which servers are still connecting. */
+const SERVER_DISCOVERY_MS = 2500;
 
 export interface DispatcherOptions {
   readonly entry: string;
   readonly timing: Timing;
-  /** A task takes this much longer away from the rack with its data. */
+  /** Run time factor for tasks placed outside the rack with their data. */
   readonly remoteFactor: number;
-  /** Number from 0 to 1. */
+  /** Returns a number from 0 to 1. */
   random(): number;
 }
 
@@ -59,23 +59,23 @@
   readonly job: Job;
   readonly queue: Queue;
   readonly configurationVersion: number;
-  /** How long the caller has waited before it came here, as far as known. */
+  /** Estimated time that the caller waited before this submission. */
   readonly ageMs: number;
 }
 
 export interface Dispatcher {
   submit(submission: Submission, now: number): void;
-  /** The caller has left. */
+  /** Stops the job of a caller that disconnected. */
   abandon(submission: SubmissionId, now: number): void;
   sessionOpened(session: SessionId, now: number): void;
   sessionSent(session: SessionId, frame: WorkFrame, now: number): void;
   sessionClosed(session: SessionId, now: number): void;
-  /** Addresses of all entries, to be passed on to sides. */
+  /** Sets the addresses of all entries, which are forwarded to sides. */
   setEntries(addresses: readonly string[]): void;
-  /** Refuses jobs that are not expected to end by then. */
+  /** Refuses new jobs that are not expected to end before this time. */
   stopBy(time: number): void;
   tick(now: number): void;
-  /** Places what can be placed; returns what is to be done. */
+  /** Places waiting tasks and returns all pending effects. */
   takeEffects(now: number): readonly DispatchEffect[];
   hasOpenServer(): boolean;
   liveJobs(): number;
@@ -98,16 +98,16 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
   const workers = new Map<SessionId, Worker>();
   const jobs = new Map<SubmissionId, LiveJob>();
-  /** The submission that is live, or whose runs are being stopped, by job. */
-  const byJob = new Map<string, LiveJob>();
-  /** Submissions of jobs whose earlier submission still has runs. */
+  /** Jobs that are active or whose runs are being stopped, by job id. */
+  const liveByJobId = new Map<string, LiveJob>();
+  /** Resubmissions that wait until the runs of an earlier one have ended. */
   const successors = new Map<string, Submission>();
-  const sides = createSides({
+  const sides = createSideSessions({
     entry: options.entry,
     timing: options.timing,
     workers,
-    find,
-    takeNews,
+    findTask,
+    handleRunUpdate,
     send: (session, frame) => effects.push({ kind: "send", session, frame }),
     close: (session) => effects.push({ kind: "close", session }),
     log,
@@ -116,7 +116,7 @@
     workers,
     remoteFactor: options.remoteFactor,
     random: options.random,
-    slowness: () => soundSlowness,
+    slowness: () => baselineSlowness,
     entries: sides.entries,
     isStarting,
     refuse: (live, retryAfterMs, now) =>
@@ -135,12 +135,12 @@
     runsLost: 0,
   };
   let effects: DispatchEffect[] = [];
-  let stopsAt = Infinity;
-  let mayPlace = false;
-  let tickedAt = 0;
-  /** First tick or submission. */
+  let stopDeadline = Infinity;
+  let isPlacementDue = false;
+  let lastTickAt = 0;
+  /** Time of the first tick or submission. */
   let startedAt: number | undefined;
-  let soundSlowness = 1;
+  let baselineSlowness = 1;
 
   function log(decision: DispatchDecision): void {
     effects.push({ kind: "log", decision });
@@ -152,48 +152,51 @@
     startedAt ??= now;
     counts.submitted += 1;
     const { id, job, queue } = submission;
-    const before = byJob.get(job.id);
-    if (before !== undefined) {
-      // The caller has lost its connection and came back here.
-      if (!before.isAnswered) abandonJob(before, now);
-      if (byJob.has(job.id)) {
-        const waiting = successors.get(job.id);
-        if (waiting !== undefined) refuseUnseen(waiting);
+    const previous = liveByJobId.get(job.id);
+    if (previous !== undefined) {
+      // The caller lost its connection and resubmitted the job to this entry.
+      if (!previous.isAnswered) abandonJob(previous, now);
+      if (liveByJobId.has(job.id)) {
+        const superseded = successors.get(job.id);
+        if (superseded !== undefined) refuseSuperseded(superseded);
         successors.set(job.id, submission);
         return;
       }
     }
-    const chain = longestChainMs(job) * soundSlowness;
-    const objective = objectiveMs(chain, queue);
+    const expectedMs = criticalPathMs(job) * baselineSlowness;
+    const objective = objectiveMs(expectedMs, queue);
     const timeoutMs = Math.max(0, job.timeoutMs - ANSWER_MARGIN_MS);
-    const sentAt = now - submission.ageMs;
+    const submittedAt = now - submission.ageMs;
     const live = createLiveJob(job, queue, {
       submission: id,
       arrivedAt: now,
-      dueAt: sentAt + objective,
-      staleAt: Math.min(sentAt + objective * STALE_FACTOR, now + timeoutMs),
-      giveUpAt: now + timeoutMs,
-      chainMs: remainingChainMs(job),
+      dueAt: submittedAt + objective,
+      staleAt: Math.min(
+        submittedAt + objective * STALE_FACTOR,
+        now + timeoutMs,
+      ),
+      timeoutAt: now + timeoutMs,
+      remainingPathMs: remainingPathMs(job),
     });
     jobs.set(id, live);
-    byJob.set(job.id, live);
-    logArrival(live, submission, now);
+    liveByJobId.set(job.id, live);
+    logSubmission(live, submission, now);
     admit(live, now);
   }
 
-  function logArrival(
+  function logSubmission(
     live: LiveJob,
     { configurationVersion, ageMs }: Submission,
     now: number,
   ): void {
     log({
-      message: "job handed in",
+      message: "job submitted",
       job: live.job.id,
       queue: live.queue.name,
       configurationVersion,
       figures: {
         tasks: live.tasks.length,
-        slackMs: Math.round(latestStart(live, soundSlowness) - now),
+        slackMs: Math.round(latestStart(live, baselineSlowness) - now),
         timeoutMs: Math.round(live.job.timeoutMs),
         ageMs: Math.round(ageMs),
         servers: workers.size,
@@ -202,37 +205,37 @@
   }
 
   function admit(live: LiveJob, now: number): void {
-    const chainMs = Math.max(0, ...live.chainMs) * soundSlowness;
-    if (now + chainMs * STOP_FACTOR > stopsAt) {
+    const expectedMs = Math.max(0, ...live.remainingPathMs) * baselineSlowness;
+    if (now + expectedMs * STOP_MARGIN_FACTOR > stopDeadline) {
       return refuse(live, "stopping", 0, now);
     }
     if (!isSupported(live)) return refuse(live, "unsupported", 0, now);
-    if (now > latestUsefulStart(live, soundSlowness)) {
-      return refuse(live, "overload", LATE_RETRY_MS, now);
+    if (now > latestUsefulStart(live, baselineSlowness)) {
+      return refuse(live, "overload", LATE_RETRY_AFTER_MS, now);
     }
     if (live.tasks.length === 0) return complete(live, now);
-    mayPlace = true;
-    // Shortly after the start, servers are about to be heard of.
+    isPlacementDue = true;
+    // Shortly after the start, servers are still connecting.
     if (isStarting(now)) return;
     if (!hasOpenServer(workers)) return refuse(live, "unavailable", 1000, now);
-    if (!couldRunAll(live)) fail(live, "fitsNowhere", now);
+    if (!hasCapableServers(live)) fail(live, "fitsNowhere", now);
   }
 
-  /** Gangs and permits are not built yet; such jobs would never end. */
+  /** Gangs and permits are not implemented; such jobs would never end. */
   function isSupported(live: LiveJob): boolean {
     return !live.queue.isPermitRequired &&
       !live.job.steps.some((step) => step.isGang);
   }
 
   function isStarting(now: number): boolean {
-    return startedAt === undefined || now < startedAt + STARTING_MS;
+    return startedAt === undefined || now < startedAt + SERVER_DISCOVERY_MS;
   }
 
-  function couldRunAll(live: LiveJob): boolean {
+  function hasCapableServers(live: LiveJob): boolean {
     return live.job.steps.every((step) => {
       for (const { report } of workers.values()) {
         if (report?.service !== live.queue.service) continue;
-        if (couldRun(step, report)) return true;
+        if (isCapable(step, report)) return true;
       }
       return false;
     });
@@ -240,15 +243,21 @@
 
   // --- Answers ---
 
-  function answer(live: LiveJob, to: Answer, now: number): void {
+  function answer(live: LiveJob, result: Answer, now: number): void {
     if (live.isAnswered) return;
     live.isAnswered = true;
-    effects.push({ kind: "answer", submission: live.submission, answer: to });
+    effects.push({
+      kind: "answer",
+      submission: live.submission,
+      answer: result,
+    });
     log({
       message: "job answered",
       job: live.job.id,
       queue: live.queue.name,
-      reason: "reason" in to ? `${to.kind}: ${to.reason}` : to.kind,
+      reason: "reason" in result
+        ? `${result.kind}: ${result.reason}`
+        : result.kind,
       figures: {
         ms: Math.round(now - live.arrivedAt),
         lateMs: Math.round(now - live.dueAt),
@@ -260,7 +269,7 @@
   function complete(live: LiveJob, now: number): void {
     counts.completed += 1;
     answer(live, { kind: "completed" }, now);
-    endRuns(live);
+    stopRuns(live);
   }
 
   function fail(
@@ -270,13 +279,13 @@
   ): void {
     counts.failed += 1;
     answer(live, { kind: "failed", reason }, now);
-    endRuns(live);
+    stopRuns(live);
   }
 
   function timeOut(live: LiveJob, now: number): void {
     counts.timedOut += 1;
     answer(live, { kind: "timedOut" }, now);
-    endRuns(live);
+    stopRuns(live);
   }
 
   function refuse(
@@ -287,15 +296,15 @@
   ): void {
     counts.refused += 1;
     answer(live, { kind: "refused", reason, retryAfterMs }, now);
-    endRuns(live);
+    stopRuns(live);
   }
 
-  /** Answers a submission that another one of its job has overtaken. */
-  function refuseUnseen(submission: Submission): void {
+  /** Refuses a pending submission that a newer one of its job replaces. */
+  function refuseSuperseded(submission: Submission): void {
     counts.refused += 1;
     const reason = "abandoned";
-    const to: Answer = { kind: "refused", reason, retryAfterMs: 0 };
-    effects.push({ kind: "answer", submission: submission.id, answer: to });
+    const result: Answer = { kind: "refused", reason, retryAfterMs: 0 };
+    effects.push({ kind: "answer", submission: submission.id, answer: result });
     log({
       message: "job answered",
       job: submission.job.id,
@@ -310,8 +319,8 @@
       if (!live.isAnswered) abandonJob(live, now);
       return;
     }
-    for (const [job, waiting] of successors) {
-      if (waiting.id === submission) successors.delete(job);
+    for (const [job, successor] of successors) {
+      if (successor.id === submission) successors.delete(job);
     }
   }
 
@@ -319,95 +328,97 @@
     counts.abandoned += 1;
     live.isAnswered = true;
     log({
-      message: "job abandoned by its caller",
+      message: "caller abandoned job",
       job: live.job.id,
       queue: live.queue.name,
       figures: { ms: Math.round(now - live.arrivedAt), left: live.left },
     });
-    endRuns(live);
+    stopRuns(live);
   }
 
-  /** Stops what still runs; the job is forgotten when nothing does. */
-  function endRuns(live: LiveJob): void {
+  /** Stops all runs of the job; removes it if none is left. */
+  function stopRuns(live: LiveJob): void {
     for (const task of live.tasks) {
       if (task.state === "placed") stopRun(task);
-      else if (task.state !== "unsure") task.state = "done";
+      else if (task.state !== "unconfirmed") task.state = "done";
     }
-    forgetIfOver(live);
+    removeIfEnded(live);
   }
 
   function stopRun(task: LiveTask): void {
-    if (task.session !== undefined) askStop(task, workers.get(task.session));
+    if (task.session !== undefined) {
+      requestStop(task, workers.get(task.session));
+    }
   }
 
-  function forgetIfOver(live: LiveJob): void {
+  function removeIfEnded(live: LiveJob): void {
     if (!live.isAnswered) return;
-    const isOver = live.tasks.every((task) =>
-      task.state !== "placed" && task.state !== "unsure"
+    const hasEnded = live.tasks.every((task) =>
+      task.state !== "placed" && task.state !== "unconfirmed"
     );
-    if (!isOver) return;
+    if (!hasEnded) return;
     jobs.delete(live.submission);
-    if (byJob.get(live.job.id) !== live) return;
-    byJob.delete(live.job.id);
-    mayPlace = true;
+    if (liveByJobId.get(live.job.id) !== live) return;
+    liveByJobId.delete(live.job.id);
+    isPlacementDue = true;
   }
 
-  function placeAll(now: number): void {
-    mayPlace = false;
+  function placeJobs(now: number): void {
+    isPlacementDue = false;
     placer.place(jobs.values(), now);
   }
 
-  function resumeSuccessors(now: number): void {
+  function submitSuccessors(now: number): void {
     for (const [job, submission] of successors) {
-      if (byJob.has(job)) continue;
+      if (liveByJobId.has(job)) continue;
       successors.delete(job);
       submit(submission, now);
     }
   }
 
-  // --- News of runs ---
+  // --- Run updates ---
 
-  function find({ task: ref, run }: RunRef): FoundTask | undefined {
-    const live = byJob.get(ref.job);
-    const task = live?.tasks.find((one) =>
-      one.ref.step === ref.step && one.ref.index === ref.index
+  function findTask({ task: ref, run }: RunRef): TaskWithJob | undefined {
+    const live = liveByJobId.get(ref.job);
+    const task = live?.tasks.find((candidate) =>
+      candidate.ref.step === ref.step && candidate.ref.index === ref.index
     );
     if (live === undefined || task?.run !== run) return undefined;
     return { live, task };
   }
 
-  function takeNews(news: RunUpdate, now: number): void {
-    const found = find(news.ref);
+  function handleRunUpdate(update: RunUpdate, now: number): void {
+    const found = findTask(update.ref);
     if (found === undefined) return;
     const { live, task } = found;
-    if (task.state !== "placed" && task.state !== "unsure") return;
-    if (news.kind === "stalled") {
-      task.avoid.add(task.server);
-      logTask("task moves: no progress", task);
+    if (task.state !== "placed" && task.state !== "unconfirmed") return;
+    if (update.kind === "stalled") {
+      task.avoidedServers.add(task.server);
+      logTask("run stalled; moving task to another server", task);
       stopRun(task);
       return;
     }
     workers.get(task.session ?? -1)?.runs.delete(keyOfTask(task.ref));
     task.session = undefined;
     task.isStopping = false;
-    switch (news.kind) {
+    switch (update.kind) {
       case "refused":
         counts.offersRefused += 1;
-        task.run = Math.max(task.run, news.highestRun);
-        if (news.reason === "suspect") task.avoid.add(task.server);
-        wait(live, task);
+        task.run = Math.max(task.run, update.highestRun);
+        if (update.reason === "suspect") task.avoidedServers.add(task.server);
+        requeue(live, task);
         return;
       case "lost":
         counts.runsLost += 1;
-        logTask("run lost", task, news.reason);
-        wait(live, task);
+        logTask("run lost", task, update.reason);
+        requeue(live, task);
         return;
       case "ended":
-        takeEnd(live, task, news.end, now);
+        handleRunEnd(live, task, update.end, now);
     }
   }
 
-  function takeEnd(
+  function handleRunEnd(
     live: LiveJob,
     task: LiveTask,
     end: Extract<RunUpdate, { kind: "ended" }>["end"],
@@ -418,39 +429,43 @@
       return;
     }
     if (end !== "failed") {
-      wait(live, task);
+      requeue(live, task);
       return;
     }
     counts.runsFailed += 1;
     task.failures += 1;
-    task.avoid.add(task.server);
-    logTask("run failed", task, `${task.failures} of ${live.queue.attempts}`);
-    wait(live, task);
-    const isUsedUp = task.failures >= live.queue.attempts;
-    if (isUsedUp && !live.isAnswered) fail(live, "attemptsUsed", now);
+    task.avoidedServers.add(task.server);
+    logTask(
+      "run failed",
+      task,
+      `failed attempts: ${task.failures} of ${live.queue.attempts}`,
+    );
+    requeue(live, task);
+    const isExhausted = task.failures >= live.queue.attempts;
+    if (isExhausted && !live.isAnswered) fail(live, "attemptsUsed", now);
   }
 
   function finishTask(live: LiveJob, task: LiveTask, now: number): void {
     task.state = "done";
     if (live.isAnswered) {
-      forgetIfOver(live);
+      removeIfEnded(live);
       return;
     }
     live.left -= 1;
     if (live.left === 0) complete(live, now);
-    else unblock(live);
-    mayPlace = true;
+    else unblockTasks(live);
+    isPlacementDue = true;
   }
 
-  /** The task does not run; it is offered again if its job still wants it. */
-  function wait(live: LiveJob, task: LiveTask): void {
+  /** Makes the task ready to be offered again, unless its job has ended. */
+  function requeue(live: LiveJob, task: LiveTask): void {
     if (live.isAnswered) {
       task.state = "done";
-      forgetIfOver(live);
+      removeIfEnded(live);
       return;
     }
     task.state = "waiting";
-    mayPlace = true;
+    isPlacementDue = true;
   }
 
   function logTask(message: string, task: LiveTask, reason?: string): void {
@@ -468,39 +483,39 @@
 
   function tick(now: number): void {
     startedAt ??= now;
-    const wasPaused = now - tickedAt > options.timing.pauseThresholdMs;
-    tickedAt = now;
-    if (!wasPaused) sides.loseSilent(now);
-    sides.expireUnsure(now);
-    soundSlowness = learnSoundSlowness();
+    const wasPaused = now - lastTickAt > options.timing.pauseThresholdMs;
+    lastTickAt = now;
+    if (!wasPaused) sides.closeSilentSides(now);
+    sides.expireUnconfirmedRuns(now);
+    baselineSlowness = estimateBaselineSlowness();
     for (const live of [...jobs.values()]) {
-      if (!live.isAnswered) reviewJob(live, now);
+      if (!live.isAnswered) enforceDeadlines(live, now);
     }
-    mayPlace = true;
+    isPlacementDue = true;
   }
 
-  /** Run time over declared time on servers that are not among the slow ones. */
-  function learnSoundSlowness(): number {
+  /** Estimates the ratio of actual to declared run time on healthy servers. */
+  function estimateBaselineSlowness(): number {
     const values: number[] = [];
     for (const { report } of workers.values()) {
       if (report !== undefined) values.push(report.slowness);
     }
     if (values.length === 0) return 1;
     values.sort((left, right) => left - right);
-    return values[Math.floor(values.length * SOUND_QUANTILE)]!;
+    return values[Math.floor(values.length * BASELINE_QUANTILE)]!;
   }
 
-  function reviewJob(live: LiveJob, now: number): void {
-    if (now >= live.giveUpAt) {
+  function enforceDeadlines(live: LiveJob, now: number): void {
+    if (now >= live.timeoutAt) {
       if (live.mayHaveRun) timeOut(live, now);
-      else refuse(live, "overload", LATE_RETRY_MS, now);
+      else refuse(live, "overload", LATE_RETRY_AFTER_MS, now);
       return;
     }
     if (live.mayHaveRun) return;
-    // Nobody else can do better while all of the fleet starts.
+    // A retry elsewhere would not help while the whole fleet is starting.
     if (!hasOpenServer(workers) && isStarting(now)) return;
-    if (now > latestUsefulStart(live, soundSlowness)) {
-      refuse(live, "overload", LATE_RETRY_MS, now);
+    if (now > latestUsefulStart(live, baselineSlowness)) {
+      refuse(live, "overload", LATE_RETRY_AFTER_MS, now);
     }
   }
 
@@ -510,17 +525,17 @@
     sessionOpened: sides.opened,
     sessionSent(session, frame, now) {
       sides.received(session, frame, now);
-      mayPlace = true;
+      isPlacementDue = true;
     },
     sessionClosed: sides.closed,
     setEntries: sides.setEntries,
     stopBy(time) {
-      stopsAt = time;
+      stopDeadline = time;
     },
     tick,
     takeEffects(now) {
-      resumeSuccessors(now);
-      if (mayPlace) placeAll(now);
+      submitSuccessors(now);
+      if (isPlacementDue) placeJobs(now);
       sides.flush(now);
       const taken = effects;
       effects = [];
@@ -532,11 +547,11 @@
   };
 }
 
-/** Part of the servers that count as at least as fast as a sound one. */
-const SOUND_QUANTILE = 0.3;
+/** Quantile of the slowness of all servers that represents a healthy one. */
+const BASELINE_QUANTILE = 0.3;
 
-/** A job taken while stopping may take this much longer than foretold. */
-const STOP_FACTOR = 2;
+/** Safety factor on the expected duration of jobs accepted during shutdown. */
+const STOP_MARGIN_FACTOR = 2;
 
-/** When a caller that was refused late may come back. */
-const LATE_RETRY_MS = 1000;
+/** Retry-After for jobs refused because their answer would be too late. */
+const LATE_RETRY_AFTER_MS = 1000;
--- a/packages/dispatch/src/effect.ts
+++ b/packages/dispatch/src/effect.ts
@@ -1,11 +1,11 @@
-/** What a dispatcher asks of the process around it. */
+/** Side effects that a dispatcher requests from its host process. */
 import type { DispatchFrame } from "@coltsfootreach/run";
 import type { Answer } from "./answer.ts";
 
-/** Names one stream from a side. */
+/** Identifies one stream from a side. */
 export type SessionId = number;
 
-/** Names one submission; a job that is handed in again gets another. */
+/** Identifies one submission; a resubmitted job gets a new id. */
 export type SubmissionId = number;
 
 export type DispatchEffect =
@@ -22,7 +22,7 @@
   }
   | { readonly kind: "log"; readonly decision: DispatchDecision };
 
-/** A decision worth a line in the log. */
+/** A decision to write to the log. */
 export interface DispatchDecision {
   readonly message: string;
   readonly job?: string | undefined;
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,4 @@
-/** Decisions of an entry about the jobs that its callers hand in. */
+/** Job admission and task placement for an entry. */
 export * from "./answer.ts";
 export * from "./dispatcher.ts";
 export * from "./effect.ts";
--- a/packages/dispatch/src/live_job.ts
+++ b/packages/dispatch/src/live_job.ts
@@ -1,15 +1,20 @@
-/** A job that has been taken and not been answered, and its tasks. */
+/** State of an accepted job and its tasks. */
 import type { Job, Queue, RunRef, Step, TaskRef } from "@coltsfootreach/run";
 import type { SessionId, SubmissionId } from "./effect.ts";
 
 /**
- * - `blocked`: earlier steps are not done.
- * - `waiting`: may be offered.
+ * - `blocked`: depends on unfinished steps.
+ * - `waiting`: ready to be offered.
  * - `placed`: offered or running.
- * - `unsure`: the stream to its side broke; may still run.
- * - `done`
+ * - `unconfirmed`: may still be running; the stream to its side broke.
+ * - `done`: needs no further runs.
  */
-export type TaskState = "blocked" | "waiting" | "placed" | "unsure" | "done";
+export type TaskState =
+  | "blocked"
+  | "waiting"
+  | "placed"
+  | "unconfirmed"
+  | "done";
 
 export interface LiveTask {
   readonly ref: TaskRef;
@@ -18,12 +23,12 @@
   /** Highest run number used. */
   run: number;
   failures: number;
-  /** Servers where a run of it failed or stood still. */
-  readonly avoid: Set<string>;
+  /** Servers on which a run failed, stalled or was refused as suspect. */
+  readonly avoidedServers: Set<string>;
   session: SessionId | undefined;
   server: string;
   placedAt: number;
-  /** Its stop has been asked for. */
+  /** Whether the side was asked to stop the current run. */
   isStopping: boolean;
 }
 
@@ -32,17 +37,17 @@
   readonly job: Job;
   readonly queue: Queue;
   readonly arrivedAt: number;
-  /** When the answer is late. */
+  /** Deadline from the queue's latency objective. */
   readonly dueAt: number;
-  /** When the answer is so late that it is hardly of use. */
+  /** Time from which an answer is of little use to the caller. */
   readonly staleAt: number;
-  /** When the caller stops waiting. */
-  readonly giveUpAt: number;
-  /** Declared run time from each step's start to the job's end. */
-  readonly chainMs: readonly number[];
+  /** When the caller's timeout expires, less the delivery allowance. */
+  readonly timeoutAt: number;
+  /** Longest path from the start of each step to the end of the job. */
+  readonly remainingPathMs: readonly number[];
   readonly tasks: readonly LiveTask[];
   left: number;
-  /** An offer of a task has been sent to a side. */
+  /** Whether any task was offered to a side. */
   mayHaveRun: boolean;
   isAnswered: boolean;
 }
@@ -52,8 +57,8 @@
   readonly arrivedAt: number;
   readonly dueAt: number;
   readonly staleAt: number;
-  readonly giveUpAt: number;
-  readonly chainMs: readonly number[];
+  readonly timeoutAt: number;
+  readonly remainingPathMs: readonly number[];
 }
 
 export function createLiveJob(
@@ -61,12 +66,12 @@
   queue: Queue,
   options: LiveJobOptions,
 ): LiveJob {
-  const tasks = job.steps.flatMap((step, position) =>
+  const tasks = job.steps.flatMap((step, stepIndex) =>
     Array.from({ length: step.count }, (_, index) => {
       const task: TaskRef = {
         job: job.id,
         occurrence: 0,
-        step: position,
+        step: stepIndex,
         index,
       };
       return createLiveTask(task, step);
@@ -90,7 +95,7 @@
     state: step.after.length === 0 ? "waiting" : "blocked",
     run: 0,
     failures: 0,
-    avoid: new Set(),
+    avoidedServers: new Set(),
     session: undefined,
     server: "",
     placedAt: 0,
@@ -98,29 +103,29 @@
   };
 }
 
-/** The tasks of a job that may run now and do not. */
+/** Returns the tasks that are ready to be offered. */
 export function waitingTasks(live: LiveJob): readonly LiveTask[] {
   return live.tasks.filter((task) => task.state === "waiting");
 }
 
-/** Lets the tasks wait whose earlier steps are done. */
-export function unblock(live: LiveJob): void {
+/** Sets blocked tasks to `waiting` if the steps they depend on are done. */
+export function unblockTasks(live: LiveJob): void {
   const unfinished = new Set<number>();
   for (const task of live.tasks) {
     if (task.state !== "done") unfinished.add(task.ref.step);
   }
   for (const task of live.tasks) {
     if (task.state !== "blocked") continue;
-    const isFree = task.step.after.every((step) => !unfinished.has(step));
-    if (isFree) task.state = "waiting";
+    const isUnblocked = task.step.after.every((step) => !unfinished.has(step));
+    if (isUnblocked) task.state = "waiting";
   }
 }
 
-export function refOf(task: LiveTask): RunRef {
+export function runRefOf(task: LiveTask): RunRef {
   return { task: task.ref, run: task.run };
 }
 
-/** Tasks of one step that are placed on a server. */
+/** Counts the tasks of a step that are or may be running on a server. */
 export function countOnServer(
   live: LiveJob,
   step: number,
@@ -128,25 +133,25 @@
 ): number {
   let count = 0;
   for (const task of live.tasks) {
-    const isThere = task.server === server &&
-      (task.state === "placed" || task.state === "unsure");
-    if (isThere && task.ref.step === step) count += 1;
+    const isOnServer = task.server === server &&
+      (task.state === "placed" || task.state === "unconfirmed");
+    if (isOnServer && task.ref.step === step) count += 1;
   }
   return count;
 }
 
-/** A task and the job it belongs to. */
-export interface FoundTask {
+/** A task together with its job. */
+export interface TaskWithJob {
   readonly live: LiveJob;
   readonly task: LiveTask;
 }
 
-/** Asks the side to stop the task's run, once. */
-export function askStop(
+/** Asks the side to stop the task's current run, unless already requested. */
+export function requestStop(
   task: LiveTask,
   worker: { readonly stops: RunRef[] } | undefined,
 ): void {
   if (task.isStopping || worker === undefined) return;
   task.isStopping = true;
-  worker.stops.push(refOf(task));
+  worker.stops.push(runRefOf(task));
 }
--- a/packages/dispatch/src/order.ts
+++ b/packages/dispatch/src/order.ts
@@ -1,37 +1,37 @@
 /**
- * The order in which jobs get room when there is too little for all. Jobs that
- * have begun come first, as what they hold is wasted until they end; then those
- * that must start soonest; then those that will be late whatever happens, and
- * last those whose answer is hardly of use any more. Load above capacity then
- * makes few jobs late instead of each job a little, and late jobs take only
- * room that nobody else can use.
+ * Scheduling order of jobs when capacity is scarce. Started jobs come first,
+ * because the resources they hold are wasted until they end; then jobs by
+ * earliest required start; then jobs that will miss their deadline in any case,
+ * and last jobs whose answer would be of little use. Under overload, this makes
+ * few jobs late rather than every job slightly late, and late jobs only get
+ * capacity that no other job can use.
  */
 import type { LiveJob } from "./live_job.ts";
 
-/** Latest time at which the rest of a job can start and end in time. */
+/** Latest time at which the remaining tasks can start and meet the deadline. */
 export function latestStart(live: LiveJob, slowness: number): number {
   return live.dueAt - remainingMs(live) * slowness;
 }
 
-/** Latest time at which its rest can start for an answer that is of use. */
+/** Latest time at which the remaining tasks can start and be of use. */
 export function latestUsefulStart(live: LiveJob, slowness: number): number {
   return live.staleAt - remainingMs(live) * slowness;
 }
 
-/** Longest declared run time from the tasks that wait to the job's end. */
+/** Longest declared path from any waiting task to the end of the job. */
 function remainingMs(live: LiveJob): number {
   let longest = 0;
   for (const task of live.tasks) {
     if (task.state !== "waiting") continue;
-    longest = Math.max(longest, live.chainMs[task.ref.step]!);
+    longest = Math.max(longest, live.remainingPathMs[task.ref.step]!);
   }
   return longest;
 }
 
-/** Lower ranks get room first. */
+/** Jobs with a lower rank are placed first. */
 export type Rank = 0 | 1 | 2 | 3;
 
-const BEGUN: Rank = 0;
+const STARTED: Rank = 0;
 
 const NEW: Rank = 1;
 
@@ -51,7 +51,7 @@
 
 export interface OrderOptions {
   readonly now: number;
-  /** Run time over declared time on a sound server. */
+  /** Ratio of actual to declared run time on a healthy server. */
   readonly slowness: number;
 }
 
@@ -76,5 +76,5 @@
 ): Rank {
   if (latestUsefulStart(live, slowness) < now) return STALE;
   if (start < now) return LATE;
-  return live.mayHaveRun ? BEGUN : NEW;
+  return live.mayHaveRun ? STARTED : NEW;
 }
--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/patience.ts
@@ -1,76 +1,78 @@
 /**
- * Tells callers that come back from those that come for the first time. A
- * caller whose connection broke hands its job in again with what is left of its
- * time, so less of it than its queue's callers usually have means that it has
- * waited already. Answers the load after an outage, when all callers come back
- * at once and most of them are too late to be helped.
+ * Estimates how long resubmitting callers have already waited. A caller whose
+ * connection broke resubmits its job with its remaining timeout, so a timeout
+ * below the queue's usual minimum shows that the caller has waited before. This
+ * limits the load after an outage, when all callers resubmit at once and most
+ * of them have too little time left for an answer.
  */
 
-/** Time limits that are kept for each queue. */
-const KEPT = 64;
+/** Number of recent timeouts kept per queue. */
+const MAX_SAMPLES = 64;
 
-/** Fewer say too little about a queue. */
-const LEAST_KEPT = 12;
+/** With fewer samples, a queue has no reliable estimate. */
+const MIN_SAMPLES = 12;
 
-/** Part of the callers that may have less time than the usual least. */
-const LOW_SHARE = 0.1;
+/** Share of callers whose timeout may be below the typical minimum. */
+const LOW_QUANTILE = 0.1;
 
-/** Only callers with less than this part of the usual least count as older. */
-const MARGIN = 0.9;
+/** Timeouts below this share of the typical minimum show a resubmission. */
+const TOLERANCE_FACTOR = 0.9;
 
-/** Most queues that are kept apart. */
+/** Maximum number of queues with samples of their own. */
 const MAX_QUEUES = 500;
 
-/** Least time that a queue's callers usually have left, in milliseconds. */
-export type PatienceTable = Readonly<Record<string, number>>;
+/** Typical minimum timeout per queue, in milliseconds. */
+export type TypicalTimeoutTable = Readonly<Record<string, number>>;
 
 export interface Patience {
-  /** Takes note of a caller that has come in calm times. */
+  /** Records the timeout of a caller in normal operation. */
   learn(queue: string, timeoutMs: number): void;
-  /** How long a caller has waited already, at least. */
+  /** Returns a lower bound on the time that a caller has already waited. */
   ageMs(queue: string, timeoutMs: number): number;
-  /** What is known by now, of others' knowledge too. */
-  table(): PatienceTable;
-  /** Takes over what others know; what was learnt here goes before it. */
-  adopt(table: PatienceTable): void;
+  /** Returns the current estimates, including adopted ones. */
+  table(): TypicalTimeoutTable;
+  /** Adopts the estimates of other entries; local ones take precedence. */
+  adopt(table: TypicalTimeoutTable): void;
 }
 
 export function createPatience(): Patience {
-  const learnt = new Map<string, number[]>();
-  let adopted: PatienceTable = {};
+  const samples = new Map<string, number[]>();
+  let sharedTable: TypicalTimeoutTable = {};
 
-  function usualLeastMs(queue: string): number | undefined {
-    const kept = learnt.get(queue);
-    if (kept === undefined || kept.length < LEAST_KEPT) return adopted[queue];
-    const sorted = [...kept].sort((left, right) => left - right);
-    return sorted[Math.floor(sorted.length * LOW_SHARE)];
+  function typicalMinTimeoutMs(queue: string): number | undefined {
+    const timeouts = samples.get(queue);
+    if (timeouts === undefined || timeouts.length < MIN_SAMPLES) {
+      return sharedTable[queue];
+    }
+    const sorted = [...timeouts].sort((left, right) => left - right);
+    return sorted[Math.floor(sorted.length * LOW_QUANTILE)];
   }
 
   return {
     learn(queue, timeoutMs) {
-      const kept = learnt.get(queue) ?? [];
-      if (kept.length === 0) {
-        if (learnt.size >= MAX_QUEUES) return;
-        learnt.set(queue, kept);
+      const timeouts = samples.get(queue) ?? [];
+      if (timeouts.length === 0) {
+        if (samples.size >= MAX_QUEUES) return;
+        samples.set(queue, timeouts);
       }
-      kept.push(timeoutMs);
-      if (kept.length > KEPT) kept.shift();
+      timeouts.push(timeoutMs);
+      if (timeouts.length > MAX_SAMPLES) timeouts.shift();
     },
     ageMs(queue, timeoutMs) {
-      const leastMs = usualLeastMs(queue);
-      if (leastMs === undefined) return 0;
-      return Math.max(0, leastMs * MARGIN - timeoutMs);
+      const typicalMs = typicalMinTimeoutMs(queue);
+      if (typicalMs === undefined) return 0;
+      return Math.max(0, typicalMs * TOLERANCE_FACTOR - timeoutMs);
     },
     table() {
-      const table: Record<string, number> = { ...adopted };
-      for (const queue of learnt.keys()) {
-        const leastMs = usualLeastMs(queue);
-        if (leastMs !== undefined) table[queue] = leastMs;
+      const table: Record<string, number> = { ...sharedTable };
+      for (const queue of samples.keys()) {
+        const typicalMs = typicalMinTimeoutMs(queue);
+        if (typicalMs !== undefined) table[queue] = typicalMs;
       }
       return table;
     },
     adopt(table) {
-      adopted = table;
+      sharedTable = table;
     },
   };
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -1,40 +1,40 @@
 /**
- * Chooses the backend server for a task: the one where it is expected to end
- * first among those that have room.
+ * Selects the backend server for a task: the one with the earliest expected
+ * completion among those with free capacity.
  */
 import { fits, type Resources, type Step } from "@coltsfootreach/run";
 import type { Worker } from "./workers.ts";
 
 /**
- * Expected times within this share of each other count as equal. Entries that
- * share servers and all took the very fastest would fill it at the same moment.
+ * Expected run times within this share of each other count as equal. Otherwise,
+ * entries that share servers would all overload the fastest one at once.
  */
-const EQUAL_SHARE = 0.5;
+const TIE_TOLERANCE = 0.5;
 
-/** A full server counts as slower by this share than an empty one. */
-const LOAD_SHARE = 0.5;
+/** Relative cost of a fully loaded server over an idle one. */
+const LOAD_PENALTY = 0.5;
 
-export interface PlacementNeed {
+export interface PlacementRequest {
   readonly step: Step;
   readonly service: string;
-  /** A task takes this much longer away from the rack with its data. */
+  /** Run time factor for tasks placed outside the rack with their data. */
   readonly remoteFactor: number;
   readonly now: number;
-  /** Servers that must not be used for it. */
-  readonly avoid: ReadonlySet<string>;
-  /** Tasks of the step on a server already. */
+  /** Servers that must not be selected. */
+  readonly excludedServers: ReadonlySet<string>;
+  /** Counts the tasks of the step already placed on a server. */
   countOnServer(server: string): number;
-  /** When the task must end for its job to be in time; none for late jobs. */
+  /** Deadline of the task; undefined if the job will be late anyway. */
   readonly endBy: number | undefined;
-  /** May go to a server that is on trial after failures. */
-  readonly mayUseSuspects: boolean;
-  /** Number from 0 to 1, for choices among equals. */
+  /** Whether a server with recent failures may be selected. */
+  readonly isSuspectAllowed: boolean;
+  /** Returns a number from 0 to 1, to break ties. */
   random(): number;
 }
 
-/** Run time that is expected there, on the declared time. */
-export function expectedMs(
-  { step, remoteFactor }: Pick<PlacementNeed, "step" | "remoteFactor">,
+/** Estimates the run time on a server from the declared run time. */
+export function expectedRunMs(
+  { step, remoteFactor }: Pick<PlacementRequest, "step" | "remoteFactor">,
   worker: Worker,
 ): number {
   const { report } = worker;
@@ -43,19 +43,21 @@
   return step.estimateMs * report.slowness * (isRemote ? remoteFactor : 1);
 }
 
-export function choosePlace(
+export function chooseWorker(
   workers: Iterable<Worker>,
-  need: PlacementNeed,
+  request: PlacementRequest,
 ): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
-    if (!isCandidate(worker, need)) continue;
-    const endsInMs = expectedMs(need, worker);
-    if (need.endBy !== undefined && need.now + endsInMs > need.endBy) continue;
-    const spread = 1 + EQUAL_SHARE * need.random() +
-      LOAD_SHARE * usedShare(worker);
-    const cost = endsInMs * spread;
+    if (!isCandidate(worker, request)) continue;
+    const runMs = expectedRunMs(request, worker);
+    if (request.endBy !== undefined && request.now + runMs > request.endBy) {
+      continue;
+    }
+    const weight = 1 + TIE_TOLERANCE * request.random() +
+      LOAD_PENALTY * cpuUtilization(worker);
+    const cost = runMs * weight;
     if (cost >= bestCost) continue;
     best = worker;
     bestCost = cost;
@@ -63,32 +65,35 @@
   return best;
 }
 
-/** Part of the server's cores that are taken, from 0 to 1. */
-function usedShare({ report, room }: Worker): number {
+/** Share of the server's cores in use, from 0 to 1. */
+function cpuUtilization({ report, room }: Worker): number {
   if (report === undefined || room === undefined) return 1;
   return 1 - room.cpu / Math.max(1, report.capacity.cpu);
 }
 
-function isCandidate(worker: Worker, need: PlacementNeed): boolean {
+function isCandidate(worker: Worker, request: PlacementRequest): boolean {
   const { report, room } = worker;
   if (report === undefined || room === undefined) return false;
-  if (!report.isOpen || report.service !== need.service) return false;
-  if (need.now < worker.pausedUntil || need.avoid.has(report.id)) return false;
-  if (report.isSuspect && !need.mayUseSuspects) return false;
-  if (!fits(need.step.resources, room)) return false;
-  if (!hasLabel(need.step, report.labels)) return false;
-  const { maxPerServer } = need.step;
-  return maxPerServer === 0 || need.countOnServer(report.id) < maxPerServer;
+  if (!report.isOpen || report.service !== request.service) return false;
+  if (
+    request.now < worker.backoffUntil || request.excludedServers.has(report.id)
+  ) return false;
+  if (report.isSuspect && !request.isSuspectAllowed) return false;
+  if (!fits(request.step.resources, room)) return false;
+  if (!hasRequiredLabel(request.step, report.labels)) return false;
+  const { maxPerServer } = request.step;
+  return maxPerServer === 0 || request.countOnServer(report.id) < maxPerServer;
 }
 
-/** True when a server of this size and kind could run a task of the step. */
-export function couldRun(
+/** Whether an idle server of this capacity and labels can run the step. */
+export function isCapable(
   step: Step,
   server: { readonly capacity: Resources; readonly labels: readonly string[] },
 ): boolean {
-  return fits(step.resources, server.capacity) && hasLabel(step, server.labels);
+  return fits(step.resources, server.capacity) &&
+    hasRequiredLabel(step, server.labels);
 }
 
-function hasLabel(step: Step, labels: readonly string[]): boolean {
+function hasRequiredLabel(step: Step, labels: readonly string[]): boolean {
   return step.requiredLabel === "" || labels.includes(step.requiredLabel);
 }
--- a/packages/dispatch/src/placement_test.ts
+++ b/packages/dispatch/src/placement_test.ts
@@ -5,53 +5,57 @@
   sampleStep,
 } from "@coltsfootreach/standin";
 import { expect } from "chai";
-import { choosePlace, type PlacementNeed } from "./placement.ts";
-import { createWorker, hear, type Worker } from "./workers.ts";
+import { chooseWorker, type PlacementRequest } from "./placement.ts";
+import { applyWorkFrame, createWorker, type Worker } from "./workers.ts";
 
 const STEP = sampleStep();
 
-function worker(id: string, more: Partial<ServerReport> = {}): Worker {
+function worker(id: string, overrides: Partial<ServerReport> = {}): Worker {
   const created = createWorker(1, 0);
-  const server = sampleReport({ id, labels: [], ...more });
-  hear(created, { kind: "work", seen: 0, news: [], server, side: id }, 0);
+  const server = sampleReport({ id, labels: [], ...overrides });
+  applyWorkFrame(
+    created,
+    { kind: "work", seen: 0, news: [], server, side: id },
+    0,
+  );
   return created;
 }
 
-function need(more: Partial<PlacementNeed> = {}): PlacementNeed {
+function request(overrides: Partial<PlacementRequest> = {}): PlacementRequest {
   return {
     step: STEP,
     service: "pool",
     remoteFactor: SAMPLE_REMOTE_FACTOR,
     now: 0,
-    avoid: new Set(),
+    excludedServers: new Set(),
     endBy: undefined,
-    mayUseSuspects: false,
+    isSuspectAllowed: false,
     countOnServer: () => 0,
     random: () => 0,
-    ...more,
+    ...overrides,
   };
 }
 
 function choose(
   workers: readonly Worker[],
-  more: Partial<PlacementNeed> = {},
+  overrides: Partial<PlacementRequest> = {},
 ): string | undefined {
-  return choosePlace(workers, need(more))?.report?.id;
+  return chooseWorker(workers, request(overrides))?.report?.id;
 }
 
 describe("placement", () => {
-  it("takes the server where the task is expected to end first", () => {
+  it("selects the server with the earliest expected completion", () => {
     const workers = [worker("slow", { slowness: 2 }), worker("fast")];
     expect(choose(workers)).to.equal("fast");
   });
 
-  it("counts data on another rack as longer", () => {
+  it("expects a longer run time outside the rack with the data", () => {
     const step = { ...STEP, rack: "r1" };
     const near = worker("near", { labels: ["r1"], slowness: 1.2 });
     expect(choose([worker("far"), near], { step })).to.equal("near");
   });
 
-  it("counts it as much longer as the deployment declares", () => {
+  it("uses the remote factor that the deployment declares", () => {
     const step = { ...STEP, rack: "r1" };
     const near = worker("near", { labels: ["r1"], slowness: 2 });
     const workers = [worker("far"), near];
@@ -59,29 +63,31 @@
     expect(choose(workers, { step, remoteFactor: 3 })).to.equal("near");
   });
 
-  it("waits for a faster server while the job can still be in time there", () => {
+  it("waits for a faster server rather than miss the deadline", () => {
     const slow = worker("slow", { slowness: 2 });
     expect(choose([slow], { endBy: 150 })).to.equal(undefined);
     expect(choose([slow], { endBy: 250 })).to.equal("slow");
   });
 
-  it("leaves out servers that are full, closed, avoided, suspect or of another pool", () => {
+  it("skips servers that are full, closed, excluded, suspect or of another pool", () => {
     const room = { cpu: 500, memoryMb: 1000, gpu: 0 };
     const workers = [
       worker("full", { room }),
       worker("closed", { isOpen: false }),
-      worker("avoided"),
+      worker("excluded"),
       worker("suspect", { isSuspect: true }),
       worker("other", { service: "elsewhere" }),
     ];
-    const avoid = new Set(["avoided"]);
-    expect(choose(workers, { avoid })).to.equal(undefined);
+    const excludedServers = new Set(["excluded"]);
+    expect(choose(workers, { excludedServers })).to.equal(undefined);
   });
 
-  it("keeps to labels and to the most tasks on one server", () => {
+  it("respects required labels and the maximum tasks per server", () => {
     const step = { ...STEP, requiredLabel: "gpu", maxPerServer: 1 };
-    const fit = worker("fit", { labels: ["gpu"] });
-    expect(choose([worker("plain"), fit], { step })).to.equal("fit");
-    expect(choose([fit], { step, countOnServer: () => 1 })).to.equal(undefined);
+    const gpuServer = worker("fit", { labels: ["gpu"] });
+    expect(choose([worker("plain"), gpuServer], { step })).to.equal("fit");
+    expect(choose([gpuServer], { step, countOnServer: () => 1 })).to.equal(
+      undefined,
+    );
   });
 });
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -1,6 +1,6 @@
 /**
- * Gives room to the jobs that wait: in order, on the servers where their tasks
- * are expected to end soonest, and not at all where that would come too late.
+ * Places waiting jobs in scheduling order on the servers with the earliest
+ * expected completion, and refuses jobs that would complete too late.
  */
 import type { Offer } from "@coltsfootreach/run";
 import type { DispatchDecision, SessionId } from "./effect.ts";
@@ -16,8 +16,8 @@
   orderJobs,
   type RankedJob,
 } from "./order.ts";
-import { choosePlace, couldRun } from "./placement.ts";
-import { foretellWaitMs } from "./refusal.ts";
+import { chooseWorker, isCapable } from "./placement.ts";
+import { predictWaitMs } from "./refusal.ts";
 import {
   addOffer,
   hasOpenServer,
@@ -26,36 +26,36 @@
   type Worker,
 } from "./workers.ts";
 
-/** Longest wait that is foretold, and so the longest Retry-After. */
-const LONGEST_WAIT_MS = 5000;
+/** Limit of the predicted wait, and therefore of Retry-After. */
+const MAX_WAIT_MS = 5000;
 
 /**
- * Urgent jobs that come later go before late ones, so these wait longer than
- * the work ahead of them foretells.
+ * Urgent jobs that arrive later are placed before late ones, so late jobs wait
+ * longer than the work queued ahead of them suggests.
  */
-const LATE_CAUTION = 1.5;
+const LATE_WAIT_FACTOR = 1.5;
 
 export interface PlacerOptions {
   readonly workers: ReadonlyMap<SessionId, Worker>;
-  /** A task takes this much longer away from the rack with its data. */
+  /** Run time factor for tasks placed outside the rack with their data. */
   readonly remoteFactor: number;
-  /** Number from 0 to 1. */
+  /** Returns a number from 0 to 1. */
   random(): number;
-  /** Run time over declared time on a sound server. */
+  /** Ratio of actual to declared run time on a healthy server. */
   slowness(): number;
-  /** Entries that share the servers, this one included. */
+  /** Number of entries that share the servers, including this one. */
   entries(): number;
-  /** True while servers are still to be found. */
+  /** Whether this entry is still discovering servers after its start. */
   isStarting(now: number): boolean;
-  /** Turns a job away of which nothing was offered. */
+  /** Refuses a job of which no task was offered. */
   refuse(live: LiveJob, retryAfterMs: number, now: number): void;
   log(decision: DispatchDecision): void;
 }
 
 export interface Placer {
-  /** Offers what finds room, and refuses what would find it too late. */
+  /** Offers tasks that fit, and refuses jobs that would be placed too late. */
   place(jobs: Iterable<LiveJob>, now: number): void;
-  /** Offers made so far. */
+  /** Total number of offers made. */
   offers(): number;
 }
 
@@ -68,8 +68,8 @@
 
 interface Plan {
   readonly placements: readonly Placement[];
-  /** Core-milliseconds for which there is no room. */
-  readonly workLeft: number;
+  /** Core-milliseconds that did not fit. */
+  readonly unplacedWork: number;
 }
 
 export function createPlacer(options: PlacerOptions): Placer {
@@ -90,54 +90,64 @@
   }
 
   /**
-   * Offers what finds room and returns the core-milliseconds that do not. A job
-   * is not begun, and is refused, when its rest is foretold to come too late to
-   * be of use.
+   * Offers the tasks that fit and returns the core-milliseconds that do not. A
+   * job that has not started is refused instead if its remaining tasks are
+   * predicted to complete too late to be of use.
    */
   function placeJob(ranked: RankedJob, workAhead: number, now: number): number {
     const { live } = ranked;
-    const { placements, workLeft } = planJob(ranked, now);
-    if (!live.mayHaveRun && !isOfUse(ranked, workAhead + workLeft, now)) {
+    const { placements, unplacedWork } = planJob(ranked, now);
+    if (
+      !live.mayHaveRun && !admitOrRefuse(ranked, workAhead + unplacedWork, now)
+    ) {
       for (const { task, worker } of placements) {
         release(worker, task.step.resources);
       }
       return 0;
     }
     for (const placement of placements) offer(live, placement, now);
-    return workLeft;
+    return unplacedWork;
   }
 
-  /** Reserves room for the tasks that wait, as far as there is any. */
+  /** Reserves capacity for as many waiting tasks as fit. */
   function planJob(ranked: RankedJob, now: number): Plan {
     const placements: Placement[] = [];
-    let workLeft = 0;
+    let unplacedWork = 0;
     for (const task of waitingTasks(ranked.live)) {
-      const worker = chooseFor(ranked, task, now);
+      const worker = chooseWorkerFor(ranked, task, now);
       if (worker === undefined) {
-        workLeft += workOf(task);
+        unplacedWork += expectedWork(task);
         continue;
       }
       reserve(worker, task.step.resources);
       placements.push({ task, worker });
     }
-    return { placements, workLeft };
+    return { placements, unplacedWork };
   }
 
   /**
-   * Refuses a job whose tasks are foretold to find room too late. One that would
-   * be late is kept only while it is likely to be answered while that is of use.
+   * Refuses a job whose tasks are predicted to be placed too late. A job that
+   * would miss its deadline is kept only if its answer is still likely to be of
+   * use.
    */
-  function isOfUse(ranked: RankedJob, work: number, now: number): boolean {
+  function admitOrRefuse(
+    ranked: RankedJob,
+    work: number,
+    now: number,
+  ): boolean {
     const { live } = ranked;
-    // What is known of the fleet then says little about its room.
+    // The servers known so far say little about the capacity of the fleet.
     if (options.isStarting(now) || !hasOpenServer(workers)) return true;
-    const waitMs = foretellWaitMs({ work, rate: roomRate() }, LONGEST_WAIT_MS);
+    const waitMs = predictWaitMs(
+      { work, rate: availableCpuRate() },
+      MAX_WAIT_MS,
+    );
     const slackMs = ranked.latestStart - now;
     if (waitMs <= slackMs) return true;
     const lateSlackMs = latestUsefulStart(live, slowness()) - now;
-    if (waitMs * LATE_CAUTION <= lateSlackMs) return true;
+    if (waitMs * LATE_WAIT_FACTOR <= lateSlackMs) return true;
     options.log({
-      message: "wait foretold",
+      message: "refusing job: predicted queue wait is too long",
       job: live.job.id,
       queue: live.queue.name,
       figures: {
@@ -151,8 +161,8 @@
     return false;
   }
 
-  /** Core-milliseconds a millisecond that this entry can count on. */
-  function roomRate(): number {
+  /** This entry's share of the fleet, in core-milliseconds per millisecond. */
+  function availableCpuRate(): number {
     let cpu = 0;
     for (const { report } of workers.values()) {
       if (report?.isOpen && !report.isSuspect) cpu += report.capacity.cpu;
@@ -160,40 +170,45 @@
     return cpu / 1000 / Math.max(1, options.entries());
   }
 
-  function chooseFor(
+  function chooseWorkerFor(
     ranked: RankedJob,
     task: LiveTask,
     now: number,
   ): Worker | undefined {
     const { live } = ranked;
-    const afterMs = live.chainMs[task.ref.step]! - task.step.estimateMs;
-    const need = {
-      endBy: isLate(ranked) ? undefined : live.dueAt - afterMs * slowness(),
+    const subsequentMs = live.remainingPathMs[task.ref.step]! -
+      task.step.estimateMs;
+    const request = {
+      endBy: isLate(ranked)
+        ? undefined
+        : live.dueAt - subsequentMs * slowness(),
       step: task.step,
       service: live.queue.service,
       remoteFactor: options.remoteFactor,
       now,
-      avoid: task.avoid,
-      mayUseSuspects: task.failures === 0 && live.queue.attempts > 1,
+      excludedServers: task.avoidedServers,
+      isSuspectAllowed: task.failures === 0 && live.queue.attempts > 1,
       countOnServer: (server: string) =>
         countOnServer(live, task.ref.step, server),
       random: options.random,
     };
-    const place = choosePlace(workers.values(), need);
-    if (place !== undefined || hasUnspoiltPlace(live, task)) return place;
-    return choosePlace(workers.values(), {
-      ...need,
-      avoid: NO_SERVERS,
-      mayUseSuspects: true,
+    const preferred = chooseWorker(workers.values(), request);
+    if (preferred !== undefined || hasPreferredServer(live, task)) {
+      return preferred;
+    }
+    return chooseWorker(workers.values(), {
+      ...request,
+      excludedServers: NO_SERVERS,
+      isSuspectAllowed: true,
     });
   }
 
-  /** True while some server that could run the task is neither avoided nor suspect. */
-  function hasUnspoiltPlace(live: LiveJob, task: LiveTask): boolean {
+  /** Whether a capable server is neither avoided by the task nor suspect. */
+  function hasPreferredServer(live: LiveJob, task: LiveTask): boolean {
     for (const { report } of workers.values()) {
       if (report?.service !== live.queue.service || !report.isOpen) continue;
-      if (report.isSuspect || task.avoid.has(report.id)) continue;
-      if (couldRun(task.step, report)) return true;
+      if (report.isSuspect || task.avoidedServers.has(report.id)) continue;
+      if (isCapable(task.step, report)) return true;
     }
     return false;
   }
@@ -224,7 +239,7 @@
     addOffer(worker, offered, now);
   }
 
-  function workOf(task: LiveTask): number {
+  function expectedWork(task: LiveTask): number {
     return task.step.estimateMs * slowness() *
       task.step.resources.cpu / 1000;
   }
--- a/packages/dispatch/src/refusal.ts
+++ b/packages/dispatch/src/refusal.ts
@@ -1,18 +1,18 @@
 /**
- * Foretells how long new work waits behind the work that waits already. A job
- * that would be late before it starts is refused at once, so that its caller
- * can turn elsewhere.
+ * Predicts how long new work has to wait behind queued work. A job that would
+ * miss its deadline before it starts is refused immediately, so that its caller
+ * can retry at another entry.
  */
 
 export interface Backlog {
-  /** Core-milliseconds that wait ahead. */
+  /** Core-milliseconds queued ahead of the job. */
   readonly work: number;
-  /** Core-milliseconds that find room in a millisecond. */
+  /** Core-milliseconds that can be placed per millisecond. */
   readonly rate: number;
 }
 
-/** Expected wait behind a backlog, at most `longestMs`; 0 while none is known. */
-export function foretellWaitMs(backlog: Backlog, longestMs: number): number {
+/** Predicts the wait, up to `maxMs`; 0 if no work or no rate is known. */
+export function predictWaitMs(backlog: Backlog, maxMs: number): number {
   if (backlog.work <= 0 || backlog.rate <= 0) return 0;
-  return Math.min(longestMs, backlog.work / backlog.rate);
+  return Math.min(maxMs, backlog.work / backlog.rate);
 }
--- a/packages/dispatch/src/refusal_test.ts
+++ b/packages/dispatch/src/refusal_test.ts
@@ -1,16 +1,16 @@
 import { expect } from "chai";
-import { foretellWaitMs } from "./refusal.ts";
+import { predictWaitMs } from "./refusal.ts";
 
-describe("the foretold wait", () => {
-  it("is the work ahead by the rate at which it finds room", () => {
-    expect(foretellWaitMs({ work: 660, rate: 66 }, 5000)).to.equal(10);
+describe("predicted wait", () => {
+  it("is the queued work divided by the placement rate", () => {
+    expect(predictWaitMs({ work: 660, rate: 66 }, 5000)).to.equal(10);
   });
 
-  it("is bounded", () => {
-    expect(foretellWaitMs({ work: 1e9, rate: 1 }, 5000)).to.equal(5000);
+  it("is limited to the maximum", () => {
+    expect(predictWaitMs({ work: 1e9, rate: 1 }, 5000)).to.equal(5000);
   });
 
-  it("is nothing while no rate is known", () => {
-    expect(foretellWaitMs({ work: 100, rate: 0 }, 5000)).to.equal(0);
+  it("is zero if the rate is unknown", () => {
+    expect(predictWaitMs({ work: 100, rate: 0 }, 5000)).to.equal(0);
   });
 });
--- a/packages/dispatch/src/sides.ts
+++ b/packages/dispatch/src/sides.ts
@@ -1,6 +1,6 @@
 /**
- * The streams from sides: what was heard on each, which runs may still be on a
- * side whose stream broke, and the frames that are due.
+ * Sessions with sides: received state, runs that may still be active on a side
+ * whose stream broke, and pending outbound frames.
  */
 import {
   type Claim,
@@ -12,56 +12,61 @@
   type WorkFrame,
 } from "@coltsfootreach/run";
 import type { DispatchDecision, SessionId } from "./effect.ts";
-import { askStop, type FoundTask } from "./live_job.ts";
-import { createWorker, hear, takeFrame, type Worker } from "./workers.ts";
+import { requestStop, type TaskWithJob } from "./live_job.ts";
+import {
+  applyWorkFrame,
+  createWorker,
+  takeFrame,
+  type Worker,
+} from "./workers.ts";
 
-/** Longest time between frames to a side that holds no runs. */
+/** Heartbeat interval for a side without runs. */
 const IDLE_HEARTBEAT_MS = 1000;
 
-/** A side without runs that was not heard for this long is given up. */
+/** Silence after which a side without runs is considered lost. */
 const IDLE_SIDE_LOST_MS = 2500;
 
-/** After a refusal a side gets no offers for this long, or until it reports. */
-const REFUSED_PAUSE_MS = 40;
+/** Pause in offers to a side after a refusal, unless it reports earlier. */
+const REFUSAL_BACKOFF_MS = 40;
 
-export interface SidesOptions {
+export interface SideSessionsOptions {
   readonly entry: string;
   readonly timing: Timing;
-  /** Kept here and read by others. */
+  /** Maintained here; other modules only look workers up. */
   readonly workers: Map<SessionId, Worker>;
-  /** The task whose latest run this is. */
-  find(ref: RunRef): FoundTask | undefined;
-  takeNews(news: RunUpdate, now: number): void;
+  /** Returns the task if this is its latest run. */
+  findTask(ref: RunRef): TaskWithJob | undefined;
+  handleRunUpdate(update: RunUpdate, now: number): void;
   send(session: SessionId, frame: DispatchFrame): void;
   close(session: SessionId): void;
   log(decision: DispatchDecision): void;
 }
 
-export interface Sides {
+export interface SideSessions {
   opened(session: SessionId, now: number): void;
   received(session: SessionId, frame: WorkFrame, now: number): void;
   closed(session: SessionId, now: number): void;
   setEntries(addresses: readonly string[]): void;
   entries(): number;
-  /** Gives up sides that were silent for too long. */
-  loseSilent(now: number): void;
-  /** Ends the doubt about runs that are over by now. */
-  expireUnsure(now: number): void;
-  /** Sends the frames that are due. */
+  /** Closes the streams of sides whose silence exceeds the timeout. */
+  closeSilentSides(now: number): void;
+  /** Reports unconfirmed runs as lost once they are certain to have ended. */
+  expireUnconfirmedRuns(now: number): void;
+  /** Sends pending frames and heartbeats. */
   flush(now: number): void;
 }
 
-interface UnsureRun {
+interface UnconfirmedRun {
   readonly claim: Claim;
-  readonly overAt: number;
+  readonly expiresAt: number;
 }
 
-export function createSides(options: SidesOptions): Sides {
+export function createSideSessions(options: SideSessionsOptions): SideSessions {
   const { workers, timing } = options;
-  /** Runs on sides whose stream broke, by side. */
-  const unsure = new Map<string, UnsureRun[]>();
-  const lastServers = new Map<SessionId, string>();
-  const toldEntries = new Map<SessionId, number>();
+  /** Runs on sides whose stream broke, by side name. */
+  const unconfirmedRuns = new Map<string, UnconfirmedRun[]>();
+  const loggedServerStates = new Map<SessionId, string>();
+  const sentEntriesVersions = new Map<SessionId, number>();
   let entries: readonly string[] | undefined;
   let entriesVersion = 0;
 
@@ -72,129 +77,149 @@
   ): void {
     const worker = workers.get(session);
     if (worker === undefined) return;
-    const isFirst = worker.side === "";
-    hear(worker, frame, now);
-    if (isFirst) meetSide(worker);
-    if ("server" in frame) logServer(worker);
-    for (const news of frame.news) options.takeNews(news, now);
-    for (const news of frame.news) {
-      const isFull = news.kind === "refused" && !("server" in frame);
-      if (isFull) worker.pausedUntil = now + REFUSED_PAUSE_MS;
+    const isFirstFrame = worker.side === "";
+    applyWorkFrame(worker, frame, now);
+    if (isFirstFrame) registerSide(worker);
+    if ("server" in frame) logServerState(worker);
+    for (const update of frame.news) options.handleRunUpdate(update, now);
+    for (const update of frame.news) {
+      const isBackoffDue = update.kind === "refused" && !("server" in frame);
+      if (isBackoffDue) worker.backoffUntil = now + REFUSAL_BACKOFF_MS;
     }
   }
 
-  /** A side has opened a stream; an older one of the same side is over. */
-  function meetSide(worker: Worker): void {
-    options.log({ message: "side joined", side: worker.side });
+  /** Closes older streams of a side that opened a new one. */
+  function registerSide(worker: Worker): void {
+    options.log({ message: "side connected", side: worker.side });
     for (const other of workers.values()) {
       const isOlder = other.side === worker.side && other !== worker;
-      if (isOlder) closeWorker(other, "newer stream", worker.heardAt);
+      if (isOlder) {
+        closeWorker(
+          other,
+          "replaced by a newer stream of the same side",
+          worker.lastReceivedAt,
+        );
+      }
     }
   }
 
-  /** One line when a belief about a server changes in kind. */
-  function logServer(worker: Worker): void {
+  /** Logs when the server or its open or suspect state changes. */
+  function logServerState(worker: Worker): void {
     const { report, session, side } = worker;
-    const belief = report === undefined
+    const state = report === undefined
       ? "none"
       : `${report.id} ${report.isOpen ? "open" : "closed"}` +
         (report.isSuspect ? " suspect" : "");
-    if (lastServers.get(session) === belief) return;
-    lastServers.set(session, belief);
-    options.log({ message: "server changed", side, reason: belief });
+    if (loggedServerStates.get(session) === state) return;
+    loggedServerStates.set(session, state);
+    options.log({
+      message: "backend server state changed",
+      side,
+      reason: state,
+    });
   }
 
   function closeWorker(worker: Worker, reason: string, now: number): void {
     workers.delete(worker.session);
-    lastServers.delete(worker.session);
-    toldEntries.delete(worker.session);
+    loggedServerStates.delete(worker.session);
+    sentEntriesVersions.delete(worker.session);
     options.close(worker.session);
     options.log({
-      message: "side lost",
+      message: "connection to side lost",
       side: worker.side,
       reason,
       figures: {
         runs: worker.runs.size,
-        silentMs: Math.round(now - worker.heardAt),
+        silentMs: Math.round(now - worker.lastReceivedAt),
       },
     });
-    const open: UnsureRun[] = [...worker.runs.values()].map((claim) => ({
+    const unconfirmed: UnconfirmedRun[] = [...worker.runs.values()].map((
+      claim,
+    ) => ({
       claim,
-      overAt: now + timing.runExpiryMs,
+      expiresAt: now + timing.runExpiryMs,
     }));
-    for (const { claim } of open) markUnsure(claim);
-    if (open.length === 0) return;
-    unsure.set(worker.side, [...(unsure.get(worker.side) ?? []), ...open]);
+    for (const { claim } of unconfirmed) markUnconfirmed(claim);
+    if (unconfirmed.length === 0) return;
+    unconfirmedRuns.set(worker.side, [
+      ...(unconfirmedRuns.get(worker.side) ?? []),
+      ...unconfirmed,
+    ]);
   }
 
-  function markUnsure(claim: Claim): void {
-    const task = options.find(claim.ref)?.task;
+  function markUnconfirmed(claim: Claim): void {
+    const task = options.findTask(claim.ref)?.task;
     if (task?.state !== "placed") return;
-    task.state = "unsure";
+    task.state = "unconfirmed";
     task.session = undefined;
     task.isStopping = false;
   }
 
-  /** Runs of broken streams that are over by now, whatever became of them. */
-  function expireUnsure(now: number): void {
-    for (const [side, open] of unsure) {
-      const left = open.filter((run) => run.overAt > now);
-      for (const { claim, overAt } of open) {
-        if (overAt > now) continue;
+  /** Expired runs are certain to have ended, whatever their outcome. */
+  function expireUnconfirmedRuns(now: number): void {
+    for (const [side, runs] of unconfirmedRuns) {
+      const remaining = runs.filter((run) => run.expiresAt > now);
+      for (const { claim, expiresAt } of runs) {
+        if (expiresAt > now) continue;
         const { ref } = claim;
-        options.takeNews({ kind: "lost", ref, reason: "side lost" }, now);
+        options.handleRunUpdate({
+          kind: "lost",
+          ref,
+          reason: "side did not reconnect in time",
+        }, now);
       }
-      if (left.length === 0) unsure.delete(side);
-      else unsure.set(side, left);
+      if (remaining.length === 0) unconfirmedRuns.delete(side);
+      else unconfirmedRuns.set(side, remaining);
     }
   }
 
-  /** The new stream of a side takes over what the old one had. */
-  function takeClaims(worker: Worker): readonly Claim[] {
-    const open = unsure.get(worker.side) ?? [];
-    unsure.delete(worker.side);
+  /** Assigns the unconfirmed runs of a side to its new stream. */
+  function reclaimRuns(worker: Worker): readonly Claim[] {
+    const runs = unconfirmedRuns.get(worker.side) ?? [];
+    unconfirmedRuns.delete(worker.side);
     const claims: Claim[] = [];
-    for (const { claim } of open) {
-      const found = options.find(claim.ref);
-      if (found?.task.state !== "unsure") continue;
+    for (const { claim } of runs) {
+      const found = options.findTask(claim.ref);
+      if (found?.task.state !== "unconfirmed") continue;
       const { live, task } = found;
       task.state = "placed";
       task.session = worker.session;
       worker.runs.set(keyOfTask(task.ref), claim);
       claims.push(claim);
-      if (live.isAnswered) askStop(task, worker);
+      if (live.isAnswered) requestStop(task, worker);
     }
     return claims;
   }
 
-  function loseSilent(now: number): void {
+  function closeSilentSides(now: number): void {
     for (const worker of [...workers.values()]) {
       const isBusy = worker.runs.size > 0;
       const limitMs = isBusy ? timing.sideLostMs : IDLE_SIDE_LOST_MS;
-      const since = isBusy
-        ? Math.max(worker.heardAt, worker.busySince)
-        : worker.heardAt;
-      if (now - since > limitMs) closeWorker(worker, "silent", now);
+      const lastActiveAt = isBusy
+        ? Math.max(worker.lastReceivedAt, worker.busySince)
+        : worker.lastReceivedAt;
+      if (now - lastActiveAt > limitMs) closeWorker(worker, "silent", now);
     }
   }
 
   function flush(now: number): void {
     for (const worker of workers.values()) {
       if (worker.side === "") continue;
-      const told = toldEntries.get(worker.session) ?? 0;
-      const hasNews = told !== entriesVersion && entries !== undefined;
-      const quietMs = now - worker.sentAt;
+      const sentVersion = sentEntriesVersions.get(worker.session) ?? 0;
+      const hasEntriesUpdate = sentVersion !== entriesVersion &&
+        entries !== undefined;
+      const idleMs = now - worker.lastSentAt;
       const heartbeatMs = worker.runs.size > 0
         ? timing.heartbeatMs
         : IDLE_HEARTBEAT_MS;
       const isDue = worker.offers.length > 0 || worker.stops.length > 0 ||
-        hasNews || !worker.isIntroduced || quietMs >= heartbeatMs;
+        hasEntriesUpdate || !worker.hasSentFirstFrame || idleMs >= heartbeatMs;
       if (!isDue) continue;
-      toldEntries.set(worker.session, entriesVersion);
-      const claims = worker.isIntroduced ? [] : takeClaims(worker);
+      sentEntriesVersions.set(worker.session, entriesVersion);
+      const claims = worker.hasSentFirstFrame ? [] : reclaimRuns(worker);
       const frame = takeFrame(worker, {
         entry: options.entry,
-        entries: hasNews ? entries : undefined,
+        entries: hasEntriesUpdate ? entries : undefined,
         claims,
       }, now);
       options.send(worker.session, frame);
@@ -215,8 +240,8 @@
       entriesVersion += 1;
     },
     entries: () => entries?.length ?? 1,
-    loseSilent,
-    expireUnsure,
+    closeSilentSides,
+    expireUnconfirmedRuns,
     flush,
   };
 }
--- a/packages/dispatch/src/workers.ts
+++ b/packages/dispatch/src/workers.ts
@@ -1,6 +1,6 @@
 /**
- * What an entry believes of each backend server: the side's last report, less
- * the offers that the report does not take into account yet.
+ * An entry's view of each backend server: the side's last report, less the
+ * offers that the report does not account for yet.
  */
 import {
   addResources,
@@ -16,32 +16,32 @@
 } from "@coltsfootreach/run";
 import type { SessionId } from "./effect.ts";
 
-/** A side with an open stream. */
+/** A side with an open stream, and its backend server. */
 export interface Worker {
   readonly session: SessionId;
   side: string;
   dataCentre: string;
   report: ServerReport | undefined;
-  /** Room that is left after the offers on their way. */
+  /** Free capacity, less that of offers still in flight. */
   room: Resources | undefined;
-  heardAt: number;
-  /** When it got the first of the runs it has; it may have been quiet before. */
+  lastReceivedAt: number;
+  /** When the first current run was offered; an idle side sends less often. */
   busySince: number;
-  sentAt: number;
-  /** Number of the last frame to the side. */
+  lastSentAt: number;
+  /** Sequence number of the last frame sent to the side. */
   sequence: number;
-  /** After a refusal, no offers until the side says more or this time. */
-  pausedUntil: number;
-  /** Offers in frames that the side has not mentioned yet. */
-  unseen: UnseenOffer[];
-  /** This entry's runs there, by the key of their task. */
+  /** After a refusal, no offers until this time or the next server report. */
+  backoffUntil: number;
+  /** Offers in frames that the side has not acknowledged yet. */
+  unacknowledged: UnacknowledgedOffer[];
+  /** This entry's runs on the side, by task key. */
   readonly runs: Map<string, Claim>;
   offers: Offer[];
   stops: RunRef[];
-  isIntroduced: boolean;
+  hasSentFirstFrame: boolean;
 }
 
-interface UnseenOffer {
+interface UnacknowledgedOffer {
   readonly sequence: number;
   readonly resources: Resources;
 }
@@ -53,42 +53,48 @@
     dataCentre: "",
     report: undefined,
     room: undefined,
-    heardAt: now,
+    lastReceivedAt: now,
     busySince: now,
-    sentAt: now,
+    lastSentAt: now,
     sequence: 0,
-    pausedUntil: 0,
-    unseen: [],
+    backoffUntil: 0,
+    unacknowledged: [],
     runs: new Map(),
     offers: [],
     stops: [],
-    isIntroduced: false,
+    hasSentFirstFrame: false,
   };
 }
 
-/** Takes in what the side says of itself and its server. */
-export function hear(worker: Worker, frame: WorkFrame, now: number): void {
-  worker.heardAt = now;
+/** Updates the view of the side and its server from a received frame. */
+export function applyWorkFrame(
+  worker: Worker,
+  frame: WorkFrame,
+  now: number,
+): void {
+  worker.lastReceivedAt = now;
   if (frame.side !== undefined) worker.side = frame.side;
   if (frame.dataCentre !== undefined) worker.dataCentre = frame.dataCentre;
-  worker.unseen = worker.unseen.filter((offer) => offer.sequence > frame.seen);
+  worker.unacknowledged = worker.unacknowledged.filter((offer) =>
+    offer.sequence > frame.seen
+  );
   if ("server" in frame) {
     worker.report = frame.server;
-    worker.pausedUntil = 0;
+    worker.backoffUntil = 0;
   }
   let room = worker.report?.room;
-  for (const offer of worker.unseen) {
+  for (const offer of worker.unacknowledged) {
     if (room !== undefined) room = subtractResources(room, offer.resources);
   }
   worker.room = room;
 }
 
-/** Adds an offer, whose room is reserved, to the next frame. */
+/** Adds an offer to the next frame; its capacity must be reserved already. */
 export function addOffer(worker: Worker, offer: Offer, now: number): void {
   const { task, run, resources, estimateMs } = offer;
   if (worker.runs.size === 0) worker.busySince = now;
   worker.offers.push(offer);
-  worker.unseen.push({ sequence: worker.sequence + 1, resources });
+  worker.unacknowledged.push({ sequence: worker.sequence + 1, resources });
   worker.runs.set(keyOfTask(task), {
     ref: { task, run },
     resources,
@@ -96,14 +102,14 @@
   });
 }
 
-/** Takes room for a task that is about to be offered... */
+/** Reserves capacity for a task that is about to be offered... */
 export function reserve(worker: Worker, resources: Resources): void {
   if (worker.room !== undefined) {
     worker.room = subtractResources(worker.room, resources);
   }
 }
 
-/** ...and gives it back when it is not offered after all. */
+/** ...and releases it if the task is not offered after all. */
 export function release(worker: Worker, resources: Resources): void {
   if (worker.room !== undefined) {
     worker.room = addResources(worker.room, resources);
@@ -113,11 +119,11 @@
 export interface FrameOptions {
   readonly entry: string;
   readonly entries: readonly string[] | undefined;
-  /** Runs that the side may still hold from an earlier stream. */
+  /** Runs that the side may still have from an earlier stream. */
   readonly claims: readonly Claim[];
 }
 
-/** Takes what is due for the side into a frame. */
+/** Moves the pending offers and stops into a frame for the side. */
 export function takeFrame(
   worker: Worker,
   options: FrameOptions,
@@ -131,12 +137,12 @@
     stops: worker.stops,
     ...(options.claims.length > 0 && { claims: options.claims }),
     ...(options.entries !== undefined && { entries: options.entries }),
-    ...(!worker.isIntroduced && { entry: options.entry }),
+    ...(!worker.hasSentFirstFrame && { entry: options.entry }),
   };
   worker.offers = [];
   worker.stops = [];
-  worker.isIntroduced = true;
-  worker.sentAt = now;
+  worker.hasSentFirstFrame = true;
+  worker.lastSentAt = now;
   return frame;
 }
 
