--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -1,7 +1,7 @@
-/** Orders to a backend server and what it answers. */
+/** Requests to a backend server and its replies. */
 import type { RunOutcome, RunRef } from "@coltsfootreach/run";
 
-/** Names the life of a backend server that an order is meant for. */
+/** Instance of a backend server that a request targets. */
 export interface ServerLife {
   readonly id: string;
   readonly born: number;
@@ -12,7 +12,7 @@
   readonly server: ServerLife;
   readonly ref: RunRef;
   readonly payload: string;
-  /** On the backend server's clock; not started after it. */
+  /** Deadline for the start and end of the lease, on the server's clock. */
   readonly untilMs: number;
   readonly fencingToken: number;
 }
@@ -23,7 +23,7 @@
     readonly kind: "refused";
     readonly reason: "fence" | "old" | "late" | "room" | "unhealthy" | "other";
   }
-  /** The order may be carried out, now or later. */
+  /** Outcome unknown: the server may start the run, even later. */
   | { readonly kind: "unanswered" };
 
 export interface StopOrder {
@@ -32,19 +32,19 @@
   readonly fencingToken: number;
 }
 
-/** True once the run is barred: it ends soon and will not start any more. */
+/** True if the server confirms that the run ends soon and cannot start again. */
 export type StopReply = { readonly isBarred: boolean };
 
 export interface ListOrder {
-  /** Tells this side's lists apart. */
+  /** Increases with each list request of the side. */
   readonly number: number;
   readonly server: ServerLife;
   readonly fencingToken: number;
-  /** Ends up to this number have been taken in. */
+  /** Acknowledges the run ends up to this number. */
   readonly observed: number;
-  /** Renews the lease of all runs; on the backend server's clock. */
+  /** Renews the lease of all runs until this time on the server's clock. */
   readonly untilMs?: number | undefined;
-  /** The answer waits this long for an end. */
+  /** Long polling: maximum time to wait for a run to end before replying. */
   readonly waitMs: number;
 }
 
@@ -54,7 +54,7 @@
 }
 
 export interface EndRow {
-  /** Counts the ends of one life of the backend server. */
+  /** Increases with each run that ends on one instance of the server. */
   readonly number: number;
   readonly ref: RunRef;
   readonly end: RunOutcome;
@@ -68,10 +68,10 @@
     readonly running: readonly RunningRow[];
     readonly ends: readonly EndRow[];
   }
-  /** A higher token was used before; a new one must be above this clock. */
+  /** The server has seen a higher token; the next must exceed this clock. */
   | { readonly kind: "fenced"; readonly clockMs: number }
-  /** Another life answers at the address. */
+  /** A different instance answers at the address. */
   | { readonly kind: "otherLife" }
-  /** Nothing listens at the address. */
+  /** The connection was refused: nothing listens at the address. */
   | { readonly kind: "absent" }
   | { readonly kind: "unanswered" };
--- a/packages/worker/src/claims.ts
+++ b/packages/worker/src/claims.ts
@@ -1,6 +1,6 @@
 /**
- * Claims of entries to runs from before their stream broke, and the news that
- * such runs had meanwhile.
+ * Claims that entries make, after a reconnect, to runs from before their stream
+ * broke, and the outcomes of runs that ended in the meantime.
  */
 import {
   type Claim,
@@ -10,41 +10,42 @@
 } from "@coltsfootreach/run";
 import type { OwnerId } from "./effect.ts";
 
-/** Ended runs whose outcome a claim can still learn. */
-const MAX_REMEMBERED_ENDS = 500;
+/** Maximum number of ended runs whose outcome is kept for later claims. */
+const MAX_OUTCOMES = 500;
 
-export interface WaitingClaim {
+export interface PendingClaim {
   readonly owner: OwnerId;
   readonly claim: Claim;
 }
 
 export interface Claims {
-  /** Keeps a claim until it is known what runs. */
-  wait(waiting: WaitingClaim): void;
-  takeWaiting(): readonly WaitingClaim[];
-  /** Keeps news that its owner may not have heard. */
-  remember(news: RunUpdate): void;
-  recall(ref: RunRef): RunUpdate | undefined;
+  /** Queues a claim until the first list of runs has arrived. */
+  wait(pending: PendingClaim): void;
+  takePending(): readonly PendingClaim[];
+  /** Keeps an outcome that may not have reached the owner of the run. */
+  recordOutcome(outcome: RunUpdate): void;
+  findOutcome(ref: RunRef): RunUpdate | undefined;
 }
 
 export function createClaims(): Claims {
-  let waiting: WaitingClaim[] = [];
-  /** Oldest first. */
-  const settled: RunUpdate[] = [];
+  let pending: PendingClaim[] = [];
+  /** In order of arrival. */
+  const outcomes: RunUpdate[] = [];
   return {
-    wait(one) {
-      waiting.push(one);
+    wait(claim) {
+      pending.push(claim);
     },
-    takeWaiting() {
-      const taken = waiting;
-      waiting = [];
+    takePending() {
+      const taken = pending;
+      pending = [];
       return taken;
     },
-    remember(news) {
-      settled.push(news);
-      if (settled.length > MAX_REMEMBERED_ENDS) settled.shift();
+    recordOutcome(outcome) {
+      outcomes.push(outcome);
+      if (outcomes.length > MAX_OUTCOMES) outcomes.shift();
     },
-    recall: (ref) => settled.find((news) => isSameRun(news.ref, ref)),
+    findOutcome: (ref) =>
+      outcomes.find((outcome) => isSameRun(outcome.ref, ref)),
   };
 }
 
--- a/packages/worker/src/effect.ts
+++ b/packages/worker/src/effect.ts
@@ -1,8 +1,8 @@
-/** What a worker core asks of the process around it. */
+/** Effects that the worker core returns for its process to perform. */
 import type { WorkFrame } from "@coltsfootreach/run";
 import type { ListOrder, StartOrder, StopOrder } from "./calls.ts";
 
-/** Names one stream from an entry. */
+/** Identifies one stream from an entry. */
 export type OwnerId = number;
 
 export type WorkerEffect =
@@ -17,7 +17,7 @@
   | { readonly kind: "list"; readonly order: ListOrder }
   | { readonly kind: "log"; readonly decision: WorkerDecision };
 
-/** A decision worth a line in the log. */
+/** A decision to write to the log. */
 export interface WorkerDecision {
   readonly message: string;
   readonly job?: string | undefined;
--- a/packages/worker/src/index.ts
+++ b/packages/worker/src/index.ts
@@ -1,4 +1,4 @@
-/** Decisions of a side about its backend server. */
+/** Decides which runs a side starts, keeps and stops on its backend server. */
 export * from "./calls.ts";
 export * from "./effect.ts";
 export * from "./worker_core.ts";
--- a/packages/worker/src/lists.ts
+++ b/packages/worker/src/lists.ts
@@ -1,185 +1,193 @@
 /**
- * Lists of what runs on the backend server: when they are sent, how long they
- * wait, and the lease that each of them renews.
+ * Polls the backend server for its list of runs. Decides when list requests are
+ * sent, how long the server may hold the reply, and until when the lease that
+ * they renew can last.
  */
 import type { Announcement } from "@coltsfootreach/run";
 import type { ListOrder } from "./calls.ts";
-import { type CurrentLife, lifeOf } from "./server_life.ts";
+import { type ServerState, toInstance } from "./server_state.ts";
 
-/** Longest wait of a list for an end; also how often leases are renewed. */
-const LIST_WAIT_MS = 80;
+/** Maximum wait of a list request for a run to end; also the renewal interval. */
+const LONG_POLL_WAIT_MS = 80;
 
 /**
- * The same after a list got no answer: until the next one answers, no end is
- * heard of, so lists that may be lost are kept short.
+ * Wait after a lost reply. Run ends stay unknown until the next reply arrives, so
+ * requests whose replies may be lost too wait only briefly.
  */
-const LOSSY_LIST_WAIT_MS = 20;
+const LOSSY_LONG_POLL_WAIT_MS = 20;
 
-/** Time after a lost answer for which more are expected to be lost. */
-const LOSSY_MS = 3000;
+/** Time after a lost reply during which more losses are expected. */
+const LOSS_WINDOW_MS = 3000;
 
-/** The same while a run is being stopped, whose end may never be listed. */
-const STOPPING_LIST_WAIT_MS = 40;
+/** Wait while a run is being stopped, since its end may never be listed. */
+const STOPPING_LONG_POLL_WAIT_MS = 40;
 
 /**
- * Least time between lists of which the first was refused or lost: a server
- * that breaks its connections would be asked hundreds of times a second.
+ * Minimum interval between list requests if the first was refused or lost.
+ * Without it, a server that resets its connections would be polled hundreds of
+ * times a second.
  */
-const LIST_RETRY_MS = 50;
+const MIN_LIST_INTERVAL_MS = 50;
 
-/** The same for a server that runs nothing. */
-const IDLE_LIST_RETRY_MS = 200;
+/** Minimum interval for a server without runs. */
+const MIN_IDLE_LIST_INTERVAL_MS = 200;
 
 /**
- * A server that left so many lists in a row without an answer is taken for
- * down; a lost answer by itself is no sign of that.
+ * Consecutive lost replies after which the server is considered down. A single
+ * lost reply does not indicate an outage.
  */
 const LOSSES_UNTIL_DOWN = 2;
 
-/** The server's clock may run this much slower than the side's. */
-const CLOCK_SLACK = 1.03;
+/** Maximum factor by which the server's clock may run slower than the side's. */
+const CLOCK_DRIFT_FACTOR = 1.03;
 
-/** Allows for the time that orders take to the server. */
+/** Allowance for the latency of requests to the server. */
 const LEASE_MARGIN_MS = 60;
 
-/** One refused connection may be a full queue of new ones. */
+/** A single refused connection may only mean that the accept queue was full. */
 const ABSENCES_UNTIL_GONE = 2;
 
-/** The list that is on its way. */
+/** A list request in flight. */
 export interface PendingList {
   readonly number: number;
-  /** Asks only whether an announced life answers. */
+  /** Only checks whether an announced instance answers. */
   readonly isProbe: boolean;
-  /** When the lease it renews has run out for certain. */
-  readonly leaseOverAt: number;
+  /** Time at which the lease that it renews is certain to have expired. */
+  readonly leaseExpiresAt: number;
 }
 
-export interface ListNeed {
+export interface RunActivity {
   readonly hasRuns: boolean;
   readonly isStopping: boolean;
 }
 
-export interface Lists {
-  /** Number of the list that was sent last. */
-  latest(): number;
+export interface ListPoller {
+  /** Number of the last list request that was sent. */
+  latestNumber(): number;
   isPending(): boolean;
   isDue(now: number): boolean;
-  /** True after several lists in a row without an answer. */
+  /** True after several consecutive list requests without a reply. */
   isDown(): boolean;
-  /** Looks whether the announced life answers, and what its clock shows. */
+  /** Checks whether the announced instance answers, and reads its clock. */
   probe(announcement: Announcement): ListOrder;
-  next(life: CurrentLife, need: ListNeed, now: number): ListOrder;
-  /** Takes the answer to a list; none when it is of no interest any more. */
-  answered(order: ListOrder): PendingList | undefined;
-  /** The life is over; what is on its way is of no interest. */
-  forget(): void;
-  /** The server answered, or a list got no answer. */
-  noteHeard(): void;
-  noteLost(now: number): void;
-  /** Nothing listens; true when the server is gone. */
-  noteAbsent(): boolean;
-  /** A lease may have been renewed just now. */
+  nextRequest(
+    server: ServerState,
+    activity: RunActivity,
+    now: number,
+  ): ListOrder;
+  /** Completes a list request; undefined if the request is obsolete. */
+  answered(request: ListOrder): PendingList | undefined;
+  /** The server instance has ended; a request in flight becomes obsolete. */
+  instanceEnded(): void;
+  /** The server replied; resets the counters of losses and refusals. */
+  recordReply(): void;
+  recordLoss(now: number): void;
+  /** The connection was refused; returns true if the server counts as gone. */
+  recordAbsence(): boolean;
+  /** Accounts for a lease that may just have been granted or renewed. */
   extendLease(now: number): void;
-  isLeaseOver(now: number): boolean;
+  isLeaseExpired(now: number): boolean;
 }
 
-export function serverClock(life: CurrentLife, now: number): number {
-  return Math.floor(now + life.clockOffsetMs);
+export function toServerClock(server: ServerState, now: number): number {
+  return Math.floor(now + server.clockOffsetMs);
 }
 
-export function createLists(leaseMs: number): Lists {
+export function createListPoller(leaseMs: number): ListPoller {
   let pending: PendingList | undefined;
-  let latest = 0;
-  let nextAt = 0;
-  let leaseOverAt = 0;
-  let lossyUntil = 0;
-  let absences = 0;
-  let losses = 0;
-
-  function leaseEnd(now: number): number {
-    return now + leaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
+  let latestNumber = 0;
+  let nextRequestAt = 0;
+  let leaseExpiresAt = 0;
+  let lossWindowEndsAt = 0;
+  let consecutiveAbsences = 0;
+  let consecutiveLosses = 0;
+
+  function computeLeaseExpiry(now: number): number {
+    return now + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
   }
 
-  function waitFor(need: ListNeed, now: number): number {
-    if (!need.hasRuns) return 0;
-    if (now < lossyUntil) return LOSSY_LIST_WAIT_MS;
-    return need.isStopping ? STOPPING_LIST_WAIT_MS : LIST_WAIT_MS;
+  function computeWaitMs(activity: RunActivity, now: number): number {
+    if (!activity.hasRuns) return 0;
+    if (now < lossWindowEndsAt) return LOSSY_LONG_POLL_WAIT_MS;
+    return activity.isStopping ? STOPPING_LONG_POLL_WAIT_MS : LONG_POLL_WAIT_MS;
   }
 
   return {
-    latest: () => latest,
+    latestNumber: () => latestNumber,
     isPending: () => pending !== undefined,
-    isDue: (now) => pending === undefined && now >= nextAt,
-    isDown: () => losses >= LOSSES_UNTIL_DOWN,
+    isDue: (now) => pending === undefined && now >= nextRequestAt,
+    isDown: () => consecutiveLosses >= LOSSES_UNTIL_DOWN,
     probe(announcement) {
-      latest += 1;
+      latestNumber += 1;
       pending = {
-        number: latest,
+        number: latestNumber,
         isProbe: true,
-        leaseOverAt: 0,
+        leaseExpiresAt: 0,
       };
       return {
-        number: latest,
-        server: lifeOf(announcement),
+        number: latestNumber,
+        server: toInstance(announcement),
         fencingToken: 0,
         observed: 0,
         waitMs: 0,
       };
     },
-    next(life, need, now) {
-      latest += 1;
-      // What is asked of a server that seems to be down renews nothing, so that
-      // its runs are over for certain after one lease.
-      const isRenewal = need.hasRuns && losses < LOSSES_UNTIL_DOWN;
+    nextRequest(server, activity, now) {
+      latestNumber += 1;
+      // A server that seems to be down gets no renewals, so that its runs are
+      // certain to have ended after one lease.
+      const isRenewal = activity.hasRuns &&
+        consecutiveLosses < LOSSES_UNTIL_DOWN;
       pending = {
-        number: latest,
+        number: latestNumber,
         isProbe: false,
-        leaseOverAt: isRenewal ? leaseEnd(now) : 0,
+        leaseExpiresAt: isRenewal ? computeLeaseExpiry(now) : 0,
       };
-      nextAt = now + (need.hasRuns ? LIST_RETRY_MS : IDLE_LIST_RETRY_MS);
-      const untilMs = serverClock(life, now) + leaseMs;
+      nextRequestAt = now +
+        (activity.hasRuns ? MIN_LIST_INTERVAL_MS : MIN_IDLE_LIST_INTERVAL_MS);
+      const untilMs = toServerClock(server, now) + leaseMs;
       return {
-        number: latest,
-        server: life.life,
-        fencingToken: life.fencingToken,
-        observed: life.observed,
+        number: latestNumber,
+        server: server.instance,
+        fencingToken: server.fencingToken,
+        observed: server.observed,
         untilMs: isRenewal ? untilMs : undefined,
-        waitMs: waitFor(need, now),
+        waitMs: computeWaitMs(activity, now),
       };
     },
-    answered(order) {
-      const taken = pending;
-      if (taken?.number !== order.number) return undefined;
+    answered(request) {
+      const answered = pending;
+      if (answered?.number !== request.number) return undefined;
       pending = undefined;
-      // A renewal may have taken effect whatever became of its answer.
-      leaseOverAt = Math.max(leaseOverAt, taken.leaseOverAt);
-      return taken;
+      // The server may have renewed the lease even if its reply was lost.
+      leaseExpiresAt = Math.max(leaseExpiresAt, answered.leaseExpiresAt);
+      return answered;
     },
-    forget() {
-      leaseOverAt = Math.max(leaseOverAt, pending?.leaseOverAt ?? 0);
+    instanceEnded() {
+      leaseExpiresAt = Math.max(leaseExpiresAt, pending?.leaseExpiresAt ?? 0);
       pending = undefined;
-      losses = 0;
+      consecutiveLosses = 0;
     },
-    noteHeard() {
-      absences = 0;
-      losses = 0;
+    recordReply() {
+      consecutiveAbsences = 0;
+      consecutiveLosses = 0;
     },
-    noteLost(now) {
-      losses += 1;
-      lossyUntil = now + LOSSY_MS;
+    recordLoss(now) {
+      consecutiveLosses += 1;
+      lossWindowEndsAt = now + LOSS_WINDOW_MS;
     },
-    noteAbsent() {
-      absences += 1;
-      if (absences < ABSENCES_UNTIL_GONE) return false;
-      absences = 0;
+    recordAbsence() {
+      consecutiveAbsences += 1;
+      if (consecutiveAbsences < ABSENCES_UNTIL_GONE) return false;
+      consecutiveAbsences = 0;
       return true;
     },
     extendLease(now) {
-      leaseOverAt = Math.max(leaseOverAt, leaseEnd(now));
+      leaseExpiresAt = Math.max(leaseExpiresAt, computeLeaseExpiry(now));
     },
-    isLeaseOver(now) {
-      // A renewal on its way may have taken effect already.
-      return now > Math.max(leaseOverAt, pending?.leaseOverAt ?? 0);
+    isLeaseExpired(now) {
+      // A renewal in flight may already have taken effect.
+      return now > Math.max(leaseExpiresAt, pending?.leaseExpiresAt ?? 0);
     },
   };
 }
--- a/packages/worker/src/owners.ts
+++ b/packages/worker/src/owners.ts
@@ -1,28 +1,31 @@
-/** Streams from entries: when each was heard, and what it is still to be told. */
+/**
+ * Streams from entries, each of which owns the runs that it started or claimed.
+ * Tracks when each was last heard from and which updates it has yet to receive.
+ */
 import type { RunUpdate, ServerReport, WorkFrame } from "@coltsfootreach/run";
 import type { OwnerId } from "./effect.ts";
 
 interface Owner {
   hasRuns: boolean;
-  heardAt: number;
-  sentAt: number;
+  lastReceivedAt: number;
+  lastSentAt: number;
   entry: string;
   seen: number;
   news: RunUpdate[];
-  reported: ServerReport | undefined;
-  isIntroduced: boolean;
+  lastReport: ServerReport | undefined;
+  hasSentFirstFrame: boolean;
 }
 
 export interface OwnerOptions {
   readonly side: string;
   readonly dataCentre: string;
-  /** Least time between reports that carry no news... */
-  readonly reportMs: number;
-  /** ...and at least this for each entry, so that many cost no more than few. */
-  readonly reportMsPerOwner: number;
-  /** Longest time between frames to an entry that has runs here... */
+  /** Minimum interval between reports on a stream without run updates... */
+  readonly minReportIntervalMs: number;
+  /** ...and at least this per stream, which caps the total report rate. */
+  readonly minReportIntervalPerOwnerMs: number;
+  /** Maximum interval between frames to an entry with runs on this side... */
   readonly heartbeatMs: number;
-  /** ...and to one that has none. */
+  /** ...and to an entry without any. */
   readonly idleHeartbeatMs: number;
 }
 
@@ -30,21 +33,24 @@
   open(owner: OwnerId, now: number): void;
   close(owner: OwnerId): void;
   has(owner: OwnerId): boolean;
-  heard(owner: OwnerId, sequence: number, now: number): void;
-  named(owner: OwnerId, entry: string): void;
-  nameOf(owner: OwnerId): string;
-  tell(owner: OwnerId, news: RunUpdate): void;
-  /** Says which streams have runs here. */
-  setBusy(busy: ReadonlySet<OwnerId>): void;
-  /** Streams that were silent for longer than they may be. */
-  silent(limits: SilenceLimits, now: number): readonly OwnerId[];
-  /** True while some entry is still to hear of this report. */
-  isUnheard(report: ServerReport | undefined): boolean;
-  /** Frames that are due, each with the newest report where it differs. */
-  takeDue(report: ServerReport | undefined, now: number): readonly DueFrame[];
+  frameReceived(owner: OwnerId, sequence: number, now: number): void;
+  setEntryName(owner: OwnerId, entry: string): void;
+  entryNameOf(owner: OwnerId): string;
+  notify(owner: OwnerId, update: RunUpdate): void;
+  /** Sets which streams have runs on this side; the others are idle. */
+  setBusyOwners(busy: ReadonlySet<OwnerId>): void;
+  /** Streams without a frame for longer than their timeout. */
+  silent(timeouts: SilenceTimeouts, now: number): readonly OwnerId[];
+  /** True while some entry has not been sent this report. */
+  isReportPending(report: ServerReport | undefined): boolean;
+  /** Returns the frames that are due, with the report if it has changed. */
+  takeDueFrames(
+    report: ServerReport | undefined,
+    now: number,
+  ): readonly DueFrame[];
 }
 
-export interface SilenceLimits {
+export interface SilenceTimeouts {
   readonly busyMs: number;
   readonly idleMs: number;
 }
@@ -62,15 +68,17 @@
     report: ServerReport | undefined,
     now: number,
   ): boolean {
-    if (owner.news.length > 0 || !owner.isIntroduced) return true;
-    if (isOpen(owner.reported) !== isOpen(report)) return true;
-    const quietMs = now - owner.sentAt;
-    const reportMs = Math.max(
-      options.reportMs,
-      options.reportMsPerOwner * owners.size,
+    if (owner.news.length > 0 || !owner.hasSentFirstFrame) return true;
+    if (isOpen(owner.lastReport) !== isOpen(report)) return true;
+    const sinceLastSentMs = now - owner.lastSentAt;
+    const minIntervalMs = Math.max(
+      options.minReportIntervalMs,
+      options.minReportIntervalPerOwnerMs * owners.size,
     );
-    if (owner.reported !== report && quietMs >= reportMs) return true;
-    return quietMs >=
+    if (owner.lastReport !== report && sinceLastSentMs >= minIntervalMs) {
+      return true;
+    }
+    return sinceLastSentMs >=
       (owner.hasRuns ? options.heartbeatMs : options.idleHeartbeatMs);
   }
 
@@ -83,16 +91,16 @@
       kind: "work",
       seen: owner.seen,
       news: owner.news,
-      ...(owner.reported !== report && { server: report }),
-      ...(!owner.isIntroduced && {
+      ...(owner.lastReport !== report && { server: report }),
+      ...(!owner.hasSentFirstFrame && {
         side: options.side,
         dataCentre: options.dataCentre,
       }),
     };
     owner.news = [];
-    owner.reported = report;
-    owner.isIntroduced = true;
-    owner.sentAt = now;
+    owner.lastReport = report;
+    owner.hasSentFirstFrame = true;
+    owner.lastSentAt = now;
     return frame;
   }
 
@@ -100,51 +108,51 @@
     open(id, now) {
       owners.set(id, {
         hasRuns: false,
-        heardAt: now,
-        sentAt: now,
+        lastReceivedAt: now,
+        lastSentAt: now,
         entry: "",
         seen: 0,
         news: [],
-        reported: undefined,
-        isIntroduced: false,
+        lastReport: undefined,
+        hasSentFirstFrame: false,
       });
     },
     close(id) {
       owners.delete(id);
     },
     has: (id) => owners.has(id),
-    heard(id, sequence, now) {
+    frameReceived(id, sequence, now) {
       const owner = owners.get(id);
       if (owner === undefined) return;
-      owner.heardAt = now;
+      owner.lastReceivedAt = now;
       owner.seen = Math.max(owner.seen, sequence);
     },
-    named(id, entry) {
+    setEntryName(id, entry) {
       const owner = owners.get(id);
       if (owner !== undefined) owner.entry = entry;
     },
-    nameOf: (id) => owners.get(id)?.entry ?? "",
-    tell(id, news) {
-      owners.get(id)?.news.push(news);
+    entryNameOf: (id) => owners.get(id)?.entry ?? "",
+    notify(id, update) {
+      owners.get(id)?.news.push(update);
     },
-    setBusy(busy) {
+    setBusyOwners(busy) {
       for (const [id, owner] of owners) owner.hasRuns = busy.has(id);
     },
     silent({ busyMs, idleMs }, now) {
-      const silent: OwnerId[] = [];
+      const silentOwners: OwnerId[] = [];
       for (const [id, owner] of owners) {
-        const limitMs = owner.hasRuns ? busyMs : idleMs;
-        if (now - owner.heardAt > limitMs) silent.push(id);
+        const timeoutMs = owner.hasRuns ? busyMs : idleMs;
+        if (now - owner.lastReceivedAt > timeoutMs) silentOwners.push(id);
       }
-      return silent;
+      return silentOwners;
     },
-    isUnheard(report) {
+    isReportPending(report) {
       for (const owner of owners.values()) {
-        if (owner.reported !== report) return true;
+        if (owner.lastReport !== report) return true;
       }
       return false;
     },
-    takeDue(report, now) {
+    takeDueFrames(report, now) {
       const due: DueFrame[] = [];
       for (const [id, owner] of owners) {
         if (!isDue(owner, report, now)) continue;
--- a/packages/worker/src/report.ts
+++ b/packages/worker/src/report.ts
@@ -1,46 +1,46 @@
-/** What a side tells entries about its backend server. */
+/** Reports about the backend server that a side sends to entries. */
 import { areResourcesEqual, type ServerReport } from "@coltsfootreach/run";
-import type { CurrentLife } from "./server_life.ts";
+import type { ServerState } from "./server_state.ts";
 
-/** What the side believes of the server beside what the server says itself. */
-export type Beliefs = Pick<
+/** The side's own view of the server, in addition to what it announces. */
+export type ServerAssessment = Pick<
   ServerReport,
   "room" | "isOpen" | "slowness" | "isSuspect"
 >;
 
-/** Finer steps would be reported again and again without being of use. */
+/** Rounding steps per unit; finer changes would only cause useless reports. */
 const SLOWNESS_STEPS = 100;
 
-export function reportOf(
-  { life, announcement }: CurrentLife,
-  beliefs: Beliefs,
+export function createReport(
+  { instance, announcement }: ServerState,
+  assessment: ServerAssessment,
 ): ServerReport {
-  const slowness = Math.round(beliefs.slowness * SLOWNESS_STEPS);
+  const slowness = Math.round(assessment.slowness * SLOWNESS_STEPS);
   return {
-    id: life.id,
-    born: life.born,
+    id: instance.id,
+    born: instance.born,
     service: announcement.service,
     capacity: announcement.capacity,
     labels: announcement.labels,
-    ...beliefs,
+    ...assessment,
     slowness: slowness / SLOWNESS_STEPS,
   };
 }
 
-export function isSameReport(
+export function areReportsEqual(
   left: ServerReport | undefined,
   right: ServerReport | undefined,
 ): boolean {
   if (left === undefined || right === undefined) return left === right;
   return left.id === right.id && left.born === right.born &&
     left.service === right.service &&
-    areSameLabels(left.labels, right.labels) &&
+    areLabelsEqual(left.labels, right.labels) &&
     areResourcesEqual(left.capacity, right.capacity) &&
     areResourcesEqual(left.room, right.room) && left.isOpen === right.isOpen &&
     left.slowness === right.slowness && left.isSuspect === right.isSuspect;
 }
 
-function areSameLabels(
+function areLabelsEqual(
   left: readonly string[],
   right: readonly string[],
 ): boolean {
--- a/packages/worker/src/runs.ts
+++ b/packages/worker/src/runs.ts
@@ -1,4 +1,4 @@
-/** The runs that may hold room on a backend server, whatever their state. */
+/** Runs that may use capacity on a backend server, in any state. */
 import {
   addResources,
   keyOfTask,
@@ -10,31 +10,32 @@
 import type { OwnerId } from "./effect.ts";
 
 /**
- * - `starting`: the order is on its way.
- * - `running`: the server has confirmed it.
- * - `stopping`: must end; holds its room until the server shows that it has.
+ * - `starting`: the start request is in flight.
+ * - `running`: the server has confirmed the start.
+ * - `stopping`: must end; counts as used capacity until the server shows that it
+ *   has ended.
  */
 export type RunState = "starting" | "running" | "stopping";
 
 export interface Run {
   readonly ref: RunRef;
-  /** Nobody owns a run that was found on the server or whose stream broke. */
+  /** Undefined if the run was discovered on the server or its stream broke. */
   owner: OwnerId | undefined;
-  /** Unknown for runs that were found on the server. */
+  /** Undefined for runs that were discovered on the server. */
   resources: Resources | undefined;
   estimateMs: number;
-  /** When a run that nobody claims is stopped. */
+  /** Time at which the run is stopped if no entry has claimed it. */
   claimableUntil: number;
   state: RunState;
-  /** The server will not start it any more. */
-  isBarred: boolean;
-  /** When the last order for it was sent. */
-  orderedAt: number;
-  /** Lists sent after the one with this number must show it. */
-  shownAfter: number;
+  /** The server has confirmed that it will not start the run again. */
+  isStopConfirmed: boolean;
+  /** Time of the last start or stop request for the run. */
+  lastRequestAt: number;
+  /** Replies to list requests with higher numbers must include the run. */
+  visibleAfterList: number;
   startedAt: number;
   percent: number;
-  progressAt: number;
+  lastProgressAt: number;
   isStalled: boolean;
 }
 
@@ -42,38 +43,38 @@
   add(run: Run): void;
   remove(run: Run): void;
   find(ref: RunRef): Run | undefined;
-  /** The run of this task, whatever its number. */
-  ofTask(task: TaskRef): Run | undefined;
+  /** Returns the run of the task, regardless of its run number. */
+  findByTask(task: TaskRef): Run | undefined;
   all(): readonly Run[];
   count(): number;
-  used(): Resources;
-  /** True while something runs whose size nobody knows. */
-  hasUnsized(): boolean;
-  /** Highest run of a task that was seen here; 0 for none. */
-  highest(task: TaskRef): number;
+  usedResources(): Resources;
+  /** True while the resources of some run are unknown. */
+  hasUnknownResources(): boolean;
+  /** Highest known run number of the task; 0 for none. */
+  highestRunOf(task: TaskRef): number;
 }
 
-/** Tasks whose highest run is remembered after their end. */
-const MAX_REMEMBERED = 5000;
+/** Maximum number of tasks whose highest run number is kept. */
+const MAX_REMEMBERED_TASKS = 5000;
 
 export function createRuns(): Runs {
   const runs = new Map<string, Run>();
   const highestRuns = new Map<string, number>();
 
-  function remember(ref: RunRef): void {
+  function recordHighestRun(ref: RunRef): void {
     const key = keyOfTask(ref.task);
     const highest = Math.max(ref.run, highestRuns.get(key) ?? 0);
-    // Deleting first keeps the map in order of last use.
+    // Deleting first keeps the map ordered by last use.
     highestRuns.delete(key);
     highestRuns.set(key, highest);
-    if (highestRuns.size <= MAX_REMEMBERED) return;
+    if (highestRuns.size <= MAX_REMEMBERED_TASKS) return;
     highestRuns.delete(highestRuns.keys().next().value!);
   }
 
   return {
     add(run) {
       runs.set(keyOfTask(run.ref.task), run);
-      remember(run.ref);
+      recordHighestRun(run.ref);
     },
     remove(run) {
       const key = keyOfTask(run.ref.task);
@@ -83,22 +84,22 @@
       const run = runs.get(keyOfTask(ref.task));
       return run?.ref.run === ref.run ? run : undefined;
     },
-    ofTask: (task) => runs.get(keyOfTask(task)),
+    findByTask: (task) => runs.get(keyOfTask(task)),
     all: () => [...runs.values()],
     count: () => runs.size,
-    used() {
+    usedResources() {
       let sum = NO_RESOURCES;
       for (const run of runs.values()) {
         if (run.resources !== undefined) sum = addResources(sum, run.resources);
       }
       return sum;
     },
-    hasUnsized() {
+    hasUnknownResources() {
       for (const run of runs.values()) {
         if (run.resources === undefined) return true;
       }
       return false;
     },
-    highest: (task) => highestRuns.get(keyOfTask(task)) ?? 0,
+    highestRunOf: (task) => highestRuns.get(keyOfTask(task)) ?? 0,
   };
 }
--- /dev/null
+++ b/packages/worker/src/server_state.ts
@@ -0,0 +1,50 @@
+/**
+ * State of the backend server instance that the side uses. An announcement may
+ * come from an instance that has already ended, so the side uses a new instance
+ * only after the instance itself has replied.
+ */
+import type { Announcement } from "@coltsfootreach/run";
+import type { ServerLife } from "./calls.ts";
+
+export interface ServerState {
+  readonly instance: ServerLife;
+  announcement: Announcement;
+  /** Higher than that of any earlier side process; see `createServerState`. */
+  fencingToken: number;
+  /** Number of the last run end that was processed. */
+  observed: number;
+  /** Server's clock minus the side's clock, at the last reply. */
+  clockOffsetMs: number;
+  lastReplyAt: number;
+  /** Whether the server has listed its runs at least once. */
+  hasRunList: boolean;
+}
+
+export function toInstance(announcement: Announcement): ServerLife {
+  const { id, born, address } = announcement;
+  return { id, born, address };
+}
+
+export function isSameInstance(left: ServerLife, right: ServerLife): boolean {
+  return left.id === right.id && left.born === right.born;
+}
+
+/**
+ * Uses the server's own clock at the first reply as the fencing token. The clock
+ * never runs backward within an instance, and a later side process reads it later.
+ */
+export function createServerState(
+  announcement: Announcement,
+  clockMs: number,
+  now: number,
+): ServerState {
+  return {
+    instance: toInstance(announcement),
+    announcement,
+    fencingToken: Math.max(1, Math.floor(clockMs)),
+    observed: 0,
+    clockOffsetMs: clockMs - now,
+    lastReplyAt: now,
+    hasRunList: false,
+  };
+}
--- a/packages/worker/src/slowness.ts
+++ b/packages/worker/src/slowness.ts
@@ -1,38 +1,38 @@
 /**
- * Learns how much longer runs take than their callers declare. Declared times
- * are off by a factor per job, so the mean is taken over logarithms.
+ * Estimates the ratio of actual to declared run time. Declared times are off by a
+ * factor per job, so the estimator averages the logarithms of the ratios.
  */
 
-/** Share of a new value once enough are known. */
-const STEADY_GAIN = 0.12;
+/** Weight of a new sample once there are enough samples. */
+const MIN_GAIN = 0.12;
 
-/** Bounds one odd run's influence. */
+/** Limits the influence of a single outlier. */
 const MAX_RATIO = 16;
 
-export interface Slowness {
-  ended(ms: number, estimateMs: number): void;
+export interface SlownessEstimator {
+  ended(actualMs: number, estimateMs: number): void;
   value(): number;
-  /** Forgets what was learnt, as for a new life of the backend server. */
+  /** Discards all samples, as for a new instance of the backend server. */
   reset(): void;
 }
 
-export function createSlowness(): Slowness {
-  let mean = 0;
+export function createSlownessEstimator(): SlownessEstimator {
+  let meanLogRatio = 0;
   let count = 0;
   return {
-    ended(ms, estimateMs) {
-      if (estimateMs <= 0 || ms <= 0) return;
+    ended(actualMs, estimateMs) {
+      if (estimateMs <= 0 || actualMs <= 0) return;
       const ratio = Math.min(
         MAX_RATIO,
-        Math.max(1 / MAX_RATIO, ms / estimateMs),
+        Math.max(1 / MAX_RATIO, actualMs / estimateMs),
       );
       count += 1;
-      const gain = Math.max(STEADY_GAIN, 1 / (count + 1));
-      mean += gain * (Math.log(ratio) - mean);
+      const gain = Math.max(MIN_GAIN, 1 / (count + 1));
+      meanLogRatio += gain * (Math.log(ratio) - meanLogRatio);
     },
-    value: () => Math.exp(mean),
+    value: () => Math.exp(meanLogRatio),
     reset() {
-      mean = 0;
+      meanLogRatio = 0;
       count = 0;
     },
   };
--- a/packages/worker/src/suspicion.ts
+++ b/packages/worker/src/suspicion.ts
@@ -1,58 +1,60 @@
 /**
- * Decides from how runs end whether a backend server gets more work. A server
- * that fails everything is always free, and would draw all work if it were
- * judged by its room alone.
+ * Circuit breaker that limits new runs after failures. A server that fails every
+ * run always has free capacity, so placement by free capacity alone would send it
+ * all the work.
  */
 
-/** Failures in a row after which a server counts as suspect. */
-const FAILURES_IN_ROW = 2;
+/** Consecutive failures after which a server is suspect. */
+const FAILURE_THRESHOLD = 2;
 
-/** First pause between trial runs; doubles up to the longest. */
-const FIRST_PAUSE_MS = 500;
+/** Initial delay between trial runs; doubles up to the maximum. */
+const INITIAL_TRIAL_DELAY_MS = 500;
 
-const LONGEST_PAUSE_MS = 4000;
+const MAX_TRIAL_DELAY_MS = 4000;
 
-export interface Suspicion {
+export interface CircuitBreaker {
   succeeded(): void;
   failed(now: number): void;
-  /** A run makes no progress. */
+  /** A run makes no progress; makes the server suspect at once. */
   stalled(now: number): void;
   isSuspect(): boolean;
-  /** A trial run may start; its outcome decides. */
-  mayTry(now: number): boolean;
-  tried(now: number): void;
+  /** Whether a trial run may start; its outcome decides about further runs. */
+  isTrialDue(now: number): boolean;
+  trialStarted(now: number): void;
   reset(): void;
 }
 
-export function createSuspicion(): Suspicion {
-  let failuresInRow = 0;
+export function createCircuitBreaker(): CircuitBreaker {
+  let consecutiveFailures = 0;
   let isSuspect = false;
-  let pauseMs = FIRST_PAUSE_MS;
+  let trialDelayMs = INITIAL_TRIAL_DELAY_MS;
   let nextTrialAt = 0;
 
-  function suspect(now: number): void {
-    if (isSuspect) pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+  function trip(now: number): void {
+    if (isSuspect) {
+      trialDelayMs = Math.min(MAX_TRIAL_DELAY_MS, trialDelayMs * 2);
+    }
     isSuspect = true;
-    nextTrialAt = now + pauseMs;
+    nextTrialAt = now + trialDelayMs;
   }
 
   function clear(): void {
-    failuresInRow = 0;
+    consecutiveFailures = 0;
     isSuspect = false;
-    pauseMs = FIRST_PAUSE_MS;
+    trialDelayMs = INITIAL_TRIAL_DELAY_MS;
   }
 
   return {
     succeeded: clear,
     failed(now) {
-      failuresInRow += 1;
-      if (failuresInRow >= FAILURES_IN_ROW) suspect(now);
+      consecutiveFailures += 1;
+      if (consecutiveFailures >= FAILURE_THRESHOLD) trip(now);
     },
-    stalled: suspect,
+    stalled: trip,
     isSuspect: () => isSuspect,
-    mayTry: (now) => now >= nextTrialAt,
-    tried(now) {
-      nextTrialAt = now + pauseMs;
+    isTrialDue: (now) => now >= nextTrialAt,
+    trialStarted(now) {
+      nextTrialAt = now + trialDelayMs;
     },
     reset: clear,
   };
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -1,7 +1,8 @@
 /**
- * A side's decisions: which offered runs start, how long they keep their lease,
- * and what their owners are told. It is the only caller of its backend server,
- * so its own books decide whether there is room.
+ * Decides which offered runs start on the side's backend server, renews their
+ * leases and reports their outcomes to the entries that own them. The side is the
+ * only client of its backend server, so it admits runs against its own accounting
+ * of the free capacity.
  */
 import {
   type Announcement,
@@ -22,45 +23,53 @@
 import type { ListOrder, ListReply, StartReply, StopReply } from "./calls.ts";
 import { createClaims } from "./claims.ts";
 import type { OwnerId, WorkerDecision, WorkerEffect } from "./effect.ts";
-import { createLists, type PendingList, serverClock } from "./lists.ts";
+import { createListPoller, type PendingList, toServerClock } from "./lists.ts";
 import { createOwners } from "./owners.ts";
-import { isSameReport, reportOf } from "./report.ts";
+import { areReportsEqual, createReport } from "./report.ts";
 import { createRuns, type Run } from "./runs.ts";
-import { adopt, type CurrentLife, isSameLife, lifeOf } from "./server_life.ts";
-import { createSlowness } from "./slowness.ts";
-import { createSuspicion } from "./suspicion.ts";
+import {
+  createServerState,
+  isSameInstance,
+  type ServerState,
+  toInstance,
+} from "./server_state.ts";
+import { createSlownessEstimator } from "./slowness.ts";
+import { createCircuitBreaker } from "./suspicion.ts";
 
-/** Entries are told of changed room at most this often. */
-const REPORT_MS = 50;
+/** Minimum interval between reports of changed capacity to one entry. */
+const MIN_REPORT_INTERVAL_MS = 50;
 
-/** With many entries, more rarely: at most 50 reports a second in all. */
-const REPORT_MS_PER_ENTRY = 20;
+/** Minimum interval per entry; caps the total at 50 reports a second. */
+const MIN_REPORT_INTERVAL_PER_ENTRY_MS = 20;
 
-/** Longest time between frames to an entry that has no runs here. */
+/** Maximum interval between frames to an entry without runs on this side. */
 const IDLE_HEARTBEAT_MS = 1000;
 
-/** An entry without runs here that was not heard for this long is given up. */
-const IDLE_OWNER_LOST_MS = 3000;
+/** Silence after which an entry without runs on this side is considered lost. */
+const IDLE_OWNER_TIMEOUT_MS = 3000;
 
-/** Time for entries to claim runs that a new side process has found. */
-const FOUND_CLAIM_MS = 200;
+/** Time for entries to claim runs that a new side process discovers. */
+const CLAIM_PERIOD_MS = 200;
 
-/** Time to read what came while the process stood still. */
-const STALE_INPUT_MS = 50;
+/** Time to read the input that arrived while the process was paused. */
+const STALE_INPUT_WINDOW_MS = 50;
 
-/** Raises a token that is too low by so much; a life's clock may run for days. */
-const TOKEN_FACTOR = 16;
+/**
+ * Factor by which a fencing token that is too low is raised. An instance's clock
+ * may run for days, so small increments would take too many attempts.
+ */
+const TOKEN_RAISE_FACTOR = 16;
 
 const STOP_RETRY_MS = 150;
 
-/** Without an answer for this long the server gets no new runs. */
-const UNREACHABLE_MS = 400;
+/** Time without a reply after which a server with runs gets no new ones. */
+const UNREACHABLE_AFTER_MS = 400;
 
-/** A run whose progress stands still for this long is reported... */
-const STALL_MS = 250;
+/** Time without progress after which a run is reported as stalled... */
+const MIN_STALL_MS = 250;
 
-/** ...or for this share of its declared time, whichever is longer. */
-const STALL_SHARE = 0.35;
+/** ...or this ratio of its expected run time, if that is longer. */
+const STALL_RATIO = 0.35;
 
 export interface WorkerOptions {
   readonly side: string;
@@ -76,20 +85,20 @@
   ownerClosed(owner: OwnerId, now: number): void;
   startReplied(ref: RunRef, reply: StartReply, now: number): void;
   stopReplied(ref: RunRef, reply: StopReply, now: number): void;
-  listReplied(order: ListOrder, reply: ListReply, now: number): void;
-  /** Takes no more offers, as before the process ends. */
+  listReplied(request: ListOrder, reply: ListReply, now: number): void;
+  /** Refuses all further offers; called before the process exits. */
   close(): void;
-  /** Runs that may hold room. */
+  /** Number of runs that may use capacity on the server. */
   runs(): number;
-  /** True while some entry has not heard the newest report of the server. */
+  /** True while some entry has not been sent the latest server report. */
   hasUnsentReport(): boolean;
   tick(now: number): void;
   /**
-   * The process stood still. What it reads next may come from entries that have
-   * given it up meanwhile, and repeated its runs elsewhere.
+   * The process was paused. Input that it reads next may come from entries that
+   * have since considered this side lost and restarted its runs elsewhere.
    */
   suspended(now: number): void;
-  /** What is to be done since the last call. */
+  /** Returns the effects that have accumulated since the last call. */
   takeEffects(now: number): readonly WorkerEffect[];
   counts(): WorkerCounts;
 }
@@ -109,17 +118,17 @@
   const owners = createOwners({
     side: options.side,
     dataCentre: options.dataCentre,
-    reportMs: REPORT_MS,
-    reportMsPerOwner: REPORT_MS_PER_ENTRY,
+    minReportIntervalMs: MIN_REPORT_INTERVAL_MS,
+    minReportIntervalPerOwnerMs: MIN_REPORT_INTERVAL_PER_ENTRY_MS,
     heartbeatMs: timing.heartbeatMs,
     idleHeartbeatMs: IDLE_HEARTBEAT_MS,
   });
   const runs = createRuns();
   const { leaseMs } = timing;
-  const lists = createLists(leaseMs);
+  const listPoller = createListPoller(leaseMs);
   const claims = createClaims();
-  const slowness = createSlowness();
-  const suspicion = createSuspicion();
+  const slownessEstimator = createSlownessEstimator();
+  const circuitBreaker = createCircuitBreaker();
   const counts = {
     offered: 0,
     refused: 0,
@@ -130,103 +139,118 @@
     lost: 0,
   };
   let effects: WorkerEffect[] = [];
-  let current: CurrentLife | undefined;
-  /** The life before, while it is over. */
-  let previous: CurrentLife | undefined;
+  let current: ServerState | undefined;
+  /** The previous instance, kept after it has ended. */
+  let previous: ServerState | undefined;
   let candidate: Announcement | undefined;
   let isClosed = false;
-  let tickedAt = 0;
+  let lastTickAt = 0;
   let report: ServerReport | undefined;
   let staleInputUntil = 0;
 
   function log(decision: WorkerDecision): void {
-    const server = current?.life.id;
+    const server = current?.instance.id;
     effects.push({ kind: "log", decision: { server, ...decision } });
   }
 
   function logRun(message: string, run: Run, reason?: string): void {
     const { ref, owner } = run;
-    const entry = owner === undefined ? undefined : owners.nameOf(owner);
+    const entry = owner === undefined ? undefined : owners.entryNameOf(owner);
     log({ message, job: ref.task.job, run: ref.run, reason, entry });
   }
 
-  function tell(owner: OwnerId | undefined, news: RunUpdate): void {
-    if (owner !== undefined) owners.tell(owner, news);
+  function notify(owner: OwnerId | undefined, update: RunUpdate): void {
+    if (owner !== undefined) owners.notify(owner, update);
   }
 
-  // --- The server's life ---
+  // --- Server instance ---
 
   function announced(announcement: Announcement): void {
-    const life = lifeOf(announcement);
-    if (current !== undefined && isSameLife(current.life, life)) {
+    const instance = toInstance(announcement);
+    if (current !== undefined && isSameInstance(current.instance, instance)) {
       updateAnnouncement(current, announcement);
       return;
     }
     candidate = announcement;
-    if (!lists.isPending()) sendProbe(announcement);
+    if (!listPoller.isPending()) sendProbe(announcement);
   }
 
-  function updateAnnouncement(life: CurrentLife, next: Announcement): void {
-    const before = life.announcement;
-    if (next.sequence <= before.sequence) return;
-    life.announcement = next;
-    if (next.isDraining === before.isDraining) return;
+  function updateAnnouncement(
+    server: ServerState,
+    announcement: Announcement,
+  ): void {
+    const previousAnnouncement = server.announcement;
+    if (announcement.sequence <= previousAnnouncement.sequence) return;
+    server.announcement = announcement;
+    if (announcement.isDraining === previousAnnouncement.isDraining) return;
     log({
-      message: next.isDraining ? "server drains" : "server is back from drain",
-      figures: { remainingMs: next.remainingMs },
+      message: announcement.isDraining
+        ? "backend server is draining"
+        : "backend server is no longer draining",
+      figures: { remainingMs: announcement.remainingMs },
     });
   }
 
   function left(id: string): void {
     if (candidate?.id === id) candidate = undefined;
-    if (current?.life.id !== id) return;
-    log({ message: "server left" });
-    endLife("server left");
+    if (current?.instance.id !== id) return;
+    log({ message: "backend server left" });
+    handleInstanceEnd("server left");
   }
 
-  /** The life has ended, and so have its runs. */
-  function endLife(reason: string): void {
-    forgetLife();
-    for (const run of runs.all()) lose(run, reason);
+  /** The instance has ended, and with it all of its runs. */
+  function handleInstanceEnd(reason: string): void {
+    clearInstance();
+    for (const run of runs.all()) loseRun(run, reason);
   }
 
-  function forgetLife(): void {
+  function clearInstance(): void {
     if (current === undefined) return;
     previous = current;
     current = undefined;
-    lists.forget();
-    slowness.reset();
-    suspicion.reset();
+    listPoller.instanceEnded();
+    slownessEstimator.reset();
+    circuitBreaker.reset();
   }
 
   /**
-   * The server has started again, perhaps under the same id: orders that were
-   * meant for the life before may have reached the new one.
+   * The server has restarted, possibly under the same id: requests that were
+   * meant for the previous instance may have reached the new one.
    */
-  function suspectRuns(): void {
+  function markRunsUncertain(): void {
     for (const run of runs.all()) {
       run.state = "stopping";
-      run.isBarred = false;
-      logRun("run may be on the next life", run);
+      run.isStopConfirmed = false;
+      logRun(
+        "run may have started on the new server instance; stopping it",
+        run,
+      );
     }
   }
 
-  function startLife(announcement: Announcement, clockMs: number, now: number) {
-    const before = current ?? previous;
-    const isSameId = before?.life.id === announcement.id;
-    if (isSameId) suspectRuns();
-    else endLife("server replaced");
-    forgetLife();
-    const life = adopt(announcement, clockMs, now);
+  function adoptInstance(
+    announcement: Announcement,
+    clockMs: number,
+    now: number,
+  ) {
+    const predecessor = current ?? previous;
+    const isSameId = predecessor?.instance.id === announcement.id;
+    if (isSameId) markRunsUncertain();
+    else handleInstanceEnd("server replaced");
+    clearInstance();
+    const server = createServerState(announcement, clockMs, now);
     if (isSameId) {
-      life.fencingToken = Math.max(life.fencingToken, before.fencingToken + 1);
+      server.fencingToken = Math.max(
+        server.fencingToken,
+        predecessor.fencingToken + 1,
+      );
     }
-    current = life;
-    for (const run of runs.all()) sendStop(life, run, now);
+    current = server;
+    for (const run of runs.all()) sendStop(server, run, now);
   }
 
   function sendProbe(announcement: Announcement): void {
-    effects.push({ kind: "list", order: lists.probe(announcement) });
+    effects.push({ kind: "list", order: listPoller.probe(announcement) });
   }
 
   function probeReplied(reply: ListReply, now: number): void {
@@ -235,15 +259,18 @@
     const isAlive = reply.kind === "fenced" ||
       (reply.kind === "listed" && reply.born === announcement.born);
     if (!isAlive) {
-      // The next announcement asks again.
+      // The next announcement triggers another probe.
       candidate = undefined;
-      log({ message: "announced server does not answer", reason: reply.kind });
+      log({
+        message: "announced backend server instance did not answer the probe",
+        reason: reply.kind,
+      });
       return;
     }
     candidate = undefined;
-    startLife(announcement, reply.clockMs, now);
+    adoptInstance(announcement, reply.clockMs, now);
     log({
-      message: "server joined",
+      message: "backend server joined",
       figures: { born: announcement.born, fence: current?.fencingToken ?? 0 },
     });
     sendList(now);
@@ -252,200 +279,221 @@
   // --- Lists and leases ---
 
   function sendList(now: number): void {
-    if (current === undefined || lists.isPending()) return;
-    const need = {
+    if (current === undefined || listPoller.isPending()) return;
+    const activity = {
       hasRuns: runs.count() > 0,
       isStopping: runs.all().some((run) => run.state === "stopping"),
     };
-    effects.push({ kind: "list", order: lists.next(current, need, now) });
+    effects.push({
+      kind: "list",
+      order: listPoller.nextRequest(current, activity, now),
+    });
   }
 
-  function listReplied(order: ListOrder, reply: ListReply, now: number): void {
-    const pending = lists.answered(order);
+  function listReplied(
+    request: ListOrder,
+    reply: ListReply,
+    now: number,
+  ): void {
+    const pending = listPoller.answered(request);
     if (pending === undefined) return;
     if (pending.isProbe) probeReplied(reply, now);
-    else if (current !== undefined) takeReply(current, reply, pending, now);
-    if (candidate !== undefined && !lists.isPending()) sendProbe(candidate);
+    else if (current !== undefined) {
+      handleListReply(current, reply, pending, now);
+    }
+    if (candidate !== undefined && !listPoller.isPending()) {
+      sendProbe(candidate);
+    }
   }
 
-  function takeReply(
-    life: CurrentLife,
+  function handleListReply(
+    server: ServerState,
     reply: ListReply,
     pending: PendingList,
     now: number,
   ): void {
-    const isHeard = reply.kind !== "absent" && reply.kind !== "unanswered";
-    if (isHeard) lists.noteHeard();
+    const hasReplied = reply.kind !== "absent" && reply.kind !== "unanswered";
+    if (hasReplied) listPoller.recordReply();
     switch (reply.kind) {
       case "listed":
-        if (reply.born === life.life.born) takeList(life, reply, pending, now);
-        else expectNextLife();
+        if (reply.born === server.instance.born) {
+          reconcileRuns(server, reply, pending, now);
+        } else handleServerRestart();
         return;
       case "fenced":
-        // Another process of this side has given orders since, or an order to
-        // the life before has reached this one.
-        life.fencingToken = Math.max(
-          life.fencingToken * TOKEN_FACTOR,
+        // Another process of this side has sent requests since, or a request to
+        // the previous instance has reached this one.
+        server.fencingToken = Math.max(
+          server.fencingToken * TOKEN_RAISE_FACTOR,
           Math.floor(reply.clockMs),
         );
-        log({ message: "token raised", reason: "fenced" });
+        log({
+          message: "backend server rejected the fencing token; raising it",
+          reason: "fenced",
+        });
         return;
       case "otherLife":
-        restartLife(reply.kind);
+        handleServerGone(reply.kind);
         return;
       case "absent":
-        if (lists.noteAbsent()) restartLife(reply.kind);
+        if (listPoller.recordAbsence()) handleServerGone(reply.kind);
         return;
       case "unanswered":
-        noteLost(now);
+        handleLostReply(now);
         return;
     }
   }
 
-  function noteLost(now: number): void {
-    const wasDown = lists.isDown();
-    lists.noteLost(now);
-    if (lists.isDown() && !wasDown) log({ message: "server does not answer" });
+  function handleLostReply(now: number): void {
+    const wasDown = listPoller.isDown();
+    listPoller.recordLoss(now);
+    if (listPoller.isDown() && !wasDown) {
+      log({ message: "backend server does not answer; refusing new runs" });
+    }
     sendDueList(now);
   }
 
-  /** Another life has answered under the same id; it announces itself soon. */
-  function expectNextLife(): void {
-    log({ message: "server has started again" });
-    suspectRuns();
-    forgetLife();
+  /** Another instance replied under the same id; its announcement follows. */
+  function handleServerRestart(): void {
+    log({ message: "backend server restarted; waiting for its announcement" });
+    markRunsUncertain();
+    clearInstance();
   }
 
-  function restartLife(reason: string): void {
-    log({ message: "server is gone", reason });
-    endLife(reason);
+  function handleServerGone(reason: string): void {
+    log({ message: "backend server is gone; its runs are lost", reason });
+    handleInstanceEnd(reason);
   }
 
-  function takeList(
-    life: CurrentLife,
+  function reconcileRuns(
+    server: ServerState,
     reply: Extract<ListReply, { kind: "listed" }>,
     pending: PendingList,
     now: number,
   ): void {
-    life.clockOffsetMs = reply.clockMs - now;
-    life.answeredAt = now;
+    server.clockOffsetMs = reply.clockMs - now;
+    server.lastReplyAt = now;
     const listed = new Set<Run>();
     for (const row of reply.running) {
-      const run = runs.find(row.ref) ?? addFound(row.ref, now);
+      const run = runs.find(row.ref) ?? addDiscoveredRun(row.ref, now);
       listed.add(run);
-      noteProgress(run, row.percent, now);
+      recordProgress(run, row.percent, now);
     }
     for (const row of reply.ends) {
-      if (row.number <= life.observed) continue;
-      life.observed = row.number;
+      if (row.number <= server.observed) continue;
+      server.observed = row.number;
       const run = runs.find(row.ref);
-      if (run !== undefined) finish(run, row.end, now);
+      if (run !== undefined) finishRun(run, row.end, now);
     }
     for (const run of runs.all()) {
-      if (!listed.has(run)) checkMissing(run, pending.number, now);
+      if (!listed.has(run)) checkUnlistedRun(run, pending.number, now);
     }
-    life.isListed = true;
-    answerWaitingClaims(now);
+    server.hasRunList = true;
+    answerPendingClaims(now);
     if (runs.count() > 0) sendList(now);
   }
 
-  /** A run of an earlier process, or one whose order came late. */
-  function addFound(ref: RunRef, now: number): Run {
+  /** Adds a run of an earlier side process, or one that was started late. */
+  function addDiscoveredRun(ref: RunRef, now: number): Run {
     const run: Run = {
       ref,
       owner: undefined,
       resources: undefined,
       estimateMs: 0,
-      claimableUntil: now + FOUND_CLAIM_MS,
+      claimableUntil: now + CLAIM_PERIOD_MS,
       state: "running",
-      isBarred: false,
-      orderedAt: now,
-      shownAfter: lists.latest(),
+      isStopConfirmed: false,
+      lastRequestAt: now,
+      visibleAfterList: listPoller.latestNumber(),
       startedAt: now,
       percent: 0,
-      progressAt: now,
+      lastProgressAt: now,
       isStalled: false,
     };
     runs.add(run);
-    // Whoever started it may just have renewed its lease.
-    lists.extendLease(now);
-    logRun("run found", run);
+    // The process that started the run may just have renewed its lease.
+    listPoller.extendLease(now);
+    logRun("unknown run found on the backend server", run);
     return run;
   }
 
-  function checkMissing(run: Run, list: number, now: number): void {
-    if (list <= run.shownAfter) return;
-    if (run.state === "running") lose(run, "not listed");
-    else if (run.state === "stopping" && run.isBarred) {
-      finish(run, "stopped", now);
+  function checkUnlistedRun(run: Run, list: number, now: number): void {
+    if (list <= run.visibleAfterList) return;
+    if (run.state === "running") loseRun(run, "not listed");
+    else if (run.state === "stopping" && run.isStopConfirmed) {
+      finishRun(run, "stopped", now);
     }
   }
 
-  function noteProgress(run: Run, percent: number, now: number): void {
+  function recordProgress(run: Run, percent: number, now: number): void {
     if (percent !== run.percent) {
       run.percent = percent;
-      run.progressAt = now;
+      run.lastProgressAt = now;
       return;
     }
     if (run.state !== "running" || run.isStalled) return;
     const stallMs = Math.max(
-      STALL_MS,
-      run.estimateMs * slowness.value() * STALL_SHARE,
+      MIN_STALL_MS,
+      run.estimateMs * slownessEstimator.value() * STALL_RATIO,
     );
-    if (now - run.progressAt < stallMs) return;
+    if (now - run.lastProgressAt < stallMs) return;
     run.isStalled = true;
-    suspicion.stalled(now);
-    logRun("run stalled", run);
-    tell(run.owner, { kind: "stalled", ref: run.ref });
+    circuitBreaker.stalled(now);
+    logRun("run makes no progress", run);
+    notify(run.owner, { kind: "stalled", ref: run.ref });
   }
 
   // --- Runs ---
 
-  function finish(run: Run, end: RunOutcome, now: number): void {
+  function finishRun(run: Run, end: RunOutcome, now: number): void {
     runs.remove(run);
     const ms = now - run.startedAt;
     if (end === "done") {
       counts.done += 1;
-      slowness.ended(ms, run.estimateMs);
-      suspicion.succeeded();
+      slownessEstimator.ended(ms, run.estimateMs);
+      circuitBreaker.succeeded();
     } else if (end === "failed") {
       counts.failed += 1;
-      suspicion.failed(now);
+      circuitBreaker.failed(now);
       logRun("run failed", run);
     } else {
       counts.stopped += 1;
     }
-    settle(run, { kind: "ended", ref: run.ref, end, ms });
+    publishOutcome(run, { kind: "ended", ref: run.ref, end, ms });
   }
 
-  function lose(run: Run, reason: string): void {
+  function loseRun(run: Run, reason: string): void {
     runs.remove(run);
     counts.lost += 1;
     logRun("run lost", run, reason);
-    settle(run, { kind: "lost", ref: run.ref, reason });
+    publishOutcome(run, { kind: "lost", ref: run.ref, reason });
   }
 
-  /** Tells the owner, which may claim the run later if its stream breaks now. */
-  function settle(run: Run, news: RunUpdate): void {
-    tell(run.owner, news);
-    claims.remember(news);
+  /** Notifies the owner, and keeps the outcome in case its stream breaks now. */
+  function publishOutcome(run: Run, outcome: RunUpdate): void {
+    notify(run.owner, outcome);
+    claims.recordOutcome(outcome);
   }
 
-  function refuse(owner: OwnerId, offer: Offer, reason: RefusalReason): void {
+  function refuseOffer(
+    owner: OwnerId,
+    offer: Offer,
+    reason: RefusalReason,
+  ): void {
     counts.refused += 1;
-    tell(owner, {
+    notify(owner, {
       kind: "refused",
       ref: { task: offer.task, run: offer.run },
       reason,
-      highestRun: runs.highest(offer.task),
+      highestRun: runs.highestRunOf(offer.task),
     });
   }
 
-  function takeOffer(owner: OwnerId, offer: Offer, now: number): void {
+  function handleOffer(owner: OwnerId, offer: Offer, now: number): void {
     counts.offered += 1;
-    const reason = whyNot(offer, now);
+    const reason = findRefusalReason(offer, now);
     if (reason !== undefined || current === undefined) {
-      refuse(owner, offer, reason ?? "closed");
+      refuseOffer(owner, offer, reason ?? "closed");
       return;
     }
     const run: Run = {
@@ -455,24 +503,24 @@
       estimateMs: offer.estimateMs,
       claimableUntil: 0,
       state: "starting",
-      isBarred: false,
-      orderedAt: now,
-      shownAfter: 0,
+      isStopConfirmed: false,
+      lastRequestAt: now,
+      visibleAfterList: 0,
       startedAt: now,
       percent: -1,
-      progressAt: now,
+      lastProgressAt: now,
       isStalled: false,
     };
-    // The server is not asked anything while it runs nothing.
-    if (runs.count() === 0) current.answeredAt = now;
+    // The server is not polled while it has no runs.
+    if (runs.count() === 0) current.lastReplyAt = now;
     runs.add(run);
-    if (suspicion.isSuspect()) suspicion.tried(now);
-    const untilMs = serverClock(current, now) + leaseMs;
-    lists.extendLease(now);
+    if (circuitBreaker.isSuspect()) circuitBreaker.trialStarted(now);
+    const untilMs = toServerClock(current, now) + leaseMs;
+    listPoller.extendLease(now);
     effects.push({
       kind: "start",
       order: {
-        server: current.life,
+        server: current.instance,
         ref: run.ref,
         payload: offer.payload,
         untilMs,
@@ -481,28 +529,39 @@
     });
   }
 
-  function whyNot(offer: Offer, now: number): RefusalReason | undefined {
-    if (current === undefined || !isOpen(current, now)) return "closed";
+  function findRefusalReason(
+    offer: Offer,
+    now: number,
+  ): RefusalReason | undefined {
+    if (current === undefined || !isAcceptingRuns(current, now)) {
+      return "closed";
+    }
     if (now < staleInputUntil) return "closed";
-    const { life } = current;
-    if (offer.server !== life.id || offer.born !== life.born) {
+    const { instance } = current;
+    if (offer.server !== instance.id || offer.born !== instance.born) {
       return "otherServer";
     }
-    if (runs.highest(offer.task) >= offer.run) return "superseded";
-    if (!fits(offer.resources, room(current))) return "noRoom";
-    if (!suspicion.isSuspect()) return undefined;
-    return runs.count() === 0 && suspicion.mayTry(now) ? undefined : "suspect";
-  }
-
-  function isOpen(life: CurrentLife, now: number): boolean {
-    if (isClosed || life.announcement.isDraining) return false;
-    if (!life.isListed || lists.isDown()) return false;
-    return runs.count() === 0 || now - life.answeredAt < UNREACHABLE_MS;
-  }
-
-  function room(life: CurrentLife): Resources {
-    if (runs.hasUnsized()) return NO_RESOURCES;
-    return subtractResources(life.announcement.capacity, runs.used());
+    if (runs.highestRunOf(offer.task) >= offer.run) return "superseded";
+    if (!fits(offer.resources, computeFreeCapacity(current))) return "noRoom";
+    if (!circuitBreaker.isSuspect()) return undefined;
+    return runs.count() === 0 && circuitBreaker.isTrialDue(now)
+      ? undefined
+      : "suspect";
+  }
+
+  function isAcceptingRuns(server: ServerState, now: number): boolean {
+    if (isClosed || server.announcement.isDraining) return false;
+    if (!server.hasRunList || listPoller.isDown()) return false;
+    return runs.count() === 0 ||
+      now - server.lastReplyAt < UNREACHABLE_AFTER_MS;
+  }
+
+  function computeFreeCapacity(server: ServerState): Resources {
+    if (runs.hasUnknownResources()) return NO_RESOURCES;
+    return subtractResources(
+      server.announcement.capacity,
+      runs.usedResources(),
+    );
   }
 
   function startReplied(ref: RunRef, reply: StartReply, now: number): void {
@@ -511,40 +570,40 @@
     switch (reply.kind) {
       case "started":
         confirmStart(run, now);
-        current.answeredAt = now;
+        current.lastReplyAt = now;
         sendList(now);
         return;
       case "refused":
-        startRefused(run, reply.reason, now);
+        handleStartRefusal(run, reply.reason, now);
         return;
       case "unanswered":
-        logRun("start unanswered", run);
+        logRun("start request got no answer; stopping the run", run);
         beginStop(run, now);
     }
   }
 
   function confirmStart(run: Run, now: number): void {
     counts.started += 1;
-    run.shownAfter = lists.latest();
+    run.visibleAfterList = listPoller.latestNumber();
     if (run.state !== "starting") return;
     run.state = "running";
     run.startedAt = now;
-    run.progressAt = now;
+    run.lastProgressAt = now;
   }
 
-  function startRefused(
+  function handleStartRefusal(
     run: Run,
     reason: Extract<StartReply, { kind: "refused" }>["reason"],
     now: number,
   ): void {
     runs.remove(run);
-    logRun("start refused", run, reason);
-    if (reason === "unhealthy") suspicion.failed(now);
+    logRun("backend server refused to start the run", run, reason);
+    if (reason === "unhealthy") circuitBreaker.failed(now);
     counts.refused += 1;
-    tell(run.owner, {
+    notify(run.owner, {
       kind: "refused",
       ref: run.ref,
-      reason: REFUSAL_BY_REPLY[reason],
+      reason: REFUSAL_REASON_BY_REPLY[reason],
       highestRun: run.ref.run,
     });
   }
@@ -555,14 +614,14 @@
     sendStop(current, run, now);
   }
 
-  function sendStop(life: CurrentLife, run: Run, now: number): void {
-    run.orderedAt = now;
+  function sendStop(server: ServerState, run: Run, now: number): void {
+    run.lastRequestAt = now;
     effects.push({
       kind: "stop",
       order: {
-        server: life.life,
+        server: server.instance,
         ref: run.ref,
-        fencingToken: life.fencingToken,
+        fencingToken: server.fencingToken,
       },
     });
   }
@@ -570,8 +629,8 @@
   function stopReplied(ref: RunRef, reply: StopReply, now: number): void {
     const run = runs.find(ref);
     if (run === undefined || !reply.isBarred) return;
-    run.isBarred = true;
-    run.shownAfter = lists.latest();
+    run.isStopConfirmed = true;
+    run.visibleAfterList = listPoller.latestNumber();
     sendList(now);
   }
 
@@ -579,21 +638,21 @@
 
   function ownerSent(owner: OwnerId, frame: DispatchFrame, now: number): void {
     if (!owners.has(owner)) return;
-    owners.heard(owner, frame.sequence, now);
-    if (frame.entry !== undefined) owners.named(owner, frame.entry);
-    for (const claim of frame.claims ?? []) takeClaim(owner, claim, now);
-    for (const ref of frame.stops) takeStop(owner, ref, now);
-    for (const offer of frame.offers) takeOffer(owner, offer, now);
+    owners.frameReceived(owner, frame.sequence, now);
+    if (frame.entry !== undefined) owners.setEntryName(owner, frame.entry);
+    for (const claim of frame.claims ?? []) handleClaim(owner, claim, now);
+    for (const ref of frame.stops) handleStop(owner, ref, now);
+    for (const offer of frame.offers) handleOffer(owner, offer, now);
   }
 
-  /** What runs here is known from the first list on. */
-  function takeClaim(owner: OwnerId, claim: Claim, now: number): void {
-    if (current?.isListed) answerClaim(owner, claim, now);
+  /** Claims can be answered only after the first list of runs has arrived. */
+  function handleClaim(owner: OwnerId, claim: Claim, now: number): void {
+    if (current?.hasRunList) answerClaim(owner, claim, now);
     else claims.wait({ owner, claim });
   }
 
-  function answerWaitingClaims(now: number): void {
-    for (const { owner, claim } of claims.takeWaiting()) {
+  function answerPendingClaims(now: number): void {
+    for (const { owner, claim } of claims.takePending()) {
       if (owners.has(owner)) answerClaim(owner, claim, now);
     }
   }
@@ -604,35 +663,38 @@
       run.owner = owner;
       run.resources ??= claim.resources;
       run.estimateMs = claim.estimateMs;
-      logRun("run claimed", run);
+      logRun("run claimed by entry", run);
       if (run.state === "stopping") return;
-      run.progressAt = now;
+      run.lastProgressAt = now;
       return;
     }
-    const known = claims.recall(claim.ref);
-    tell(owner, known ?? { kind: "lost", ref: claim.ref, reason: "not here" });
+    const outcome = claims.findOutcome(claim.ref);
+    notify(
+      owner,
+      outcome ?? { kind: "lost", ref: claim.ref, reason: "not here" },
+    );
   }
 
-  function takeStop(owner: OwnerId, ref: RunRef, now: number): void {
+  function handleStop(owner: OwnerId, ref: RunRef, now: number): void {
     const run = runs.find(ref);
     if (run === undefined || run.owner !== owner) {
-      tell(owner, { kind: "lost", ref, reason: "unknown run" });
+      notify(owner, { kind: "lost", ref, reason: "unknown run" });
       return;
     }
     beginStop(run, now);
   }
 
-  function dropOwner(
+  function removeOwner(
     owner: OwnerId,
     reason: "silent" | "stream closed",
     now: number,
   ): void {
     if (!owners.has(owner)) return;
-    const entry = owners.nameOf(owner);
-    // A silent entry has used up its time already.
+    const entry = owners.entryNameOf(owner);
+    // The silence timeout already covers the time to reconnect.
     const reclaimMs = reason === "silent" ? 0 : timing.reclaimMs;
     owners.close(owner);
-    withdrawStarts(owner);
+    cancelUnsentStarts(owner);
     const owned = runs.all().filter((run) => run.owner === owner);
     for (const run of owned) {
       run.owner = undefined;
@@ -646,19 +708,19 @@
     });
   }
 
-  /** Takes back the orders of this turn that nobody wants any more. */
-  function withdrawStarts(owner: OwnerId): void {
+  /** Drops start requests of this turn whose owner is gone. */
+  function cancelUnsentStarts(owner: OwnerId): void {
     effects = effects.filter((effect) => {
       if (effect.kind !== "start") return true;
       const run = runs.find(effect.order.ref);
       if (run?.owner !== owner) return true;
       run.owner = undefined;
-      lose(run, "not started");
+      loseRun(run, "not started");
       return false;
     });
   }
 
-  function stopUnclaimed(now: number): void {
+  function stopUnclaimedRuns(now: number): void {
     for (const run of runs.all()) {
       const isUnclaimed = run.owner === undefined && run.state !== "stopping";
       if (!isUnclaimed || now < run.claimableUntil) continue;
@@ -670,21 +732,21 @@
   // --- Time ---
 
   function tick(now: number): void {
-    const wasPaused = now - tickedAt > timing.pauseThresholdMs;
-    tickedAt = now;
-    owners.setBusy(busyOwners());
-    if (!wasPaused) dropSilentOwners(now);
-    stopUnclaimed(now);
-    if (runs.count() > 0 && lists.isLeaseOver(now)) expireLease();
+    const wasPaused = now - lastTickAt > timing.pauseThresholdMs;
+    lastTickAt = now;
+    owners.setBusyOwners(busyOwners());
+    if (!wasPaused) removeSilentOwners(now);
+    stopUnclaimedRuns(now);
+    if (runs.count() > 0 && listPoller.isLeaseExpired(now)) expireLease();
     if (current === undefined) return;
     retryStops(current, now);
     sendDueList(now);
   }
 
-  /** What runs is listed all the time; so is a server that seems to be down. */
+  /** Polls a server while it has runs, or while it seems to be down. */
   function sendDueList(now: number): void {
-    const isWanted = runs.count() > 0 || lists.isDown();
-    if (isWanted && lists.isDue(now)) sendList(now);
+    const isNeeded = runs.count() > 0 || listPoller.isDown();
+    if (isNeeded && listPoller.isDue(now)) sendList(now);
   }
 
   function busyOwners(): ReadonlySet<OwnerId> {
@@ -695,36 +757,42 @@
     return busy;
   }
 
-  function dropSilentOwners(now: number): void {
-    const limits = { busyMs: timing.entryLostMs, idleMs: IDLE_OWNER_LOST_MS };
-    for (const owner of owners.silent(limits, now)) {
-      dropOwner(owner, "silent", now);
+  function removeSilentOwners(now: number): void {
+    const timeouts = {
+      busyMs: timing.entryLostMs,
+      idleMs: IDLE_OWNER_TIMEOUT_MS,
+    };
+    for (const owner of owners.silent(timeouts, now)) {
+      removeOwner(owner, "silent", now);
       effects.push({ kind: "close", owner });
     }
   }
 
-  /** Nothing has renewed the lease: whatever ran has been ended by it. */
+  /** The lease was not renewed in time, so the server has ended all runs. */
   function expireLease(): void {
-    log({ message: "lease ran out", figures: { runs: runs.count() } });
-    for (const run of runs.all()) lose(run, "lease ran out");
+    log({
+      message: "lease expired; all runs are lost",
+      figures: { runs: runs.count() },
+    });
+    for (const run of runs.all()) loseRun(run, "lease ran out");
   }
 
-  function retryStops(life: CurrentLife, now: number): void {
+  function retryStops(server: ServerState, now: number): void {
     for (const run of runs.all()) {
-      if (run.state !== "stopping" || run.isBarred) continue;
-      if (now - run.orderedAt >= STOP_RETRY_MS) sendStop(life, run, now);
+      if (run.state !== "stopping" || run.isStopConfirmed) continue;
+      if (now - run.lastRequestAt >= STOP_RETRY_MS) sendStop(server, run, now);
     }
   }
 
-  /** Keeps the object while its content is the same, so that it is sent once. */
+  /** Keeps the same object while its content is equal, so that it is sent once. */
   function refreshReport(now: number): void {
-    const next = current && reportOf(current, {
-      room: room(current),
-      isOpen: isOpen(current, now),
-      slowness: slowness.value(),
-      isSuspect: suspicion.isSuspect(),
+    const nextReport = current && createReport(current, {
+      room: computeFreeCapacity(current),
+      isOpen: isAcceptingRuns(current, now),
+      slowness: slownessEstimator.value(),
+      isSuspect: circuitBreaker.isSuspect(),
     });
-    if (!isSameReport(next, report)) report = next;
+    if (!areReportsEqual(nextReport, report)) report = nextReport;
   }
 
   return {
@@ -732,7 +800,7 @@
     left,
     ownerOpened: (owner, now) => owners.open(owner, now),
     ownerSent,
-    ownerClosed: (owner, now) => dropOwner(owner, "stream closed", now),
+    ownerClosed: (owner, now) => removeOwner(owner, "stream closed", now),
     startReplied,
     stopReplied,
     listReplied,
@@ -740,15 +808,15 @@
       isClosed = true;
     },
     runs: () => runs.count(),
-    hasUnsentReport: () => owners.isUnheard(report),
+    hasUnsentReport: () => owners.isReportPending(report),
     tick,
     suspended(now) {
-      staleInputUntil = now + STALE_INPUT_MS;
-      log({ message: "process stood still" });
+      staleInputUntil = now + STALE_INPUT_WINDOW_MS;
+      log({ message: "process was paused; refusing offers that may be stale" });
     },
     takeEffects(now) {
       refreshReport(now);
-      for (const { owner, frame } of owners.takeDue(report, now)) {
+      for (const { owner, frame } of owners.takeDueFrames(report, now)) {
         effects.push({ kind: "send", owner, frame });
       }
       const taken = effects;
@@ -759,7 +827,7 @@
   };
 }
 
-const REFUSAL_BY_REPLY = {
+const REFUSAL_REASON_BY_REPLY = {
   fence: "closed",
   old: "superseded",
   late: "closed",
