--- a/packages/place/src/baselines.ts
+++ b/packages/place/src/baselines.ts
@@ -1,34 +1,37 @@
 /**
- * Baselines that the expected-delay policy is measured against. Like it they
- * bind late: a task waits in the queue while no side is believed to be free.
+ * Baseline policies for comparison with the expected-delay policy. They too use
+ * late binding: a task stays queued until a side is estimated to have a free
+ * slot.
  */
-import { estimateBusy } from "./least_outstanding.ts";
+import { estimateBusyTasks } from "./least_outstanding.ts";
 import type { Candidate, Policy, Random } from "./policy.ts";
 
-/** The share of a side's slots that is believed to be taken. */
-function busyShare(candidate: Candidate): number {
-  return estimateBusy(candidate) / candidate.slots;
+/** Estimated share of a side's slots that are in use. */
+function utilizationOf(candidate: Candidate): number {
+  return estimateBusyTasks(candidate) / candidate.slots;
 }
 
-function isFree(candidate: Candidate): boolean {
-  return busyShare(candidate) < 1;
+function hasFreeSlot(candidate: Candidate): boolean {
+  return utilizationOf(candidate) < 1;
 }
 
-/** The first free side at or after an offset, and where it stood. */
-function firstFree(
+/** Index of the first side with a free slot, in cyclic order from `offset`. */
+function findFreeIndex(
   candidates: readonly Candidate[],
   offset: number,
 ): number | undefined {
   for (let step = 0; step < candidates.length; step++) {
-    const at = (offset + step) % candidates.length;
-    if (isFree(candidates[at]!)) return at;
+    const index = (offset + step) % candidates.length;
+    if (hasFreeSlot(candidates[index]!)) return index;
   }
   return undefined;
 }
 
-type Choose = (candidates: readonly Candidate[]) => string | undefined;
+type CandidateSelector = (
+  candidates: readonly Candidate[],
+) => string | undefined;
 
-function withoutLearning(choose: Choose): Policy {
+function createNonLearningPolicy(choose: CandidateSelector): Policy {
   return {
     choose: (_task, candidates) => choose(candidates),
     observe() {},
@@ -36,32 +39,34 @@
   };
 }
 
-/** Random: any free side with equal chance. */
+/** Random: a side with a free slot, chosen uniformly. */
 export function createRandomChoice(random: Random): Policy {
-  return withoutLearning((candidates) => {
-    const free = candidates.filter(isFree);
+  return createNonLearningPolicy((candidates) => {
+    const free = candidates.filter(hasFreeSlot);
     return free[Math.floor(random() * free.length)]?.side;
   });
 }
 
-/** Round robin: the next free side in order. */
+/** Round robin: the next side with a free slot, in order. */
 export function createRoundRobin(): Policy {
-  let next = 0;
-  return withoutLearning((candidates) => {
-    const at = firstFree(candidates, next);
-    if (at === undefined) return undefined;
-    next = at + 1;
-    return candidates[at]!.side;
+  let nextIndex = 0;
+  return createNonLearningPolicy((candidates) => {
+    const index = findFreeIndex(candidates, nextIndex);
+    if (index === undefined) return undefined;
+    nextIndex = index + 1;
+    return candidates[index]!.side;
   });
 }
 
-/** Power of two choices: the less busy of two free sides taken at random. */
+/** Power of two choices: the less utilized of two random free sides. */
 export function createTwoChoices(random: Random): Policy {
-  return withoutLearning((candidates) => {
-    const free = candidates.filter(isFree);
-    const one = free[Math.floor(random() * free.length)];
-    const other = free[Math.floor(random() * free.length)];
-    if (one === undefined || other === undefined) return undefined;
-    return busyShare(other) < busyShare(one) ? other.side : one.side;
+  return createNonLearningPolicy((candidates) => {
+    const free = candidates.filter(hasFreeSlot);
+    const first = free[Math.floor(random() * free.length)];
+    const second = free[Math.floor(random() * free.length)];
+    if (first === undefined || second === undefined) return undefined;
+    return utilizationOf(second) < utilizationOf(first)
+      ? second.side
+      : first.side;
   });
 }
--- a/packages/place/src/baselines_test.ts
+++ b/packages/place/src/baselines_test.ts
@@ -5,13 +5,13 @@
   createRandomChoice,
   createRoundRobin,
   createTwoChoices,
-  type Placing,
+  type PlacementRequest,
   type Policy,
 } from "./index.ts";
 
 const SIZE = { cores: 1, memoryMb: 1, accelerators: 0 };
 
-const TASK: Placing = {
+const TASK: PlacementRequest = {
   class: "c",
   tenant: "a",
   size: SIZE,
@@ -42,9 +42,9 @@
   ["least outstanding", () => createLeastOutstanding(() => 0.6)],
 ];
 
-describe("baselines", () => {
+describe("baseline policies", () => {
   for (const [name, create] of BASELINES) {
-    it(`${name} takes a free side and waits when there is none`, () => {
+    it(`${name} chooses a free side, or none if all are full`, () => {
       const full = candidate("full", 2);
       const free = candidate("free", 0);
       const policy = create();
@@ -54,7 +54,7 @@
     });
   }
 
-  it("round robin goes on where it stopped", () => {
+  it("round robin continues after the last chosen side", () => {
     const policy = createRoundRobin();
     const sides = ["x", "y", "z"].map((side) => candidate(side, 0));
     const chosen = [1, 2, 3, 4].map(() => policy.choose(TASK, sides, 0));
--- a/packages/place/src/expected_delay.ts
+++ b/packages/place/src/expected_delay.ts
@@ -1,113 +1,127 @@
 /**
- * Shortest expected delay: the side on which the task is expected to end first,
- * from learned run times and slowness and from what is believed to be running.
+ * Shortest expected delay: chooses the side expected to end the task first,
+ * based on learned run times, the slowness of the sides and estimates of their
+ * load.
  *
- * Three things bend this rule. A task waits in the queue when a faster side that
- * is full now is expected to end it clearly sooner. And a task that cannot hold
- * up its job, because a longer one runs beside it, takes the slowest side that
- * still ends it in time, so that fast slots are left to tasks that need them.
- * Jobs with many tasks left also leave some slots of each side free, which
- * small jobs then find without waiting; so do all jobs of a tenant that takes far
- * more than its share.
+ * There are three exceptions:
+ *
+ * - A task stays queued if a faster side that is full now is still expected to
+ *   end it considerably sooner.
+ * - A task that cannot delay its job, because a longer task of the job runs
+ *   alongside it, goes to the slowest side that still ends it in time. Fast
+ *   slots stay free for the tasks that need them.
+ * - Jobs with many unplaced tasks leave some slots of each side free, so that
+ *   small jobs start without waiting. So do all jobs of a tenant that far
+ *   exceeds its fair share.
  */
-import type { Candidate, Placing, Policy, Random } from "./policy.ts";
+import type { Candidate, PlacementRequest, Policy, Random } from "./policy.ts";
 import {
   createRunTimes,
   type Forecast,
-  meanOf,
+  meanMsOf,
   type RunTimes,
 } from "./run_times.ts";
 import { createSideEstimates } from "./side_estimate.ts";
 
 export interface ExpectedDelayOptions {
   readonly random: Random;
-  /** One-way delay to a data centre in milliseconds; 0 when not given. */
+  /** One-way network delay to a data centre, in milliseconds; defaults to 0. */
   readonly delayMsTo?: ((dataCentre: string) => number) | undefined;
-  /** Learned run times; the policy teaches them, others may read them. */
+  /** Run time model, which the policy updates and other components may read. */
   readonly runTimes?: RunTimes | undefined;
 }
 
-/** Candidates that are looked at for one decision. */
-const MAX_SAMPLE = 16;
+/** Maximum number of candidates evaluated per decision. */
+const MAX_EVALUATED_CANDIDATES = 16;
 
-/** Tasks that may stand on a side beyond its slots. */
-const MAX_OVER = 0.5;
+/** Maximum expected number of tasks on a side beyond its slots. */
+const MAX_EXCESS_TASKS = 0.5;
 
-/** By how much of its run time a task must gain for it to wait. */
-const WAIT_GAIN_SHARE = 0.2;
+/** Minimum gain that justifies waiting, as a share of the expected run time. */
+const MIN_WAIT_GAIN_SHARE = 0.2;
 
-/** Standard deviations above the mean that a task's end must stay in time. */
-const SAFETY = 1;
+/**
+ * Standard deviations above the mean of the log run time at which a task must
+ * still end in time.
+ */
+const SAFETY_DEVIATIONS = 1;
 
-/** Share of all slots that one big job may count on. */
-const SHARE_OF_JOB = 0.3;
+/** Share of all slots that a large job is assumed to get. */
+const JOB_SLOT_SHARE = 0.3;
 
-/** Share of a side's slots that the biggest jobs leave to smaller ones. */
-const MAX_RESERVE_SHARE = 0.3;
+/** Share of a side's slots that the largest jobs leave to smaller jobs. */
+const MAX_JOB_RESERVE_SHARE = 0.3;
 
-/** Share of a side's slots that a tenant far over its share leaves free. */
+/** Share of a side's slots left free by a tenant far above its fair share. */
 const MAX_TENANT_RESERVE_SHARE = 0.4;
 
-/** Usage over the fair share from which a tenant reserves. */
-const TENANT_RESERVE_FROM = 1.25;
+/** Ratio of usage to fair share above which a tenant leaves slots free. */
+const TENANT_RESERVE_START_RATIO = 1.25;
 
-/** Usage over the fair share from which a tenant reserves most. */
-const TENANT_RESERVE_FULL = 1.75;
+/** Ratio of usage to fair share at which the tenant reserve is largest. */
+const TENANT_RESERVE_FULL_RATIO = 1.75;
 
-/** Share of its time to the deadline after which a job reserves less. */
-const RESERVE_FADE = 0.6;
+/** Elapsed share of the time to the deadline after which a job reserves less. */
+const JOB_RESERVE_FADE_START = 0.6;
 
-/** Share of its time to the deadline after which a job reserves nothing. */
-const RESERVE_END = 0.8;
+/** Elapsed share of that time after which a job reserves no slots. */
+const JOB_RESERVE_FADE_END = 0.8;
 
-/** Tasks that are left to place in the biggest jobs. */
-const BIGGEST_JOB = 540;
+/** Unplaced tasks of the largest jobs, for which the job reserve is largest. */
+const LARGEST_JOB_TASKS = 540;
 
-/** What a side is to the task that is being placed. */
-interface Option {
+/** A candidate evaluated for the task that is being placed. */
+interface Evaluation {
   readonly candidate: Candidate;
   readonly slowness: number;
-  /** The task cannot be sent there now. */
-  readonly isHeld: boolean;
-  /** Time until the task starts there, from now. */
+  /** Whether the side cannot take the task now, given the reserved slots. */
+  readonly isFull: boolean;
+  /** Expected time from now until the task starts on the side. */
   readonly startMs: number;
-  /** Expected end, from now. */
+  /** Expected time from now until the result of the task arrives. */
   readonly endMs: number;
 }
 
-/** About the mean of the positive part of a normal number. */
-function positivePart(mean: number, variance: number): number {
+/** Approximates the mean of max(0, X) for a normally distributed X. */
+function expectedPositivePart(mean: number, variance: number): number {
   return (mean + Math.sqrt(mean * mean + variance)) / 2;
 }
 
-/** What one decision looks for. */
-interface Sought {
-  /** Expected run time on a side of slowness 1. */
+/** Task properties that every candidate of a decision is evaluated with. */
+interface EvaluationInput {
+  /** Expected run time on a side with slowness 1. */
   readonly runMs: number;
   readonly reserveShare: number;
   readonly nowMs: number;
 }
 
 /**
- * What a job leaves of each side's slots: the more, the more tasks it has left,
- * and nothing when its deadline draws near.
+ * Share of each side's slots that a job leaves free. It grows with the number
+ * of unplaced tasks and drops to zero as the deadline approaches.
  */
-function jobReserve({ unplaced, ageMs, leftMs }: Placing): number {
-  const size = Math.min(1, Math.log(unplaced) / Math.log(BIGGEST_JOB));
-  const age = (ageMs ?? 0) / Math.max(1, (ageMs ?? 0) + leftMs);
-  const kept = (RESERVE_END - age) / (RESERVE_END - RESERVE_FADE);
-  return MAX_RESERVE_SHARE * size * Math.min(1, Math.max(0, kept));
+function jobReserveShare(
+  { unplaced, ageMs, leftMs }: PlacementRequest,
+): number {
+  const sizeFactor = Math.min(
+    1,
+    Math.log(unplaced) / Math.log(LARGEST_JOB_TASKS),
+  );
+  const elapsedShare = (ageMs ?? 0) / Math.max(1, (ageMs ?? 0) + leftMs);
+  const fadeFactor = (JOB_RESERVE_FADE_END - elapsedShare) /
+    (JOB_RESERVE_FADE_END - JOB_RESERVE_FADE_START);
+  return MAX_JOB_RESERVE_SHARE * sizeFactor *
+    Math.min(1, Math.max(0, fadeFactor));
 }
 
-/** What a tenant over its share leaves of each side's slots. */
-function tenantReserve({ usageRatio }: Placing): number {
-  const over = ((usageRatio ?? 0) - TENANT_RESERVE_FROM) /
-    (TENANT_RESERVE_FULL - TENANT_RESERVE_FROM);
-  return MAX_TENANT_RESERVE_SHARE * Math.min(1, Math.max(0, over));
+/** Share of each side's slots left free by a tenant above its fair share. */
+function tenantReserveShare({ usageRatio }: PlacementRequest): number {
+  const factor = ((usageRatio ?? 0) - TENANT_RESERVE_START_RATIO) /
+    (TENANT_RESERVE_FULL_RATIO - TENANT_RESERVE_START_RATIO);
+  return MAX_TENANT_RESERVE_SHARE * Math.min(1, Math.max(0, factor));
 }
 
-function upperOf({ logMs, spread }: Forecast): number {
-  return Math.exp(logMs + SAFETY * spread);
+function runTimeUpperBound({ logMs, logDeviation }: Forecast): number {
+  return Math.exp(logMs + SAFETY_DEVIATIONS * logDeviation);
 }
 
 export function createExpectedDelay(options: ExpectedDelayOptions): Policy {
@@ -115,123 +129,150 @@
   const delayMsTo = options.delayMsTo ?? (() => 0);
   const runTimes = options.runTimes ?? createRunTimes();
   const estimates = createSideEstimates();
-  let declined = 0;
+  let declinedCount = 0;
   let declinedAtMs = -1;
 
   function evaluate(
     candidate: Candidate,
-    { runMs, reserveShare, nowMs }: Sought,
-  ): Option {
+    { runMs, reserveShare, nowMs }: EvaluationInput,
+  ): Evaluation {
     const { side, slots, dataCentre } = candidate;
     const slowness = runTimes.slowness(side);
     const busy = estimates.busy(candidate, nowMs);
-    const over = busy.mean + 1 - slots;
-    const overLimit = over - MAX_OVER + reserveShare * slots;
-    const held = overLimit > 0 ? overLimit + declined : 0;
-    const slotMs = estimates.meanRunMs(side) / slots;
-    const waitMs = Math.max(positivePart(over, busy.variance), held) * slotMs;
+    const excessTasks = busy.mean + 1 - slots;
+    const excessOverLimit = excessTasks - MAX_EXCESS_TASKS +
+      reserveShare * slots;
+    const tasksAhead = excessOverLimit > 0
+      ? excessOverLimit + declinedCount
+      : 0;
+    const slotIntervalMs = estimates.meanRunMs(side) / slots;
+    const waitMs =
+      Math.max(expectedPositivePart(excessTasks, busy.variance), tasksAhead) *
+      slotIntervalMs;
     const startMs = waitMs + delayMsTo(dataCentre);
     const endMs = startMs + runMs * slowness + delayMsTo(dataCentre);
-    return { candidate, slowness, isHeld: held > 0, startMs, endMs };
+    return { candidate, slowness, isFull: tasksAhead > 0, startMs, endMs };
   }
 
   function evaluateAll(
     candidates: readonly Candidate[],
-    sought: Sought,
-  ): Option[] {
-    const count = Math.min(candidates.length, MAX_SAMPLE);
+    input: EvaluationInput,
+  ): Evaluation[] {
+    const count = Math.min(candidates.length, MAX_EVALUATED_CANDIDATES);
     const offset = Math.floor(random() * candidates.length);
-    const found: Option[] = [];
+    const evaluations: Evaluation[] = [];
     for (let step = 0; step < count; step++) {
       const candidate = candidates[(offset + step) % candidates.length]!;
-      found.push(evaluate(candidate, sought));
+      evaluations.push(evaluate(candidate, input));
     }
-    return found;
+    return evaluations;
   }
 
-  /** When the job is expected to end whatever happens to this task. */
+  /** Expected time until the job ends, regardless of this task. */
   function jobEndMs(
-    task: Placing,
+    task: PlacementRequest,
     runMs: number,
-    found: readonly Option[],
+    evaluations: readonly Evaluation[],
   ): number {
-    let fastest = Infinity;
-    let rate = 0;
-    for (const { slowness, candidate } of found) {
-      fastest = Math.min(fastest, slowness);
-      rate += candidate.slots / slowness;
+    let minSlowness = Infinity;
+    let effectiveSlots = 0;
+    for (const { slowness, candidate } of evaluations) {
+      minSlowness = Math.min(minSlowness, slowness);
+      effectiveSlots += candidate.slots / slowness;
     }
-    const drainMs = ((task.unplaced - 1) * runMs) / (SHARE_OF_JOB * rate);
+    const remainingTasksMs = ((task.unplaced - 1) * runMs) /
+      (JOB_SLOT_SHARE * effectiveSlots);
     const longestMs = task.longestMs ?? task.declaredMs;
-    if (longestMs <= task.declaredMs) return drainMs;
-    const longest = runTimes.expectedMs(task.class, longestMs);
-    return Math.max(drainMs, longest * fastest - (task.ageMs ?? 0));
+    if (longestMs <= task.declaredMs) return remainingTasksMs;
+    const longestRunMs = runTimes.expectedMs(task.class, longestMs);
+    return Math.max(
+      remainingTasksMs,
+      longestRunMs * minSlowness - (task.ageMs ?? 0),
+    );
   }
 
-  /** The slowest side that ends the task in time. */
-  function slowestInTime(
-    found: readonly Option[],
-    upperMs: number,
-    endMs: number,
-  ): Option | undefined {
-    let best: Option | undefined;
-    for (const option of found) {
-      if (option.isHeld) continue;
-      if (option.startMs + upperMs * option.slowness > endMs) continue;
-      if (best === undefined || option.slowness > best.slowness) best = option;
+  /** Finds the slowest side that is expected to end the task in time. */
+  function findSlowestInTime(
+    evaluations: readonly Evaluation[],
+    upperBoundMs: number,
+    latestEndMs: number,
+  ): Evaluation | undefined {
+    let best: Evaluation | undefined;
+    for (const evaluation of evaluations) {
+      if (evaluation.isFull) continue;
+      if (
+        evaluation.startMs + upperBoundMs * evaluation.slowness > latestEndMs
+      ) continue;
+      if (best === undefined || evaluation.slowness > best.slowness) {
+        best = evaluation;
+      }
     }
     return best;
   }
 
-  function earliest(found: readonly Option[]): Option | undefined {
-    let best: Option | undefined;
-    for (const option of found) {
-      if (option.isHeld) continue;
-      if (best === undefined || option.endMs < best.endMs) best = option;
+  function findEarliestEnd(
+    evaluations: readonly Evaluation[],
+  ): Evaluation | undefined {
+    let best: Evaluation | undefined;
+    for (const evaluation of evaluations) {
+      if (evaluation.isFull) continue;
+      if (best === undefined || evaluation.endMs < best.endMs) {
+        best = evaluation;
+      }
     }
     return best;
   }
 
   function isWorthWaiting(
-    found: readonly Option[],
-    best: Option,
+    evaluations: readonly Evaluation[],
+    best: Evaluation,
     runMs: number,
   ): boolean {
-    const bound = best.endMs - WAIT_GAIN_SHARE * runMs;
-    return found.some((option) => option.isHeld && option.endMs < bound);
+    const maxEndMs = best.endMs - MIN_WAIT_GAIN_SHARE * runMs;
+    return evaluations.some((evaluation) =>
+      evaluation.isFull && evaluation.endMs < maxEndMs
+    );
   }
 
   function choose(
-    task: Placing,
+    task: PlacementRequest,
     candidates: readonly Candidate[],
     nowMs: number,
   ): string | undefined {
     const forecast = runTimes.forecast(task.class, task.declaredMs);
-    const runMs = meanOf(forecast);
-    const reserveShare = Math.max(jobReserve(task), tenantReserve(task));
-    const found = evaluateAll(candidates, { runMs, reserveShare, nowMs });
-    const best = earliest(found);
+    const runMs = meanMsOf(forecast);
+    const reserveShare = Math.max(
+      jobReserveShare(task),
+      tenantReserveShare(task),
+    );
+    const evaluations = evaluateAll(candidates, { runMs, reserveShare, nowMs });
+    const best = findEarliestEnd(evaluations);
     if (best === undefined) return undefined;
-    const endMs = jobEndMs(task, runMs, found);
-    const spare = slowestInTime(found, upperOf(forecast), endMs);
-    if (spare !== undefined) return spare.candidate.side;
-    if (isWorthWaiting(found, best, runMs)) return undefined;
+    const latestEndMs = jobEndMs(task, runMs, evaluations);
+    const slowest = findSlowestInTime(
+      evaluations,
+      runTimeUpperBound(forecast),
+      latestEndMs,
+    );
+    if (slowest !== undefined) return slowest.candidate.side;
+    if (isWorthWaiting(evaluations, best, runMs)) return undefined;
     return best.candidate.side;
   }
 
   return {
     choose(task, candidates, nowMs) {
-      if (nowMs !== declinedAtMs) declined = 0;
+      if (nowMs !== declinedAtMs) declinedCount = 0;
       declinedAtMs = nowMs;
       const side = choose(task, candidates, nowMs);
-      if (side === undefined) declined++;
+      if (side === undefined) declinedCount++;
       return side;
     },
 
     hasRoom(candidates, nowMs) {
-      if (candidates.length > MAX_SAMPLE) return true;
+      if (candidates.length > MAX_EVALUATED_CANDIDATES) return true;
       return candidates.some((candidate) =>
-        estimates.busy(candidate, nowMs).mean + 1 - candidate.slots <= MAX_OVER
+        estimates.busy(candidate, nowMs).mean + 1 - candidate.slots <=
+          MAX_EXCESS_TASKS
       );
     },
 
--- a/packages/place/src/expected_delay_test.ts
+++ b/packages/place/src/expected_delay_test.ts
@@ -3,7 +3,7 @@
   type Candidate,
   createExpectedDelay,
   createRunTimes,
-  type Placing,
+  type PlacementRequest,
   type Policy,
 } from "./index.ts";
 
@@ -24,7 +24,7 @@
   };
 }
 
-function placing(declaredMs: number): Placing {
+function requestOf(declaredMs: number): PlacementRequest {
   return {
     class: "check",
     tenant: "a",
@@ -35,43 +35,43 @@
   };
 }
 
-/** Teaches that `slow` runs ten times longer than `fast`. */
-function teach(policy: Policy, declaredOff: number): void {
+/** Trains the policy with runs that take ten times longer on `slow`. */
+function train(policy: Policy, declaredFactor: number): void {
   for (let run = 0; run < 200; run++) {
     const fastMs = 50 + (run % 10) * 20;
-    const declaredMs = fastMs * declaredOff;
-    for (const [side, factor] of [["fast", 1], ["slow", 10]] as const) {
+    const declaredMs = fastMs * declaredFactor;
+    for (const [side, slowness] of [["fast", 1], ["slow", 10]] as const) {
       policy.observe({
         side,
         class: "check",
         declaredMs,
-        runMs: fastMs * factor,
+        runMs: fastMs * slowness,
         failed: false,
       }, run);
     }
   }
 }
 
-describe("createExpectedDelay", () => {
-  for (const declaredOff of [0.1, 1, 10]) {
-    it(`prefers learned speed, declared times off by ${declaredOff}`, () => {
+describe("expected-delay policy", () => {
+  for (const declaredFactor of [0.1, 1, 10]) {
+    it(`prefers learned speed, declared times off by ${declaredFactor}`, () => {
       const policy = createExpectedDelay({ random: () => 0 });
-      teach(policy, declaredOff);
+      train(policy, declaredFactor);
       const both = [candidate("slow", 0), candidate("fast", 7)];
-      expect(policy.choose(placing(100), both, 0)).to.equal("fast");
+      expect(policy.choose(requestOf(100), both, 0)).to.equal("fast");
     });
   }
 
-  it("waits for a fast side rather than use a slow one", () => {
+  it("keeps a task queued for a fast side rather than using a slow one", () => {
     const policy = createExpectedDelay({ random: () => 0 });
-    teach(policy, 1);
+    train(policy, 1);
     const both = [candidate("slow", 0), candidate("fast", 8)];
-    expect(policy.choose(placing(100), both, 0)).to.equal(undefined);
+    expect(policy.choose(requestOf(100), both, 0)).to.equal(undefined);
   });
 });
 
-describe("createRunTimes", () => {
-  it("learns slowness per side and corrects declared times", () => {
+describe("run time model", () => {
+  it("learns the slowness of each side and corrects declared times", () => {
     const runTimes = createRunTimes();
     for (let run = 0; run < 400; run++) {
       const fastMs = 50 + (run % 10) * 20;
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -1,69 +1,70 @@
 /**
- * Ejects sides that fail what they start. A side that fails at once looks idle
- * and would draw work, so its failure ratio decides and not its load. An
- * ejected side is out for a probation time, then gets a single trial task whose
- * outcome readmits it or keeps it out for twice as long. Failures that all
- * sides share, for example of one tenant's broken tasks, eject nobody.
+ * Outlier detection: ejects sides that fail too many of the tasks they start. A
+ * side that fails tasks immediately appears idle and would attract more tasks,
+ * so ejection depends on the failure ratio and not on the load. An ejected side
+ * gets no tasks during its probation, and then a single trial task: success
+ * readmits the side, failure doubles the probation. Failures that occur on all
+ * sides alike, such as those of a tenant's broken tasks, eject no side.
  */
 import type { AutomaticAction, Rules } from "@coltsfootreach/types";
 
-/** Whether a side may take a task: any, one trial task, or none. */
-export type Standing = "in" | "trial" | "out";
+/** Whether a side may get any task, one trial task, or none. */
+export type EjectionState = "in" | "trial" | "out";
 
 export interface Health {
-  /** Takes in how a started task ended; returns what was done about it. */
-  observe(outcome: Outcome, nowMs: number): AutomaticAction | undefined;
-  standing(side: string, nowMs: number): Standing;
-  /** A trial task was sent; the side takes no other until it ends. */
+  /** Records the outcome of a started task; returns the resulting action. */
+  observe(outcome: TaskOutcome, nowMs: number): AutomaticAction | undefined;
+  standing(side: string, nowMs: number): EjectionState;
+  /** Marks a trial task as sent; the side gets no other task until it ends. */
   startTrial(side: string, nowMs: number): void;
-  /** The trial task was not run, so the side may get another. */
+  /** Allows another trial task because the previous one was not run. */
   cancelTrial(side: string): void;
-  /** Lets a side take work again on an operator's word. */
+  /** Ends the ejection of a side at an operator's request. */
   readmit(side: string): void;
   /** Share of a side's recent tasks that failed, 0 to 1. */
   failureRatio(side: string): number;
-  /** Sides that are ejected now. */
+  /** Currently ejected sides. */
   ejected(): readonly string[];
   forget(side: string): void;
 }
 
-export interface Outcome {
+export interface TaskOutcome {
   readonly side: string;
   readonly failed: boolean;
 }
 
-export interface HealthOptions {
-  /** The rules in force and the version of the configuration they are from. */
-  readonly rules: () => HealthRules;
-  /** Sides that are live, ejected ones included. */
+export interface OutlierDetectorOptions {
+  /** The current rules and the version of their configuration. */
+  readonly rules: () => OutlierDetectorRules;
+  /** Number of live sides, including ejected ones. */
   readonly sides: () => number;
-  /** Makes the identifier of an act. */
+  /** Generates the identifier of an action. */
   readonly nextId: () => string;
 }
 
-export interface HealthRules
+export interface OutlierDetectorRules
   extends
     Pick<Rules, "held" | "ejectFailureRatio" | "ejectAtMost" | "probationMs"> {
   readonly configurationVersion: number;
 }
 
-/** Ended tasks that a failure ratio must rest on. */
-const MIN_SAMPLE = 8;
+/** Minimum number of ended tasks before a side can be ejected. */
+const MIN_OUTCOMES = 8;
 
-/** Latest outcomes of a side that are remembered. */
-const MEMORY = 16;
+/** Number of latest outcomes kept per side. */
+const MAX_OUTCOMES = 16;
 
-/** Silence after which the outcomes of a side are forgotten. */
-const MAX_SILENCE_MS = 60_000;
+/** Time without a new outcome after which a side's outcomes are discarded. */
+const OUTCOME_EXPIRY_MS = 60_000;
 
-/** A side must fail this many times as often as the other sides do. */
-const MIN_EXCESS = 2;
+/** Minimum ratio of a side's failure ratio to that of the other sides. */
+const MIN_RATIO_TO_OTHERS = 2;
 
-/** Most times a probation is doubled. */
-const MAX_DOUBLINGS = 5;
+/** Maximum number of times a probation is doubled. */
+const MAX_PROBATION_DOUBLINGS = 5;
 
-/** The latest outcomes of a side, newest first; true stands for a failure. */
-interface Tally {
+/** The latest outcomes of a side, newest first; true means failure. */
+interface OutcomeWindow {
   outcomes: readonly boolean[];
   atMs: number;
 }
@@ -72,70 +73,80 @@
   readonly act: AutomaticAction;
   readonly doublings: number;
   readonly untilMs: number;
-  trialUnderWay: boolean;
+  isTrialRunning: boolean;
 }
 
-function count(tally: Tally, failed: boolean, nowMs: number): void {
-  const isStale = nowMs - tally.atMs > MAX_SILENCE_MS;
-  const earlier = isStale ? [] : tally.outcomes;
-  tally.outcomes = [failed, ...earlier.slice(0, MEMORY - 1)];
-  tally.atMs = nowMs;
+function recordOutcome(
+  window: OutcomeWindow,
+  failed: boolean,
+  nowMs: number,
+): void {
+  const isStale = nowMs - window.atMs > OUTCOME_EXPIRY_MS;
+  const earlier = isStale ? [] : window.outcomes;
+  window.outcomes = [failed, ...earlier.slice(0, MAX_OUTCOMES - 1)];
+  window.atMs = nowMs;
 }
 
-function failuresOf({ outcomes }: Tally): number {
+function countFailures({ outcomes }: OutcomeWindow): number {
   return outcomes.reduce((sum, failed) => sum + (failed ? 1 : 0), 0);
 }
 
 /** Failures per ended task. */
-function ratioOf(tallies: readonly Tally[]): number {
+function failureRatioOf(windows: readonly OutcomeWindow[]): number {
   let ended = 0;
-  let failed = 0;
-  for (const tally of tallies) {
-    ended += tally.outcomes.length;
-    failed += failuresOf(tally);
+  let failures = 0;
+  for (const window of windows) {
+    ended += window.outcomes.length;
+    failures += countFailures(window);
   }
-  return ended === 0 ? 0 : failed / ended;
+  return ended === 0 ? 0 : failures / ended;
 }
 
-export function createHealth(options: HealthOptions): Health {
+export function createHealth(options: OutlierDetectorOptions): Health {
   const { rules, sides, nextId } = options;
-  const tallies = new Map<string, Tally>();
+  const windows = new Map<string, OutcomeWindow>();
   const ejections = new Map<string, Ejection>();
 
-  function tallyOf(side: string, nowMs: number): Tally {
-    let tally = tallies.get(side);
-    if (tally === undefined) {
-      tally = { outcomes: [], atMs: nowMs };
-      tallies.set(side, tally);
+  function windowOf(side: string, nowMs: number): OutcomeWindow {
+    let window = windows.get(side);
+    if (window === undefined) {
+      window = { outcomes: [], atMs: nowMs };
+      windows.set(side, window);
     }
-    return tally;
+    return window;
   }
 
-  function ratioOfOthers(own: Tally): number {
-    return ratioOf([...tallies.values()].filter((tally) => tally !== own));
+  function failureRatioOfOthers(own: OutcomeWindow): number {
+    return failureRatioOf(
+      [...windows.values()].filter((window) => window !== own),
+    );
   }
 
-  function mayEject(tally: Tally): boolean {
+  function isEjectionDue(window: OutcomeWindow): boolean {
     const { held, ejectFailureRatio, ejectAtMost } = rules();
     if (held.includes("eject")) return false;
-    if (tally.outcomes.length < MIN_SAMPLE) return false;
+    if (window.outcomes.length < MIN_OUTCOMES) return false;
     if (ejections.size + 1 > ejectAtMost * sides()) return false;
-    const ratio = ratioOf([tally]);
+    const ratio = failureRatioOf([window]);
     return ratio >= ejectFailureRatio &&
-      ratio >= MIN_EXCESS * ratioOfOthers(tally);
+      ratio >= MIN_RATIO_TO_OTHERS * failureRatioOfOthers(window);
   }
 
-  function eject(side: string, tally: Tally, nowMs: number): AutomaticAction {
+  function eject(
+    side: string,
+    window: OutcomeWindow,
+    nowMs: number,
+  ): AutomaticAction {
     const { configurationVersion, ejectFailureRatio, probationMs } = rules();
-    const act: AutomaticAction = {
+    const action: AutomaticAction = {
       id: nextId(),
       kind: "eject",
       subject: side,
-      why: "it failed too large a share of the tasks it started",
+      why: "the failure ratio of its recent tasks reached the limit",
       figures: {
-        failureRatio: ratioOf([tally]),
-        ended: tally.outcomes.length,
-        failureRatioOfOthers: ratioOfOthers(tally),
+        failureRatio: failureRatioOf([window]),
+        ended: window.outcomes.length,
+        failureRatioOfOthers: failureRatioOfOthers(window),
         ejectFailureRatio,
         ejected: ejections.size + 1,
         sides: sides(),
@@ -144,33 +155,42 @@
       atMs: nowMs,
     };
     const untilMs = nowMs + probationMs;
-    ejections.set(side, { act, doublings: 0, untilMs, trialUnderWay: false });
-    return act;
+    ejections.set(side, {
+      act: action,
+      doublings: 0,
+      untilMs,
+      isTrialRunning: false,
+    });
+    return action;
   }
 
-  function prolong(side: string, ejection: Ejection, nowMs: number): void {
-    const doublings = Math.min(MAX_DOUBLINGS, ejection.doublings + 1);
+  function extendProbation(
+    side: string,
+    ejection: Ejection,
+    nowMs: number,
+  ): void {
+    const doublings = Math.min(MAX_PROBATION_DOUBLINGS, ejection.doublings + 1);
     const untilMs = nowMs + rules().probationMs * 2 ** doublings;
     ejections.set(side, {
       act: ejection.act,
       doublings,
       untilMs,
-      trialUnderWay: false,
+      isTrialRunning: false,
     });
   }
 
-  function readmitted(
+  function readmitAfterTrial(
     side: string,
     ejection: Ejection,
     nowMs: number,
   ): AutomaticAction {
     ejections.delete(side);
-    tallies.delete(side);
+    windows.delete(side);
     return {
       id: nextId(),
       kind: "readmit",
       subject: side,
-      why: "its trial task was complete",
+      why: "its trial task succeeded",
       figures: {
         outMs: nowMs - ejection.act.atMs,
         doublings: ejection.doublings,
@@ -180,15 +200,15 @@
     };
   }
 
-  /** Outcomes of tasks that were under way at the ejection decide nothing. */
+  /** Ignores outcomes of tasks that were running when the side was ejected. */
   function observeEjected(
     ejection: Ejection,
-    { side, failed }: Outcome,
+    { side, failed }: TaskOutcome,
     nowMs: number,
   ): AutomaticAction | undefined {
-    if (!ejection.trialUnderWay) return undefined;
-    if (!failed) return readmitted(side, ejection, nowMs);
-    prolong(side, ejection, nowMs);
+    if (!ejection.isTrialRunning) return undefined;
+    if (!failed) return readmitAfterTrial(side, ejection, nowMs);
+    extendProbation(side, ejection, nowMs);
     return undefined;
   }
 
@@ -198,38 +218,38 @@
       if (ejection !== undefined) {
         return observeEjected(ejection, outcome, nowMs);
       }
-      const tally = tallyOf(outcome.side, nowMs);
-      count(tally, outcome.failed, nowMs);
-      if (!outcome.failed || !mayEject(tally)) return undefined;
-      return eject(outcome.side, tally, nowMs);
+      const window = windowOf(outcome.side, nowMs);
+      recordOutcome(window, outcome.failed, nowMs);
+      if (!outcome.failed || !isEjectionDue(window)) return undefined;
+      return eject(outcome.side, window, nowMs);
     },
 
     failureRatio(side) {
-      const tally = tallies.get(side);
-      return tally === undefined ? 0 : ratioOf([tally]);
+      const window = windows.get(side);
+      return window === undefined ? 0 : failureRatioOf([window]);
     },
 
     standing(side, nowMs) {
       const ejection = ejections.get(side);
       if (ejection === undefined) return "in";
-      if (ejection.trialUnderWay || nowMs < ejection.untilMs) return "out";
+      if (ejection.isTrialRunning || nowMs < ejection.untilMs) return "out";
       return rules().held.includes("readmit") ? "out" : "trial";
     },
 
     startTrial(side, nowMs) {
       const ejection = ejections.get(side);
       if (ejection === undefined || nowMs < ejection.untilMs) return;
-      ejection.trialUnderWay = true;
+      ejection.isTrialRunning = true;
     },
 
     cancelTrial(side) {
       const ejection = ejections.get(side);
-      if (ejection !== undefined) ejection.trialUnderWay = false;
+      if (ejection !== undefined) ejection.isTrialRunning = false;
     },
 
     readmit(side) {
       ejections.delete(side);
-      tallies.delete(side);
+      windows.delete(side);
     },
 
     ejected() {
@@ -238,7 +258,7 @@
 
     forget(side) {
       ejections.delete(side);
-      tallies.delete(side);
+      windows.delete(side);
     },
   };
 }
--- a/packages/place/src/health_test.ts
+++ b/packages/place/src/health_test.ts
@@ -9,84 +9,94 @@
   configurationVersion: 7,
 };
 
-function create(rules = RULES): Health {
-  let acts = 0;
+function createDetector(rules = RULES): Health {
+  let actionCount = 0;
   return createHealth({
     rules: () => rules,
     sides: () => 10,
-    nextId: () => `act-${acts++}`,
+    nextId: () => `act-${actionCount++}`,
   });
 }
 
-function end(health: Health, side: string, failed: boolean, times: number) {
-  const acts = [];
-  for (let step = 0; step < times; step++) {
-    const act = health.observe({ side, failed }, 0);
-    if (act !== undefined) acts.push(act);
+function observeOutcomes(
+  detector: Health,
+  side: string,
+  failed: boolean,
+  count: number,
+) {
+  const actions = [];
+  for (let step = 0; step < count; step++) {
+    const action = detector.observe({ side, failed }, 0);
+    if (action !== undefined) actions.push(action);
   }
-  return acts;
+  return actions;
 }
 
-describe("createHealth", () => {
-  it("ejects a side that fails all it starts, with the figures", () => {
-    const health = create();
-    end(health, "good", false, 50);
-    const [act] = end(health, "bad", true, 20);
-    expect(act).to.include({ kind: "eject", subject: "bad" });
-    expect(act!.configurationVersion).to.equal(7);
-    expect(act!.figures).to.include({ failureRatio: 1, ended: 8 });
-    expect(health.standing("bad", 1)).to.equal("out");
-    expect(health.standing("good", 1)).to.equal("in");
+describe("outlier detector", () => {
+  it("ejects a side that fails all its tasks and reports the figures", () => {
+    const detector = createDetector();
+    observeOutcomes(detector, "good", false, 50);
+    const [action] = observeOutcomes(detector, "bad", true, 20);
+    expect(action).to.include({ kind: "eject", subject: "bad" });
+    expect(action!.configurationVersion).to.equal(7);
+    expect(action!.figures).to.include({ failureRatio: 1, ended: 8 });
+    expect(detector.standing("bad", 1)).to.equal("out");
+    expect(detector.standing("good", 1)).to.equal("in");
   });
 
-  it("ejects a busy side soon after it began to fail", () => {
-    const health = create();
-    end(health, "good", false, 500);
-    end(health, "bad", false, 500);
-    expect(end(health, "bad", true, 10)).to.have.length(1);
+  it("ejects a busy side soon after it starts to fail", () => {
+    const detector = createDetector();
+    observeOutcomes(detector, "good", false, 500);
+    observeOutcomes(detector, "bad", false, 500);
+    expect(observeOutcomes(detector, "bad", true, 10)).to.have.length(1);
   });
 
-  it("ejects nobody when all sides fail alike", () => {
-    const health = create();
+  it("ejects no side when all sides fail equally often", () => {
+    const detector = createDetector();
     for (let step = 0; step < 50; step++) {
       for (let side = 0; side < 10; side++) {
-        expect(end(health, `s${side}`, step % 4 !== 0, 1)).to.deep.equal([]);
+        expect(observeOutcomes(detector, `s${side}`, step % 4 !== 0, 1)).to.deep
+          .equal([]);
       }
     }
   });
 
-  it("keeps to the ceiling on sides that are out at once", () => {
-    const health = create();
-    for (let side = 0; side < 10; side++) end(health, `good${side}`, false, 50);
-    for (let side = 0; side < 5; side++) end(health, `bad${side}`, true, 20);
-    expect(health.ejected()).to.have.length(3);
+  it("limits the share of sides ejected at the same time", () => {
+    const detector = createDetector();
+    for (let side = 0; side < 10; side++) {
+      observeOutcomes(detector, `good${side}`, false, 50);
+    }
+    for (let side = 0; side < 5; side++) {
+      observeOutcomes(detector, `bad${side}`, true, 20);
+    }
+    expect(detector.ejected()).to.have.length(3);
   });
 
-  it("tries an ejected side with one task and readmits it", () => {
-    const health = create();
-    end(health, "good", false, 50);
-    end(health, "bad", true, 10);
-    expect(health.standing("bad", 1_000)).to.equal("trial");
-    health.startTrial("bad", 1_000);
-    expect(health.standing("bad", 1_000)).to.equal("out");
-    const act = health.observe({ side: "bad", failed: false }, 1_100);
-    expect(act).to.include({ kind: "readmit", subject: "bad" });
-    expect(health.standing("bad", 1_100)).to.equal("in");
+  it("readmits an ejected side after a successful trial task", () => {
+    const detector = createDetector();
+    observeOutcomes(detector, "good", false, 50);
+    observeOutcomes(detector, "bad", true, 10);
+    expect(detector.standing("bad", 1_000)).to.equal("trial");
+    detector.startTrial("bad", 1_000);
+    expect(detector.standing("bad", 1_000)).to.equal("out");
+    const action = detector.observe({ side: "bad", failed: false }, 1_100);
+    expect(action).to.include({ kind: "readmit", subject: "bad" });
+    expect(detector.standing("bad", 1_100)).to.equal("in");
   });
 
-  it("doubles the probation after a failed trial", () => {
-    const health = create();
-    end(health, "good", false, 50);
-    end(health, "bad", true, 10);
-    health.startTrial("bad", 1_000);
-    health.observe({ side: "bad", failed: true }, 1_001);
-    expect(health.standing("bad", 3_000)).to.equal("out");
-    expect(health.standing("bad", 3_001)).to.equal("trial");
+  it("doubles the probation after a failed trial task", () => {
+    const detector = createDetector();
+    observeOutcomes(detector, "good", false, 50);
+    observeOutcomes(detector, "bad", true, 10);
+    detector.startTrial("bad", 1_000);
+    detector.observe({ side: "bad", failed: true }, 1_001);
+    expect(detector.standing("bad", 3_000)).to.equal("out");
+    expect(detector.standing("bad", 3_001)).to.equal("trial");
   });
 
-  it("does nothing that operators hold", () => {
-    const health = create({ ...RULES, held: ["eject"] });
-    end(health, "good", false, 50);
-    expect(end(health, "bad", true, 50)).to.deep.equal([]);
+  it("does not eject while operators hold ejections", () => {
+    const detector = createDetector({ ...RULES, held: ["eject"] });
+    observeOutcomes(detector, "good", false, 50);
+    expect(observeOutcomes(detector, "bad", true, 50)).to.deep.equal([]);
   });
 });
--- a/packages/place/src/index.ts
+++ b/packages/place/src/index.ts
@@ -1,4 +1,4 @@
-/** Placement policies behind one interface. */
+/** Placement policies, run time estimation and outlier ejection. */
 export * from "./policy.ts";
 export * from "./least_outstanding.ts";
 export * from "./run_times.ts";
--- a/packages/place/src/least_outstanding.ts
+++ b/packages/place/src/least_outstanding.ts
@@ -1,27 +1,27 @@
 /**
- * Least outstanding: the free side on which the fewest tasks run, relative to
- * its slots.
+ * Least outstanding: chooses the side with a free slot and the lowest ratio of
+ * tasks to slots.
  */
 import type { Candidate, Policy, Random } from "./policy.ts";
 
-/** Estimates how many tasks a side holds now, over all entries. */
-export function estimateBusy(candidate: Candidate): number {
+/** Estimates the current number of tasks on a side, from all entries. */
+export function estimateBusyTasks(candidate: Candidate): number {
   const { load, outstanding, outstandingAtLoad } = candidate;
-  const others = load.running + load.queued - outstandingAtLoad;
-  return outstanding + Math.max(0, others);
+  const otherTasks = load.running + load.queued - outstandingAtLoad;
+  return outstanding + Math.max(0, otherTasks);
 }
 
 export function createLeastOutstanding(random: Random): Policy {
   return {
     choose(_task, candidates) {
       let best: string | undefined;
-      let lowest = 1;
+      let lowestUtilization = 1;
       const offset = Math.floor(random() * candidates.length);
       for (let step = 0; step < candidates.length; step++) {
         const candidate = candidates[(step + offset) % candidates.length]!;
-        const share = estimateBusy(candidate) / candidate.slots;
-        if (share < lowest) {
-          lowest = share;
+        const utilization = estimateBusyTasks(candidate) / candidate.slots;
+        if (utilization < lowestUtilization) {
+          lowestUtilization = utilization;
           best = candidate.side;
         }
       }
--- a/packages/place/src/placement.ts
+++ b/packages/place/src/placement.ts
@@ -1,4 +1,4 @@
-/** The placement policies by the names that settings and tools use. */
+/** Creates placement policies by the names used in settings and tools. */
 import {
   createRandomChoice,
   createRoundRobin,
--- a/packages/place/src/policy.ts
+++ b/packages/place/src/policy.ts
@@ -1,71 +1,71 @@
 /**
- * A placement policy picks the side for one task. Policies are pure: they are
- * told what happens and the time, and decide from that alone.
+ * A placement policy chooses the side that runs a task. Policies perform no I/O
+ * and read no clock: they decide only from the events and the time passed in.
  */
 import type { ComputeResources, Load } from "@coltsfootreach/types";
 
-/** A side as the placing entry knows it. */
+/** A side as seen by the entry that places the task. */
 export interface Candidate {
   readonly side: string;
   readonly server: string;
   readonly dataCentre: string;
   readonly slots: number;
-  /** Starts of this entry that have not ended. */
+  /** Tasks started by this entry that have not ended. */
   readonly outstanding: number;
-  /** The side's own last word, over all entries, and when it came. */
+  /** The side's latest load report, over all entries, and its arrival time. */
   readonly load: Load;
   readonly loadAtMs: number;
-  /** Starts of this entry that the side had taken in when it said so. */
+  /** Tasks started by this entry that the latest load report includes. */
   readonly outstandingAtLoad: number;
   readonly classes: readonly string[];
   readonly size: ComputeResources;
 }
 
-/** What is known of a task before it starts. */
-export interface Placing {
+/** What is known about a task before it is placed. */
+export interface PlacementRequest {
   readonly class: string;
   readonly tenant: string;
   readonly size: ComputeResources;
   readonly declaredMs: number;
-  /** Tasks of the same job that have not been placed yet, this one included. */
+  /** Tasks of the same job that are not yet placed, including this one. */
   readonly unplaced: number;
-  /** The longest declared run time of the job's tasks. */
+  /** Longest declared run time among the job's tasks. */
   readonly longestMs?: number | undefined;
-  /** Slot time that the tenant took lately over its fair share. */
+  /** Ratio of the tenant's recent slot time to its fair share. */
   readonly usageRatio?: number | undefined;
-  /** Time since the job was accepted in milliseconds. */
+  /** Time since the job was accepted, in milliseconds. */
   readonly ageMs?: number | undefined;
-  /** Time left until the deadline in milliseconds. */
+  /** Time left until the deadline, in milliseconds. */
   readonly leftMs: number;
 }
 
-/** How a placed task ended, for policies that learn. */
+/** The outcome of a placed task, from which policies may learn. */
 export interface Observation {
   readonly side: string;
   readonly class: string;
   readonly declaredMs: number;
-  /** Absent when the task did not run. */
+  /** Undefined if the task did not run. */
   readonly runMs?: number | undefined;
   readonly failed: boolean;
 }
 
 export interface Policy {
   /**
-   * The side that should run the task now, or undefined when the task had
-   * better wait in the queue. All candidates fit the task and are live.
+   * Returns the side that should run the task now, or undefined if the task
+   * should wait in the queue. All candidates are live and can run the task.
    */
   choose(
-    task: Placing,
+    task: PlacementRequest,
     candidates: readonly Candidate[],
     nowMs: number,
   ): string | undefined;
-  /** False when no task at all would be placed now; true when in doubt. */
+  /** Returns false only if no task could be placed now; true when uncertain. */
   hasRoom?(candidates: readonly Candidate[], nowMs: number): boolean;
-  /** Takes in how a task ended. */
+  /** Records the outcome of a task. */
   observe(observation: Observation, nowMs: number): void;
-  /** Forgets a side that is gone for good. */
+  /** Drops all state about a side that has permanently left. */
   forget(side: string): void;
 }
 
-/** A source of random numbers in [0, 1). */
+/** A random number generator that returns numbers in [0, 1). */
 export type Random = () => number;
--- a/packages/place/src/run_times.ts
+++ b/packages/place/src/run_times.ts
@@ -1,36 +1,37 @@
 /**
- * Learned run times. The logarithm of a run time is the sum of what its class
- * and its declared time foretell, of the side's slowness, and of a rest that is
- * taken as normal. How far the declared time counts is learned per class, so a
- * class whose declarations are worthless falls back to its own distribution.
+ * Learns run times online. The logarithm of a run time is modeled as the sum of
+ * a linear prediction from the task's class and declared time, the log slowness
+ * of the side, and a normally distributed residual. The weight of the declared
+ * time is learned per class, so a class whose declared times carry no
+ * information falls back to the distribution of its run times.
  */
 
-/** The run time of a task on a side of slowness 1. */
+/** Predicted run time of a task on a side with slowness 1. */
 export interface Forecast {
   /** Mean of the logarithm of the run time in milliseconds. */
   readonly logMs: number;
-  /** Standard deviation of the logarithm. */
-  readonly spread: number;
+  /** Standard deviation of that logarithm. */
+  readonly logDeviation: number;
 }
 
-/** The mean run time of a forecast in milliseconds. */
-export function meanOf({ logMs, spread }: Forecast): number {
-  return Math.exp(logMs + (spread * spread) / 2);
+/** Mean run time of a forecast, in milliseconds. */
+export function meanMsOf({ logMs, logDeviation }: Forecast): number {
+  return Math.exp(logMs + (logDeviation * logDeviation) / 2);
 }
 
 export interface RunTimes {
-  /** Takes in a run of `runMs` that was declared as `declaredMs`. */
-  observe(run: Run): void;
+  /** Updates the model with a completed run. */
+  observe(run: CompletedRun): void;
   forecast(className: string, declaredMs: number): Forecast;
-  /** Mean run time in milliseconds on a side of slowness 1. */
+  /** Mean run time on a side with slowness 1, in milliseconds. */
   expectedMs(className: string, declaredMs: number): number;
-  /** How many times longer a task runs on this side than on an average one. */
+  /** Ratio of run times on this side to those on an average side. */
   slowness(side: string): number;
-  /** Drops what is known of a side. */
+  /** Drops all state about a side. */
   forget(side: string): void;
 }
 
-export interface Run {
+export interface CompletedRun {
   readonly side: string;
   readonly class: string;
   readonly declaredMs: number;
@@ -39,139 +40,149 @@
 
 interface ClassModel {
   count: number;
-  meanDeclared: number;
-  meanRun: number;
-  varianceDeclared: number;
+  meanLogDeclared: number;
+  meanLogRun: number;
+  declaredVariance: number;
   covariance: number;
-  varianceRest: number;
+  residualVariance: number;
 }
 
 interface SideModel {
   logSlowness: number;
-  /** Variance of the estimate. */
-  uncertainty: number;
+  /** Variance of the estimated log slowness. */
+  variance: number;
 }
 
-/** The weight of a new run is never below this, so that old runs fade. */
+/** Minimum weight of a new run, so that the influence of old runs decays. */
 const MIN_GAIN = 0.002;
 
-/** Runs of a class after which declared times may be trusted as learned. */
+/**
+ * Number of runs that the priors of a class count as. Beyond it the learned
+ * weight of declared times is reliable.
+ */
 const PRIOR_RUNS = 20;
 
-/** Variance of declared times, in squared logarithms, that is assumed. */
-const PRIOR_VARIANCE_DECLARED = 0.5;
+/** Prior variance of the logarithm of declared times. */
+const PRIOR_DECLARED_VARIANCE = 0.5;
 
-/** Variance of the rest that is assumed before runs were seen. */
-const PRIOR_VARIANCE_REST = 0.5;
+/** Prior variance of the residual, before any run is observed. */
+const PRIOR_RESIDUAL_VARIANCE = 0.5;
 
-/** Variance of the slowness of a side of which nothing is known. */
-const PRIOR_UNCERTAINTY = 0.5;
+/** Prior variance of the log slowness of an unknown side. */
+const PRIOR_SLOWNESS_VARIANCE = 0.5;
 
-/** How much less certain a side's slowness gets with each run. */
-const DRIFT = 0.0002;
+/** Variance added to a side's log slowness per run, to track its changes. */
+const SLOWNESS_DRIFT_VARIANCE = 0.0002;
 
-const MIN_MS = 0.05;
+const MIN_DURATION_MS = 0.05;
 
-function logOf(ms: number): number {
-  return Math.log(Math.max(MIN_MS, ms));
+function logDuration(ms: number): number {
+  return Math.log(Math.max(MIN_DURATION_MS, ms));
 }
 
 function slopeOf(model: ClassModel): number {
-  const slope = model.covariance / model.varianceDeclared;
+  const slope = model.covariance / model.declaredVariance;
   return Math.min(1, Math.max(0, slope));
 }
 
 function predict(model: ClassModel, logDeclared: number): number {
-  return model.meanRun + slopeOf(model) * (logDeclared - model.meanDeclared);
+  return model.meanLogRun +
+    slopeOf(model) * (logDeclared - model.meanLogDeclared);
 }
 
 function createClassModel(logDeclared: number): ClassModel {
   return {
     count: 0,
-    meanDeclared: logDeclared,
-    meanRun: logDeclared,
-    varianceDeclared: PRIOR_VARIANCE_DECLARED,
-    covariance: PRIOR_VARIANCE_DECLARED,
-    varianceRest: PRIOR_VARIANCE_REST,
+    meanLogDeclared: logDeclared,
+    meanLogRun: logDeclared,
+    declaredVariance: PRIOR_DECLARED_VARIANCE,
+    covariance: PRIOR_DECLARED_VARIANCE,
+    residualVariance: PRIOR_RESIDUAL_VARIANCE,
   };
 }
 
-/** Moves a class model towards one run, corrected for the side's slowness. */
+/** Updates a class model with one run, corrected for the side's slowness. */
 function updateClass(
   model: ClassModel,
   logDeclared: number,
   logRun: number,
 ): void {
-  const rest = logRun - predict(model, logDeclared);
+  const residual = logRun - predict(model, logDeclared);
   model.count++;
   const gain = Math.max(MIN_GAIN, 1 / (model.count + 1));
-  const slowGain = Math.max(MIN_GAIN, 1 / (model.count + PRIOR_RUNS));
-  const declaredOff = logDeclared - model.meanDeclared;
-  const runOff = logRun - model.meanRun;
-  model.meanDeclared += gain * declaredOff;
-  model.meanRun += gain * runOff;
-  model.varianceDeclared += slowGain *
-    (declaredOff * declaredOff - model.varianceDeclared);
-  model.covariance += slowGain * (declaredOff * runOff - model.covariance);
-  model.varianceRest += slowGain * (rest * rest - model.varianceRest);
-  model.varianceDeclared = Math.max(1e-6, model.varianceDeclared);
+  const priorGain = Math.max(MIN_GAIN, 1 / (model.count + PRIOR_RUNS));
+  const declaredDeviation = logDeclared - model.meanLogDeclared;
+  const runDeviation = logRun - model.meanLogRun;
+  model.meanLogDeclared += gain * declaredDeviation;
+  model.meanLogRun += gain * runDeviation;
+  model.declaredVariance += priorGain *
+    (declaredDeviation * declaredDeviation - model.declaredVariance);
+  model.covariance += priorGain *
+    (declaredDeviation * runDeviation - model.covariance);
+  model.residualVariance += priorGain *
+    (residual * residual - model.residualVariance);
+  model.declaredVariance = Math.max(1e-6, model.declaredVariance);
 }
 
 export function createRunTimes(): RunTimes {
-  const classes = new Map<string, ClassModel>();
-  const sides = new Map<string, SideModel>();
+  const classModels = new Map<string, ClassModel>();
+  const sideModels = new Map<string, SideModel>();
 
-  function sideOf(side: string): SideModel {
-    let model = sides.get(side);
+  function sideModelOf(side: string): SideModel {
+    let model = sideModels.get(side);
     if (model === undefined) {
-      model = { logSlowness: 0, uncertainty: PRIOR_UNCERTAINTY };
-      sides.set(side, model);
+      model = { logSlowness: 0, variance: PRIOR_SLOWNESS_VARIANCE };
+      sideModels.set(side, model);
     }
     return model;
   }
 
   function forecast(className: string, declaredMs: number): Forecast {
-    const model = classes.get(className);
-    const logDeclared = logOf(declaredMs);
+    const model = classModels.get(className);
+    const logDeclared = logDuration(declaredMs);
     if (model === undefined) {
-      return { logMs: logDeclared, spread: Math.sqrt(PRIOR_VARIANCE_REST) };
+      return {
+        logMs: logDeclared,
+        logDeviation: Math.sqrt(PRIOR_RESIDUAL_VARIANCE),
+      };
     }
     return {
       logMs: predict(model, logDeclared),
-      spread: Math.sqrt(model.varianceRest),
+      logDeviation: Math.sqrt(model.residualVariance),
     };
   }
 
   return {
     observe(run) {
-      const logDeclared = logOf(run.declaredMs);
-      const logRun = logOf(run.runMs);
-      const side = sideOf(run.side);
-      let model = classes.get(run.class);
+      const logDeclared = logDuration(run.declaredMs);
+      const logRun = logDuration(run.runMs);
+      const sideModel = sideModelOf(run.side);
+      let model = classModels.get(run.class);
       if (model === undefined) {
         model = createClassModel(logDeclared);
-        classes.set(run.class, model);
+        classModels.set(run.class, model);
       }
-      const rest = logRun - predict(model, logDeclared);
-      updateClass(model, logDeclared, logRun - side.logSlowness);
-      side.uncertainty += DRIFT;
-      const gain = side.uncertainty / (side.uncertainty + model.varianceRest);
-      side.logSlowness += gain * (rest - side.logSlowness);
-      side.uncertainty *= 1 - gain;
+      const residual = logRun - predict(model, logDeclared);
+      updateClass(model, logDeclared, logRun - sideModel.logSlowness);
+      sideModel.variance += SLOWNESS_DRIFT_VARIANCE;
+      const gain = sideModel.variance /
+        (sideModel.variance + model.residualVariance);
+      sideModel.logSlowness += gain * (residual - sideModel.logSlowness);
+      sideModel.variance *= 1 - gain;
     },
 
     forecast,
 
     expectedMs(className, declaredMs) {
-      return meanOf(forecast(className, declaredMs));
+      return meanMsOf(forecast(className, declaredMs));
     },
 
     slowness(side) {
-      return Math.exp(sides.get(side)?.logSlowness ?? 0);
+      return Math.exp(sideModels.get(side)?.logSlowness ?? 0);
     },
 
     forget(side) {
-      sides.delete(side);
+      sideModels.delete(side);
     },
   };
 }
--- a/packages/place/src/side_estimate.ts
+++ b/packages/place/src/side_estimate.ts
@@ -1,92 +1,94 @@
 /**
- * What an entry believes of a side between the side's own words. The starts of
- * other entries are known only as of the last frame; with its age the belief
- * returns to what the others have held there on average.
+ * Estimates the load of a side between its load reports. Tasks started by other
+ * entries are known only as of the latest report; as the report ages, their
+ * estimate decays to their long-term mean on that side.
  */
 import type { Candidate } from "./policy.ts";
 
 export interface SideEstimates {
-  /** Tasks that the side holds now, over all entries. */
-  busy(candidate: Candidate, nowMs: number): Belief;
-  /** Mean slot time of the tasks that have run on the side. */
+  /** Estimated current number of tasks on the side, from all entries. */
+  busy(candidate: Candidate, nowMs: number): Estimate;
+  /** Mean run time of the tasks that ran on the side. */
   meanRunMs(side: string): number;
   observeRun(side: string, runMs: number): void;
   forget(side: string): void;
 }
 
-/** A number that is known within a variance. */
-export interface Belief {
+/** An estimated value and its variance. */
+export interface Estimate {
   readonly mean: number;
   readonly variance: number;
 }
 
-interface SideEstimate {
-  /** Mean of the tasks that other entries held, over frames. */
-  others: number;
+interface SideStatistics {
+  /** Moving average over load reports of the tasks from other entries. */
+  meanOtherTasks: number;
   loadAtMs: number;
   meanRunMs: number;
 }
 
-/** Weight of a new frame in the mean of what others hold. */
-const OTHERS_GAIN = 0.05;
+/** Weight of a new load report in the average of other entries' tasks. */
+const OTHER_TASKS_SMOOTHING = 0.05;
 
-/** Weight of a new run in the mean run time. */
-const RUN_GAIN = 0.05;
+/** Weight of a new run in the moving average of run times. */
+const RUN_TIME_SMOOTHING = 0.05;
 
-/** Mean run time that is assumed before any run was seen. */
+/** Mean run time assumed before the first observed run. */
 const DEFAULT_RUN_MS = 300;
 
-/** Tasks of other entries on a side at its last word. */
-function reportedOthers({ load, outstandingAtLoad }: Candidate): number {
+/** Tasks of other entries on a side, as of its latest load report. */
+function reportedOtherTasks({ load, outstandingAtLoad }: Candidate): number {
   return Math.max(0, load.running + load.queued - outstandingAtLoad);
 }
 
 export function createSideEstimates(): SideEstimates {
-  const estimates = new Map<string, SideEstimate>();
+  const statisticsBySide = new Map<string, SideStatistics>();
 
-  function estimateOf(candidate: Candidate): SideEstimate {
-    let estimate = estimates.get(candidate.side);
-    if (estimate === undefined) {
-      estimate = {
-        others: reportedOthers(candidate),
+  function statisticsOf(candidate: Candidate): SideStatistics {
+    let statistics = statisticsBySide.get(candidate.side);
+    if (statistics === undefined) {
+      statistics = {
+        meanOtherTasks: reportedOtherTasks(candidate),
         loadAtMs: candidate.loadAtMs,
         meanRunMs: DEFAULT_RUN_MS,
       };
-      estimates.set(candidate.side, estimate);
+      statisticsBySide.set(candidate.side, statistics);
     }
-    if (estimate.loadAtMs !== candidate.loadAtMs) {
-      estimate.loadAtMs = candidate.loadAtMs;
-      estimate.others += OTHERS_GAIN *
-        (reportedOthers(candidate) - estimate.others);
+    if (statistics.loadAtMs !== candidate.loadAtMs) {
+      statistics.loadAtMs = candidate.loadAtMs;
+      statistics.meanOtherTasks += OTHER_TASKS_SMOOTHING *
+        (reportedOtherTasks(candidate) - statistics.meanOtherTasks);
     }
-    return estimate;
+    return statistics;
   }
 
   return {
     busy(candidate, nowMs) {
-      const estimate = estimateOf(candidate);
-      const reported = reportedOthers(candidate);
+      const statistics = statisticsOf(candidate);
+      const reported = reportedOtherTasks(candidate);
       const ageMs = Math.max(0, nowMs - candidate.loadAtMs);
-      const kept = Math.exp(-ageMs / estimate.meanRunMs);
-      const others = estimate.others + (reported - estimate.others) * kept;
+      const reportWeight = Math.exp(-ageMs / statistics.meanRunMs);
+      const otherTasks = statistics.meanOtherTasks +
+        (reported - statistics.meanOtherTasks) * reportWeight;
       return {
-        mean: candidate.outstanding + others,
-        variance: others * (1 - kept * kept),
+        mean: candidate.outstanding + otherTasks,
+        variance: otherTasks * (1 - reportWeight * reportWeight),
       };
     },
 
     meanRunMs(side) {
-      return estimates.get(side)?.meanRunMs ?? DEFAULT_RUN_MS;
+      return statisticsBySide.get(side)?.meanRunMs ?? DEFAULT_RUN_MS;
     },
 
     observeRun(side, runMs) {
-      const estimate = estimates.get(side);
-      if (estimate === undefined) return;
-      estimate.meanRunMs += RUN_GAIN * (runMs - estimate.meanRunMs);
+      const statistics = statisticsBySide.get(side);
+      if (statistics === undefined) return;
+      statistics.meanRunMs += RUN_TIME_SMOOTHING *
+        (runMs - statistics.meanRunMs);
     },
 
     forget(side) {
-      estimates.delete(side);
+      statisticsBySide.delete(side);
     },
   };
 }
