Rename exported names of the place package

Cause: Policy, RunTimes, Health, standing and createPlacement were vague or private to the project.

Tests changed only in type and function names and formatting.

The other tests were not run.

--- a/packages/coordinate/src/context.ts
+++ b/packages/coordinate/src/context.ts
@@ -3,7 +3,10 @@
  * is about to send.
  */
 import { createRecords, type Records } from "@coltsfootreach/admit";
-import { createHealth, type Health } from "@coltsfootreach/place";
+import {
+  createOutlierDetector,
+  type OutlierDetector,
+} from "@coltsfootreach/place";
 import { createSettlement, type Settlement } from "@coltsfootreach/takeover";
 import type {
   EntryMessage,
@@ -33,7 +36,7 @@
   readonly waiters: Waiters;
   readonly outgoing: Outgoing;
   readonly configuration: ConfigurationDesk;
-  readonly health: Health;
+  readonly health: OutlierDetector;
   readonly connectedPeers: Set<string>;
   /** How long this entry is a member for certain, by its own lease. */
   readonly membership: { certainUntilMs: number };
@@ -92,7 +95,7 @@
     { options, sides, connectedPeers, toSide, toPeer },
     options.holder,
   );
-  const health = createHealth({
+  const health = createOutlierDetector({
     rules: () => ({
       ...configuration.rules(),
       configurationVersion: configuration.version(),
--- a/packages/coordinate/src/effect.ts
+++ b/packages/coordinate/src/effect.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationHolder } from "@coltsfootreach/configure";
 import type { Queue } from "@coltsfootreach/limit";
 import type { Limits } from "./limits.ts";
-import type { Policy } from "@coltsfootreach/place";
+import type { PlacementPolicy } from "@coltsfootreach/place";
 import type {
   AutomaticAction,
   EntryMessage,
@@ -63,7 +63,7 @@
   readonly member: Member;
   readonly records: RecordOptions;
   readonly queue: Queue;
-  readonly policy: Policy;
+  readonly policy: PlacementPolicy;
   readonly limits: Limits;
   /** Unix time in milliseconds, to judge the age of keys. */
   wallMs(): number;
--- a/packages/coordinate/src/eligibility.ts
+++ b/packages/coordinate/src/eligibility.ts
@@ -32,7 +32,8 @@
     const { server } = side.announcement!;
     if (configuration.rules().drained.includes(server)) return false;
     if (configuration.isLagging(side, nowMs)) return false;
-    return isNeverEjected(server) || health.standing(server, nowMs) !== "out";
+    return isNeverEjected(server) ||
+      health.ejectionState(server, nowMs) !== "out";
   }
 
   function isNeverEjected(server: string): boolean {
@@ -50,7 +51,7 @@
 
   function noteTrial(side: SideState, nowMs: number): void {
     const { server } = side.announcement!;
-    if (health.standing(server, nowMs) === "trial") {
+    if (health.ejectionState(server, nowMs) === "trial") {
       health.startTrial(server, nowMs);
       candidates.changed();
     }
--- a/packages/coordinate/src/entry_core.ts
+++ b/packages/coordinate/src/entry_core.ts
@@ -4,7 +4,7 @@
  */
 import type { Records } from "@coltsfootreach/admit";
 import type { ConfigurationSource } from "@coltsfootreach/configure";
-import type { Health } from "@coltsfootreach/place";
+import type { OutlierDetector } from "@coltsfootreach/place";
 import type { Settlement } from "@coltsfootreach/takeover";
 import type {
   Configuration,
@@ -78,7 +78,7 @@
   /** True when nothing of a caller or of a job is left here. */
   isIdle(): boolean;
   readonly configuration: ConfigurationDesk;
-  readonly health: Health;
+  readonly health: OutlierDetector;
   readonly records: Records;
   readonly sides: Sides;
   readonly settlement: Settlement;
--- a/packages/coordinate/src/limits.ts
+++ b/packages/coordinate/src/limits.ts
@@ -12,7 +12,7 @@
   type Submission,
 } from "@coltsfootreach/limit";
 import type { EstateLookup } from "@coltsfootreach/configure";
-import type { RunTimes } from "@coltsfootreach/place";
+import type { RunTimeModel } from "@coltsfootreach/place";
 import type { Job, Refusal, Rules, TenantDemand } from "@coltsfootreach/types";
 
 /** Most tasks that wait in one entry. */
@@ -55,7 +55,7 @@
 
 export interface LimitOptions {
   readonly estate: EstateLookup;
-  readonly runTimes: RunTimes;
+  readonly runTimes: RunTimeModel;
   rules(): Rules;
   /** Slots that this entry can count on. */
   slots(): number;
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -10,7 +10,10 @@
 import type { EntryOptions } from "@coltsfootreach/entry";
 import { createEstateParser } from "@coltsfootreach/inventory";
 import type { Log } from "@coltsfootreach/log";
-import { createPlacement, createRunTimes } from "@coltsfootreach/place";
+import {
+  createPlacementPolicy,
+  createRunTimeModel,
+} from "@coltsfootreach/place";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 import type { Store } from "@coltsfootreach/store";
 import { readCredentials } from "./credentials.ts";
@@ -81,11 +84,11 @@
     holder,
     prepareConfiguration: prepare,
     createPlanner({ slots, entries }) {
-      const runTimes = createRunTimes();
+      const runTimes = createRunTimeModel();
       const rules = () => rulesInForce(holder);
       const limited = createLimits({ estate, runTimes, rules, slots, entries });
       const placing = { random: Math.random, runTimes };
-      const policy = createPlacement(settings.placement, placing);
+      const policy = createPlacementPolicy(settings.placement, placing);
       return { ...limited, policy };
     },
     credentials: readCredentials(settings.tls),
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -138,7 +138,7 @@
   if (side.draining) return "draining";
   if (core.configuration.isLagging(side, nowMs)) return "lagging";
   const server = side.announcement?.server ?? "";
-  return core.health.standing(server, nowMs) === "in" ? "in" : "ejected";
+  return core.health.ejectionState(server, nowMs) === "in" ? "in" : "ejected";
 }
 
 function stateOf(record: JobRecord): JobExplanation["state"] {
--- a/packages/place/src/baselines.ts
+++ b/packages/place/src/baselines.ts
@@ -4,7 +4,7 @@
  * slot.
  */
 import { estimateBusyTasks } from "./least_outstanding.ts";
-import type { Candidate, Policy, Random } from "./policy.ts";
+import type { Candidate, PlacementPolicy, Random } from "./policy.ts";
 
 /** Estimated share of a side's slots that are in use. */
 function utilizationOf(candidate: Candidate): number {
@@ -31,7 +31,7 @@
   candidates: readonly Candidate[],
 ) => string | undefined;
 
-function createNonLearningPolicy(choose: CandidateSelector): Policy {
+function createNonLearningPolicy(choose: CandidateSelector): PlacementPolicy {
   return {
     choose: (_task, candidates) => choose(candidates),
     observe() {},
@@ -40,7 +40,7 @@
 }
 
 /** Random: a side with a free slot, chosen uniformly. */
-export function createRandomChoice(random: Random): Policy {
+export function createRandomChoice(random: Random): PlacementPolicy {
   return createNonLearningPolicy((candidates) => {
     const free = candidates.filter(hasFreeSlot);
     return free[Math.floor(random() * free.length)]?.side;
@@ -48,7 +48,7 @@
 }
 
 /** Round robin: the next side with a free slot, in order. */
-export function createRoundRobin(): Policy {
+export function createRoundRobin(): PlacementPolicy {
   let nextIndex = 0;
   return createNonLearningPolicy((candidates) => {
     const index = findFreeIndex(candidates, nextIndex);
@@ -59,7 +59,7 @@
 }
 
 /** Power of two choices: the less utilized of two random free sides. */
-export function createTwoChoices(random: Random): Policy {
+export function createTwoChoices(random: Random): PlacementPolicy {
   return createNonLearningPolicy((candidates) => {
     const free = candidates.filter(hasFreeSlot);
     const first = free[Math.floor(random() * free.length)];
--- a/packages/place/src/baselines_test.ts
+++ b/packages/place/src/baselines_test.ts
@@ -5,8 +5,8 @@
   createRandomChoice,
   createRoundRobin,
   createTwoChoices,
+  type PlacementPolicy,
   type PlacementRequest,
-  type Policy,
 } from "./index.ts";
 
 const SIZE = { cores: 1, memoryMb: 1, accelerators: 0 };
@@ -35,7 +35,7 @@
   };
 }
 
-const BASELINES: readonly (readonly [string, () => Policy])[] = [
+const BASELINES: readonly (readonly [string, () => PlacementPolicy])[] = [
   ["random", () => createRandomChoice(() => 0.6)],
   ["round robin", () => createRoundRobin()],
   ["two choices", () => createTwoChoices(() => 0.6)],
--- a/packages/place/src/expected_delay.ts
+++ b/packages/place/src/expected_delay.ts
@@ -14,12 +14,17 @@
  *   small jobs start without waiting. So do all jobs of a tenant that far
  *   exceeds its fair share.
  */
-import type { Candidate, PlacementRequest, Policy, Random } from "./policy.ts";
+import type {
+  Candidate,
+  PlacementPolicy,
+  PlacementRequest,
+  Random,
+} from "./policy.ts";
 import {
-  createRunTimes,
+  createRunTimeModel,
   type Forecast,
   meanMsOf,
-  type RunTimes,
+  type RunTimeModel,
 } from "./run_times.ts";
 import { createSideEstimates } from "./side_estimate.ts";
 
@@ -28,7 +33,7 @@
   /** One-way network delay to a data centre, in milliseconds; defaults to 0. */
   readonly delayMsTo?: ((dataCentre: string) => number) | undefined;
   /** Run time model, which the policy updates and other components may read. */
-  readonly runTimes?: RunTimes | undefined;
+  readonly runTimes?: RunTimeModel | undefined;
 }
 
 /** Maximum number of candidates evaluated per decision. */
@@ -124,10 +129,12 @@
   return Math.exp(logMs + SAFETY_DEVIATIONS * logDeviation);
 }
 
-export function createExpectedDelay(options: ExpectedDelayOptions): Policy {
+export function createExpectedDelay(
+  options: ExpectedDelayOptions,
+): PlacementPolicy {
   const { random } = options;
   const delayMsTo = options.delayMsTo ?? (() => 0);
-  const runTimes = options.runTimes ?? createRunTimes();
+  const runTimes = options.runTimes ?? createRunTimeModel();
   const estimates = createSideEstimates();
   let declinedCount = 0;
   let declinedAtMs = -1;
--- a/packages/place/src/expected_delay_test.ts
+++ b/packages/place/src/expected_delay_test.ts
@@ -2,9 +2,9 @@
 import {
   type Candidate,
   createExpectedDelay,
-  createRunTimes,
+  createRunTimeModel,
+  type PlacementPolicy,
   type PlacementRequest,
-  type Policy,
 } from "./index.ts";
 
 const SIZE = { cores: 1, memoryMb: 100, accelerators: 0 };
@@ -36,7 +36,7 @@
 }
 
 /** Trains the policy with runs that take ten times longer on `slow`. */
-function train(policy: Policy, declaredFactor: number): void {
+function train(policy: PlacementPolicy, declaredFactor: number): void {
   for (let run = 0; run < 200; run++) {
     const fastMs = 50 + (run % 10) * 20;
     const declaredMs = fastMs * declaredFactor;
@@ -72,7 +72,7 @@
 
 describe("run time model", () => {
   it("learns the slowness of each side and corrects declared times", () => {
-    const runTimes = createRunTimes();
+    const runTimes = createRunTimeModel();
     for (let run = 0; run < 400; run++) {
       const fastMs = 50 + (run % 10) * 20;
       const declaredMs = fastMs * 10;
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -11,10 +11,10 @@
 /** Whether a side may get any task, one trial task, or none. */
 export type EjectionState = "in" | "trial" | "out";
 
-export interface Health {
+export interface OutlierDetector {
   /** Records the outcome of a started task; returns the resulting action. */
   observe(outcome: TaskOutcome, nowMs: number): AutomaticAction | undefined;
-  standing(side: string, nowMs: number): EjectionState;
+  ejectionState(side: string, nowMs: number): EjectionState;
   /** Marks a trial task as sent; the side gets no other task until it ends. */
   startTrial(side: string, nowMs: number): void;
   /** Allows another trial task because the previous one was not run. */
@@ -102,7 +102,9 @@
   return ended === 0 ? 0 : failures / ended;
 }
 
-export function createHealth(options: OutlierDetectorOptions): Health {
+export function createOutlierDetector(
+  options: OutlierDetectorOptions,
+): OutlierDetector {
   const { rules, sides, nextId } = options;
   const windows = new Map<string, OutcomeWindow>();
   const ejections = new Map<string, Ejection>();
@@ -229,7 +231,7 @@
       return window === undefined ? 0 : failureRatioOf([window]);
     },
 
-    standing(side, nowMs) {
+    ejectionState(side, nowMs) {
       const ejection = ejections.get(side);
       if (ejection === undefined) return "in";
       if (ejection.isTrialRunning || nowMs < ejection.untilMs) return "out";
--- a/packages/place/src/health_test.ts
+++ b/packages/place/src/health_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createHealth, type Health } from "./index.ts";
+import { createOutlierDetector, type OutlierDetector } from "./index.ts";
 
 const RULES = {
   held: [] as ("eject" | "readmit")[],
@@ -9,9 +9,9 @@
   configurationVersion: 7,
 };
 
-function createDetector(rules = RULES): Health {
+function createDetector(rules = RULES): OutlierDetector {
   let actionCount = 0;
-  return createHealth({
+  return createOutlierDetector({
     rules: () => rules,
     sides: () => 10,
     nextId: () => `act-${actionCount++}`,
@@ -19,7 +19,7 @@
 }
 
 function observeOutcomes(
-  detector: Health,
+  detector: OutlierDetector,
   side: string,
   failed: boolean,
   count: number,
@@ -40,8 +40,8 @@
     expect(action).to.include({ kind: "eject", subject: "bad" });
     expect(action!.configurationVersion).to.equal(7);
     expect(action!.figures).to.include({ failureRatio: 1, ended: 8 });
-    expect(detector.standing("bad", 1)).to.equal("out");
-    expect(detector.standing("good", 1)).to.equal("in");
+    expect(detector.ejectionState("bad", 1)).to.equal("out");
+    expect(detector.ejectionState("good", 1)).to.equal("in");
   });
 
   it("ejects a busy side soon after it starts to fail", () => {
@@ -76,12 +76,12 @@
     const detector = createDetector();
     observeOutcomes(detector, "good", false, 50);
     observeOutcomes(detector, "bad", true, 10);
-    expect(detector.standing("bad", 1_000)).to.equal("trial");
+    expect(detector.ejectionState("bad", 1_000)).to.equal("trial");
     detector.startTrial("bad", 1_000);
-    expect(detector.standing("bad", 1_000)).to.equal("out");
+    expect(detector.ejectionState("bad", 1_000)).to.equal("out");
     const action = detector.observe({ side: "bad", failed: false }, 1_100);
     expect(action).to.include({ kind: "readmit", subject: "bad" });
-    expect(detector.standing("bad", 1_100)).to.equal("in");
+    expect(detector.ejectionState("bad", 1_100)).to.equal("in");
   });
 
   it("doubles the probation after a failed trial task", () => {
@@ -90,8 +90,8 @@
     observeOutcomes(detector, "bad", true, 10);
     detector.startTrial("bad", 1_000);
     detector.observe({ side: "bad", failed: true }, 1_001);
-    expect(detector.standing("bad", 3_000)).to.equal("out");
-    expect(detector.standing("bad", 3_001)).to.equal("trial");
+    expect(detector.ejectionState("bad", 3_000)).to.equal("out");
+    expect(detector.ejectionState("bad", 3_001)).to.equal("trial");
   });
 
   it("does not eject while operators hold ejections", () => {
--- a/packages/place/src/least_outstanding.ts
+++ b/packages/place/src/least_outstanding.ts
@@ -2,7 +2,7 @@
  * Least outstanding: chooses the side with a free slot and the lowest ratio of
  * tasks to slots.
  */
-import type { Candidate, Policy, Random } from "./policy.ts";
+import type { Candidate, PlacementPolicy, Random } from "./policy.ts";
 
 /** Estimates the current number of tasks on a side, from all entries. */
 export function estimateBusyTasks(candidate: Candidate): number {
@@ -11,7 +11,7 @@
   return outstanding + Math.max(0, otherTasks);
 }
 
-export function createLeastOutstanding(random: Random): Policy {
+export function createLeastOutstanding(random: Random): PlacementPolicy {
   return {
     choose(_task, candidates) {
       let best: string | undefined;
--- a/packages/place/src/placement.ts
+++ b/packages/place/src/placement.ts
@@ -9,7 +9,7 @@
   type ExpectedDelayOptions,
 } from "./expected_delay.ts";
 import { createLeastOutstanding } from "./least_outstanding.ts";
-import type { Policy } from "./policy.ts";
+import type { PlacementPolicy } from "./policy.ts";
 
 export const PLACEMENTS = [
   "expected-delay",
@@ -21,10 +21,10 @@
 
 export type Placement = typeof PLACEMENTS[number];
 
-export function createPlacement(
+export function createPlacementPolicy(
   placement: Placement,
   options: ExpectedDelayOptions,
-): Policy {
+): PlacementPolicy {
   switch (placement) {
     case "expected-delay":
       return createExpectedDelay(options);
--- a/packages/place/src/policy.ts
+++ b/packages/place/src/policy.ts
@@ -49,7 +49,7 @@
   readonly failed: boolean;
 }
 
-export interface Policy {
+export interface PlacementPolicy {
   /**
    * Returns the side that should run the task now, or undefined if the task
    * should wait in the queue. All candidates are live and can run the task.
--- a/packages/place/src/run_times.ts
+++ b/packages/place/src/run_times.ts
@@ -19,7 +19,7 @@
   return Math.exp(logMs + (logDeviation * logDeviation) / 2);
 }
 
-export interface RunTimes {
+export interface RunTimeModel {
   /** Updates the model with a completed run. */
   observe(run: CompletedRun): void;
   forecast(className: string, declaredMs: number): Forecast;
@@ -124,7 +124,7 @@
   model.declaredVariance = Math.max(1e-6, model.declaredVariance);
 }
 
-export function createRunTimes(): RunTimes {
+export function createRunTimeModel(): RunTimeModel {
   const classModels = new Map<string, ClassModel>();
   const sideModels = new Map<string, SideModel>();
 
--- a/packages/trial/src/entry_model.ts
+++ b/packages/trial/src/entry_model.ts
@@ -8,9 +8,9 @@
 } from "@coltsfootreach/limit";
 import type {
   Candidate,
-  Health,
-  Policy,
-  RunTimes,
+  OutlierDetector,
+  PlacementPolicy,
+  RunTimeModel,
 } from "@coltsfootreach/place";
 import type { Clock } from "./clock.ts";
 import type { LoadFrame, StartFrame } from "./side_model.ts";
@@ -34,13 +34,13 @@
 export interface EntryModelOptions {
   readonly number: number;
   readonly clock: Clock;
-  readonly policy: Policy;
+  readonly policy: PlacementPolicy;
   readonly queue: Queue;
-  readonly health: Health;
+  readonly health: OutlierDetector;
   readonly admission: Admission;
   readonly usage: Usage;
   /** Learned here for admission and for what tasks cost their tenant. */
-  readonly runTimes: RunTimes;
+  readonly runTimes: RunTimeModel;
   readonly candidates: readonly Candidate[];
   readonly send: (side: string, start: StartFrame) => void;
   readonly onEnd: (end: JobEnd) => void;
@@ -68,7 +68,7 @@
   function live(): readonly Candidate[] {
     if (health.ejected().length === 0) return all;
     return all.filter(({ side }) =>
-      health.standing(side, clock.nowMs()) !== "out"
+      health.ejectionState(side, clock.nowMs()) !== "out"
     );
   }
 
@@ -93,7 +93,7 @@
     if (side === undefined) return false;
     record.unplaced--;
     sides.get(side)!.outstanding++;
-    if (health.standing(side, nowMs) === "trial") {
+    if (health.ejectionState(side, nowMs) === "trial") {
       health.startTrial(side, nowMs);
     }
     const costMs = options.runTimes.expectedMs(task.class, task.declaredMs);
--- a/packages/trial/src/policies.ts
+++ b/packages/trial/src/policies.ts
@@ -5,13 +5,13 @@
   createRandomChoice,
   createRoundRobin,
   createTwoChoices,
-  type Policy,
+  type PlacementPolicy,
 } from "@coltsfootreach/place";
 import type { PolicyContext } from "./run_trial.ts";
 
 export interface NamedPolicy {
   readonly name: string;
-  readonly create: (context: PolicyContext) => Policy;
+  readonly create: (context: PolicyContext) => PlacementPolicy;
 }
 
 export const POLICIES: readonly NamedPolicy[] = [
--- a/packages/trial/src/run_trial.ts
+++ b/packages/trial/src/run_trial.ts
@@ -7,9 +7,9 @@
 } from "@coltsfootreach/limit";
 import {
   type Candidate,
-  createHealth,
-  createRunTimes,
-  type Policy,
+  createOutlierDetector,
+  createRunTimeModel,
+  type PlacementPolicy,
   type Random,
 } from "@coltsfootreach/place";
 import { type Clock, createClock } from "./clock.ts";
@@ -52,7 +52,7 @@
   readonly seed: number;
   readonly durationMs: number;
   readonly policyName: string;
-  readonly createPolicy: (context: PolicyContext) => Policy;
+  readonly createPolicy: (context: PolicyContext) => PlacementPolicy;
   readonly order: JobOrder;
 }
 
@@ -122,7 +122,7 @@
   entry: number,
   links: EntryLinks,
 ): Cores {
-  const runTimes = createRunTimes();
+  const runTimes = createRunTimeModel();
   const slots = (profile.slots * profile.speeds.length) / profile.entries;
   let acts = 0;
   const queue = createTenantQueue({
@@ -138,7 +138,7 @@
     maxQueued: MAX_QUEUED,
     slots: () => slots,
   });
-  const health = createHealth({
+  const health = createOutlierDetector({
     rules: () => RULES,
     sides: () => profile.speeds.length,
     nextId: () => `${entry}-${acts++}`,
