--- a/packages/limit/src/admission.ts
+++ b/packages/limit/src/admission.ts
@@ -1,17 +1,18 @@
 /**
- * Decides whether a submission becomes a job. What is refused here has not run
- * and never will, so every refusal is a true `notRun`.
+ * Admission control for submitted jobs. A refused submission has not run and
+ * never will, so every refusal can safely carry the verdict `notRun`.
  *
  * A job is refused when its queue is full or when its deadline cannot be met.
- * The wait is estimated from the tenant's own work that goes before the job and
- * from the rate at which the tenant has been served lately, less what its
- * smaller jobs, which pass this one, are expected to take of that rate.
+ * The wait is estimated from the tenant's own queued work that is ordered
+ * before the job and from the tenant's recent service rate, minus the part of
+ * that rate which its smaller jobs are expected to use, as they overtake this
+ * one.
  */
 import type { Refusal, RefusalCode } from "@coltsfootreach/types";
 import { type AdmittedWork, createAdmittedWork } from "./admitted.ts";
 import type { Outlook, Prospect } from "./tenant_queue.ts";
 
-/** A submission as admission sees it. */
+/** The properties of a submitted job that admission control depends on. */
 export interface Submission {
   readonly tenant: string;
   readonly tasks: number;
@@ -23,118 +24,138 @@
 }
 
 export interface Admission {
-  /** The reason to turn the submission away, or undefined to admit it. */
+  /** Returns the refusal, or undefined when the job can be admitted. */
   judge(submission: Submission, nowMs: number): Refusal | undefined;
-  /** The submission has become a job. */
+  /** Records that the submission was admitted as a job. */
   admit(submission: Submission, nowMs: number): void;
 }
 
 export interface AdmissionOptions {
-  /** What the queue tells of a job that would come now. */
+  /** The queue's forecast for a job submitted now. */
   readonly outlook: (prospect: Prospect, nowMs: number) => Outlook;
-  /** Tasks waiting, of one tenant or of all. */
+  /** Number of queued tasks, of one tenant or of all. */
   readonly queued: (tenant?: string) => number;
-  /** Most tasks of a tenant that may wait here. */
+  /** Maximum number of queued tasks of a tenant in this entry. */
   readonly maxQueuedOf: (tenant: string) => number;
-  /** Most tasks that may wait here. */
+  /** Maximum number of queued tasks in this entry. */
   readonly maxQueued: number;
-  /** Slots that this entry can count on. */
+  /** Number of slots available to this entry. */
   readonly slots: () => number;
 }
 
-/** Least share of its rate that a tenant's smaller jobs are held to leave. */
-const MIN_LEFT_SHARE = 0.05;
+/** Minimum share of a tenant's rate assumed to remain beside smaller jobs. */
+const MIN_REMAINING_RATE_SHARE = 0.05;
 
-/** Share of the deadline that the estimated response may take. */
-const USABLE_SHARE = 0.7;
+/** Maximum share of the deadline that the estimated response time may use. */
+const MAX_DEADLINE_SHARE = 0.7;
 
-/** Shortest time after which a refused caller is told to try again. */
-const MIN_RETRY_MS = 100;
+/** Minimum retry delay returned to a refused caller. */
+const MIN_RETRY_AFTER_MS = 100;
 
-/** Tenants whose rates are kept before idle ones are dropped. */
+/** Number of tracked tenants at which idle ones are removed. */
 const MAX_TENANTS = 10_000;
 
-function refuse(
+function createRefusal(
   code: RefusalCode,
   reason: string,
   retryAfterMs: number,
 ): Refusal {
-  const after = Math.max(MIN_RETRY_MS, Math.ceil(retryAfterMs));
-  return { code, verdict: "notRun", reason, retryAfterMs: after };
+  const clampedRetryAfterMs = Math.max(
+    MIN_RETRY_AFTER_MS,
+    Math.ceil(retryAfterMs),
+  );
+  return { code, verdict: "notRun", reason, retryAfterMs: clampedRetryAfterMs };
 }
 
 export function createAdmission(options: AdmissionOptions): Admission {
-  const byAll = createAdmittedWork();
-  const byTenant = new Map<string, AdmittedWork>();
+  const totalWork = createAdmittedWork();
+  const workByTenant = new Map<string, AdmittedWork>();
 
-  function dropIdle(nowMs: number): void {
-    for (const [tenant, admitted] of byTenant) {
-      if (admitted.isIdle(nowMs)) byTenant.delete(tenant);
+  function removeIdleTenants(nowMs: number): void {
+    for (const [tenant, work] of workByTenant) {
+      if (work.isIdle(nowMs)) workByTenant.delete(tenant);
     }
   }
 
-  /** The rate at which a tenant can expect to be served before it was. */
-  function expectedRate(
+  /** The service rate to assume for a tenant that has not been served yet. */
+  function expectedServiceRate(
     { workMs }: Submission,
     share: number,
     nowMs: number,
   ): number {
     const slots = Math.max(1, options.slots());
-    return Math.max(share * slots, slots - byAll.rateBelow(workMs, nowMs));
+    return Math.max(
+      share * slots,
+      slots - totalWork.rateOfSmallerJobs(workMs, nowMs),
+    );
   }
 
-  function waitMs(submission: Submission, nowMs: number): number {
+  function estimateWaitMs(submission: Submission, nowMs: number): number {
     const { tenant, workMs } = submission;
-    const outlook = options.outlook(submission, nowMs);
-    const expected = expectedRate(submission, outlook.share, nowMs);
-    const rate = outlook.servedPerMs(expected);
-    const below = byTenant.get(tenant)?.rateBelow(workMs, nowMs) ?? 0;
-    const left = Math.max(MIN_LEFT_SHARE * rate, rate - below);
-    return (outlook.aheadMs + workMs) / Math.max(1e-3, left);
+    const forecast = options.outlook(submission, nowMs);
+    const initialRate = expectedServiceRate(submission, forecast.share, nowMs);
+    const serviceRate = forecast.servedPerMs(initialRate);
+    const smallerJobsRate =
+      workByTenant.get(tenant)?.rateOfSmallerJobs(workMs, nowMs) ?? 0;
+    const remainingRate = Math.max(
+      MIN_REMAINING_RATE_SHARE * serviceRate,
+      serviceRate - smallerJobsRate,
+    );
+    return (forecast.aheadMs + workMs) / Math.max(1e-3, remainingRate);
   }
 
-  function judgeQueue(
+  function checkQueueLimits(
     { tenant, tasks }: Submission,
-    wait: number,
+    estimatedWaitMs: number,
   ): Refusal | undefined {
-    const most = options.maxQueuedOf(tenant);
-    if (options.queued(tenant) + tasks > most) {
-      const reason = `more than ${most} tasks of the tenant would wait`;
-      return refuse("tooMuchQueued", reason, wait);
+    const maxTenantTasks = options.maxQueuedOf(tenant);
+    if (options.queued(tenant) + tasks > maxTenantTasks) {
+      const reason =
+        `tenant queue limit of ${maxTenantTasks} tasks would be exceeded`;
+      return createRefusal("tooMuchQueued", reason, estimatedWaitMs);
     }
     if (options.queued() + tasks > options.maxQueued) {
-      const reason = `more than ${options.maxQueued} tasks would wait`;
-      return refuse("tooMuchQueued", reason, wait);
+      const reason =
+        `entry queue limit of ${options.maxQueued} tasks would be exceeded`;
+      return createRefusal("tooMuchQueued", reason, estimatedWaitMs);
     }
     return undefined;
   }
 
-  function judgeDeadline(
+  function checkDeadline(
     { deadlineMs, longestMs }: Submission,
-    wait: number,
+    estimatedWaitMs: number,
   ): Refusal | undefined {
-    const response = wait + longestMs;
-    if (response <= USABLE_SHARE * deadlineMs) return undefined;
-    const reason = `expected after ${Math.round(response)} ms, ` +
-      `due after ${Math.round(deadlineMs)} ms`;
-    return refuse("deadlineUnreachable", reason, response - deadlineMs);
+    const estimatedResponseMs = estimatedWaitMs + longestMs;
+    if (estimatedResponseMs <= MAX_DEADLINE_SHARE * deadlineMs) {
+      return undefined;
+    }
+    const reason =
+      `estimated response time is ${Math.round(estimatedResponseMs)} ms, ` +
+      `the deadline is in ${Math.round(deadlineMs)} ms`;
+    return createRefusal(
+      "deadlineUnreachable",
+      reason,
+      estimatedResponseMs - deadlineMs,
+    );
   }
 
   return {
     judge(submission, nowMs) {
-      const wait = waitMs(submission, nowMs);
-      return judgeQueue(submission, wait) ?? judgeDeadline(submission, wait);
+      const estimatedWaitMs = estimateWaitMs(submission, nowMs);
+      return checkQueueLimits(submission, estimatedWaitMs) ??
+        checkDeadline(submission, estimatedWaitMs);
     },
 
     admit({ tenant, workMs }, nowMs) {
-      byAll.add(workMs, nowMs);
-      let admitted = byTenant.get(tenant);
-      if (admitted === undefined) {
-        if (byTenant.size >= MAX_TENANTS) dropIdle(nowMs);
-        admitted = createAdmittedWork();
-        byTenant.set(tenant, admitted);
+      totalWork.add(workMs, nowMs);
+      let work = workByTenant.get(tenant);
+      if (work === undefined) {
+        if (workByTenant.size >= MAX_TENANTS) removeIdleTenants(nowMs);
+        work = createAdmittedWork();
+        workByTenant.set(tenant, work);
       }
-      admitted.add(workMs, nowMs);
+      work.add(workMs, nowMs);
     },
   };
 }
--- a/packages/limit/src/admission_test.ts
+++ b/packages/limit/src/admission_test.ts
@@ -9,7 +9,7 @@
 const SLOTS = 10;
 const TASK_MS = 100;
 
-function submission(options: Partial<Submission> = {}): Submission {
+function createSubmission(options: Partial<Submission> = {}): Submission {
   const tasks = options.tasks ?? 1;
   return {
     tenant: "a",
@@ -21,7 +21,7 @@
   };
 }
 
-function create() {
+function createFixture() {
   const queue = createTenantQueue({ slots: () => SLOTS });
   const admission = createAdmission({
     outlook: queue.outlook,
@@ -31,51 +31,77 @@
     slots: () => SLOTS,
   });
   let jobs = 0;
-  function fill(tenant: string, tasks: number, deadlineAtMs: number): void {
+  function enqueue(tenant: string, tasks: number, deadlineAtMs: number): void {
     const job = `${tenant}${jobs++}`;
-    const one = { job, tenant, class: "c", deadlineAtMs, declaredMs: TASK_MS };
-    const waiting: Waiting[] = Array.from(
+    const sharedFields = {
+      job,
+      tenant,
+      class: "c",
+      deadlineAtMs,
+      declaredMs: TASK_MS,
+    };
+    const queuedTasks: Waiting[] = Array.from(
       { length: tasks },
-      (_, index) => ({ ...one, index }),
+      (_, index) => ({ ...sharedFields, index }),
     );
-    queue.push(waiting);
+    queue.push(queuedTasks);
   }
-  return { queue, admission, fill };
+  return { queue, admission, enqueue };
 }
 
 describe("createAdmission", () => {
-  it("admits what fits and refuses what cannot end in time", () => {
-    const { admission } = create();
-    expect(admission.judge(submission(), 0)).to.equal(undefined);
-    const late = admission.judge(submission({ longestMs: 6_000 }), 0);
-    expect(late).to.include({ code: "deadlineUnreachable", verdict: "notRun" });
-    const big = admission.judge(submission({ tasks: 900 }), 0);
-    expect(big).to.include({ code: "deadlineUnreachable", verdict: "notRun" });
-    expect(big!.retryAfterMs).to.be.greaterThan(0);
+  it("admits a feasible job and refuses jobs that cannot meet their deadline", () => {
+    const { admission } = createFixture();
+    expect(admission.judge(createSubmission(), 0)).to.equal(undefined);
+    const unreachable = admission.judge(
+      createSubmission({ longestMs: 6_000 }),
+      0,
+    );
+    expect(unreachable).to.include({
+      code: "deadlineUnreachable",
+      verdict: "notRun",
+    });
+    const tooBig = admission.judge(createSubmission({ tasks: 900 }), 0);
+    expect(tooBig).to.include({
+      code: "deadlineUnreachable",
+      verdict: "notRun",
+    });
+    expect(tooBig!.retryAfterMs).to.be.greaterThan(0);
   });
 
-  it("refuses a tenant with a backlog and admits another", () => {
-    const { admission, fill } = create();
-    for (let job = 0; job < 900; job++) fill("a", 1, 5_000);
-    const refused = admission.judge(submission(), 1);
-    expect(refused).to.include({ code: "deadlineUnreachable" });
-    expect(admission.judge(submission({ tenant: "b" }), 1)).to.equal(undefined);
+  it("refuses a tenant with a long backlog and admits another tenant", () => {
+    const { admission, enqueue } = createFixture();
+    for (let job = 0; job < 900; job++) enqueue("a", 1, 5_000);
+    const refusal = admission.judge(createSubmission(), 1);
+    expect(refusal).to.include({ code: "deadlineUnreachable" });
+    expect(admission.judge(createSubmission({ tenant: "b" }), 1)).to.equal(
+      undefined,
+    );
   });
 
-  it("lets small jobs pass a big one that waits", () => {
-    const { admission, fill } = create();
-    fill("a", 900, 60_000);
-    expect(admission.judge(submission(), 1)).to.equal(undefined);
+  it("lets small jobs overtake a large queued job", () => {
+    const { admission, enqueue } = createFixture();
+    enqueue("a", 900, 60_000);
+    expect(admission.judge(createSubmission(), 1)).to.equal(undefined);
   });
 
-  it("bounds what waits per tenant and in total", () => {
-    const { admission, fill } = create();
+  it("limits the queued tasks per tenant and in total", () => {
+    const { admission, enqueue } = createFixture();
     const deadlineMs = 1e9;
-    fill("a", 1_000, deadlineMs);
-    const own = admission.judge(submission({ deadlineMs }), 0);
-    expect(own).to.include({ code: "tooMuchQueued", verdict: "notRun" });
-    fill("b", 500, deadlineMs);
-    const all = admission.judge(submission({ tenant: "c", deadlineMs }), 0);
-    expect(all).to.include({ code: "tooMuchQueued", verdict: "notRun" });
+    enqueue("a", 1_000, deadlineMs);
+    const tenantRefusal = admission.judge(createSubmission({ deadlineMs }), 0);
+    expect(tenantRefusal).to.include({
+      code: "tooMuchQueued",
+      verdict: "notRun",
+    });
+    enqueue("b", 500, deadlineMs);
+    const totalRefusal = admission.judge(
+      createSubmission({ tenant: "c", deadlineMs }),
+      0,
+    );
+    expect(totalRefusal).to.include({
+      code: "tooMuchQueued",
+      verdict: "notRun",
+    });
   });
 });
--- a/packages/limit/src/admitted.ts
+++ b/packages/limit/src/admitted.ts
@@ -1,49 +1,53 @@
-/** Rates of admitted work, by size of job, averaged over a sliding window. */
+/** Exponentially decaying averages of the admitted work rate, by job size. */
 
 export interface AdmittedWork {
   add(jobWorkMs: number, nowMs: number): void;
-  /** Slot time per millisecond of jobs smaller than this one. */
-  rateBelow(jobWorkMs: number, nowMs: number): number;
-  /** No work was admitted for a long time. */
+  /** Slot time per millisecond admitted for jobs smaller than this one. */
+  rateOfSmallerJobs(jobWorkMs: number, nowMs: number): number;
+  /** Whether the rates were neither updated nor read for several windows. */
   isIdle(nowMs: number): boolean;
 }
 
-/** Time over which rates are averaged. */
+/** Time constant of the rate averages. */
 const WINDOW_MS = 5_000;
 
-/** Sizes double from one bucket to the next. */
-const BUCKETS = 26;
+/** Buckets by job size, each covering twice the size of the previous one. */
+const BUCKET_COUNT = 26;
 
-function bucketOf(jobWorkMs: number): number {
+function bucketIndexOf(jobWorkMs: number): number {
   const bucket = Math.floor(Math.log2(Math.max(1, jobWorkMs)));
-  return Math.min(BUCKETS - 1, bucket);
+  return Math.min(BUCKET_COUNT - 1, bucket);
 }
 
 export function createAdmittedWork(): AdmittedWork {
-  const buckets: number[] = Array(BUCKETS).fill(0);
-  let fadedAtMs = 0;
-
-  function fade(nowMs: number): void {
-    const factor = Math.exp(-Math.max(0, nowMs - fadedAtMs) / WINDOW_MS);
-    for (let at = 0; at < BUCKETS; at++) buckets[at]! *= factor;
-    fadedAtMs = Math.max(fadedAtMs, nowMs);
+  const buckets: number[] = Array(BUCKET_COUNT).fill(0);
+  let decayedAtMs = 0;
+
+  function decay(nowMs: number): void {
+    const factor = Math.exp(-Math.max(0, nowMs - decayedAtMs) / WINDOW_MS);
+    for (let index = 0; index < BUCKET_COUNT; index++) {
+      buckets[index]! *= factor;
+    }
+    decayedAtMs = Math.max(decayedAtMs, nowMs);
   }
 
   return {
     add(jobWorkMs, nowMs) {
-      fade(nowMs);
-      buckets[bucketOf(jobWorkMs)]! += jobWorkMs;
+      decay(nowMs);
+      buckets[bucketIndexOf(jobWorkMs)]! += jobWorkMs;
     },
 
-    rateBelow(jobWorkMs, nowMs) {
-      fade(nowMs);
+    rateOfSmallerJobs(jobWorkMs, nowMs) {
+      decay(nowMs);
       let sum = 0;
-      for (let at = 0; at < bucketOf(jobWorkMs); at++) sum += buckets[at]!;
+      for (let index = 0; index < bucketIndexOf(jobWorkMs); index++) {
+        sum += buckets[index]!;
+      }
       return sum / WINDOW_MS;
     },
 
     isIdle(nowMs) {
-      return nowMs - fadedAtMs > 4 * WINDOW_MS;
+      return nowMs - decayedAtMs > 4 * WINDOW_MS;
     },
   };
 }
--- a/packages/limit/src/backlog.ts
+++ b/packages/limit/src/backlog.ts
@@ -1,75 +1,81 @@
 /**
- * The work of one tenant that waits, by the rank of its jobs, and how fast it
- * has been served since it last had none.
+ * Queued work of one tenant, by the rank of its jobs, and the rate at which the
+ * tenant has been served since its queue was last empty.
  */
 
 export interface Backlog {
-  /** Work arrives under a rank. */
-  add(rank: number, workMs: number): void;
-  /** Work under a rank is served, or dropped when `isServed` is false. */
-  take(rank: number, workMs: number, isServed: boolean): void;
-  /** Starts the count of what is served. */
-  open(nowMs: number): void;
-  /** Work of ranks up to and with this one. */
+  /** Adds queued work under a rank. */
+  addWork(rank: number, workMs: number): void;
+  /** Removes work under a rank; only served work counts in the service rate. */
+  removeWork(rank: number, workMs: number, isServed: boolean): void;
+  /** Restarts the measurement of the service rate. */
+  resetServiceRate(nowMs: number): void;
+  /** Total work of ranks up to and including this one. */
   upTo(rank: number): number;
-  /** Slot time served per millisecond, given what to expect before any was. */
-  servedPerMs(expected: number, nowMs: number): number;
+  /**
+   * Slot time served per millisecond, averaged with `expectedRate`, which is
+   * the result until there are measurements.
+   */
+  serviceRate(expectedRate: number, nowMs: number): number;
 }
 
-/** Ranks that are counted together, in milliseconds. */
-const BUCKET_MS = 200;
+/** Width of the rank range that shares one bucket. */
+const RANK_BUCKET_MS = 200;
 
-/** Time for which the expected rate counts beside the seen one. */
-const EXPECTED_MS = 500;
+/** Weight of the expected rate, as an equivalent measurement time. */
+const EXPECTED_RATE_WEIGHT_MS = 500;
 
-/** Time over which the rate of service is averaged. */
+/** Time constant of the service rate average. */
 const WINDOW_MS = 3_000;
 
 export function createBacklog(): Backlog {
   const buckets = new Map<number, number>();
-  let served = 0;
+  let servedWorkMs = 0;
   let elapsedMs = 0;
-  let countedAtMs = 0;
+  let updatedAtMs = 0;
 
-  function change(rank: number, workMs: number): void {
-    const bucket = Math.floor(rank / BUCKET_MS);
-    const left = (buckets.get(bucket) ?? 0) + workMs;
-    if (left > 1e-6) buckets.set(bucket, left);
+  function adjustWork(rank: number, workMs: number): void {
+    const bucket = Math.floor(rank / RANK_BUCKET_MS);
+    const remainingMs = (buckets.get(bucket) ?? 0) + workMs;
+    if (remainingMs > 1e-6) buckets.set(bucket, remainingMs);
     else buckets.delete(bucket);
   }
 
-  function pass(nowMs: number): void {
-    const passedMs = Math.max(0, nowMs - countedAtMs);
-    const factor = Math.exp(-passedMs / WINDOW_MS);
-    served *= factor;
-    elapsedMs = elapsedMs * factor + passedMs;
-    countedAtMs = Math.max(countedAtMs, nowMs);
+  function decay(nowMs: number): void {
+    const sinceUpdateMs = Math.max(0, nowMs - updatedAtMs);
+    const factor = Math.exp(-sinceUpdateMs / WINDOW_MS);
+    servedWorkMs *= factor;
+    elapsedMs = elapsedMs * factor + sinceUpdateMs;
+    updatedAtMs = Math.max(updatedAtMs, nowMs);
   }
 
   return {
-    add: change,
+    addWork: adjustWork,
 
-    take(rank, workMs, isServed) {
-      change(rank, -workMs);
-      if (isServed) served += workMs;
+    removeWork(rank, workMs, isServed) {
+      adjustWork(rank, -workMs);
+      if (isServed) servedWorkMs += workMs;
     },
 
-    open(nowMs) {
-      served = 0;
+    resetServiceRate(nowMs) {
+      servedWorkMs = 0;
       elapsedMs = 0;
-      countedAtMs = nowMs;
+      updatedAtMs = nowMs;
     },
 
     upTo(rank) {
-      const last = Math.floor(rank / BUCKET_MS);
+      const lastBucket = Math.floor(rank / RANK_BUCKET_MS);
       let sum = 0;
-      for (const [bucket, workMs] of buckets) if (bucket <= last) sum += workMs;
+      for (const [bucket, workMs] of buckets) {
+        if (bucket <= lastBucket) sum += workMs;
+      }
       return sum;
     },
 
-    servedPerMs(expected, nowMs) {
-      pass(nowMs);
-      return (served + expected * EXPECTED_MS) / (elapsedMs + EXPECTED_MS);
+    serviceRate(expectedRate, nowMs) {
+      decay(nowMs);
+      return (servedWorkMs + expectedRate * EXPECTED_RATE_WEIGHT_MS) /
+        (elapsedMs + EXPECTED_RATE_WEIGHT_MS);
     },
   };
 }
--- a/packages/limit/src/heap.ts
+++ b/packages/limit/src/heap.ts
@@ -1,8 +1,8 @@
-/** A binary min-heap over numeric ranks. Equal ranks keep their order. */
+/** A binary min-heap ordered by numeric rank and then by insertion order. */
 
 export interface Heap<T> {
   push(rank: number, item: T): void;
-  /** The item of lowest rank, left in place. */
+  /** Returns the item of lowest rank without removing it. */
   peek(): T | undefined;
   /** The lowest rank; infinite when the heap is empty. */
   lowestRank(): number;
@@ -25,41 +25,41 @@
   const nodes: Node<T>[] = [];
   let sequence = 0;
 
-  function rise(start: number): void {
+  function siftUp(start: number): void {
     const node = nodes[start]!;
-    let at = start;
-    while (at > 0) {
-      const above = (at - 1) >> 1;
-      if (!isBefore(node, nodes[above]!)) break;
-      nodes[at] = nodes[above]!;
-      at = above;
+    let index = start;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (!isBefore(node, nodes[parent]!)) break;
+      nodes[index] = nodes[parent]!;
+      index = parent;
     }
-    nodes[at] = node;
+    nodes[index] = node;
   }
 
-  function lowerChild(at: number): number {
-    const left = 2 * at + 1;
+  function smallerChild(index: number): number {
+    const left = 2 * index + 1;
     const right = left + 1;
     if (right >= nodes.length) return left;
     return isBefore(nodes[right]!, nodes[left]!) ? right : left;
   }
 
-  function sink(start: number): void {
+  function siftDown(start: number): void {
     const node = nodes[start]!;
-    let at = start;
-    while (2 * at + 1 < nodes.length) {
-      const child = lowerChild(at);
+    let index = start;
+    while (2 * index + 1 < nodes.length) {
+      const child = smallerChild(index);
       if (!isBefore(nodes[child]!, node)) break;
-      nodes[at] = nodes[child]!;
-      at = child;
+      nodes[index] = nodes[child]!;
+      index = child;
     }
-    nodes[at] = node;
+    nodes[index] = node;
   }
 
   return {
     push(rank, item) {
       nodes.push({ rank, sequence: sequence++, item });
-      rise(nodes.length - 1);
+      siftUp(nodes.length - 1);
     },
     peek() {
       return nodes[0]?.item;
@@ -73,7 +73,7 @@
       if (top === undefined || last === undefined) return undefined;
       if (nodes.length > 0) {
         nodes[0] = last;
-        sink(0);
+        siftDown(0);
       }
       return top.item;
     },
--- a/packages/limit/src/index.ts
+++ b/packages/limit/src/index.ts
@@ -1,4 +1,4 @@
-/** Queues, quotas, refusals and retry budgets. */
+/** Task queues, admission control, quotas and retry budgets. */
 export * from "./queue.ts";
 export * from "./tenant_queue.ts";
 export * from "./heap.ts";
--- a/packages/limit/src/quota.ts
+++ b/packages/limit/src/quota.ts
@@ -1,131 +1,133 @@
 /**
- * Quotas on task starts per second that hold over all entries. Each entry has
- * an equal share of a tenant's quota, and lends what it does not use: entries
- * tell each other their demand in frames that travel anyway, and a share that
- * an entry has said it does not want is divided among those that want more.
- * An entry that was not heard of lately is taken to use its whole share.
+ * Quotas on task starts per second, shared by all entries. Each entry has an
+ * equal share of a tenant's quota and lends the part it does not use: entries
+ * report their demand in frames that they exchange anyway, and the unused part
+ * of a share is divided among the entries whose demand exceeds theirs. An entry
+ * without a recent report is assumed to use its whole share.
  *
- * An entry may always use its equal share at once. Until the others hear of it
- * the quota may be exceeded by what they have borrowed from it.
+ * An entry may always use its equal share immediately. Until the other entries
+ * receive its new demand, the quota can be exceeded by the part that they have
+ * borrowed from it.
  */
 
 import type { TenantDemand } from "@coltsfootreach/types";
 
 export interface Quota {
-  /** When a task of the tenant may start; not after `nowMs` means now. */
+  /** Earliest start time of the tenant's next task; at most `nowMs` means now. */
   startableAtMs(tenant: string, nowMs: number): number;
-  /** A task of the tenant was started. */
+  /** Records the start of a task. */
   start(tenant: string, nowMs: number): void;
-  /** Tasks of the tenant came in. */
+  /** Records newly submitted tasks as demand. */
   want(tenant: string, tasks: number, nowMs: number): void;
-  /** What to tell the other entries, for tenants that have a quota. */
+  /** The demand to report to other entries, for tenants that have a quota. */
   demands(nowMs: number): readonly TenantDemand[];
-  /** What another entry told. */
+  /** Stores the demand that another entry reported. */
   hear(entry: string, demands: readonly TenantDemand[], nowMs: number): void;
-  /** The entry is no longer in the table. */
+  /** Removes the report of an entry that has left the table of entries. */
   forgetEntry(entry: string): void;
 }
 
 export interface QuotaOptions {
-  /** Most starts per second over all entries; 0 means no limit. */
+  /** Maximum starts per second over all entries; 0 means no limit. */
   readonly perSecondOf: (tenant: string) => number;
-  /** Entries in the table, this one included. */
+  /** Number of entries in the table, including this one. */
   readonly entries: () => number;
-  /** Tasks of a tenant that wait here. */
+  /** Number of queued tasks of a tenant in this entry. */
   readonly queued: (tenant: string) => number;
 }
 
-/** Starts that may come at once, as seconds of the quota. */
+/** Capacity of the token bucket, as seconds of the rate. */
 const BURST_SECONDS = 0.5;
 
-/** Time over which demand is averaged. */
+/** Time constant of the arrival rate average. */
 const DEMAND_WINDOW_MS = 1_000;
 
-/** Time within which waiting tasks are wanted to start. */
-const QUEUE_WINDOW_SECONDS = 1;
+/** Time in which the queued tasks should start, to convert them to a rate. */
+const QUEUE_DRAIN_SECONDS = 1;
 
-/** Age at which what another entry told no longer counts. */
-const MAX_HEARD_AGE_MS = 3_000;
+/** Age after which the demand reported by another entry is ignored. */
+const MAX_DEMAND_AGE_MS = 3_000;
 
 interface Bucket {
   tokens: number;
-  filledAtMs: number;
-  /** Tasks that came in, faded over the window. */
-  wanted: number;
-  fadedAtMs: number;
+  refilledAtMs: number;
+  /** Submitted tasks, decayed exponentially over the demand window. */
+  arrivals: number;
+  decayedAtMs: number;
 }
 
-interface Heard {
+interface EntryDemands {
   readonly perSecond: ReadonlyMap<string, number>;
   readonly atMs: number;
 }
 
 export function createQuota(options: QuotaOptions): Quota {
   const buckets = new Map<string, Bucket>();
-  const heard = new Map<string, Heard>();
+  const demandsByEntry = new Map<string, EntryDemands>();
 
   function equalShare(tenant: string): number {
     return options.perSecondOf(tenant) / Math.max(1, options.entries());
   }
 
-  function fade(bucket: Bucket, nowMs: number): void {
-    const ageMs = Math.max(0, nowMs - bucket.fadedAtMs);
-    bucket.wanted *= Math.exp(-ageMs / DEMAND_WINDOW_MS);
-    bucket.fadedAtMs = nowMs;
+  function decay(bucket: Bucket, nowMs: number): void {
+    const ageMs = Math.max(0, nowMs - bucket.decayedAtMs);
+    bucket.arrivals *= Math.exp(-ageMs / DEMAND_WINDOW_MS);
+    bucket.decayedAtMs = nowMs;
   }
 
   function demandOf(tenant: string, nowMs: number): number {
     const bucket = buckets.get(tenant);
     if (bucket === undefined) return 0;
-    fade(bucket, nowMs);
-    const arriving = bucket.wanted / (DEMAND_WINDOW_MS / 1_000);
-    return arriving + options.queued(tenant) / QUEUE_WINDOW_SECONDS;
+    decay(bucket, nowMs);
+    const arrivalRate = bucket.arrivals / (DEMAND_WINDOW_MS / 1_000);
+    return arrivalRate + options.queued(tenant) / QUEUE_DRAIN_SECONDS;
   }
 
-  /** What the other entries leave unused, and what those short of it want. */
-  function othersOf(
+  /** The rate that other entries leave unused, and their demand above shares. */
+  function otherEntriesOf(
     tenant: string,
     nowMs: number,
-  ): { readonly unused: number; readonly wanted: number } {
+  ): { readonly unusedRate: number; readonly excessDemand: number } {
     const share = equalShare(tenant);
-    let unused = 0;
-    let wanted = 0;
-    for (const { perSecond, atMs } of heard.values()) {
-      if (nowMs - atMs > MAX_HEARD_AGE_MS) continue;
+    let unusedRate = 0;
+    let excessDemand = 0;
+    for (const { perSecond, atMs } of demandsByEntry.values()) {
+      if (nowMs - atMs > MAX_DEMAND_AGE_MS) continue;
       const demand = perSecond.get(tenant) ?? 0;
-      unused += Math.max(0, share - demand);
-      wanted += Math.max(0, demand - share);
+      unusedRate += Math.max(0, share - demand);
+      excessDemand += Math.max(0, demand - share);
     }
-    return { unused, wanted };
+    return { unusedRate, excessDemand };
   }
 
-  /** Starts per second that this entry may make now. */
+  /** Starts per second that this entry is currently allowed. */
   function rateOf(tenant: string, nowMs: number): number {
     const share = equalShare(tenant);
-    const short = demandOf(tenant, nowMs) - share;
-    if (short <= 0) return share;
-    const { unused, wanted } = othersOf(tenant, nowMs);
-    return share + unused * (short / (short + wanted));
+    const deficit = demandOf(tenant, nowMs) - share;
+    if (deficit <= 0) return share;
+    const { unusedRate, excessDemand } = otherEntriesOf(tenant, nowMs);
+    return share + unusedRate * (deficit / (deficit + excessDemand));
   }
 
   function bucketOf(tenant: string, nowMs: number): Bucket {
     let bucket = buckets.get(tenant);
     if (bucket === undefined) {
-      const tokens = mostTokens(equalShare(tenant));
-      bucket = { tokens, filledAtMs: nowMs, wanted: 0, fadedAtMs: nowMs };
+      const tokens = capacityOf(equalShare(tenant));
+      bucket = { tokens, refilledAtMs: nowMs, arrivals: 0, decayedAtMs: nowMs };
       buckets.set(tenant, bucket);
     }
     return bucket;
   }
 
-  function mostTokens(rate: number): number {
+  function capacityOf(rate: number): number {
     return Math.max(1, BURST_SECONDS * rate);
   }
 
-  function fill(bucket: Bucket, rate: number, nowMs: number): void {
-    const gained = rate * Math.max(0, nowMs - bucket.filledAtMs) / 1_000;
-    bucket.tokens = Math.min(mostTokens(rate), bucket.tokens + gained);
-    bucket.filledAtMs = Math.max(bucket.filledAtMs, nowMs);
+  function refill(bucket: Bucket, rate: number, nowMs: number): void {
+    const refilledTokens = rate * Math.max(0, nowMs - bucket.refilledAtMs) /
+      1_000;
+    bucket.tokens = Math.min(capacityOf(rate), bucket.tokens + refilledTokens);
+    bucket.refilledAtMs = Math.max(bucket.refilledAtMs, nowMs);
   }
 
   return {
@@ -133,7 +135,7 @@
       if (options.perSecondOf(tenant) <= 0) return nowMs;
       const bucket = bucketOf(tenant, nowMs);
       const rate = rateOf(tenant, nowMs);
-      fill(bucket, rate, nowMs);
+      refill(bucket, rate, nowMs);
       if (bucket.tokens >= 1) return nowMs;
       return nowMs + ((1 - bucket.tokens) * 1_000) / rate;
     },
@@ -141,15 +143,15 @@
     start(tenant, nowMs) {
       if (options.perSecondOf(tenant) <= 0) return;
       const bucket = bucketOf(tenant, nowMs);
-      fill(bucket, rateOf(tenant, nowMs), nowMs);
+      refill(bucket, rateOf(tenant, nowMs), nowMs);
       bucket.tokens -= 1;
     },
 
     want(tenant, tasks, nowMs) {
       if (options.perSecondOf(tenant) <= 0) return;
       const bucket = bucketOf(tenant, nowMs);
-      fade(bucket, nowMs);
-      bucket.wanted += tasks;
+      decay(bucket, nowMs);
+      bucket.arrivals += tasks;
     },
 
     demands(nowMs) {
@@ -161,13 +163,13 @@
 
     hear(entry, demands, nowMs) {
       const perSecond = new Map(
-        demands.map((one) => [one.tenant, one.perSecond]),
+        demands.map((demand) => [demand.tenant, demand.perSecond]),
       );
-      heard.set(entry, { perSecond, atMs: nowMs });
+      demandsByEntry.set(entry, { perSecond, atMs: nowMs });
     },
 
     forgetEntry(entry) {
-      heard.delete(entry);
+      demandsByEntry.delete(entry);
     },
   };
 }
--- a/packages/limit/src/quota_test.ts
+++ b/packages/limit/src/quota_test.ts
@@ -4,7 +4,7 @@
 const ENTRIES = 3;
 const PER_SECOND = 90;
 
-function create(queued: number): Quota {
+function createTestQuota(queued: number): Quota {
   return createQuota({
     perSecondOf: (tenant) => tenant === "free" ? 0 : PER_SECOND,
     entries: () => ENTRIES,
@@ -12,11 +12,14 @@
   });
 }
 
-/** Starts made in the tenth second of an entry that has enough to start. */
-function startsInTenthSecond(quota: Quota, tell: (nowMs: number) => void) {
+/** Counts starts in the tenth second, with no lack of tasks to start. */
+function countStartsInTenthSecond(
+  quota: Quota,
+  updateDemands: (nowMs: number) => void,
+) {
   let starts = 0;
   for (let nowMs = 0; nowMs < 10_000; nowMs++) {
-    tell(nowMs);
+    updateDemands(nowMs);
     while (quota.startableAtMs("a", nowMs) <= nowMs) {
       quota.start("a", nowMs);
       if (nowMs >= 9_000) starts++;
@@ -26,37 +29,37 @@
 }
 
 describe("createQuota", () => {
-  it("keeps to an equal share while nothing is heard of the others", () => {
-    const starts = startsInTenthSecond(create(1_000), () => {});
+  it("uses its equal share while other entries report no demand", () => {
+    const starts = countStartsInTenthSecond(createTestQuota(1_000), () => {});
     expect(starts).to.be.within(29, 31);
   });
 
-  it("borrows what the others say they do not use", () => {
-    const quota = create(1_000);
-    const starts = startsInTenthSecond(quota, (nowMs) => {
+  it("borrows the rate that other entries report as unused", () => {
+    const quota = createTestQuota(1_000);
+    const starts = countStartsInTenthSecond(quota, (nowMs) => {
       quota.hear("e2", [], nowMs);
       quota.hear("e3", [{ tenant: "a", perSecond: 10 }], nowMs);
     });
     expect(starts).to.be.within(79, 81);
   });
 
-  it("shares what is unused between the entries that want it", () => {
-    const quota = create(60);
-    const starts = startsInTenthSecond(quota, (nowMs) => {
+  it("divides the unused rate among the entries with excess demand", () => {
+    const quota = createTestQuota(60);
+    const starts = countStartsInTenthSecond(quota, (nowMs) => {
       quota.hear("e2", [], nowMs);
       quota.hear("e3", [{ tenant: "a", perSecond: 60 }], nowMs);
     });
     expect(starts).to.be.within(44, 46);
   });
 
-  it("forgets what was heard long ago", () => {
-    const quota = create(1_000);
+  it("ignores outdated reports", () => {
+    const quota = createTestQuota(1_000);
     quota.hear("e2", [], 0);
     quota.hear("e3", [], 0);
-    expect(startsInTenthSecond(quota, () => {})).to.be.within(29, 31);
+    expect(countStartsInTenthSecond(quota, () => {})).to.be.within(29, 31);
   });
 
-  it("leaves tenants without a quota alone", () => {
-    expect(create(9).startableAtMs("free", 5)).to.equal(5);
+  it("does not limit tenants without a quota", () => {
+    expect(createTestQuota(9).startableAtMs("free", 5)).to.equal(5);
   });
 });
--- a/packages/limit/src/retry_budget.ts
+++ b/packages/limit/src/retry_budget.ts
@@ -1,56 +1,58 @@
 /**
- * Bounds retries to a share of the starts, per tenant and for the whole, so
- * that retries cannot multiply load when much goes wrong at once.
+ * Retry budgets: limit retries to a share of first starts, per tenant and in
+ * total, so that retries do not amplify load during widespread failures.
  */
 
 export interface RetryBudget {
-  /** A task of the tenant was started for the first time. */
+  /** Records the first start of a task. */
   start(tenant: string): void;
-  /** Takes one retry from the budgets if both allow it. */
+  /** Takes one token from the tenant's and the shared budget if both have one. */
   tryRetry(tenant: string): boolean;
 }
 
 export interface RetryBudgetOptions {
-  /** Share of started tasks that may be retried, 0 to 1. */
+  /** Share of started tasks that may be retried, from 0 to 1. */
   readonly share: () => number;
 }
 
-/** Retries that a tenant may save up, and has at first. */
-const MAX_SAVED_PER_TENANT = 20;
+/** Capacity and initial number of retry tokens of a tenant. */
+const MAX_TOKENS_PER_TENANT = 20;
 
-/** Retries that all tenants together may save up, and have at first. */
-const MAX_SAVED = 200;
+/** Capacity and initial number of retry tokens shared by all tenants. */
+const MAX_SHARED_TOKENS = 200;
 
-/** Tenants whose budgets are kept; the oldest is dropped first. */
+/** Maximum number of tracked tenants; the oldest is removed first. */
 const MAX_TENANTS = 10_000;
 
 export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
-  const saved = new Map<string, number>();
-  let savedByAll = MAX_SAVED;
+  const tokensByTenant = new Map<string, number>();
+  let sharedTokens = MAX_SHARED_TOKENS;
 
-  function savedOf(tenant: string): number {
-    return saved.get(tenant) ?? MAX_SAVED_PER_TENANT;
+  function tokensOf(tenant: string): number {
+    return tokensByTenant.get(tenant) ?? MAX_TOKENS_PER_TENANT;
   }
 
-  function save(tenant: string, amount: number): void {
-    saved.set(tenant, Math.min(MAX_SAVED_PER_TENANT, amount));
-    if (saved.size <= MAX_TENANTS) return;
-    const oldest = saved.keys().next().value;
-    if (oldest !== undefined) saved.delete(oldest);
+  function setTokens(tenant: string, tokens: number): void {
+    tokensByTenant.set(tenant, Math.min(MAX_TOKENS_PER_TENANT, tokens));
+    if (tokensByTenant.size <= MAX_TENANTS) return;
+    const oldest = tokensByTenant.keys().next().value;
+    if (oldest !== undefined) tokensByTenant.delete(oldest);
   }
 
   return {
     start(tenant) {
-      const gain = options.share();
-      savedByAll = Math.min(MAX_SAVED, savedByAll + gain);
-      save(tenant, savedOf(tenant) + gain);
+      const tokensPerStart = options.share();
+      sharedTokens = Math.min(MAX_SHARED_TOKENS, sharedTokens + tokensPerStart);
+      setTokens(tenant, tokensOf(tenant) + tokensPerStart);
     },
 
     tryRetry(tenant) {
-      const own = savedOf(tenant);
-      if (options.share() <= 0 || own < 1 || savedByAll < 1) return false;
-      savedByAll -= 1;
-      save(tenant, own - 1);
+      const tenantTokens = tokensOf(tenant);
+      if (options.share() <= 0 || tenantTokens < 1 || sharedTokens < 1) {
+        return false;
+      }
+      sharedTokens -= 1;
+      setTokens(tenant, tenantTokens - 1);
       return true;
     },
   };
--- a/packages/limit/src/retry_budget_test.ts
+++ b/packages/limit/src/retry_budget_test.ts
@@ -1,30 +1,33 @@
 import { expect } from "chai";
 import { createRetryBudget } from "./index.ts";
 
-function retries(budget: ReturnType<typeof createRetryBudget>, tenant: string) {
+function exhaustRetries(
+  budget: ReturnType<typeof createRetryBudget>,
+  tenant: string,
+) {
   let taken = 0;
   while (budget.tryRetry(tenant)) taken++;
   return taken;
 }
 
 describe("createRetryBudget", () => {
-  it("earns retries as a share of starts", () => {
+  it("adds retry tokens in proportion to starts", () => {
     const budget = createRetryBudget({ share: () => 0.1 });
-    retries(budget, "a");
+    exhaustRetries(budget, "a");
     for (let start = 0; start < 100; start++) budget.start("a");
-    expect(retries(budget, "a")).to.be.within(9, 10);
+    expect(exhaustRetries(budget, "a")).to.be.within(9, 10);
   });
 
-  it("bounds the whole beside each tenant", () => {
+  it("limits retries of all tenants together as well as per tenant", () => {
     const budget = createRetryBudget({ share: () => 0.1 });
     let taken = 0;
     for (let tenant = 0; tenant < 100; tenant++) {
-      taken += retries(budget, `t${tenant}`);
+      taken += exhaustRetries(budget, `t${tenant}`);
     }
     expect(taken).to.equal(200);
   });
 
-  it("allows none when the share is zero", () => {
+  it("allows no retries when the share is zero", () => {
     const budget = createRetryBudget({ share: () => 0 });
     expect(budget.tryRetry("a")).to.equal(false);
   });
--- a/packages/limit/src/tenant_queue.ts
+++ b/packages/limit/src/tenant_queue.ts
@@ -1,9 +1,9 @@
 /**
- * The queue of an entry. Tenants get slot time by weight, as in fair queueing
- * with a virtual time: a tenant that is ahead of its share by more than a
- * bounded lead waits. Among the tenants that are not, the job of lowest rank
- * goes first, so that small jobs pass big ones of any tenant. A task that
- * cannot be placed holds up only its own class, and only after a few tries.
+ * The task queue of an entry, with weighted fair queueing between tenants. A
+ * tenant whose weighted service exceeds the virtual time by more than a bounded
+ * lead is suspended. Among the other tenants, the job of lowest rank is placed
+ * first, so that small jobs overtake large jobs of any tenant. A task that
+ * cannot be placed blocks only its own class, and only after several refusals.
  */
 import type { JobId } from "@coltsfootreach/types";
 import { type Backlog, createBacklog } from "./backlog.ts";
@@ -11,268 +11,278 @@
 import type { Queue, Waiting } from "./queue.ts";
 
 /**
- * Which job goes first:
- * - `arrival`: the job that came first.
- * - `deadline`: the job whose deadline passes first.
- * - `leastWork`: the job with the least work left, where older jobs count as
- *   smaller so that none starves.
+ * The order in which jobs are placed:
+ * - `arrival`: first in, first out.
+ * - `deadline`: earliest deadline first.
+ * - `leastWork`: least remaining work first, with aging in favour of older jobs
+ *   to prevent starvation.
  */
 export type JobOrder = "arrival" | "deadline" | "leastWork";
 
 export interface TenantQueueOptions {
-  /** Share of a tenant relative to the others; 1 when not given. */
+  /** Scheduling weight of a tenant; defaults to 1. */
   readonly weightOf?: ((tenant: string) => number) | undefined;
   /** Expected slot time of a task in milliseconds. */
   readonly costOf?: ((task: Waiting) => number) | undefined;
-  /** Slots that serve this queue, for the order `leastWork`. */
+  /** Number of slots that serve this queue, used by the order `leastWork`. */
   readonly slots?: (() => number) | undefined;
   readonly order?: JobOrder | undefined;
-  /** False when no side takes any task now, so that a drain can end. */
+  /** False when no side can accept a task, so that a drain can stop early. */
   readonly hasRoom?: ((nowMs: number) => boolean) | undefined;
-  /** When a tenant's next task may start; not after `nowMs` means now. */
+  /** Earliest start time of the tenant's next task; at most `nowMs` means now. */
   readonly startableAtMs?:
     | ((tenant: string, nowMs: number) => number)
     | undefined;
 }
 
-/** A job that might come. */
+/** A job that has not been submitted to the queue yet. */
 export interface Prospect {
   readonly tenant: string;
-  /** Expected slot time of all its tasks together. */
+  /** Total expected slot time of its tasks. */
   readonly workMs: number;
   readonly deadlineMs: number;
 }
 
-/** What a job that came now would meet. */
+/** The state of the queue as seen by a job submitted now. */
 export interface Outlook {
-  /** Slot time of the tenant's own tasks that would go before it. */
+  /** Slot time of the tenant's own queued work that is ordered before the job. */
   readonly aheadMs: number;
-  /** Share of the slots that the tenant has while all that wait want theirs. */
+  /** The tenant's share of the slots among all tenants with queued tasks. */
   readonly share: number;
   /**
-   * Slot time per millisecond that the tenant got lately, given what to expect
-   * before it got any.
+   * Recent slot time served per millisecond for the tenant, averaged with
+   * `expectedRate`, which is the result until there are measurements.
    */
-  servedPerMs(expected: number): number;
+  servedPerMs(expectedRate: number): number;
 }
 
-/** A queue that also tells what admission needs to know. */
+/** A queue that also provides the forecast for admission control. */
 export interface TenantQueue extends Queue {
   outlook(prospect: Prospect, nowMs: number): Outlook;
 }
 
-/** Slot time by which a tenant of weight 1 may be ahead of its share. */
+/** Slot time by which a tenant of weight 1 may exceed its fair share. */
 const MAX_LEAD_MS = 4_000;
 
-/** Tenants of lower weight are served as if they had this one. */
+/** Lower bound applied to the weight of every tenant. */
 const MIN_WEIGHT = 0.01;
 
-/** Jobs of one class that are refused in a drain before the class waits. */
-const MAX_REFUSALS = 8;
+/** Refused jobs of a class after which a drain skips the class. */
+const MAX_CLASS_REFUSALS = 8;
 
-/** Jobs of one tenant and class that are refused before they wait. */
-const MAX_LINE_REFUSALS = 2;
+/** Refused jobs of a sub-queue after which a drain skips the sub-queue. */
+const MAX_SUB_QUEUE_REFUSALS = 2;
 
-/** Tenants ahead of their share that a drain lets compete for the rest. */
-const MAX_ADMITTED = 8;
+/** Maximum number of suspended tenants resumed at once for spare capacity. */
+const MAX_RESUMED_AHEAD = 8;
 
-/** How much later a job ranks per millisecond of its share of the slots. */
-const WORK_FACTOR = 50;
+/** Rank delay of a job per millisecond of its work divided by the slots. */
+const RANK_DELAY_FACTOR = 50;
 
-/** Most of its time to the deadline by which a job may rank later. */
-const MAX_SETBACK_SHARE = 0.5;
+/** Maximum rank delay of a job, as a share of its time to the deadline. */
+const MAX_RANK_DELAY_SHARE = 0.5;
 
-/** The slots that are assumed when none are told. */
-const DEFAULT_SLOTS = 80;
+const DEFAULT_SLOT_COUNT = 80;
 
-/** Ended jobs that may linger in the deadline heap before it is rebuilt. */
-const MAX_LINGERING = 1_024;
+/** Removed jobs kept in the deadline heap before the heap is rebuilt. */
+const MAX_STALE_GROUPS = 1_024;
 
-type Place = (task: Waiting) => boolean;
+type TryPlace = (task: Waiting) => boolean;
 
-/** A task and the slot time that it is counted with. */
-interface Queued {
+/** A task and the expected slot time charged for it. */
+interface CostedTask {
   readonly task: Waiting;
   readonly costMs: number;
 }
 
-/** The tasks of one job that wait, shortest first. */
-interface Group {
+/** The queued tasks of one job, shortest first. */
+interface TaskGroup {
   readonly job: JobId;
   readonly tenant: string;
   readonly class: string;
   readonly deadlineAtMs: number;
   readonly sequence: number;
   readonly pushedAtMs: number;
-  readonly tasks: Queued[];
-  /** Work of the tasks that wait. */
+  readonly tasks: CostedTask[];
+  /** Total expected slot time of the queued tasks. */
   workMs: number;
-  /** The rank under which its work is counted in the backlog. */
-  countedRank: number;
-  /** Set when a task was put back: the job goes before the others. */
-  first: boolean;
+  /** The rank under which its work is recorded in the backlog. */
+  backlogRank: number;
+  /** Set when a task was requeued; the job is then placed before all others. */
+  isRequeued: boolean;
   removed: boolean;
 }
 
-/** The jobs of one tenant and class. */
-interface Line {
-  readonly account: Account;
-  readonly groups: Heap<Group>;
-  /** The entry of the class heap that stands for this line; older ones lapse. */
+/** The queued jobs of one tenant and class. */
+interface SubQueue {
+  readonly tenantState: TenantState;
+  readonly groups: Heap<TaskGroup>;
+  /**
+   * Number of the current heap entry of this sub-queue; entries with other
+   * numbers are stale. 0 while the tenant is suspended.
+   */
   entry: number;
   refusals: number;
 }
 
-interface Entry {
-  readonly line: Line;
+interface HeapEntry {
+  readonly subQueue: SubQueue;
   readonly number: number;
 }
 
-interface ClassLines {
-  /** Lines of tenants that are not ahead, by the rank of their first job. */
-  readonly lines: Heap<Entry>;
+interface ClassQueue {
+  /** Sub-queues of tenants not suspended, by the rank of their first job. */
+  readonly lines: Heap<HeapEntry>;
   refusals: number;
 }
 
-interface Account {
+interface TenantState {
   readonly tenant: string;
-  readonly lines: Map<string, Line>;
+  readonly lines: Map<string, SubQueue>;
   size: number;
-  /** The weight with which it counts while it has work. */
+  /** Contribution to the active weight; 0 while the tenant has no tasks. */
   weight: number;
-  /** Slot time taken over weight, on the scale of the virtual time. */
+  /** Slot time divided by the weight, comparable with the virtual time. */
   servedMs: number;
-  parked: boolean;
+  isSuspended: boolean;
   readonly backlog: Backlog;
 }
 
 interface Offer {
-  readonly line: Line;
-  readonly group: Group;
-  readonly classLines: ClassLines;
+  readonly subQueue: SubQueue;
+  readonly group: TaskGroup;
+  readonly classQueue: ClassQueue;
 }
 
 export function createTenantQueue(
   options: TenantQueueOptions = {},
 ): TenantQueue {
   const costOf = options.costOf ?? ((task: Waiting) => task.declaredMs);
-  const slots = options.slots ?? (() => DEFAULT_SLOTS);
+  const slots = options.slots ?? (() => DEFAULT_SLOT_COUNT);
   const order = options.order ?? "leastWork";
-  const accounts = new Map<string, Account>();
-  const groups = new Map<JobId, Group>();
-  const classes = new Map<string, ClassLines>();
-  /** Tenants ahead of their share, by the slot time that they have had. */
-  const parked = createHeap<Account>();
-  /** Tenants whose quota is used up, by the time at which they may go on. */
-  const overQuota = createHeap<Account>();
-  const aside: Group[] = [];
-  const refusedLines: Line[] = [];
-  const admitted: Account[] = [];
-  let byDeadline = createHeap<Group>();
+  const tenantStates = new Map<string, TenantState>();
+  const groups = new Map<JobId, TaskGroup>();
+  const classes = new Map<string, ClassQueue>();
+  /** Tenants ahead of their fair share, by weighted slot time. */
+  const suspended = createHeap<TenantState>();
+  /** Tenants with an exhausted quota, by the time of their next start. */
+  const overQuota = createHeap<TenantState>();
+  const refusedGroups: TaskGroup[] = [];
+  const refusedSubQueues: SubQueue[] = [];
+  const resumedAhead: TenantState[] = [];
+  let byDeadline = createHeap<TaskGroup>();
   let virtualMs = 0;
   let activeWeight = 0;
-  let total = 0;
+  let totalSize = 0;
   let sequence = 0;
-  let entries = 0;
+  let lastEntryNumber = 0;
   let latestMs = 0;
 
   function weightOf(tenant: string): number {
     return Math.max(MIN_WEIGHT, options.weightOf?.(tenant) ?? 1);
   }
 
-  /** Counts a tenant's weight, or its new one, among those that have work. */
-  function countWeight(account: Account, weight: number): void {
-    activeWeight = Math.max(0, activeWeight + weight - account.weight);
-    account.weight = weight;
+  /** Replaces the tenant's contribution to the sum of active weights. */
+  function updateActiveWeight(tenantState: TenantState, weight: number): void {
+    activeWeight = Math.max(0, activeWeight + weight - tenantState.weight);
+    tenantState.weight = weight;
   }
 
-  /** How much later than it came a job ranks. */
-  function setbackMs(workMs: number, deadlineMs: number): number {
+  /** Delay added to the arrival time of a job to compute its rank. */
+  function rankDelayMs(workMs: number, deadlineMs: number): number {
     const shareMs = workMs / Math.max(1, slots());
-    return Math.min(MAX_SETBACK_SHARE * deadlineMs, WORK_FACTOR * shareMs);
+    return Math.min(
+      MAX_RANK_DELAY_SHARE * deadlineMs,
+      RANK_DELAY_FACTOR * shareMs,
+    );
   }
 
-  function plainRankOf(group: Group): number {
+  function baseRankOf(group: TaskGroup): number {
     if (order === "arrival") return group.sequence;
     if (order === "deadline") return group.deadlineAtMs;
     const deadlineMs = group.deadlineAtMs - group.pushedAtMs;
-    return group.pushedAtMs + setbackMs(group.workMs, deadlineMs);
+    return group.pushedAtMs + rankDelayMs(group.workMs, deadlineMs);
   }
 
-  /** The rank that a job would have if it came now. */
-  function rankOfProspect(
+  /** The rank that a job would have if it were submitted now. */
+  function rankOfProspectiveJob(
     { workMs, deadlineMs }: Prospect,
     nowMs: number,
   ): number {
     if (order === "arrival") return sequence;
     if (order === "deadline") return nowMs + deadlineMs;
-    return nowMs + setbackMs(workMs, deadlineMs);
+    return nowMs + rankDelayMs(workMs, deadlineMs);
   }
 
-  function rankOf(group: Group): number {
-    return group.first ? -1 : plainRankOf(group);
+  function rankOf(group: TaskGroup): number {
+    return group.isRequeued ? -1 : baseRankOf(group);
   }
 
-  function accountOf(tenant: string): Account {
-    let account = accounts.get(tenant);
-    if (account === undefined) {
-      account = {
+  function tenantStateOf(tenant: string): TenantState {
+    let tenantState = tenantStates.get(tenant);
+    if (tenantState === undefined) {
+      tenantState = {
         tenant,
         lines: new Map(),
         size: 0,
         weight: 0,
         servedMs: 0,
-        parked: false,
+        isSuspended: false,
         backlog: createBacklog(),
       };
-      accounts.set(tenant, account);
+      tenantStates.set(tenant, tenantState);
     }
-    return account;
+    return tenantState;
   }
 
-  function classLinesOf(className: string): ClassLines {
-    let found = classes.get(className);
-    if (found === undefined) {
-      found = { lines: createHeap(), refusals: 0 };
-      classes.set(className, found);
+  function classQueueOf(className: string): ClassQueue {
+    let classQueue = classes.get(className);
+    if (classQueue === undefined) {
+      classQueue = { lines: createHeap(), refusals: 0 };
+      classes.set(className, classQueue);
     }
-    return found;
+    return classQueue;
   }
 
-  function lineOf(account: Account, className: string): Line {
-    let line = account.lines.get(className);
-    if (line === undefined) {
-      line = { account, groups: createHeap(), entry: 0, refusals: 0 };
-      account.lines.set(className, line);
+  function subQueueOf(tenantState: TenantState, className: string): SubQueue {
+    let subQueue = tenantState.lines.get(className);
+    if (subQueue === undefined) {
+      subQueue = {
+        tenantState,
+        groups: createHeap(),
+        entry: 0,
+        refusals: 0,
+      };
+      tenantState.lines.set(className, subQueue);
     }
-    return line;
+    return subQueue;
   }
 
-  /** Drops ended jobs from the front of a line. */
-  function headOf(line: Line): Group | undefined {
-    while (line.groups.peek()?.removed) line.groups.pop();
-    return line.groups.peek();
+  /** Returns the first job of a sub-queue, after dropping removed ones. */
+  function headOf(subQueue: SubQueue): TaskGroup | undefined {
+    while (subQueue.groups.peek()?.removed) subQueue.groups.pop();
+    return subQueue.groups.peek();
   }
 
-  /** Enters a line into its class under the rank of its first job. */
-  function enter(line: Line): void {
-    const head = headOf(line);
-    if (head === undefined || line.account.parked) return;
-    line.entry = ++entries;
-    classLinesOf(head.class).lines.push(rankOf(head), {
-      line,
-      number: line.entry,
+  /** Adds a sub-queue to its class under the rank of its first job. */
+  function enqueueSubQueue(subQueue: SubQueue): void {
+    const head = headOf(subQueue);
+    if (head === undefined || subQueue.tenantState.isSuspended) return;
+    subQueue.entry = ++lastEntryNumber;
+    classQueueOf(head.class).lines.push(rankOf(head), {
+      subQueue,
+      number: subQueue.entry,
     });
   }
 
-  function addGroup(group: Group): void {
-    const line = lineOf(accountOf(group.tenant), group.class);
-    line.groups.push(rankOf(group), group);
-    if (headOf(line) === group) enter(line);
+  function enqueueGroup(group: TaskGroup): void {
+    const subQueue = subQueueOf(tenantStateOf(group.tenant), group.class);
+    subQueue.groups.push(rankOf(group), group);
+    if (headOf(subQueue) === group) enqueueSubQueue(subQueue);
   }
 
-  function openGroup(task: Waiting): Group {
-    const group: Group = {
+  function createGroup(task: Waiting): TaskGroup {
+    const group: TaskGroup = {
       job: task.job,
       tenant: task.tenant,
       class: task.class,
@@ -281,8 +291,8 @@
       pushedAtMs: latestMs,
       tasks: [],
       workMs: 0,
-      countedRank: 0,
-      first: false,
+      backlogRank: 0,
+      isRequeued: false,
       removed: false,
     };
     groups.set(task.job, group);
@@ -290,208 +300,228 @@
     return group;
   }
 
-  function closeGroup(group: Group): void {
+  function removeGroup(group: TaskGroup): void {
     group.removed = true;
     groups.delete(group.job);
-    if (byDeadline.size() <= 2 * groups.size + MAX_LINGERING) return;
+    if (byDeadline.size() <= 2 * groups.size + MAX_STALE_GROUPS) return;
     byDeadline = createHeap();
-    for (const kept of groups.values()) {
-      byDeadline.push(kept.deadlineAtMs, kept);
+    for (const remaining of groups.values()) {
+      byDeadline.push(remaining.deadlineAtMs, remaining);
     }
   }
 
-  function grow(account: Account, count: number): void {
-    if (account.size === 0) {
-      countWeight(account, weightOf(account.tenant));
-      account.servedMs = Math.max(account.servedMs, virtualMs);
-      account.backlog.open(latestMs);
+  function increaseSize(tenantState: TenantState, count: number): void {
+    if (tenantState.size === 0) {
+      updateActiveWeight(tenantState, weightOf(tenantState.tenant));
+      tenantState.servedMs = Math.max(tenantState.servedMs, virtualMs);
+      tenantState.backlog.resetServiceRate(latestMs);
     }
-    account.size += count;
-    total += count;
+    tenantState.size += count;
+    totalSize += count;
   }
 
-  function shrink(account: Account, count: number): void {
-    account.size -= count;
-    total -= count;
-    if (account.size > 0) return;
-    countWeight(account, 0);
-    if (account.servedMs <= virtualMs) accounts.delete(account.tenant);
+  function decreaseSize(tenantState: TenantState, count: number): void {
+    tenantState.size -= count;
+    totalSize -= count;
+    if (tenantState.size > 0) return;
+    updateActiveWeight(tenantState, 0);
+    if (tenantState.servedMs <= virtualMs) {
+      tenantStates.delete(tenantState.tenant);
+    }
   }
 
-  function add(group: Group, tasks: readonly Waiting[]): void {
+  function addTasks(group: TaskGroup, tasks: readonly Waiting[]): void {
     let workMs = 0;
     for (const task of tasks) {
       const costMs = costOf(task);
       group.tasks.push({ task, costMs });
       workMs += costMs;
     }
-    const account = accountOf(group.tenant);
-    grow(account, tasks.length);
+    const tenantState = tenantStateOf(group.tenant);
+    increaseSize(tenantState, tasks.length);
     const isNew = group.workMs === 0;
     group.workMs += workMs;
-    if (isNew) group.countedRank = plainRankOf(group);
-    account.backlog.add(group.countedRank, workMs);
+    if (isNew) group.backlogRank = baseRankOf(group);
+    tenantState.backlog.addWork(group.backlogRank, workMs);
   }
 
-  function charge(account: Account, costMs: number): void {
-    if (account.size > 0) countWeight(account, weightOf(account.tenant));
-    account.servedMs += costMs / weightOf(account.tenant);
+  function charge(tenantState: TenantState, costMs: number): void {
+    if (tenantState.size > 0) {
+      updateActiveWeight(tenantState, weightOf(tenantState.tenant));
+    }
+    tenantState.servedMs += costMs / weightOf(tenantState.tenant);
     virtualMs += costMs / Math.max(MIN_WEIGHT, activeWeight);
-    parkIfAhead(account);
+    suspendIfAhead(tenantState);
   }
 
-  /** Parks a tenant whose lead has grown too long. */
-  function parkIfAhead(account: Account): void {
-    if (account.parked || account.servedMs <= virtualMs + MAX_LEAD_MS) return;
-    park(account, parked, account.servedMs);
+  /** Suspends a tenant whose lead exceeds the limit. */
+  function suspendIfAhead(tenantState: TenantState): void {
+    if (
+      tenantState.isSuspended || tenantState.servedMs <= virtualMs + MAX_LEAD_MS
+    ) return;
+    suspend(tenantState, suspended, tenantState.servedMs);
   }
 
-  function park(account: Account, heap: Heap<Account>, rank: number): void {
-    account.parked = true;
-    for (const line of account.lines.values()) line.entry = 0;
-    heap.push(rank, account);
+  function suspend(
+    tenantState: TenantState,
+    heap: Heap<TenantState>,
+    rank: number,
+  ): void {
+    tenantState.isSuspended = true;
+    for (const subQueue of tenantState.lines.values()) subQueue.entry = 0;
+    heap.push(rank, tenantState);
   }
 
-  function unpark(account: Account): void {
-    account.parked = false;
-    for (const line of account.lines.values()) enter(line);
+  function resume(tenantState: TenantState): void {
+    tenantState.isSuspended = false;
+    for (const subQueue of tenantState.lines.values()) {
+      enqueueSubQueue(subQueue);
+    }
   }
 
-  function unparkDue(): void {
-    while (overQuota.lowestRank() <= latestMs) unpark(overQuota.pop()!);
-    while (parked.lowestRank() <= virtualMs + MAX_LEAD_MS) {
-      unpark(parked.pop()!);
+  function resumeEligible(): void {
+    while (overQuota.lowestRank() <= latestMs) resume(overQuota.pop()!);
+    while (suspended.lowestRank() <= virtualMs + MAX_LEAD_MS) {
+      resume(suspended.pop()!);
     }
   }
 
-  /** Whether the quota lets a tenant go on; parks it if not. */
-  function isInQuota(account: Account): boolean {
-    const atMs = options.startableAtMs?.(account.tenant, latestMs) ?? 0;
-    if (atMs <= latestMs) return true;
-    park(account, overQuota, atMs);
+  /** Whether the quota allows a start now; suspends the tenant if not. */
+  function isWithinQuota(tenantState: TenantState): boolean {
+    const nextStartAtMs =
+      options.startableAtMs?.(tenantState.tenant, latestMs) ?? 0;
+    if (nextStartAtMs <= latestMs) return true;
+    suspend(tenantState, overQuota, nextStartAtMs);
     return false;
   }
 
   /**
-   * Lets the tenant that is least ahead compete for what the others leave. It
-   * is parked again with the first task that it gets.
+   * Resumes the suspended tenant with the smallest lead, to compete for spare
+   * capacity. It is suspended again as soon as a task is placed.
    */
-  function admitParked(): boolean {
-    if (parked.size() === 0 || admitted.length >= MAX_ADMITTED) return false;
-    const account = parked.pop()!;
-    admitted.push(account);
-    unpark(account);
+  function resumeLeastAhead(): boolean {
+    if (suspended.size() === 0 || resumedAhead.length >= MAX_RESUMED_AHEAD) {
+      return false;
+    }
+    const tenantState = suspended.pop()!;
+    resumedAhead.push(tenantState);
+    resume(tenantState);
     return true;
   }
 
-  function parkAdmitted(): void {
-    for (const account of admitted) parkIfAhead(account);
-    admitted.length = 0;
+  function suspendResumed(): void {
+    for (const tenantState of resumedAhead) suspendIfAhead(tenantState);
+    resumedAhead.length = 0;
   }
 
-  function dropLapsed(lines: Heap<Entry>): void {
-    let top = lines.peek();
-    while (top !== undefined && top.line.entry !== top.number) {
-      lines.pop();
-      top = lines.peek();
+  function removeStaleEntries(subQueues: Heap<HeapEntry>): void {
+    let top = subQueues.peek();
+    while (top !== undefined && top.subQueue.entry !== top.number) {
+      subQueues.pop();
+      top = subQueues.peek();
     }
   }
 
-  /** The class whose first job has the lowest rank, of those not refused. */
-  function nextClass(): ClassLines | undefined {
-    let best: ClassLines | undefined;
-    for (const one of classes.values()) {
-      if (one.refusals >= MAX_REFUSALS) continue;
-      dropLapsed(one.lines);
-      if (one.lines.size() === 0) continue;
+  /** The class whose first job has the lowest rank, without skipped classes. */
+  function nextClass(): ClassQueue | undefined {
+    let best: ClassQueue | undefined;
+    for (const classQueue of classes.values()) {
+      if (classQueue.refusals >= MAX_CLASS_REFUSALS) continue;
+      removeStaleEntries(classQueue.lines);
+      if (classQueue.lines.size() === 0) continue;
       const lowest = best?.lines.lowestRank() ?? Infinity;
-      if (one.lines.lowestRank() < lowest) best = one;
+      if (classQueue.lines.lowestRank() < lowest) best = classQueue;
     }
     return best;
   }
 
   function nextOffer(): Offer | undefined {
-    let classLines = nextClass();
-    while (classLines !== undefined) {
-      const rank = classLines.lines.lowestRank();
-      const { line } = classLines.lines.pop()!;
-      const group = headOf(line);
+    let classQueue = nextClass();
+    while (classQueue !== undefined) {
+      const rank = classQueue.lines.lowestRank();
+      const { subQueue } = classQueue.lines.pop()!;
+      const group = headOf(subQueue);
       const isDue = group !== undefined && rankOf(group) <= rank;
-      if (isDue && isInQuota(line.account)) return { line, group, classLines };
-      enter(line);
-      classLines = nextClass();
+      if (isDue && isWithinQuota(subQueue.tenantState)) {
+        return { subQueue, group, classQueue };
+      }
+      enqueueSubQueue(subQueue);
+      classQueue = nextClass();
     }
     return undefined;
   }
 
-  function take(group: Group, { costMs }: Queued): void {
-    const account = accountOf(group.tenant);
+  function recordPlacement(group: TaskGroup, { costMs }: CostedTask): void {
+    const tenantState = tenantStateOf(group.tenant);
     group.workMs = Math.max(0, group.workMs - costMs);
-    account.backlog.take(group.countedRank, costMs, true);
-    group.first = false;
-    if (group.tasks.length === 0) closeGroup(group);
-    charge(account, costMs);
-    shrink(account, 1);
-    parkAdmitted();
+    tenantState.backlog.removeWork(group.backlogRank, costMs, true);
+    group.isRequeued = false;
+    if (group.tasks.length === 0) removeGroup(group);
+    charge(tenantState, costMs);
+    decreaseSize(tenantState, 1);
+    suspendResumed();
   }
 
-  /** Offers the longest task of a job and, if that is refused, the shortest. */
-  function offerGroup(group: Group, place: Place): boolean {
+  /** Offers the longest task of a job and, if it is refused, the shortest. */
+  function offerGroup(group: TaskGroup, tryPlace: TryPlace): boolean {
     const longest = group.tasks.at(-1)!;
-    if (place(longest.task)) {
+    if (tryPlace(longest.task)) {
       group.tasks.pop();
-      take(group, longest);
+      recordPlacement(group, longest);
       return true;
     }
     const shortest = group.tasks[0]!;
-    if (shortest === longest || !place(shortest.task)) return false;
+    if (shortest === longest || !tryPlace(shortest.task)) return false;
     group.tasks.shift();
-    take(group, shortest);
+    recordPlacement(group, shortest);
     return true;
   }
 
-  function makeOffer({ line, group, classLines }: Offer, place: Place): void {
-    if (!offerGroup(group, place)) {
-      classLines.refusals++;
-      if (line.refusals++ === 0) refusedLines.push(line);
-      line.groups.pop();
-      aside.push(group);
+  function makeOffer(
+    { subQueue, group, classQueue }: Offer,
+    tryPlace: TryPlace,
+  ): void {
+    if (!offerGroup(group, tryPlace)) {
+      classQueue.refusals++;
+      if (subQueue.refusals++ === 0) refusedSubQueues.push(subQueue);
+      subQueue.groups.pop();
+      refusedGroups.push(group);
     }
-    if (line.refusals < MAX_LINE_REFUSALS) enter(line);
+    if (subQueue.refusals < MAX_SUB_QUEUE_REFUSALS) enqueueSubQueue(subQueue);
   }
 
-  /** Whether a drain may go on after its latest offer. */
-  function mayGoOn(): boolean {
-    if (aside.length === 0) return true;
+  /** Whether a drain may continue after its latest offer. */
+  function canContinue(): boolean {
+    if (refusedGroups.length === 0) return true;
     return options.hasRoom?.(latestMs) ?? true;
   }
 
-  function restore(): void {
-    for (const group of aside) {
+  function restoreRefused(): void {
+    for (const group of refusedGroups) {
       if (group.removed) continue;
-      const line = lineOf(accountOf(group.tenant), group.class);
-      line.groups.push(rankOf(group), group);
+      const subQueue = subQueueOf(tenantStateOf(group.tenant), group.class);
+      subQueue.groups.push(rankOf(group), group);
     }
-    for (const line of refusedLines) {
-      line.refusals = 0;
-      enter(line);
+    for (const subQueue of refusedSubQueues) {
+      subQueue.refusals = 0;
+      enqueueSubQueue(subQueue);
     }
-    aside.length = 0;
-    refusedLines.length = 0;
-    parkAdmitted();
-    for (const [name, one] of classes) {
-      one.refusals = 0;
-      if (one.lines.size() === 0) classes.delete(name);
+    refusedGroups.length = 0;
+    refusedSubQueues.length = 0;
+    suspendResumed();
+    for (const [name, classQueue] of classes) {
+      classQueue.refusals = 0;
+      if (classQueue.lines.size() === 0) classes.delete(name);
     }
   }
 
   function removeJob(job: JobId): readonly Waiting[] {
     const group = groups.get(job);
     if (group === undefined) return [];
-    closeGroup(group);
-    const account = accountOf(group.tenant);
-    account.backlog.take(group.countedRank, group.workMs, false);
-    shrink(account, group.tasks.length);
+    removeGroup(group);
+    const tenantState = tenantStateOf(group.tenant);
+    tenantState.backlog.removeWork(group.backlogRank, group.workMs, false);
+    decreaseSize(tenantState, group.tasks.length);
     return group.tasks.map(({ task }) => task);
   }
 
@@ -499,33 +529,33 @@
     push(tasks) {
       const first = tasks[0];
       if (first === undefined) return;
-      const known = groups.get(first.job);
-      const group = known ?? openGroup(first);
+      const existing = groups.get(first.job);
+      const group = existing ?? createGroup(first);
       const shortestFirst = [...tasks]
         .sort((a, b) => a.declaredMs - b.declaredMs || b.index - a.index);
-      add(group, shortestFirst);
-      if (known === undefined) addGroup(group);
+      addTasks(group, shortestFirst);
+      if (existing === undefined) enqueueGroup(group);
     },
 
     putBack(task) {
-      const known = groups.get(task.job);
-      const group = known ?? openGroup(task);
-      group.first = true;
-      add(group, [task]);
-      charge(accountOf(task.tenant), -costOf(task));
-      addGroup(group);
+      const existing = groups.get(task.job);
+      const group = existing ?? createGroup(task);
+      group.isRequeued = true;
+      addTasks(group, [task]);
+      charge(tenantStateOf(task.tenant), -costOf(task));
+      enqueueGroup(group);
     },
 
-    drain(place, nowMs) {
+    drain(tryPlace, nowMs) {
       latestMs = Math.max(latestMs, nowMs);
-      unparkDue();
+      resumeEligible();
       let offer = nextOffer();
-      while (offer !== undefined || admitParked()) {
-        if (offer !== undefined) makeOffer(offer, place);
-        if (!mayGoOn()) break;
+      while (offer !== undefined || resumeLeastAhead()) {
+        if (offer !== undefined) makeOffer(offer, tryPlace);
+        if (!canContinue()) break;
         offer = nextOffer();
       }
-      restore();
+      restoreRefused();
     },
 
     removeJob,
@@ -533,15 +563,18 @@
     outlook(prospect, nowMs) {
       const { tenant } = prospect;
       latestMs = Math.max(latestMs, nowMs);
-      const account = accounts.get(tenant);
-      const own = weightOf(tenant);
-      const rank = rankOfProspect(prospect, nowMs);
+      const tenantState = tenantStates.get(tenant);
+      const tenantWeight = weightOf(tenant);
+      const rank = rankOfProspectiveJob(prospect, nowMs);
       return {
-        aheadMs: account?.backlog.upTo(rank) ?? 0,
-        share: own / (activeWeight - (account?.weight ?? 0) + own),
-        servedPerMs: (expected) => {
-          if (account === undefined || account.size === 0) return expected;
-          return account.backlog.servedPerMs(expected, nowMs);
+        aheadMs: tenantState?.backlog.upTo(rank) ?? 0,
+        share: tenantWeight /
+          (activeWeight - (tenantState?.weight ?? 0) + tenantWeight),
+        servedPerMs: (expectedRate) => {
+          if (tenantState === undefined || tenantState.size === 0) {
+            return expectedRate;
+          }
+          return tenantState.backlog.serviceRate(expectedRate, nowMs);
         },
       };
     },
@@ -556,7 +589,9 @@
     },
 
     size(tenant) {
-      return tenant === undefined ? total : accounts.get(tenant)?.size ?? 0;
+      return tenant === undefined
+        ? totalSize
+        : tenantStates.get(tenant)?.size ?? 0;
     },
   };
 }
--- a/packages/limit/src/usage.ts
+++ b/packages/limit/src/usage.ts
@@ -1,42 +1,43 @@
 /**
- * Slot time that tenants have taken lately, against their fair share. Unlike
- * the order of the queue it also tells when the others' queues are empty, so
- * that a tenant far over its share can be kept from filling every slot.
+ * Recent slot time of tenants relative to their fair share. Unlike the queue's
+ * scheduling order, it also applies while the queues of other tenants are
+ * empty, so that a tenant far above its share can be kept from filling every
+ * slot.
  */
 
 export interface Usage {
-  /** A task of the tenant was started. */
+  /** Records the start of a task. */
   start(tenant: string, costMs: number, nowMs: number): void;
   /**
-   * Slot time taken over the fair share among tenants active lately: 1 when the
-   * tenant takes just its share, more when it takes more.
+   * Recent slot time divided by the fair share among recently active tenants: 1
+   * when the tenant uses exactly its share, and higher when it uses more.
    */
   ratio(tenant: string, nowMs: number): number;
 }
 
 export interface UsageOptions {
-  /** Slots that this entry can count on. */
+  /** Number of slots available to this entry. */
   readonly slots: () => number;
-  /** Share of a tenant relative to the others; 1 when not given. */
+  /** Scheduling weight of a tenant; defaults to 1. */
   readonly weightOf?: ((tenant: string) => number) | undefined;
 }
 
-/** Time over which usage is averaged. */
+/** Time constant of the usage average. */
 const WINDOW_MS = 30_000;
 
-/** How long the sum of weights is used before it is taken anew. */
-const REFRESH_MS = 100;
+/** Interval at which the sum of active weights is recomputed. */
+const WEIGHT_REFRESH_MS = 100;
 
-/** Slot time below which a tenant counts as not active. */
+/** Slot time below which a tenant counts as inactive. */
 const MIN_USED_MS = 1;
 
-interface Used {
+interface TenantUsage {
   ms: number;
-  fadedAtMs: number;
+  decayedAtMs: number;
 }
 
 export function createUsage(options: UsageOptions): Usage {
-  const used = new Map<string, Used>();
+  const usageByTenant = new Map<string, TenantUsage>();
   let activeWeight = 0;
   let refreshedAtMs = -Infinity;
 
@@ -44,38 +45,38 @@
     return options.weightOf?.(tenant) ?? 1;
   }
 
-  function fade(one: Used, nowMs: number): void {
-    one.ms *= Math.exp(-Math.max(0, nowMs - one.fadedAtMs) / WINDOW_MS);
-    one.fadedAtMs = Math.max(one.fadedAtMs, nowMs);
+  function decay(usage: TenantUsage, nowMs: number): void {
+    usage.ms *= Math.exp(-Math.max(0, nowMs - usage.decayedAtMs) / WINDOW_MS);
+    usage.decayedAtMs = Math.max(usage.decayedAtMs, nowMs);
   }
 
-  function refresh(nowMs: number): void {
-    if (nowMs - refreshedAtMs < REFRESH_MS) return;
+  function refreshActiveWeight(nowMs: number): void {
+    if (nowMs - refreshedAtMs < WEIGHT_REFRESH_MS) return;
     refreshedAtMs = nowMs;
     activeWeight = 0;
-    for (const [tenant, one] of used) {
-      fade(one, nowMs);
-      if (one.ms < MIN_USED_MS) used.delete(tenant);
+    for (const [tenant, usage] of usageByTenant) {
+      decay(usage, nowMs);
+      if (usage.ms < MIN_USED_MS) usageByTenant.delete(tenant);
       else activeWeight += weightOf(tenant);
     }
   }
 
   return {
     start(tenant, costMs, nowMs) {
-      const one = used.get(tenant) ?? { ms: 0, fadedAtMs: nowMs };
-      fade(one, nowMs);
-      one.ms += costMs;
-      used.set(tenant, one);
+      const usage = usageByTenant.get(tenant) ?? { ms: 0, decayedAtMs: nowMs };
+      decay(usage, nowMs);
+      usage.ms += costMs;
+      usageByTenant.set(tenant, usage);
     },
 
     ratio(tenant, nowMs) {
-      refresh(nowMs);
-      const one = used.get(tenant);
-      if (one === undefined) return 0;
-      fade(one, nowMs);
-      const own = weightOf(tenant);
-      const share = own / Math.max(own, activeWeight);
-      return one.ms / (WINDOW_MS * Math.max(1, options.slots()) * share);
+      refreshActiveWeight(nowMs);
+      const usage = usageByTenant.get(tenant);
+      if (usage === undefined) return 0;
+      decay(usage, nowMs);
+      const tenantWeight = weightOf(tenant);
+      const share = tenantWeight / Math.max(tenantWeight, activeWeight);
+      return usage.ms / (WINDOW_MS * Math.max(1, options.slots()) * share);
     },
   };
 }
