Rename exported names of the limit package

Cause: several exported names were figurative or vague (Waiting, Outlook, putBack, want, hear, ratio).

Names on the wire, in settings and in stored data are unchanged. Tests changed only in names and formatting.

The other tests were not run.

--- a/packages/coordinate/src/limits.ts
+++ b/packages/coordinate/src/limits.ts
@@ -76,7 +76,7 @@
     runTimes.expectedMs(task.class, task.declaredMs);
 
   const quota = createQuota({
-    perSecondOf: (tenant) => estate.tenant(tenant)?.startsPerSecond ?? 0,
+    limitPerSecondOf: (tenant) => estate.tenant(tenant)?.startsPerSecond ?? 0,
     entries,
     queued: (tenant) => queue.size(tenant),
   });
@@ -84,7 +84,7 @@
     weightOf,
     costOf: expectedMs,
     slots,
-    startableAtMs: (tenant, nowMs) => quota.startableAtMs(tenant, nowMs),
+    nextStartAtMs: (tenant, nowMs) => quota.nextStartAtMs(tenant, nowMs),
   });
   /** The job judged last, which is admitted next if it is at all. */
   let judged:
@@ -95,7 +95,7 @@
     share: () => options.rules().retryShare,
   });
   const admission = createAdmission({
-    outlook: queue.outlook,
+    forecast: queue.forecast,
     queued: (tenant) => queue.size(tenant),
     maxQueuedOf(tenant) {
       const { maxQueued } = estate.tenant(tenant) ?? { maxQueued: MAX_QUEUED };
@@ -113,7 +113,7 @@
       tenant: job.tenant,
       tasks: job.tasks.length,
       workMs: times.reduce((sum, ms) => sum + ms, 0),
-      longestMs: Math.max(...times),
+      longestTaskMs: Math.max(...times),
       deadlineMs: job.deadlineMs,
     };
   }
@@ -131,16 +131,16 @@
         if (slots() <= 0) return undefined;
         const submission = describe(job);
         judged = { job, submission };
-        const refusal = admission.judge(submission, nowMs);
+        const refusal = admission.evaluate(submission, nowMs);
         return refusal === undefined || isHeld(refusal) ? undefined : refusal;
       },
       admitted(job, nowMs) {
-        quota.want(job.tenant, job.tasks.length, nowMs);
+        quota.recordArrivals(job.tenant, job.tasks.length, nowMs);
         const submission = judged?.job === job
           ? judged.submission
           : describe(job);
         judged = undefined;
-        if (slots() > 0) admission.admit(submission, nowMs);
+        if (slots() > 0) admission.recordAdmission(submission, nowMs);
       },
       started(task, nowMs) {
         quota.start(task.tenant, nowMs);
@@ -148,10 +148,11 @@
         retries.start(task.tenant);
       },
       tryRetry: (tenant) => retries.tryRetry(tenant),
-      usageRatio: (tenant, nowMs) => usage.ratio(tenant, nowMs),
+      usageRatio: (tenant, nowMs) => usage.fairShareRatio(tenant, nowMs),
       demands: (nowMs) => quota.demands(nowMs),
-      hear: (entry, demands, nowMs) => quota.hear(entry, demands, nowMs),
-      forgetEntry: (entry) => quota.forgetEntry(entry),
+      hear: (entry, demands, nowMs) =>
+        quota.recordDemands(entry, demands, nowMs),
+      forgetEntry: (entry) => quota.removeEntry(entry),
     },
   };
 }
--- a/packages/coordinate/src/task_desk.ts
+++ b/packages/coordinate/src/task_desk.ts
@@ -3,7 +3,7 @@
  * by their results or refusals.
  */
 import type { JobRecord } from "@coltsfootreach/admit";
-import type { Waiting } from "@coltsfootreach/limit";
+import type { QueuedTask } from "@coltsfootreach/limit";
 import { ownerOf } from "@coltsfootreach/ownership";
 import type {
   Evidence,
@@ -83,14 +83,14 @@
       if (answer !== undefined) settle(record, answer, nowMs);
       return;
     }
-    const waiting: Waiting[] = [];
+    const waiting: QueuedTask[] = [];
     record.tasks.forEach((task, index) => {
       if (task.kind === "waiting") waiting.push(waitingOf(record, index));
     });
     queue.push(waiting);
   }
 
-  function waitingOf(record: JobRecord, index: number): Waiting {
+  function waitingOf(record: JobRecord, index: number): QueuedTask {
     const job = record.job!;
     return {
       job: record.id,
@@ -102,7 +102,7 @@
     };
   }
 
-  function place(waiting: Waiting, nowMs: number): boolean {
+  function place(waiting: QueuedTask, nowMs: number): boolean {
     const record = records.find(waiting.job);
     const task = record?.job?.tasks[waiting.index];
     const state = record?.tasks[waiting.index];
@@ -226,7 +226,7 @@
     eligibility.cancelTrial(side);
     const why = reasonToEnd(record, reason, nowMs);
     if (why === undefined && record.job !== undefined) {
-      queue.putBack(waitingOf(record, index));
+      queue.requeue(waitingOf(record, index));
       return;
     }
     noteGap(record, nowMs);
--- a/packages/limit/src/admission.ts
+++ b/packages/limit/src/admission.ts
@@ -10,7 +10,7 @@
  */
 import type { Refusal, RefusalCode } from "@coltsfootreach/types";
 import { type AdmittedWork, createAdmittedWork } from "./admitted.ts";
-import type { Outlook, Prospect } from "./tenant_queue.ts";
+import type { ProspectiveJob, QueueForecast } from "./tenant_queue.ts";
 
 /** The properties of a submitted job that admission control depends on. */
 export interface Submission {
@@ -19,20 +19,20 @@
   /** Expected slot time of all tasks together. */
   readonly workMs: number;
   /** Expected run time of the longest task on the fastest side that fits. */
-  readonly longestMs: number;
+  readonly longestTaskMs: number;
   readonly deadlineMs: number;
 }
 
 export interface Admission {
   /** Returns the refusal, or undefined when the job can be admitted. */
-  judge(submission: Submission, nowMs: number): Refusal | undefined;
+  evaluate(submission: Submission, nowMs: number): Refusal | undefined;
   /** Records that the submission was admitted as a job. */
-  admit(submission: Submission, nowMs: number): void;
+  recordAdmission(submission: Submission, nowMs: number): void;
 }
 
 export interface AdmissionOptions {
   /** The queue's forecast for a job submitted now. */
-  readonly outlook: (prospect: Prospect, nowMs: number) => Outlook;
+  readonly forecast: (prospect: ProspectiveJob, nowMs: number) => QueueForecast;
   /** Number of queued tasks, of one tenant or of all. */
   readonly queued: (tenant?: string) => number;
   /** Maximum number of queued tasks of a tenant in this entry. */
@@ -92,16 +92,16 @@
 
   function estimateWaitMs(submission: Submission, nowMs: number): number {
     const { tenant, workMs } = submission;
-    const forecast = options.outlook(submission, nowMs);
+    const forecast = options.forecast(submission, nowMs);
     const initialRate = expectedServiceRate(submission, forecast.share, nowMs);
-    const serviceRate = forecast.servedPerMs(initialRate);
+    const serviceRate = forecast.serviceRate(initialRate);
     const smallerJobsRate =
       workByTenant.get(tenant)?.rateOfSmallerJobs(workMs, nowMs) ?? 0;
     const remainingRate = Math.max(
       MIN_REMAINING_RATE_SHARE * serviceRate,
       serviceRate - smallerJobsRate,
     );
-    return (forecast.aheadMs + workMs) / Math.max(1e-3, remainingRate);
+    return (forecast.workAheadMs + workMs) / Math.max(1e-3, remainingRate);
   }
 
   function checkQueueLimits(
@@ -123,7 +123,7 @@
   }
 
   function checkDeadline(
-    { deadlineMs, longestMs }: Submission,
+    { deadlineMs, longestTaskMs: longestMs }: Submission,
     estimatedWaitMs: number,
   ): Refusal | undefined {
     const estimatedResponseMs = estimatedWaitMs + longestMs;
@@ -141,13 +141,13 @@
   }
 
   return {
-    judge(submission, nowMs) {
+    evaluate(submission, nowMs) {
       const estimatedWaitMs = estimateWaitMs(submission, nowMs);
       return checkQueueLimits(submission, estimatedWaitMs) ??
         checkDeadline(submission, estimatedWaitMs);
     },
 
-    admit({ tenant, workMs }, nowMs) {
+    recordAdmission({ tenant, workMs }, nowMs) {
       totalWork.add(workMs, nowMs);
       let work = workByTenant.get(tenant);
       if (work === undefined) {
--- a/packages/limit/src/admission_test.ts
+++ b/packages/limit/src/admission_test.ts
@@ -2,8 +2,8 @@
 import {
   createAdmission,
   createTenantQueue,
+  type QueuedTask,
   type Submission,
-  type Waiting,
 } from "./index.ts";
 
 const SLOTS = 10;
@@ -15,7 +15,7 @@
     tenant: "a",
     tasks,
     workMs: tasks * TASK_MS,
-    longestMs: TASK_MS,
+    longestTaskMs: TASK_MS,
     deadlineMs: 5_000,
     ...options,
   };
@@ -24,7 +24,7 @@
 function createFixture() {
   const queue = createTenantQueue({ slots: () => SLOTS });
   const admission = createAdmission({
-    outlook: queue.outlook,
+    forecast: queue.forecast,
     queued: queue.size,
     maxQueuedOf: () => 1_000,
     maxQueued: 1_500,
@@ -40,7 +40,7 @@
       deadlineAtMs,
       declaredMs: TASK_MS,
     };
-    const queuedTasks: Waiting[] = Array.from(
+    const queuedTasks: QueuedTask[] = Array.from(
       { length: tasks },
       (_, index) => ({ ...sharedFields, index }),
     );
@@ -52,16 +52,16 @@
 describe("createAdmission", () => {
   it("admits a feasible job and refuses jobs that cannot meet their deadline", () => {
     const { admission } = createFixture();
-    expect(admission.judge(createSubmission(), 0)).to.equal(undefined);
-    const unreachable = admission.judge(
-      createSubmission({ longestMs: 6_000 }),
+    expect(admission.evaluate(createSubmission(), 0)).to.equal(undefined);
+    const unreachable = admission.evaluate(
+      createSubmission({ longestTaskMs: 6_000 }),
       0,
     );
     expect(unreachable).to.include({
       code: "deadlineUnreachable",
       verdict: "notRun",
     });
-    const tooBig = admission.judge(createSubmission({ tasks: 900 }), 0);
+    const tooBig = admission.evaluate(createSubmission({ tasks: 900 }), 0);
     expect(tooBig).to.include({
       code: "deadlineUnreachable",
       verdict: "notRun",
@@ -72,9 +72,9 @@
   it("refuses a tenant with a long backlog and admits another tenant", () => {
     const { admission, enqueue } = createFixture();
     for (let job = 0; job < 900; job++) enqueue("a", 1, 5_000);
-    const refusal = admission.judge(createSubmission(), 1);
+    const refusal = admission.evaluate(createSubmission(), 1);
     expect(refusal).to.include({ code: "deadlineUnreachable" });
-    expect(admission.judge(createSubmission({ tenant: "b" }), 1)).to.equal(
+    expect(admission.evaluate(createSubmission({ tenant: "b" }), 1)).to.equal(
       undefined,
     );
   });
@@ -82,20 +82,23 @@
   it("lets small jobs overtake a large queued job", () => {
     const { admission, enqueue } = createFixture();
     enqueue("a", 900, 60_000);
-    expect(admission.judge(createSubmission(), 1)).to.equal(undefined);
+    expect(admission.evaluate(createSubmission(), 1)).to.equal(undefined);
   });
 
   it("limits the queued tasks per tenant and in total", () => {
     const { admission, enqueue } = createFixture();
     const deadlineMs = 1e9;
     enqueue("a", 1_000, deadlineMs);
-    const tenantRefusal = admission.judge(createSubmission({ deadlineMs }), 0);
+    const tenantRefusal = admission.evaluate(
+      createSubmission({ deadlineMs }),
+      0,
+    );
     expect(tenantRefusal).to.include({
       code: "tooMuchQueued",
       verdict: "notRun",
     });
     enqueue("b", 500, deadlineMs);
-    const totalRefusal = admission.judge(
+    const totalRefusal = admission.evaluate(
       createSubmission({ tenant: "c", deadlineMs }),
       0,
     );
--- a/packages/limit/src/queue.ts
+++ b/packages/limit/src/queue.ts
@@ -5,7 +5,7 @@
 import type { JobId } from "@coltsfootreach/types";
 
 /** A task that waits for a slot. */
-export interface Waiting {
+export interface QueuedTask {
   readonly job: JobId;
   readonly index: number;
   readonly tenant: string;
@@ -17,18 +17,18 @@
 
 export interface Queue {
   /** Enqueues tasks of one job. */
-  push(tasks: readonly Waiting[]): void;
+  push(tasks: readonly QueuedTask[]): void;
   /** Returns a task that was not run to the front of its tenant's queue. */
-  putBack(task: Waiting): void;
+  requeue(task: QueuedTask): void;
   /**
    * Offers tasks in order until `tryPlace` has refused a task from every
    * eligible sub-queue or the queue is empty. A placed task leaves the queue.
    */
-  drain(tryPlace: (task: Waiting) => boolean, nowMs: number): void;
+  drain(tryPlace: (task: QueuedTask) => boolean, nowMs: number): void;
   /** Removes and returns all tasks of a job. */
-  removeJob(job: JobId): readonly Waiting[];
+  removeJob(job: JobId): readonly QueuedTask[];
   /** Removes and returns the tasks whose deadline has passed. */
-  removeExpired(nowMs: number): readonly Waiting[];
+  removeExpired(nowMs: number): readonly QueuedTask[];
   /** Number of queued tasks, of one tenant or of all. */
   size(tenant?: string): number;
 }
--- a/packages/limit/src/quota.ts
+++ b/packages/limit/src/quota.ts
@@ -14,22 +14,26 @@
 
 export interface Quota {
   /** Earliest start time of the tenant's next task; at most `nowMs` means now. */
-  startableAtMs(tenant: string, nowMs: number): number;
+  nextStartAtMs(tenant: string, nowMs: number): number;
   /** Records the start of a task. */
   start(tenant: string, nowMs: number): void;
   /** Records newly submitted tasks as demand. */
-  want(tenant: string, tasks: number, nowMs: number): void;
+  recordArrivals(tenant: string, tasks: number, nowMs: number): void;
   /** The demand to report to other entries, for tenants that have a quota. */
   demands(nowMs: number): readonly TenantDemand[];
   /** Stores the demand that another entry reported. */
-  hear(entry: string, demands: readonly TenantDemand[], nowMs: number): void;
+  recordDemands(
+    entry: string,
+    demands: readonly TenantDemand[],
+    nowMs: number,
+  ): void;
   /** Removes the report of an entry that has left the table of entries. */
-  forgetEntry(entry: string): void;
+  removeEntry(entry: string): void;
 }
 
 export interface QuotaOptions {
   /** Maximum starts per second over all entries; 0 means no limit. */
-  readonly perSecondOf: (tenant: string) => number;
+  readonly limitPerSecondOf: (tenant: string) => number;
   /** Number of entries in the table, including this one. */
   readonly entries: () => number;
   /** Number of queued tasks of a tenant in this entry. */
@@ -66,7 +70,7 @@
   const demandsByEntry = new Map<string, EntryDemands>();
 
   function equalShare(tenant: string): number {
-    return options.perSecondOf(tenant) / Math.max(1, options.entries());
+    return options.limitPerSecondOf(tenant) / Math.max(1, options.entries());
   }
 
   function decay(bucket: Bucket, nowMs: number): void {
@@ -131,8 +135,8 @@
   }
 
   return {
-    startableAtMs(tenant, nowMs) {
-      if (options.perSecondOf(tenant) <= 0) return nowMs;
+    nextStartAtMs(tenant, nowMs) {
+      if (options.limitPerSecondOf(tenant) <= 0) return nowMs;
       const bucket = bucketOf(tenant, nowMs);
       const rate = rateOf(tenant, nowMs);
       refill(bucket, rate, nowMs);
@@ -141,14 +145,14 @@
     },
 
     start(tenant, nowMs) {
-      if (options.perSecondOf(tenant) <= 0) return;
+      if (options.limitPerSecondOf(tenant) <= 0) return;
       const bucket = bucketOf(tenant, nowMs);
       refill(bucket, rateOf(tenant, nowMs), nowMs);
       bucket.tokens -= 1;
     },
 
-    want(tenant, tasks, nowMs) {
-      if (options.perSecondOf(tenant) <= 0) return;
+    recordArrivals(tenant, tasks, nowMs) {
+      if (options.limitPerSecondOf(tenant) <= 0) return;
       const bucket = bucketOf(tenant, nowMs);
       decay(bucket, nowMs);
       bucket.arrivals += tasks;
@@ -161,14 +165,14 @@
       }));
     },
 
-    hear(entry, demands, nowMs) {
+    recordDemands(entry, demands, nowMs) {
       const perSecond = new Map(
         demands.map((demand) => [demand.tenant, demand.perSecond]),
       );
       demandsByEntry.set(entry, { perSecond, atMs: nowMs });
     },
 
-    forgetEntry(entry) {
+    removeEntry(entry) {
       demandsByEntry.delete(entry);
     },
   };
--- a/packages/limit/src/quota_test.ts
+++ b/packages/limit/src/quota_test.ts
@@ -6,7 +6,7 @@
 
 function createTestQuota(queued: number): Quota {
   return createQuota({
-    perSecondOf: (tenant) => tenant === "free" ? 0 : PER_SECOND,
+    limitPerSecondOf: (tenant) => tenant === "free" ? 0 : PER_SECOND,
     entries: () => ENTRIES,
     queued: () => queued,
   });
@@ -20,7 +20,7 @@
   let starts = 0;
   for (let nowMs = 0; nowMs < 10_000; nowMs++) {
     updateDemands(nowMs);
-    while (quota.startableAtMs("a", nowMs) <= nowMs) {
+    while (quota.nextStartAtMs("a", nowMs) <= nowMs) {
       quota.start("a", nowMs);
       if (nowMs >= 9_000) starts++;
     }
@@ -37,8 +37,8 @@
   it("borrows the rate that other entries report as unused", () => {
     const quota = createTestQuota(1_000);
     const starts = countStartsInTenthSecond(quota, (nowMs) => {
-      quota.hear("e2", [], nowMs);
-      quota.hear("e3", [{ tenant: "a", perSecond: 10 }], nowMs);
+      quota.recordDemands("e2", [], nowMs);
+      quota.recordDemands("e3", [{ tenant: "a", perSecond: 10 }], nowMs);
     });
     expect(starts).to.be.within(79, 81);
   });
@@ -46,20 +46,20 @@
   it("divides the unused rate among the entries with excess demand", () => {
     const quota = createTestQuota(60);
     const starts = countStartsInTenthSecond(quota, (nowMs) => {
-      quota.hear("e2", [], nowMs);
-      quota.hear("e3", [{ tenant: "a", perSecond: 60 }], nowMs);
+      quota.recordDemands("e2", [], nowMs);
+      quota.recordDemands("e3", [{ tenant: "a", perSecond: 60 }], nowMs);
     });
     expect(starts).to.be.within(44, 46);
   });
 
   it("ignores outdated reports", () => {
     const quota = createTestQuota(1_000);
-    quota.hear("e2", [], 0);
-    quota.hear("e3", [], 0);
+    quota.recordDemands("e2", [], 0);
+    quota.recordDemands("e3", [], 0);
     expect(countStartsInTenthSecond(quota, () => {})).to.be.within(29, 31);
   });
 
   it("does not limit tenants without a quota", () => {
-    expect(createTestQuota(9).startableAtMs("free", 5)).to.equal(5);
+    expect(createTestQuota(9).nextStartAtMs("free", 5)).to.equal(5);
   });
 });
--- a/packages/limit/src/tenant_queue.ts
+++ b/packages/limit/src/tenant_queue.ts
@@ -8,7 +8,7 @@
 import type { JobId } from "@coltsfootreach/types";
 import { type Backlog, createBacklog } from "./backlog.ts";
 import { createHeap, type Heap } from "./heap.ts";
-import type { Queue, Waiting } from "./queue.ts";
+import type { Queue, QueuedTask } from "./queue.ts";
 
 /**
  * The order in which jobs are placed:
@@ -23,20 +23,20 @@
   /** Scheduling weight of a tenant; defaults to 1. */
   readonly weightOf?: ((tenant: string) => number) | undefined;
   /** Expected slot time of a task in milliseconds. */
-  readonly costOf?: ((task: Waiting) => number) | undefined;
+  readonly costOf?: ((task: QueuedTask) => number) | undefined;
   /** Number of slots that serve this queue, used by the order `leastWork`. */
   readonly slots?: (() => number) | undefined;
   readonly order?: JobOrder | undefined;
   /** False when no side can accept a task, so that a drain can stop early. */
-  readonly hasRoom?: ((nowMs: number) => boolean) | undefined;
+  readonly hasCapacity?: ((nowMs: number) => boolean) | undefined;
   /** Earliest start time of the tenant's next task; at most `nowMs` means now. */
-  readonly startableAtMs?:
+  readonly nextStartAtMs?:
     | ((tenant: string, nowMs: number) => number)
     | undefined;
 }
 
 /** A job that has not been submitted to the queue yet. */
-export interface Prospect {
+export interface ProspectiveJob {
   readonly tenant: string;
   /** Total expected slot time of its tasks. */
   readonly workMs: number;
@@ -44,21 +44,21 @@
 }
 
 /** The state of the queue as seen by a job submitted now. */
-export interface Outlook {
+export interface QueueForecast {
   /** Slot time of the tenant's own queued work that is ordered before the job. */
-  readonly aheadMs: number;
+  readonly workAheadMs: number;
   /** The tenant's share of the slots among all tenants with queued tasks. */
   readonly share: number;
   /**
    * Recent slot time served per millisecond for the tenant, averaged with
    * `expectedRate`, which is the result until there are measurements.
    */
-  servedPerMs(expectedRate: number): number;
+  serviceRate(expectedRate: number): number;
 }
 
 /** A queue that also provides the forecast for admission control. */
 export interface TenantQueue extends Queue {
-  outlook(prospect: Prospect, nowMs: number): Outlook;
+  forecast(prospect: ProspectiveJob, nowMs: number): QueueForecast;
 }
 
 /** Slot time by which a tenant of weight 1 may exceed its fair share. */
@@ -87,11 +87,11 @@
 /** Removed jobs kept in the deadline heap before the heap is rebuilt. */
 const MAX_STALE_GROUPS = 1_024;
 
-type TryPlace = (task: Waiting) => boolean;
+type TryPlace = (task: QueuedTask) => boolean;
 
 /** A task and the expected slot time charged for it. */
 interface CostedTask {
-  readonly task: Waiting;
+  readonly task: QueuedTask;
   readonly costMs: number;
 }
 
@@ -157,7 +157,7 @@
 export function createTenantQueue(
   options: TenantQueueOptions = {},
 ): TenantQueue {
-  const costOf = options.costOf ?? ((task: Waiting) => task.declaredMs);
+  const costOf = options.costOf ?? ((task: QueuedTask) => task.declaredMs);
   const slots = options.slots ?? (() => DEFAULT_SLOT_COUNT);
   const order = options.order ?? "leastWork";
   const tenantStates = new Map<string, TenantState>();
@@ -206,7 +206,7 @@
 
   /** The rank that a job would have if it were submitted now. */
   function rankOfProspectiveJob(
-    { workMs, deadlineMs }: Prospect,
+    { workMs, deadlineMs }: ProspectiveJob,
     nowMs: number,
   ): number {
     if (order === "arrival") return sequence;
@@ -281,7 +281,7 @@
     if (headOf(subQueue) === group) enqueueSubQueue(subQueue);
   }
 
-  function createGroup(task: Waiting): TaskGroup {
+  function createGroup(task: QueuedTask): TaskGroup {
     const group: TaskGroup = {
       job: task.job,
       tenant: task.tenant,
@@ -330,7 +330,7 @@
     }
   }
 
-  function addTasks(group: TaskGroup, tasks: readonly Waiting[]): void {
+  function addTasks(group: TaskGroup, tasks: readonly QueuedTask[]): void {
     let workMs = 0;
     for (const task of tasks) {
       const costMs = costOf(task);
@@ -389,7 +389,7 @@
   /** Whether the quota allows a start now; suspends the tenant if not. */
   function isWithinQuota(tenantState: TenantState): boolean {
     const nextStartAtMs =
-      options.startableAtMs?.(tenantState.tenant, latestMs) ?? 0;
+      options.nextStartAtMs?.(tenantState.tenant, latestMs) ?? 0;
     if (nextStartAtMs <= latestMs) return true;
     suspend(tenantState, overQuota, nextStartAtMs);
     return false;
@@ -493,7 +493,7 @@
   /** Whether a drain may continue after its latest offer. */
   function canContinue(): boolean {
     if (refusedGroups.length === 0) return true;
-    return options.hasRoom?.(latestMs) ?? true;
+    return options.hasCapacity?.(latestMs) ?? true;
   }
 
   function restoreRefused(): void {
@@ -515,7 +515,7 @@
     }
   }
 
-  function removeJob(job: JobId): readonly Waiting[] {
+  function removeJob(job: JobId): readonly QueuedTask[] {
     const group = groups.get(job);
     if (group === undefined) return [];
     removeGroup(group);
@@ -537,7 +537,7 @@
       if (existing === undefined) enqueueGroup(group);
     },
 
-    putBack(task) {
+    requeue(task) {
       const existing = groups.get(task.job);
       const group = existing ?? createGroup(task);
       group.isRequeued = true;
@@ -560,17 +560,17 @@
 
     removeJob,
 
-    outlook(prospect, nowMs) {
+    forecast(prospect, nowMs) {
       const { tenant } = prospect;
       latestMs = Math.max(latestMs, nowMs);
       const tenantState = tenantStates.get(tenant);
       const tenantWeight = weightOf(tenant);
       const rank = rankOfProspectiveJob(prospect, nowMs);
       return {
-        aheadMs: tenantState?.backlog.upTo(rank) ?? 0,
+        workAheadMs: tenantState?.backlog.upTo(rank) ?? 0,
         share: tenantWeight /
           (activeWeight - (tenantState?.weight ?? 0) + tenantWeight),
-        servedPerMs: (expectedRate) => {
+        serviceRate: (expectedRate) => {
           if (tenantState === undefined || tenantState.size === 0) {
             return expectedRate;
           }
@@ -580,7 +580,7 @@
     },
 
     removeExpired(nowMs) {
-      const expired: Waiting[] = [];
+      const expired: QueuedTask[] = [];
       while (byDeadline.lowestRank() <= nowMs) {
         const group = byDeadline.pop()!;
         if (!group.removed) expired.push(...removeJob(group.job));
--- a/packages/limit/src/tenant_queue_test.ts
+++ b/packages/limit/src/tenant_queue_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createTenantQueue, type Waiting } from "./index.ts";
+import { createTenantQueue, type QueuedTask } from "./index.ts";
 
 interface JobOptions {
   readonly tenant?: string;
@@ -12,7 +12,7 @@
   job: string,
   count: number,
   options: JobOptions = {},
-): Waiting[] {
+): QueuedTask[] {
   return Array.from({ length: count }, (_, index) => ({
     job,
     index,
@@ -28,7 +28,7 @@
   queue: ReturnType<typeof createTenantQueue>,
   maxTasks: number,
 ) {
-  const taken: Waiting[] = [];
+  const taken: QueuedTask[] = [];
   queue.drain((task) => taken.length < maxTasks && taken.push(task) > 0, 0);
   return taken;
 }
@@ -93,7 +93,7 @@
     queue.push(createTasks("j1", 1));
     queue.push(createTasks("j2", 1));
     const [first] = drainUpTo(queue, 1);
-    queue.putBack(first!);
+    queue.requeue(first!);
     expect(drainUpTo(queue, 2).map((task) => task.job)).to.deep.equal([
       "j1",
       "j2",
@@ -126,14 +126,14 @@
   it("delays only the tenant that is over its quota", () => {
     const startableAtMs = (tenant: string, nowMs: number) =>
       tenant === "a" ? Math.max(50, nowMs) : nowMs;
-    const queue = createTenantQueue({ startableAtMs });
+    const queue = createTenantQueue({ nextStartAtMs: startableAtMs });
     queue.push(createTasks("j1", 2, { tenant: "a" }));
     queue.push(createTasks("j2", 2, { tenant: "b" }));
     expect(drainUpTo(queue, 9).map((task) => task.tenant)).to.deep.equal([
       "b",
       "b",
     ]);
-    const later: Waiting[] = [];
+    const later: QueuedTask[] = [];
     queue.drain((task) => later.push(task) > 0, 50);
     expect(later.map((task) => task.tenant)).to.deep.equal(["a", "a"]);
   });
@@ -141,9 +141,9 @@
   it("neither loses nor duplicates tasks under random operations", () => {
     const random = createRandom(7);
     const hasRoom = () => random() < 0.9;
-    const queue = createTenantQueue({ hasRoom, slots: () => 4 });
-    const queuedTasks = new Map<string, Waiting>();
-    const keyOf = (task: Waiting) => `${task.job} ${task.index}`;
+    const queue = createTenantQueue({ hasCapacity: hasRoom, slots: () => 4 });
+    const queuedTasks = new Map<string, QueuedTask>();
+    const keyOf = (task: QueuedTask) => `${task.job} ${task.index}`;
     for (let step = 0; step < 3_000; step++) {
       const tenant = `t${Math.floor(random() * 5)}`;
       const tasks = createTasks(`j${step}`, 1 + Math.floor(random() * 4), {
@@ -154,13 +154,13 @@
       });
       queue.push(tasks);
       for (const task of tasks) queuedTasks.set(keyOf(task), task);
-      const taken: Waiting[] = [];
+      const taken: QueuedTask[] = [];
       queue.drain((task) => random() < 0.4 && taken.push(task) > 0, step);
       for (const task of taken) {
         expect(queuedTasks.delete(keyOf(task))).to.equal(true);
       }
       if (taken[0] !== undefined && random() < 0.3) {
-        queue.putBack(taken[0]);
+        queue.requeue(taken[0]);
         queuedTasks.set(keyOf(taken[0]), taken[0]);
       }
       const dropped = [...queue.removeExpired(step)];
--- a/packages/limit/src/usage.ts
+++ b/packages/limit/src/usage.ts
@@ -12,7 +12,7 @@
    * Recent slot time divided by the fair share among recently active tenants: 1
    * when the tenant uses exactly its share, and higher when it uses more.
    */
-  ratio(tenant: string, nowMs: number): number;
+  fairShareRatio(tenant: string, nowMs: number): number;
 }
 
 export interface UsageOptions {
@@ -69,7 +69,7 @@
       usageByTenant.set(tenant, usage);
     },
 
-    ratio(tenant, nowMs) {
+    fairShareRatio(tenant, nowMs) {
       refreshActiveWeight(nowMs);
       const usage = usageByTenant.get(tenant);
       if (usage === undefined) return 0;
--- a/packages/model/src/mutations.ts
+++ b/packages/model/src/mutations.ts
@@ -188,7 +188,7 @@
         task?.kind === "sent" && record.job !== undefined;
       if (!isInDoubt) return end(record, outcome, nowMs);
       core.records.refused(record, outcome.index, task.attempt);
-      options.queue.putBack({
+      options.queue.requeue({
         job: record.id,
         index: outcome.index,
         tenant: record.job!.tenant,
--- a/packages/trial/src/entry_model.ts
+++ b/packages/trial/src/entry_model.ts
@@ -2,9 +2,9 @@
 import type {
   Admission,
   Queue,
+  QueuedTask,
   Submission,
   Usage,
-  Waiting,
 } from "@coltsfootreach/limit";
 import type {
   Candidate,
@@ -72,7 +72,7 @@
     );
   }
 
-  function place(task: Waiting): boolean {
+  function place(task: QueuedTask): boolean {
     const record = records.get(task.job)!;
     const nowMs = clock.nowMs();
     const side = policy.choose(
@@ -84,7 +84,7 @@
         unplaced: record.unplaced,
         leftMs: task.deadlineAtMs - nowMs,
         longestMs: record.longestMs,
-        usageRatio: options.usage.ratio(task.tenant, nowMs),
+        usageRatio: options.usage.fairShareRatio(task.tenant, nowMs),
         ageMs: nowMs - record.job.atMs,
       },
       live(),
@@ -102,7 +102,7 @@
     return true;
   }
 
-  function send(record: JobRecord, task: Waiting, side: string): void {
+  function send(record: JobRecord, task: QueuedTask, side: string): void {
     options.send(side, {
       entry: options.number,
       job: task.job,
@@ -117,7 +117,7 @@
     if (queue.size() > 0) queue.drain(place, clock.nowMs());
   }
 
-  function waitingOf(job: TrialJob, index: number): Waiting {
+  function waitingOf(job: TrialJob, index: number): QueuedTask {
     return {
       job: job.id,
       index,
@@ -161,7 +161,7 @@
     const record = records.get(start.job)!;
     record.unplaced++;
     health.cancelTrial(frame.side);
-    queue.putBack(waitingOf(record.job, start.index));
+    queue.requeue(waitingOf(record.job, start.index));
   }
 
   function submissionOf(job: TrialJob): Submission {
@@ -173,18 +173,24 @@
       longestMs = Math.max(longestMs, runMs);
     }
     const { tenant, deadlineMs } = job;
-    return { tenant, tasks: job.tasks.length, workMs, longestMs, deadlineMs };
+    return {
+      tenant,
+      tasks: job.tasks.length,
+      workMs,
+      longestTaskMs: longestMs,
+      deadlineMs,
+    };
   }
 
   return {
     submit(job) {
       const submission = submissionOf(job);
-      const refusal = options.admission.judge(submission, clock.nowMs());
+      const refusal = options.admission.evaluate(submission, clock.nowMs());
       if (refusal !== undefined) {
         options.onEnd({ job, state: "refused", endedAtMs: clock.nowMs() });
         return;
       }
-      options.admission.admit(submission, clock.nowMs());
+      options.admission.recordAdmission(submission, clock.nowMs());
       records.set(job.id, {
         job,
         longestMs: Math.max(...job.tasks.map((task) => task.declaredMs)),
--- a/packages/trial/src/run_trial.ts
+++ b/packages/trial/src/run_trial.ts
@@ -128,11 +128,11 @@
   const queue = createTenantQueue({
     order,
     slots: () => slots,
-    hasRoom: links.hasRoom,
+    hasCapacity: links.hasRoom,
     costOf: (task) => runTimes.expectedMs(task.class, task.declaredMs),
   });
   const admission = createAdmission({
-    outlook: queue.outlook,
+    forecast: queue.forecast,
     queued: queue.size,
     maxQueuedOf: () => MAX_QUEUED_PER_TENANT,
     maxQueued: MAX_QUEUED,
