--- a/packages/link/src/codec.ts
+++ b/packages/link/src/codec.ts
@@ -1,13 +1,13 @@
 /**
- * How frames are written on streams: MessagePack with inline record layouts,
- * so that a frame of many like messages names its fields once.
+ * Encodes frames as MessagePack with inline record structures, so a frame with
+ * many messages of the same shape contains their field names only once.
  */
 import { Packr } from "msgpackr";
 
 const packr = new Packr({ useRecords: true, encodeUndefinedAsNil: false });
 
 export function encodeFrame(frame: unknown): Buffer {
-  // The packer reuses its buffer, and gRPC writes later.
+  // Copied, because the packer reuses its buffer before gRPC has written it.
   return Buffer.from(packr.pack(frame));
 }
 
--- a/packages/link/src/dial.ts
+++ b/packages/link/src/dial.ts
@@ -1,18 +1,18 @@
-/** Opens streams to entries, each over a connection of its own. */
+/** Opens streams to entries, each over its own connection. */
 import { Client, credentials } from "@grpc/grpc-js";
 import type { ChannelCredentials } from "@grpc/grpc-js";
 import type { EntryFrame, PeerFrame, SideFrame } from "@coltsfootreach/types";
 import { CHANNEL_OPTIONS, LINK_SERVICE } from "./service.ts";
 import type { Stream, StreamListener } from "@coltsfootreach/stream";
-import { wrapCall } from "./wrap.ts";
+import { createCallStream } from "./call_stream.ts";
 
 export interface Target {
-  /** The entry's link address, as `IP:port`. */
+  /** Address at which the entry accepts links, as `IP:port`. */
   readonly address: string;
   readonly credentials?: ChannelCredentials | undefined;
 }
 
-/** Opens a side's stream to an entry. */
+/** Opens a stream from a side to an entry. */
 export function dialAsSide(
   target: Target,
   listener: StreamListener<EntryFrame>,
@@ -20,7 +20,7 @@
   return dial(target, listener, LINK_SERVICE.side);
 }
 
-/** Opens an entry's stream to another entry. */
+/** Opens a stream from an entry to another entry. */
 export function dialAsPeer(
   target: Target,
   listener: StreamListener<PeerFrame>,
@@ -44,11 +44,11 @@
     method.requestSerialize,
     method.responseDeserialize,
   );
-  const wrapped = wrapCall<Out>(call, () => {
+  const callStream = createCallStream<Out>(call, () => {
     call.cancel();
     client.close();
   });
-  // Reports nothing before the caller holds the stream.
-  queueMicrotask(() => wrapped.listen(listener));
-  return wrapped.stream;
+  // No event is reported before the caller has received the stream.
+  queueMicrotask(() => callStream.listen(listener));
+  return callStream.stream;
 }
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,4 +1,4 @@
-/** Streams of frames between the system's processes. */
+/** Frame streams between entries and sides over gRPC. */
 export type { Accept, Stream, StreamListener } from "@coltsfootreach/stream";
 export * from "./server.ts";
 export * from "./dial.ts";
--- a/packages/link/src/outbox.ts
+++ b/packages/link/src/outbox.ts
@@ -1,48 +1,56 @@
 /**
- * Messages that wait for the next frame, and those in frames that the other
- * end has not acknowledged. A new stream repeats the latter.
+ * A queue of outgoing messages. It keeps the messages of each sent frame until
+ * the receiver acknowledges the frame, so they can be resent on a new stream.
  */
 export interface Outbox<Message> {
   push(message: Message): void;
-  /** True when there is something to send. */
+  /** True if there are messages to send. */
   isDue(): boolean;
-  /** Takes what is due into a frame with this sequence number. */
+  /** Dequeues all pending messages, to be sent in frame `sequence`. */
   take(sequence: number): readonly Message[];
-  /** The other end has taken in all frames up to this one. */
+  /** Drops the messages of all frames up to and including `sequence`. */
   acknowledge(sequence: number): void;
-  /** Makes everything unacknowledged due again, in order. */
+  /** Requeues all unacknowledged messages before the pending ones, in order. */
   repeat(): void;
   isEmpty(): boolean;
 }
 
-interface Sent<Message> {
+interface SentFrame<Message> {
   readonly sequence: number;
   readonly messages: readonly Message[];
 }
 
 export function createOutbox<Message>(): Outbox<Message> {
-  let due: Message[] = [];
-  let sent: Sent<Message>[] = [];
+  let pending: Message[] = [];
+  let unacknowledged: SentFrame<Message>[] = [];
   return {
     push(message) {
-      due.push(message);
+      pending.push(message);
     },
-    isDue: () => due.length > 0,
+    isDue: () => pending.length > 0,
     take(sequence) {
-      const messages = due;
-      due = [];
-      if (messages.length > 0) sent.push({ sequence, messages });
+      const messages = pending;
+      pending = [];
+      if (messages.length > 0) unacknowledged.push({ sequence, messages });
       return messages;
     },
     acknowledge(sequence) {
-      let done = 0;
-      while (done < sent.length && sent[done]!.sequence <= sequence) done += 1;
-      if (done > 0) sent = sent.slice(done);
+      let acknowledgedCount = 0;
+      while (
+        acknowledgedCount < unacknowledged.length &&
+        unacknowledged[acknowledgedCount]!.sequence <= sequence
+      ) acknowledgedCount += 1;
+      if (acknowledgedCount > 0) {
+        unacknowledged = unacknowledged.slice(acknowledgedCount);
+      }
     },
     repeat() {
-      due = [...sent.flatMap((frame) => frame.messages), ...due];
-      sent = [];
+      pending = [
+        ...unacknowledged.flatMap((frame) => frame.messages),
+        ...pending,
+      ];
+      unacknowledged = [];
     },
-    isEmpty: () => due.length === 0 && sent.length === 0,
+    isEmpty: () => pending.length === 0 && unacknowledged.length === 0,
   };
 }
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -1,4 +1,4 @@
-/** Takes in streams from sides and from other entries. */
+/** Accepts streams from sides and from other entries. */
 import { Server, ServerCredentials } from "@grpc/grpc-js";
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 import { ResultAsync } from "neverthrow";
@@ -6,10 +6,10 @@
 import type { EntryFrame, PeerFrame, SideFrame } from "@coltsfootreach/types";
 import { CHANNEL_OPTIONS, LINK_SERVICE } from "./service.ts";
 import type { Accept } from "@coltsfootreach/stream";
-import { wrapCall } from "./wrap.ts";
+import { createCallStream } from "./call_stream.ts";
 
 export interface LinkServerOptions {
-  /** Where to listen, as `IP:port`; port 0 picks a free one. */
+  /** Listen address, as `IP:port`; port 0 selects a free port. */
   readonly address: string;
   readonly credentials?: ServerCredentials | undefined;
   readonly acceptSide?: Accept<SideFrame, EntryFrame>;
@@ -21,38 +21,38 @@
   close(): void;
 }
 
-type Duplex = ServerDuplexStream<unknown, unknown>;
+type ServerCall = ServerDuplexStream<unknown, unknown>;
 
 export function listenForLinks(
   options: LinkServerOptions,
 ): ResultAsync<LinkServer, ListenFailed> {
   const server = new Server(CHANNEL_OPTIONS);
   server.addService(LINK_SERVICE, {
-    side: (call: Duplex) => accept(call, options.acceptSide),
-    peer: (call: Duplex) => accept(call, options.acceptPeer),
+    side: (call: ServerCall) => accept(call, options.acceptSide),
+    peer: (call: ServerCall) => accept(call, options.acceptPeer),
   });
   const credentials = options.credentials ?? ServerCredentials.createInsecure();
-  const bound = new Promise<LinkServer>((resolve, reject) => {
+  const binding = new Promise<LinkServer>((resolve, reject) => {
     server.bindAsync(options.address, credentials, (error, port) => {
       if (error !== null) reject(error);
       else resolve({ port, close: () => server.forceShutdown() });
     });
   });
   return ResultAsync.fromPromise(
-    bound,
+    binding,
     (error) => new ListenFailed("notRun", String(error)),
   );
 }
 
-/** Streams of a kind that nobody here takes are ended at once. */
+/** Ends the stream at once if there is no handler for its kind. */
 function accept<In, Out>(
-  call: Duplex,
-  to: Accept<In, Out> | undefined,
+  call: ServerCall,
+  acceptStream: Accept<In, Out> | undefined,
 ): void {
-  if (to === undefined) {
+  if (acceptStream === undefined) {
     call.end();
     return;
   }
-  const wrapped = wrapCall<Out>(call, () => call.end());
-  wrapped.listen(to(wrapped.stream));
+  const callStream = createCallStream<Out>(call, () => call.end());
+  callStream.listen(acceptStream(callStream.stream));
 }
--- a/packages/store/src/calls.ts
+++ b/packages/store/src/calls.ts
@@ -1,4 +1,4 @@
-/** Counts of calls to the key-value service. */
+/** Counters of calls to the key-value service, by kind. */
 import type { StoreCall } from "./store.ts";
 
 export function noCalls(): Record<StoreCall, number> {
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -1,33 +1,37 @@
 /**
- * The key-value service over the JSON gateway of etcd v3.
+ * Implements `Store` over the JSON gateway of etcd v3.
  */
 import { StoreUnavailable } from "@coltsfootreach/errors";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { z } from "zod";
-import { encodeText, prefixRange } from "./encoding.ts";
+import { encodeBase64, prefixRange } from "./encoding.ts";
 import { openEtcdWatch } from "./etcd_watch.ts";
 import { type Failure, NOT_FOUND } from "./failure.ts";
-import { createGateway, type GatewayOptions, type Request } from "./gateway.ts";
+import {
+  createGateway,
+  type GatewayOptions,
+  type GatewayRequest,
+} from "./gateway.ts";
 import type { Lease, Listing, Store, Swap, Versioned, Write } from "./store.ts";
 import {
-  anyAnswer,
-  grantAnswer,
-  rangeAnswer,
-  renewAnswer,
-  swapAnswer,
-  toVersioned,
+  ignoredResponse,
+  leaseGrantResponse,
+  leaseKeepAliveResponse,
+  rangeResponse,
+  toVersionedValue,
+  txnResponse,
 } from "./wire.ts";
 
 export interface EtcdStoreOptions extends GatewayOptions {
   /**
-   * A watch without any message for this long has ended, in milliseconds.
-   * Longer than the service's interval of progress notifications, or a quiet
-   * watch ends and is opened again each time.
+   * A watch ends when it gets no message for this long, in milliseconds. Must
+   * be longer than the service's progress notification interval; otherwise
+   * every idle watch ends and has to be reopened.
    */
   readonly watchSilentMs: number;
 }
 
-/** A store that holds connections until it is closed. */
+/** A store that keeps connections open until it is closed. */
 export interface EtcdStore extends Store {
   close(): Promise<void>;
 }
@@ -58,7 +62,7 @@
   function read(
     key: string,
   ): ResultAsync<Versioned | undefined, StoreUnavailable> {
-    return readRange({ key: encodeText(key) })
+    return readRange({ key: encodeBase64(key) })
       .map((listing) => listing.values[0]);
   }
 
@@ -77,47 +81,49 @@
       call: "read",
       path: "/v3/kv/range",
       body: range,
-      answer: rangeAnswer,
+      answer: rangeResponse,
     }).map(({ kvs, header }) => ({
-      values: kvs.map(toVersioned),
+      values: kvs.map(toVersionedValue),
       revision: header.revision,
     }));
   }
 
   function swap(write: Write): ResultAsync<Swap, StoreUnavailable> {
     const put = {
-      key: encodeText(write.key),
-      value: encodeText(write.value),
+      key: encodeBase64(write.key),
+      value: encodeBase64(write.value),
       ...(write.lease === undefined ? {} : { lease: write.lease.id }),
     };
-    return change(write, { request_put: put });
+    return compareAndApply(write, { request_put: put });
   }
 
   function remove(
     key: string,
     expectedRevision: number,
   ): ResultAsync<Swap, StoreUnavailable> {
-    const target = { key: encodeText(key) };
-    return change({ key, expectedRevision }, { request_delete_range: target });
+    const deleteRange = { key: encodeBase64(key) };
+    return compareAndApply({ key, expectedRevision }, {
+      request_delete_range: deleteRange,
+    });
   }
 
-  function change(
-    guard: Pick<Write, "key" | "expectedRevision">,
+  function compareAndApply(
+    precondition: Pick<Write, "key" | "expectedRevision">,
     operation: unknown,
   ): ResultAsync<Swap, StoreUnavailable> {
-    const key = encodeText(guard.key);
+    const key = encodeBase64(precondition.key);
     const compare = {
       key,
       target: "MOD",
       result: "EQUAL",
-      mod_revision: String(guard.expectedRevision),
+      mod_revision: String(precondition.expectedRevision),
     };
     const body = {
       compare: [compare],
       success: [operation],
       failure: [{ request_range: { key } }],
     };
-    return post({ call: "swap", path: "/v3/kv/txn", body, answer: swapAnswer })
+    return post({ call: "swap", path: "/v3/kv/txn", body, answer: txnResponse })
       .map(toSwap);
   }
 
@@ -126,7 +132,7 @@
       call: "grant",
       path: "/v3/lease/grant",
       body: { TTL: String(ttlSeconds), ID: "0" },
-      answer: grantAnswer,
+      answer: leaseGrantResponse,
     }).map(({ ID, TTL }) => ({ id: ID, ttlSeconds: TTL }));
   }
 
@@ -135,7 +141,7 @@
       call: "renew",
       path: "/v3/lease/keepalive",
       body: { ID: lease.id },
-      answer: renewAnswer,
+      answer: leaseKeepAliveResponse,
     }).map(({ result }) => result.TTL > 0);
   }
 
@@ -144,47 +150,47 @@
       call: "revoke",
       path: "/v3/lease/revoke",
       body: { ID: lease.id },
-      answer: anyAnswer,
+      answer: ignoredResponse,
     } as const;
-    const done = gateway.post(request).then(ignoreLapsedLease);
-    return new ResultAsync(done).mapErr((failure) =>
-      unavailable("revoke", failure)
+    const response = gateway.post(request).then(ignoreExpiredLease);
+    return new ResultAsync(response).mapErr((failure) =>
+      toStoreUnavailable("revoke", failure)
     );
   }
 
   function post<S extends z.ZodType>(
-    request: Request<S>,
+    request: GatewayRequest<S>,
   ): ResultAsync<z.infer<S>, StoreUnavailable> {
     return new ResultAsync(gateway.post(request)).mapErr((failure) =>
-      unavailable(request.call, failure)
+      toStoreUnavailable(request.call, failure)
     );
   }
 }
 
-function unavailable(
-  call: Request<z.ZodType>["call"],
+function toStoreUnavailable(
+  call: GatewayRequest<z.ZodType>["call"],
   failure: Failure,
 ): StoreUnavailable {
   const verdict = call === "read" ? "notRun" : failure.verdict;
   return new StoreUnavailable(verdict, `${call}: ${failure.reason}`);
 }
 
-function ignoreLapsedLease(
-  answer: Result<unknown, Failure>,
+function ignoreExpiredLease(
+  result: Result<unknown, Failure>,
 ): Result<void, Failure> {
-  if (answer.isErr() && answer.error.code !== NOT_FOUND) {
-    return err(answer.error);
+  if (result.isErr() && result.error.code !== NOT_FOUND) {
+    return err(result.error);
   }
   return ok(undefined);
 }
 
-function toSwap(answer: z.infer<typeof swapAnswer>): Swap {
-  if (answer.succeeded) {
-    return { kind: "swapped", revision: answer.header.revision };
+function toSwap(response: z.infer<typeof txnResponse>): Swap {
+  if (response.succeeded) {
+    return { kind: "swapped", revision: response.header.revision };
   }
-  const found = answer.responses[0]?.response_range?.kvs[0];
+  const current = response.responses[0]?.response_range?.kvs[0];
   return {
     kind: "conflict",
-    current: found === undefined ? undefined : toVersioned(found),
+    current: current === undefined ? undefined : toVersionedValue(current),
   };
 }
--- a/packages/store/src/etcd_store_test.ts
+++ b/packages/store/src/etcd_store_test.ts
@@ -15,9 +15,9 @@
 } from "./etcd_store.ts";
 import type { Change, WatchListener } from "./store.ts";
 
-const SHORT_MS = 500;
-const SILENT_MS = 1500;
-const LONG_MS = 10_000;
+const SHORT_TIMEOUT_MS = 500;
+const WATCH_SILENT_MS = 1500;
+const LONG_DELAY_MS = 10_000;
 
 describe("the etcd store", () => {
   let standin: KvStandin;
@@ -25,7 +25,7 @@
 
   beforeEach(async () => {
     standin = await createKvStandin({ progressMs: 20 });
-    store = storeAt([standin.address]);
+    store = createTestStore([standin.address]);
   });
 
   afterEach(async () => {
@@ -48,7 +48,7 @@
     expect(removed).to.deep.equal({ kind: "swapped", revision: first + 2 });
   });
 
-  it("answers a conflict with the current value", async () => {
+  it("returns the current value on a conflict", async () => {
     const revision = await put("k", "1");
     const current = { key: "k", value: "1", revision };
     for (const expectedRevision of [0, revision + 1]) {
@@ -61,23 +61,23 @@
     });
   });
 
-  it("keeps a key as long as its lease", async () => {
+  it("deletes a key when its lease expires", async () => {
     const lease = (await store.grant(60))._unsafeUnwrap();
     await store.swap({ key: "k", value: "", expectedRevision: 0, lease });
     expect((await store.renew(lease))._unsafeUnwrap()).to.equal(true);
-    await faults({ lapseLeases: true });
+    await setFaults({ lapseLeases: true });
     expect((await store.renew(lease))._unsafeUnwrap()).to.equal(false);
     expect((await store.read("k"))._unsafeUnwrap()).to.equal(undefined);
 
-    const late = { key: "k", value: "", expectedRevision: 0, lease };
-    expect((await store.swap(late))._unsafeUnwrapErr().verdict)
+    const expiredWrite = { key: "k", value: "", expectedRevision: 0, lease };
+    expect((await store.swap(expiredWrite))._unsafeUnwrapErr().verdict)
       .to.equal("notRun");
     expect((await store.revoke(lease)).isOk()).to.equal(true);
   });
 
-  it("lets a lease lapse by time and tells the watch", async () => {
+  it("expires a lease after its TTL and reports the deletion to the watch", async () => {
     await withClock(async (clock) => {
-      const changes = watched("k", 1);
+      const changes = startWatch("k", 1);
       const lease = (await store.grant(1))._unsafeUnwrap();
       await store.swap({ key: "k", value: "v", expectedRevision: 0, lease });
       await clock.advance(999);
@@ -88,18 +88,18 @@
     });
   });
 
-  it("says of a refused connection that nothing ran", async () => {
-    await faults({ outage: "refusing" });
+  it("fails with notRun when the connection is refused", async () => {
+    await setFaults({ outage: "refusing" });
     const swap = await store.swap({ key: "k", value: "", expectedRevision: 0 });
     expect(swap._unsafeUnwrapErr().verdict).to.equal("notRun");
     expect((await store.grant(1))._unsafeUnwrapErr().verdict)
       .to.equal("notRun");
-    await faults({ outage: "none" });
+    await setFaults({ outage: "none" });
     await put("k", "");
   });
 
-  it("says of a lost answer that the write may have run", async () => {
-    await faults({ lostAnswers: 1 });
+  it("fails with mayHaveRun when the response to a write is lost", async () => {
+    await setFaults({ lostAnswers: 1 });
     const swap = await store.swap({
       key: "k",
       value: "v",
@@ -111,20 +111,22 @@
   });
 
   it("bounds each call by the timeout", async () => {
-    await faults({ slowMs: LONG_MS });
-    const hasty = storeAt([standin.address], { timeoutMs: SHORT_MS });
+    await setFaults({ slowMs: LONG_DELAY_MS });
+    const shortTimeoutStore = createTestStore([standin.address], {
+      timeoutMs: SHORT_TIMEOUT_MS,
+    });
     const [swap, read] = await Promise.all([
-      hasty.swap({ key: "k", value: "v", expectedRevision: 0 }),
-      hasty.read("k"),
+      shortTimeoutStore.swap({ key: "k", value: "v", expectedRevision: 0 }),
+      shortTimeoutStore.read("k"),
     ]);
-    await hasty.close();
+    await shortTimeoutStore.close();
     expect(swap._unsafeUnwrapErr().verdict).to.equal("mayHaveRun");
     expect(read._unsafeUnwrapErr().verdict).to.equal("notRun");
   });
 
-  it("says of a write above the rate limit that it did not run", async () => {
+  it("fails with notRun when a write exceeds the rate limit", async () => {
     await withClock(async (clock) => {
-      await faults({ callsPerSecond: 1 });
+      await setFaults({ callsPerSecond: 1 });
       const write = { key: "k", value: "", expectedRevision: 0 };
       expect((await store.read("k")).isOk()).to.equal(true);
       expect((await store.swap(write))._unsafeUnwrapErr().verdict)
@@ -135,111 +137,118 @@
     });
   });
 
-  it("takes an unavailable service for one that may have written", async () => {
-    await faults({ outage: "unavailable" });
+  it("fails with mayHaveRun when a write gets an unavailable error", async () => {
+    await setFaults({ outage: "unavailable" });
     const swap = await store.swap({ key: "k", value: "", expectedRevision: 0 });
     expect(swap._unsafeUnwrapErr().verdict).to.equal("mayHaveRun");
     expect((await store.read("k"))._unsafeUnwrapErr().verdict)
       .to.equal("notRun");
   });
 
-  it("goes on to the next endpoint when the first takes no connection", async () => {
-    const gone = await createKvStandin();
-    await gone.close();
-    const both = storeAt([gone.address, standin.address]);
-    const swap = await both.swap({ key: "k", value: "", expectedRevision: 0 });
+  it("fails over when the first endpoint refuses connections", async () => {
+    const closedStandin = await createKvStandin();
+    await closedStandin.close();
+    const failoverStore = createTestStore([
+      closedStandin.address,
+      standin.address,
+    ]);
+    const swap = await failoverStore.swap({
+      key: "k",
+      value: "",
+      expectedRevision: 0,
+    });
     expect(swap.isOk()).to.equal(true);
-    expect(both.calls().swap).to.equal(2);
-    await both.read("k");
-    expect(both.calls().read).to.equal(1);
-    await both.close();
+    expect(failoverStore.calls().swap).to.equal(2);
+    await failoverStore.read("k");
+    expect(failoverStore.calls().read).to.equal(1);
+    await failoverStore.close();
   });
 
-  it("never sends a write on that one endpoint may have taken", async () => {
+  it("doesn't fail over a write that an endpoint may have received", async () => {
     const { origin, close } = await startSilentServer();
-    const both = storeAt([origin, standin.address], {
-      timeoutMs: 2 * SHORT_MS,
+    const failoverStore = createTestStore([origin, standin.address], {
+      timeoutMs: 2 * SHORT_TIMEOUT_MS,
     });
     const write = { key: "k", value: "", expectedRevision: 0 };
-    const first = await both.swap(write);
+    const first = await failoverStore.swap(write);
     expect(first._unsafeUnwrapErr().verdict).to.equal("mayHaveRun");
     expect(standin.calls().swap).to.equal(0);
-    expect((await both.swap(write)).isOk()).to.equal(true);
-    await both.close();
+    expect((await failoverStore.swap(write)).isOk()).to.equal(true);
+    await failoverStore.close();
     close();
   });
 
-  it("reads from the next endpoint when the first is silent", async () => {
+  it("fails over a read when the first endpoint doesn't respond", async () => {
     const { origin, close } = await startSilentServer();
-    const both = storeAt([origin, standin.address], {
-      timeoutMs: 2 * SHORT_MS,
+    const failoverStore = createTestStore([origin, standin.address], {
+      timeoutMs: 2 * SHORT_TIMEOUT_MS,
     });
-    expect((await both.read("k")).isOk()).to.equal(true);
-    await both.close();
+    expect((await failoverStore.read("k")).isOk()).to.equal(true);
+    await failoverStore.close();
     close();
   });
 
-  it("watches from a listing on without a gap or a repeat", async () => {
+  it("watches from a listing without missed or duplicate changes", async () => {
     await put("k/0", "before");
     const { revision } = (await store.list("k/"))._unsafeUnwrap();
-    const missed = await put("k/1", "between");
-    const changes = watched("k/", revision + 1);
+    const betweenRevision = await put("k/1", "between");
+    const changes = startWatch("k/", revision + 1);
     await put("other", "");
-    const last = await put("k/2", "after");
+    const lastRevision = await put("k/2", "after");
     const seen = await changes.next(2);
     expect(seen).to.deep.equal([
-      { key: "k/1", value: "between", revision: missed },
-      { key: "k/2", value: "after", revision: last },
+      { key: "k/1", value: "between", revision: betweenRevision },
+      { key: "k/2", value: "after", revision: lastRevision },
     ]);
     expect(store.calls().watch).to.equal(1);
   });
 
-  it("keeps a quiet watch open by progress notifications", async () => {
-    const quiet = storeAt([standin.address], {
-      watchSilentMs: SILENT_MS,
+  it("keeps an idle watch open while it gets progress notifications", async () => {
+    const quietStore = createTestStore([standin.address], {
+      watchSilentMs: WATCH_SILENT_MS,
     });
-    const changes = watched("k", 1, quiet);
-    await new Promise((resolve) => setTimeout(resolve, 2 * SILENT_MS));
+    const changes = startWatch("k", 1, quietStore);
+    await new Promise((resolve) => setTimeout(resolve, 2 * WATCH_SILENT_MS));
     expect(changes.ended()).to.equal(false);
-    await quiet.close();
+    await quietStore.close();
   });
 
   for (
     const [name, fault] of [
-      ["falls silent", { silentWatches: true }],
-      ["loses its service", { outage: "refusing" }],
-      ["meets an unavailable service", { outage: "unavailable" }],
+      ["gets no more messages", { silentWatches: true }],
+      ["loses its connection", { outage: "refusing" }],
+      ["gets an unavailable error", { outage: "unavailable" }],
     ] as const
   ) {
     it(`ends a watch that ${name}`, async () => {
-      const impatient = storeAt([standin.address], {
-        watchSilentMs: SILENT_MS,
+      const shortSilenceStore = createTestStore([standin.address], {
+        watchSilentMs: WATCH_SILENT_MS,
       });
-      const changes = watched("k", 1, impatient);
+      const changes = startWatch("k", 1, shortSilenceStore);
       await put("k", "");
       await changes.next(1);
-      await faults(fault);
+      await setFaults(fault);
       await changes.end;
-      await impatient.close();
+      await shortSilenceStore.close();
     });
   }
 
-  it("ends a watch from a revision that is compacted", async () => {
+  it("ends a watch that starts at a compacted revision", async () => {
     await put("k", "1");
-    await faults({ compact: true });
-    await watched("k", 1).end;
+    await setFaults({ compact: true });
+    await startWatch("k", 1).end;
   });
 
-  it("reports nothing once a watch is closed", async () => {
-    const changes = watched("k", 1);
+  it("reports no changes after a watch is closed", async () => {
+    const changes = startWatch("k", 1);
     changes.close();
     await put("k", "1");
-    await watched("k", 1).next(1);
+    await startWatch("k", 1).next(1);
     expect(changes.seen()).to.deep.equal([]);
     expect(changes.ended()).to.equal(false);
   });
 
-  /** Runs a test against a service whose time the test moves. */
+  /** Runs a test against a service with a fake clock. */
   async function withClock(
     run: (clock: FakeClock) => Promise<void>,
   ): Promise<void> {
@@ -247,11 +256,11 @@
     await store.close();
     await standin.close();
     standin = await createKvStandin({ clock });
-    store = storeAt([standin.address]);
+    store = createTestStore([standin.address]);
     await run(clock);
   }
 
-  async function faults(request: KvFaultRequest): Promise<void> {
+  async function setFaults(request: KvFaultRequest): Promise<void> {
     const response = await fetch(`${standin.controlAddress}/standin/faults`, {
       method: "POST",
       body: JSON.stringify(request),
@@ -261,36 +270,36 @@
 
   async function put(key: string, value: string): Promise<number> {
     const swap = await store.swap({ key, value, expectedRevision: 0 });
-    const done = swap._unsafeUnwrap();
-    expect(done.kind).to.equal("swapped");
-    return done.kind === "swapped" ? done.revision : 0;
+    const result = swap._unsafeUnwrap();
+    expect(result.kind).to.equal("swapped");
+    return result.kind === "swapped" ? result.revision : 0;
   }
 
-  function watched(prefix: string, from: number, by = store) {
+  function startWatch(prefix: string, from: number, watchedStore = store) {
     const changes: Change[] = [];
-    let wake = () => {};
-    let over = () => {};
-    let isOver = false;
-    const end = new Promise<void>((resolve) => over = resolve);
+    let onChange = () => {};
+    let resolveEnd = () => {};
+    let hasEnded = false;
+    const end = new Promise<void>((resolve) => resolveEnd = resolve);
     const listener: WatchListener = {
       changed(change) {
         changes.push(change);
-        wake();
+        onChange();
       },
       ended() {
-        isOver = true;
-        over();
+        hasEnded = true;
+        resolveEnd();
       },
     };
-    const { close } = by.watch(prefix, from, listener);
+    const { close } = watchedStore.watch(prefix, from, listener);
     return {
       close,
       end,
-      ended: () => isOver,
+      ended: () => hasEnded,
       seen: () => changes,
       async next(count: number): Promise<readonly Change[]> {
         while (changes.length < count) {
-          await new Promise<void>((resolve) => wake = resolve);
+          await new Promise<void>((resolve) => onChange = resolve);
         }
         return changes;
       },
@@ -298,19 +307,19 @@
   }
 });
 
-function storeAt(
+function createTestStore(
   endpoints: readonly string[],
   options: Partial<EtcdStoreOptions> = {},
 ): EtcdStore {
   return createEtcdStore({
     endpoints,
-    timeoutMs: LONG_MS,
-    watchSilentMs: LONG_MS,
+    timeoutMs: LONG_DELAY_MS,
+    watchSilentMs: LONG_DELAY_MS,
     ...options,
   });
 }
 
-/** Accepts connections and never answers. */
+/** Starts a server that accepts connections and never responds. */
 async function startSilentServer() {
   const sockets: Socket[] = [];
   const server = createServer((socket) => sockets.push(socket));
--- a/packages/store/src/etcd_watch.ts
+++ b/packages/store/src/etcd_watch.ts
@@ -1,19 +1,18 @@
 /**
- * One watch over the JSON gateway: a response of newline-delimited JSON that
- * does not end by itself. It never resumes; whoever watches lists again and
- * watches from there. The service's progress notifications keep a quiet watch
- * from being taken for a dead one.
+ * A watch over the JSON gateway: a streaming response of newline-delimited
+ * JSON. It doesn't resume after a failure; the caller has to list again and
+ * start a new watch. Progress notifications tell an idle watch from a dead one.
  */
-import { decodeText, prefixRange } from "./encoding.ts";
+import { decodeBase64, prefixRange } from "./encoding.ts";
 import type { Gateway } from "./gateway.ts";
 import type { Change, Watch, WatchListener } from "./store.ts";
-import { type WatchAnswer, watchAnswer } from "./wire.ts";
+import { watchResponse, type WatchResult } from "./wire.ts";
 
 export interface EtcdWatchOptions {
   readonly prefix: string;
-  /** First revision to report. */
+  /** Revision of the first change to report. */
   readonly from: number;
-  /** Longest time without any message from the service, in milliseconds. */
+  /** The watch ends after this time without a message, in milliseconds. */
   readonly silentMs: number;
   readonly listener: WatchListener;
 }
@@ -23,25 +22,25 @@
   options: EtcdWatchOptions,
 ): Watch {
   const { listener, silentMs } = options;
-  const abort = new AbortController();
-  let open = true;
-  let reportedUpTo = options.from - 1;
-  let timer = setTimeout(end, silentMs);
+  const abortController = new AbortController();
+  let isOpen = true;
+  let lastReportedRevision = options.from - 1;
+  let timer = setTimeout(endWatch, silentMs);
 
-  follow().then(end, end);
+  readStream().then(endWatch, endWatch);
   return { close };
 
-  async function follow(): Promise<void> {
-    const { signal } = abort;
+  async function readStream(): Promise<void> {
+    const { signal } = abortController;
     const body = watchRequest(options);
     const response = await gateway.stream("/v3/watch", { body, signal });
     if (response.statusCode !== 200) {
       await response.body.dump();
       return;
     }
-    for await (const line of lines(response.body)) {
-      const { result } = watchAnswer.parse(JSON.parse(line));
-      if (!open || result.canceled) {
+    for await (const line of readLines(response.body)) {
+      const { result } = watchResponse.parse(JSON.parse(line));
+      if (!isOpen || result.canceled) {
         return;
       }
       restartTimer();
@@ -49,11 +48,11 @@
     }
   }
 
-  function report(answer: WatchAnswer): void {
-    const changes = changesAfter(reportedUpTo, answer);
-    reportedUpTo = changes.at(-1)?.revision ?? reportedUpTo;
+  function report(watchResult: WatchResult): void {
+    const changes = changesAfter(lastReportedRevision, watchResult);
+    lastReportedRevision = changes.at(-1)?.revision ?? lastReportedRevision;
     for (const change of changes) {
-      if (open) {
+      if (isOpen) {
         listener.changed(change);
       }
     }
@@ -61,37 +60,37 @@
 
   function restartTimer(): void {
     clearTimeout(timer);
-    timer = setTimeout(end, silentMs);
+    timer = setTimeout(endWatch, silentMs);
   }
 
-  function end(): void {
-    if (open) {
+  function endWatch(): void {
+    if (isOpen) {
       close();
       listener.ended();
     }
   }
 
   function close(): void {
-    open = false;
+    isOpen = false;
     clearTimeout(timer);
-    abort.abort();
+    abortController.abort();
   }
 }
 
 /**
- * The changes of one answer that are newer than `revision`, oldest first. The
- * service sends all changes of one revision in one answer.
+ * The changes in one response that are newer than `revision`, oldest first. The
+ * service sends all changes of a revision in the same response.
  */
 export function changesAfter(
   revision: number,
-  answer: WatchAnswer,
+  watchResult: WatchResult,
 ): readonly Change[] {
-  return answer.events
+  return watchResult.events
     .filter(({ kv }) => kv.mod_revision > revision)
     .sort((a, b) => a.kv.mod_revision - b.kv.mod_revision)
     .map(({ type, kv }) => ({
-      key: decodeText(kv.key),
-      value: type === "DELETE" ? undefined : decodeText(kv.value),
+      key: decodeBase64(kv.key),
+      value: type === "DELETE" ? undefined : decodeBase64(kv.value),
       revision: kv.mod_revision,
     }));
 }
@@ -106,12 +105,16 @@
   };
 }
 
-async function* lines(body: AsyncIterable<Uint8Array>): AsyncIterable<string> {
+async function* readLines(
+  body: AsyncIterable<Uint8Array>,
+): AsyncIterable<string> {
   const decoder = new TextDecoder();
-  let rest = "";
+  let remainder = "";
   for await (const chunk of body) {
-    const parts = (rest + decoder.decode(chunk, { stream: true })).split("\n");
-    rest = parts.pop() ?? "";
-    yield* parts.filter((part) => part !== "");
+    const lines = (remainder + decoder.decode(chunk, { stream: true })).split(
+      "\n",
+    );
+    remainder = lines.pop() ?? "";
+    yield* lines.filter((part) => part !== "");
   }
 }
--- a/packages/store/src/failure.ts
+++ b/packages/store/src/failure.ts
@@ -1,17 +1,17 @@
 /**
- * Tells from a failed HTTP attempt whether the request may have taken effect.
- * Anything that is not known to precede the effect counts as `mayHaveRun`.
+ * Classifies failed HTTP requests by whether the request may have taken
+ * effect. A failure that can't be proven to precede the effect is `mayHaveRun`.
  */
 import type { Verdict } from "@coltsfootreach/types";
 import type { z } from "zod";
-import { errorAnswer } from "./wire.ts";
+import { errorResponse } from "./wire.ts";
 
 export interface Failure {
   readonly verdict: Verdict;
   readonly reason: string;
-  /** The service itself turned the request down; asking again is no use. */
+  /** The service itself rejected the request; retrying can't succeed. */
   readonly rejected: boolean;
-  /** The gRPC status code, when the service has answered. */
+  /** The gRPC status code, if the service sent a response. */
   readonly code?: number | undefined;
 }
 
@@ -25,11 +25,11 @@
 const UNIMPLEMENTED = 12;
 const UNAUTHENTICATED = 16;
 
-/** How the service's own errors begin; others come from what is in between. */
-const OWN_ERROR = "etcdserver: ";
+/** Prefix of etcd's own errors; other errors come from intermediaries. */
+const ETCD_ERROR_PREFIX = "etcdserver: ";
 
-/** Status codes with which the service refuses before any effect. */
-const REFUSALS: readonly number[] = [
+/** Status codes of requests that the service rejects before any effect. */
+const NO_EFFECT_STATUS_CODES: readonly number[] = [
   NOT_FOUND,
   INVALID_ARGUMENT,
   PERMISSION_DENIED,
@@ -46,37 +46,39 @@
   readonly errors?: readonly unknown[];
 }
 
-/** A failure of the connection or of the timeout. */
-export function brokenAttempt(cause: unknown): Failure {
-  const verdict = precedesSending(cause) ? "notRun" : "mayHaveRun";
-  return { verdict, reason: describe(cause), rejected: false };
+/** Classifies a connection error or a timeout. */
+export function failureFromError(cause: unknown): Failure {
+  const verdict = isConnectError(cause) ? "notRun" : "mayHaveRun";
+  return { verdict, reason: errorMessage(cause), rejected: false };
 }
 
-/** An answer of the service other than success. */
-export function errorStatus(status: number, text: string): Failure {
+/** Classifies a response with a status other than 200. */
+export function failureFromResponse(status: number, text: string): Failure {
   const { code, message } = parseError(text);
-  const rejected = REFUSALS.includes(code) && message.startsWith(OWN_ERROR);
+  const rejected = NO_EFFECT_STATUS_CODES.includes(code) &&
+    message.startsWith(ETCD_ERROR_PREFIX);
   const verdict = rejected ? "notRun" : "mayHaveRun";
   return { verdict, reason: `HTTP ${status}: ${text}`, rejected, code };
 }
 
-function precedesSending(cause: unknown): boolean {
+function isConnectError(cause: unknown): boolean {
   const { code, syscall, errors } = (cause ?? {}) as SystemError;
   if (errors !== undefined && errors.length > 0) {
-    return errors.every(precedesSending);
+    return errors.every(isConnectError);
   }
-  // An open connection can fail with the same codes; only the call differs.
+  // An established connection can fail with the same error codes, so only the
+  // system call shows that connecting failed.
   return syscall === "connect" || syscall === "getaddrinfo" ||
     code === "UND_ERR_CONNECT_TIMEOUT";
 }
 
-function describe(cause: unknown): string {
+function errorMessage(cause: unknown): string {
   return cause instanceof Error ? cause.message : String(cause);
 }
 
-function parseError(text: string): z.infer<typeof errorAnswer> {
+function parseError(text: string): z.infer<typeof errorResponse> {
   try {
-    return errorAnswer.parse(JSON.parse(text));
+    return errorResponse.parse(JSON.parse(text));
   } catch {
     return { code: UNKNOWN, message: text };
   }
--- a/packages/store/src/failure_test.ts
+++ b/packages/store/src/failure_test.ts
@@ -1,15 +1,18 @@
 import { expect } from "chai";
-import { brokenAttempt, errorStatus } from "./failure.ts";
+import { failureFromError, failureFromResponse } from "./failure.ts";
 
-describe("a failed attempt", () => {
-  it("did not run when the connection could not be made", () => {
-    const refused = { code: "ECONNREFUSED", syscall: "connect" };
-    expect(brokenAttempt(refused).verdict).to.equal("notRun");
-    expect(brokenAttempt({ errors: [refused, refused] }).verdict)
+describe("a failed request", () => {
+  it("is notRun when the connection could not be established", () => {
+    const connectionRefused = { code: "ECONNREFUSED", syscall: "connect" };
+    expect(failureFromError(connectionRefused).verdict).to.equal("notRun");
+    expect(
+      failureFromError({ errors: [connectionRefused, connectionRefused] })
+        .verdict,
+    )
       .to.equal("notRun");
   });
 
-  it("may have run when an open connection failed in any way", () => {
+  it("is mayHaveRun for any error on an established connection", () => {
     const causes = [
       { code: "EHOSTUNREACH", syscall: "write" },
       { code: "UND_ERR_SOCKET" },
@@ -17,20 +20,20 @@
       undefined,
     ];
     for (const cause of causes) {
-      expect(brokenAttempt(cause).verdict).to.equal("mayHaveRun");
+      expect(failureFromError(cause).verdict).to.equal("mayHaveRun");
     }
   });
 
-  it("did not run only when the service itself says so", () => {
-    const refusal = '{"code":8,"message":"etcdserver: too many requests"}';
-    expect(errorStatus(429, refusal).verdict).to.equal("notRun");
-    const others = [
+  it("is notRun only when etcd itself rejects the request", () => {
+    const rateLimited = '{"code":8,"message":"etcdserver: too many requests"}';
+    expect(failureFromResponse(429, rateLimited).verdict).to.equal("notRun");
+    const ambiguousResponses = [
       '{"code":8,"message":"grpc: received message larger than max"}',
       '{"code":14,"message":"etcdserver: request timed out"}',
       "<html>",
     ];
-    for (const text of others) {
-      expect(errorStatus(429, text).verdict).to.equal("mayHaveRun");
+    for (const text of ambiguousResponses) {
+      expect(failureFromResponse(429, text).verdict).to.equal("mayHaveRun");
     }
   });
 });
--- a/packages/store/src/gateway.ts
+++ b/packages/store/src/gateway.ts
@@ -1,21 +1,25 @@
 /**
- * HTTP requests to the endpoints of the key-value service. An endpoint that
- * fails is tried last by the calls that follow. A write goes to the next
- * endpoint only when it cannot have reached the one before.
+ * Sends HTTP requests to the endpoints of the key-value service. After a
+ * failure, later calls try that endpoint last. A write fails over to the next
+ * endpoint only if it can't have reached the previous one.
  */
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher } from "undici";
 import type { z } from "zod";
 import { noCalls } from "./calls.ts";
-import { brokenAttempt, errorStatus, type Failure } from "./failure.ts";
+import {
+  type Failure,
+  failureFromError,
+  failureFromResponse,
+} from "./failure.ts";
 import type { StoreCall } from "./store.ts";
 
 export interface Gateway {
-  /** Sends a request and checks its answer against the schema. */
+  /** Sends a request and validates the response against its schema. */
   post<S extends z.ZodType>(
-    request: Request<S>,
+    request: GatewayRequest<S>,
   ): Promise<Result<z.infer<S>, Failure>>;
-  /** Opens an answer that does not end by itself. */
+  /** Sends a request whose response is an unbounded stream. */
   stream(
     path: string,
     options: StreamOptions,
@@ -24,7 +28,7 @@
   close(): Promise<void>;
 }
 
-export interface Request<S extends z.ZodType> {
+export interface GatewayRequest<S extends z.ZodType> {
   readonly call: StoreCall;
   readonly path: string;
   readonly body: unknown;
@@ -37,9 +41,9 @@
 }
 
 export interface GatewayOptions {
-  /** HTTP origins such as `http://10.0.0.1:2379`, at least one. */
+  /** At least one HTTP origin, such as `http://10.0.0.1:2379`. */
   readonly endpoints: readonly string[];
-  /** Bounds a whole call over all endpoints, in milliseconds. */
+  /** Timeout of a call including failover, in milliseconds. */
   readonly timeoutMs: number;
 }
 
@@ -51,55 +55,63 @@
     bodyTimeout: 0,
   });
   const calls = noCalls();
-  let preferred = 0;
+  let preferredIndex = 0;
 
   return { post, stream, calls: () => ({ ...calls }), close };
 
   async function post<S extends z.ZodType>(
-    request: Request<S>,
+    request: GatewayRequest<S>,
   ): Promise<Result<z.infer<S>, Failure>> {
     const deadlineAtMs = performance.now() + timeoutMs;
-    const first = preferred;
-    let last: Failure = TIMED_OUT_BEFORE_SENDING;
-    for (let tried = 0; tried < endpoints.length; tried++) {
-      const leftMs = deadlineAtMs - performance.now();
-      if (leftMs <= 0) {
+    const firstIndex = preferredIndex;
+    let lastFailure: Failure = TIMED_OUT_BEFORE_SENDING;
+    for (let triedCount = 0; triedCount < endpoints.length; triedCount++) {
+      const remainingMs = deadlineAtMs - performance.now();
+      if (remainingMs <= 0) {
         break;
       }
-      const index = (first + tried) % endpoints.length;
-      const share = request.call === "read" ? endpoints.length - tried : 1;
-      const answer = await attempt(request, { index, limitMs: leftMs / share });
-      if (answer.isOk()) {
-        return answer;
+      const index = (firstIndex + triedCount) % endpoints.length;
+      const budgetDivisor = request.call === "read"
+        ? endpoints.length - triedCount
+        : 1;
+      const result = await sendOnce(request, {
+        index,
+        attemptTimeoutMs: remainingMs / budgetDivisor,
+      });
+      if (result.isOk()) {
+        return result;
       }
-      last = answer.error;
-      if (!last.rejected) {
-        avoid(index);
+      lastFailure = result.error;
+      if (!lastFailure.rejected) {
+        deprioritize(index);
       }
-      if (isFinal(request.call, last)) {
+      if (isTerminalFailure(request.call, lastFailure)) {
         break;
       }
     }
-    return err(last);
+    return err(lastFailure);
   }
 
-  async function attempt<S extends z.ZodType>(
-    request: Request<S>,
-    { index, limitMs }: { index: number; limitMs: number },
+  async function sendOnce<S extends z.ZodType>(
+    request: GatewayRequest<S>,
+    { index, attemptTimeoutMs }: { index: number; attemptTimeoutMs: number },
   ): Promise<Result<z.infer<S>, Failure>> {
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(new Error("timeout")), limitMs);
+    const abortController = new AbortController();
+    const timer = setTimeout(
+      () => abortController.abort(new Error("timeout")),
+      attemptTimeoutMs,
+    );
     calls[request.call]++;
     try {
-      const { signal } = abort;
+      const { signal } = abortController;
       const response = await send(index, request.path, {
         body: request.body,
         signal,
       });
       const text = await response.body.text();
-      return readAnswer(request, response.statusCode, text);
+      return parseResponse(request, response.statusCode, text);
     } catch (cause) {
-      return err(brokenAttempt(cause));
+      return err(failureFromError(cause));
     } finally {
       clearTimeout(timer);
     }
@@ -109,12 +121,12 @@
     path: string,
     { body, signal }: StreamOptions,
   ): Promise<Dispatcher.ResponseData> {
-    const index = preferred;
+    const index = preferredIndex;
     calls.watch++;
     try {
       return await send(index, path, { body, signal });
     } catch (cause) {
-      avoid(index);
+      deprioritize(index);
       throw cause;
     }
   }
@@ -134,9 +146,9 @@
     });
   }
 
-  function avoid(index: number): void {
-    if (index === preferred) {
-      preferred = (index + 1) % endpoints.length;
+  function deprioritize(index: number): void {
+    if (index === preferredIndex) {
+      preferredIndex = (index + 1) % endpoints.length;
     }
   }
 
@@ -151,23 +163,23 @@
   rejected: false,
 };
 
-function isFinal(call: StoreCall, failure: Failure): boolean {
+function isTerminalFailure(call: StoreCall, failure: Failure): boolean {
   if (failure.rejected) {
     return true;
   }
   return call !== "read" && failure.verdict !== "notRun";
 }
 
-function readAnswer<S extends z.ZodType>(
-  request: Request<S>,
+function parseResponse<S extends z.ZodType>(
+  request: GatewayRequest<S>,
   status: number,
   text: string,
 ): Result<z.infer<S>, Failure> {
   if (status !== 200) {
-    return err(errorStatus(status, text));
+    return err(failureFromResponse(status, text));
   }
   const parsed = request.answer.safeParse(JSON.parse(text));
   return parsed.success ? ok(parsed.data) : err(
-    brokenAttempt(new Error(`malformed answer: ${parsed.error.message}`)),
+    failureFromError(new Error(`malformed response: ${parsed.error.message}`)),
   );
 }
--- a/packages/store/src/swap_owned_test.ts
+++ b/packages/store/src/idempotent_swap_test.ts
@@ -8,14 +8,18 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { err, ok, ResultAsync } from "neverthrow";
-import { decodeOwned } from "./owned_value.ts";
+import { decodeOwned } from "./tagged_value.ts";
 import type { Store } from "./store.ts";
-import { type OwnedSwap, settleOwned, swapOwned } from "./swap_owned.ts";
+import {
+  type IdempotentSwap,
+  resolveUnknownSwap,
+  swapOwned,
+} from "./idempotent_swap.ts";
 
 const SEED = Number(process.env["SEED"] ?? 20261204);
 const TIMEOUT_MS = 100;
 
-describe("an owned swap", () => {
+describe("an idempotent swap", () => {
   let clock: FakeClock;
   let store: MemoryStore;
 
@@ -24,72 +28,74 @@
     store = createMemoryStore(clock, { timeoutMs: TIMEOUT_MS });
   });
 
-  it("accepts a write and shows the next one what it builds on", async () => {
+  it("accepts a write and passes its body to the next one", async () => {
     expect(await append("a")).to.include({ kind: "accepted", body: "a" });
     expect(await append("b")).to.include({ kind: "accepted", body: "ab" });
   });
 
-  it("leaves the key as it is when the decision is an error", async () => {
+  it("leaves the key unchanged when decide returns an error", async () => {
     const swap = await swapOwned(store, "k", { decide: () => err("no") });
     expect(swap._unsafeUnwrapErr()).to.equal("no");
     expect(store.calls().swap).to.equal(0);
   });
 
-  it("accepts a write whose answer was lost", async () => {
+  it("accepts a write whose response was lost", async () => {
     await append("a");
     store.setFaults({ lostAnswers: 1 });
     expect(await append("b")).to.include({ kind: "accepted", body: "ab" });
-    expect(await body()).to.equal("ab");
+    expect(await readBody()).to.equal("ab");
   });
 
-  it("accepts a lost answer although another wrote on top of it", async () => {
+  it("accepts a write whose response was lost and that was replaced since", async () => {
     await append("a");
     store.setFaults({ lostAnswers: 1 });
-    const swap = await append("b", beforeSwap(2, () => append("c")));
+    const swap = await append("b", runBeforeSwap(2, () => append("c")));
     expect(swap).to.include({ kind: "accepted", body: "ab" });
-    expect(await body()).to.equal("abc");
+    expect(await readBody()).to.equal("abc");
   });
 
-  it("loses the race when another wrote first", async () => {
+  it("loses the race when another write came first", async () => {
     await append("a");
-    const swap = await append("c", beforeSwap(1, () => append("b")));
+    const swap = await append("c", runBeforeSwap(1, () => append("b")));
     expect(swap).to.have.nested.property("current.body", "ab");
     expect(swap.kind).to.equal("lostRace");
-    expect(await body()).to.equal("ab");
+    expect(await readBody()).to.equal("ab");
   });
 
-  it("proves a lost race although an answer was in doubt", async () => {
+  it("reports a lost race after an attempt with an unknown outcome", async () => {
     await append("a");
     const recover = () => {
       store.setFaults({ outage: "none" });
       return append("b");
     };
-    const swap = await append("c", beforeSwap(2, recover), () => {
+    const swap = await append("c", runBeforeSwap(2, recover), () => {
       store.setFaults({ outage: "unavailable" });
     });
     expect(swap.kind).to.equal("lostRace");
-    expect(await body()).to.equal("ab");
+    expect(await readBody()).to.equal("ab");
   });
 
-  it("proves nothing when another wrote without a token", async () => {
+  it("is unknown when another write has no token", async () => {
     await append("a");
     const overwrite = async () => {
       store.setFaults({ outage: "none" });
-      const expectedRevision = (await store.list("")).map((it) => it.revision);
+      const expectedRevision = (await store.list("")).map((listing) =>
+        listing.revision
+      );
       await store.swap({
         key: "k",
         value: "raw",
         expectedRevision: expectedRevision._unsafeUnwrap(),
       });
     };
-    const swap = await append("c", beforeSwap(2, overwrite), () => {
+    const swap = await append("c", runBeforeSwap(2, overwrite), () => {
       store.setFaults({ outage: "unavailable" });
     });
     expect(swap.kind).to.equal("unknown");
-    expect(await body()).to.equal("raw");
+    expect(await readBody()).to.equal("raw");
   });
 
-  it("stays unknown while its write may be on its way", async () => {
+  it("is unknown while the write may be in flight", async () => {
     await append("a");
     const swapped = append("b", store, () => store.setFaults({ slowMs: 350 }));
     await clock.advance(320);
@@ -98,20 +104,20 @@
       throw new Error(`got ${swap.kind}`);
     }
     store.setFaults({ slowMs: 0 });
-    expect((await settleOwned(store, swap.write))._unsafeUnwrap().kind)
+    expect((await resolveUnknownSwap(store, swap.write))._unsafeUnwrap().kind)
       .to.equal("unknown");
     await clock.advance(100);
-    expect((await settleOwned(store, swap.write))._unsafeUnwrap())
+    expect((await resolveUnknownSwap(store, swap.write))._unsafeUnwrap())
       .to.include({ kind: "accepted", body: "ab" });
   });
 
-  it("is sure that nothing was written in an outage", async () => {
+  it("fails with notRun when all connections are refused", async () => {
     store.setFaults({ outage: "refusing" });
     const swap = await swapOwned(store, "k", { decide: () => ok("a") });
     expect(swap._unsafeUnwrapErr()).to.include({ verdict: "notRun" });
   });
 
-  it(`tells the truth under any faults, seed ${SEED}`, async () => {
+  it(`never reports a wrong outcome under random faults, seed ${SEED}`, async () => {
     const step = fc.record({
       writer: fc.nat(2),
       lostAnswers: fc.nat(3),
@@ -120,29 +126,30 @@
     });
     await fc.assert(
       fc.asyncProperty(fc.array(step, { maxLength: 25 }), async (steps) => {
-        const time = createFakeClock();
-        const service = createMemoryService(time);
+        const fakeClock = createFakeClock();
+        const service = createMemoryService(fakeClock);
         const writers = [0, 1, 2].map(() =>
-          createMemoryStore(time, { service, timeoutMs: TIMEOUT_MS })
+          createMemoryStore(fakeClock, { service, timeoutMs: TIMEOUT_MS })
         );
-        const outcomes: Promise<readonly [string, OwnedSwap | undefined]>[] =
-          [];
+        const outcomes: Promise<
+          readonly [string, IdempotentSwap | undefined]
+        >[] = [];
         for (const [index, step] of steps.entries()) {
           const { lostAnswers, slowMs } = step;
           service.setFaults({ lostAnswers, slowMs });
-          const name = `<${index}>`;
-          outcomes.push(appendBy(writers[step.writer] as Store, name));
-          await time.advance(step.waitMs);
+          const marker = `<${index}>`;
+          outcomes.push(appendWith(writers[step.writer] as Store, marker));
+          await fakeClock.advance(step.waitMs);
         }
         service.setFaults({ lostAnswers: 0, slowMs: 0 });
-        await time.advance(10_000);
+        await fakeClock.advance(10_000);
         const history = decodeOwned(service.keyspace.get("k"))?.body ?? "";
-        for (const [name, outcome] of await Promise.all(outcomes)) {
-          expect(history.split(name)).to.have.length.below(3);
+        for (const [marker, outcome] of await Promise.all(outcomes)) {
+          expect(history.split(marker)).to.have.length.below(3);
           if (outcome?.kind === "accepted") {
-            expect(history).to.include(name);
+            expect(history).to.include(marker);
           } else if (outcome?.kind !== "unknown") {
-            expect(history).not.to.include(name);
+            expect(history).not.to.include(marker);
           }
         }
       }),
@@ -152,10 +159,10 @@
 
   async function append(
     text: string,
-    by: Store = store,
+    writerStore: Store = store,
     beforeWrite = () => {},
-  ): Promise<OwnedSwap> {
-    const swap = await swapOwned(by, "k", {
+  ): Promise<IdempotentSwap> {
+    const swap = await swapOwned(writerStore, "k", {
       decide: (current) => {
         beforeWrite();
         return ok(`${current?.body ?? ""}${text}`);
@@ -164,18 +171,21 @@
     return swap._unsafeUnwrap();
   }
 
-  async function body(): Promise<string | undefined> {
+  async function readBody(): Promise<string | undefined> {
     return decodeOwned((await store.read("k"))._unsafeUnwrap())?.body;
   }
 
-  /** The store, with something else done before its n-th swap. */
-  function beforeSwap(nth: number, run: () => Promise<unknown>): Store {
-    let swaps = 0;
+  /** A store that calls `run` before the swap with this 1-based index. */
+  function runBeforeSwap(
+    swapIndex: number,
+    run: () => Promise<unknown>,
+  ): Store {
+    let swapCount = 0;
     return {
       ...store,
       swap(write) {
-        swaps++;
-        const ready = swaps === nth ? run() : Promise.resolve();
+        swapCount++;
+        const ready = swapCount === swapIndex ? run() : Promise.resolve();
         return ResultAsync.fromSafePromise(ready)
           .andThen(() => store.swap(write));
       },
@@ -183,12 +193,12 @@
   }
 });
 
-async function appendBy(
-  by: Store,
-  name: string,
-): Promise<readonly [string, OwnedSwap | undefined]> {
-  const swap = await swapOwned(by, "k", {
-    decide: (current) => ok(`${current?.body ?? ""}${name}`),
+async function appendWith(
+  writerStore: Store,
+  marker: string,
+): Promise<readonly [string, IdempotentSwap | undefined]> {
+  const swap = await swapOwned(writerStore, "k", {
+    decide: (current) => ok(`${current?.body ?? ""}${marker}`),
   });
-  return [name, swap.unwrapOr(undefined)];
+  return [marker, swap.unwrapOr(undefined)];
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,4 @@
-/** The platform's key-value service as the system uses it. */
+/** Client for the platform's key-value service. */
 export * from "./store.ts";
 export { noCalls } from "./calls.ts";
 export {
@@ -9,12 +9,12 @@
 export {
   decodeOwned,
   type Owned,
-  type OwnedValue,
-  type OwnedWrite,
-} from "./owned_value.ts";
+  type TaggedValue,
+  type TaggedWrite,
+} from "./tagged_value.ts";
 export {
-  type OwnedSwap,
-  settleOwned,
+  type IdempotentSwap,
+  type IdempotentSwapOptions,
+  resolveUnknownSwap,
   swapOwned,
-  type SwapOwnedOptions,
-} from "./swap_owned.ts";
+} from "./idempotent_swap.ts";
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,12 +1,12 @@
 /**
- * What the system needs from the platform's key-value service. The service is
- * small, has outages, and may lose an answer after a write took effect, so a
- * write that fails says whether it may have happened.
+ * Interface of the platform's key-value service. The service has little
+ * capacity, has outages, and may lose a response after a write took effect, so
+ * the error of a failed write says whether it may have taken effect.
  */
 import type { ResultAsync } from "neverthrow";
 import type { StoreUnavailable } from "@coltsfootreach/errors";
 
-/** A key's value and the revision of its last change. */
+/** A key with its value and the revision of its last change. */
 export interface Versioned {
   readonly key: string;
   readonly value: string;
@@ -14,14 +14,14 @@
   readonly revision: number;
 }
 
-/** All keys of a prefix at one revision of the store. */
+/** All keys with a prefix at one revision of the store. */
 export interface Listing {
   readonly values: readonly Versioned[];
-  /** Revision of the store at the reading; a watch goes on from the next. */
+  /** Revision of the store that was read; start a watch at the next one. */
   readonly revision: number;
 }
 
-/** The outcome of a compare-and-swap. */
+/** Result of a compare-and-swap. */
 export type Swap =
   | { readonly kind: "swapped"; readonly revision: number }
   | { readonly kind: "conflict"; readonly current: Versioned | undefined };
@@ -29,9 +29,9 @@
 export interface Write {
   readonly key: string;
   readonly value: string;
-  /** The revision that the key must still have; 0 when it must be absent. */
+  /** The key's required current revision; 0 if it must be absent. */
   readonly expectedRevision: number;
-  /** The key disappears when this lease lapses. */
+  /** The key is deleted when this lease expires or is revoked. */
   readonly lease?: Lease | undefined;
 }
 
@@ -40,7 +40,7 @@
   readonly ttlSeconds: number;
 }
 
-/** A change of a watched key; `value` is absent after a deletion. */
+/** A change of a watched key; `value` is undefined for a deletion. */
 export interface Change {
   readonly key: string;
   readonly value?: string | undefined;
@@ -48,24 +48,24 @@
 }
 
 export interface Watch {
-  /** Ends the watch; no change is reported afterwards. */
+  /** Stops the watch; the listener is not called afterwards. */
   close(): void;
 }
 
 export interface WatchListener {
-  /** Called for each change, in the order of their revisions. */
+  /** Called for each change, in revision order. */
   changed(change: Change): void;
-  /** The watch is gone; changes since the last one may have been missed. */
+  /** The watch failed; changes since the last reported one may be missed. */
   ended(): void;
 }
 
-/** Every call is bounded by a timeout from the store's options. */
+/** Every call is bounded by the timeout in the store's options. */
 export interface Store {
-  /** Reads one key; linearizable. */
+  /** Linearizable read of one key. */
   read(key: string): ResultAsync<Versioned | undefined, StoreUnavailable>;
-  /** Reads all keys with a prefix; linearizable. */
+  /** Linearizable read of all keys with a prefix. */
   list(prefix: string): ResultAsync<Listing, StoreUnavailable>;
-  /** Reads all keys with a prefix; cheaper, and may be seconds old. */
+  /** Serializable read of all keys with a prefix; cheap, may be seconds old. */
   listStale(prefix: string): ResultAsync<Listing, StoreUnavailable>;
   swap(write: Write): ResultAsync<Swap, StoreUnavailable>;
   /** Deletes a key unless it has changed since `expectedRevision`. */
@@ -74,12 +74,12 @@
     expectedRevision: number,
   ): ResultAsync<Swap, StoreUnavailable>;
   grant(ttlSeconds: number): ResultAsync<Lease, StoreUnavailable>;
-  /** True while the lease lives; false once it has lapsed. */
+  /** False if the lease has already expired. */
   renew(lease: Lease): ResultAsync<boolean, StoreUnavailable>;
   revoke(lease: Lease): ResultAsync<void, StoreUnavailable>;
-  /** Watches a key prefix from the given revision on. */
+  /** Watches all keys with a prefix, starting at revision `from`. */
   watch(prefix: string, from: number, listener: WatchListener): Watch;
-  /** Calls made so far, by kind; a waiting watch counts as one. */
+  /** Number of calls made so far, by kind; an open watch counts as one. */
   calls(): Readonly<Record<StoreCall, number>>;
 }
 
--- a/packages/store/src/wire.ts
+++ b/packages/store/src/wire.ts
@@ -1,67 +1,71 @@
 /**
- * Answers of the etcd JSON gateway, in the parts that are used here. Fields
- * that hold their default value are left out by the service.
+ * Schemas for the responses of the etcd JSON gateway, limited to the fields
+ * that are used here. The gateway omits fields that have their default value.
  */
 import { z } from "zod";
-import { decodeText } from "./encoding.ts";
+import { decodeBase64 } from "./encoding.ts";
 import type { Versioned } from "./store.ts";
 
 const integer = z.union([z.string(), z.number()]).transform(Number);
 
 const header = z.object({ revision: integer.default(0) });
 
-const pair = z.object({
+const keyValue = z.object({
   key: z.string(),
   value: z.string().default(""),
   mod_revision: integer.default(0),
 });
 
-export const rangeAnswer = z.object({
+export const rangeResponse = z.object({
   header,
-  kvs: z.array(pair).default([]),
+  kvs: z.array(keyValue).default([]),
 });
 
-export const swapAnswer = z.object({
+export const txnResponse = z.object({
   header,
   succeeded: z.boolean().default(false),
   responses: z.array(
     z.object({
-      response_range: z.object({ kvs: z.array(pair).default([]) }).optional(),
+      response_range: z.object({ kvs: z.array(keyValue).default([]) })
+        .optional(),
     }),
   ).default([]),
 });
 
-export const grantAnswer = z.object({ ID: z.string(), TTL: integer });
+export const leaseGrantResponse = z.object({ ID: z.string(), TTL: integer });
 
-export const renewAnswer = z.object({
+export const leaseKeepAliveResponse = z.object({
   result: z.object({ ID: z.string(), TTL: integer.default(0) }),
 });
 
-export const anyAnswer = z.unknown();
+export const ignoredResponse = z.unknown();
 
-export const watchAnswer = z.object({
+export const watchResponse = z.object({
   result: z.object({
     header,
     canceled: z.boolean().default(false),
     events: z.array(
-      z.object({ type: z.enum(["PUT", "DELETE"]).default("PUT"), kv: pair }),
+      z.object({
+        type: z.enum(["PUT", "DELETE"]).default("PUT"),
+        kv: keyValue,
+      }),
     ).default([]),
   }),
 });
 
-/** An error as the gateway reports it, with the gRPC status code. */
-export const errorAnswer = z.object({
+/** Error body of the gateway; `code` is the gRPC status code. */
+export const errorResponse = z.object({
   code: z.number(),
   message: z.string().default(""),
 });
 
-export type Pair = z.infer<typeof pair>;
-export type WatchAnswer = z.infer<typeof watchAnswer>["result"];
+export type KeyValue = z.infer<typeof keyValue>;
+export type WatchResult = z.infer<typeof watchResponse>["result"];
 
-export function toVersioned(found: Pair): Versioned {
+export function toVersionedValue(kv: KeyValue): Versioned {
   return {
-    key: decodeText(found.key),
-    value: decodeText(found.value),
-    revision: found.mod_revision,
+    key: decodeBase64(kv.key),
+    value: decodeBase64(kv.value),
+    revision: kv.mod_revision,
   };
 }
