--- a/packages/inventory/src/check.ts
+++ b/packages/inventory/src/check.ts
@@ -1,102 +1,113 @@
-/** Checks that reach across the sections of a configuration document. */
+/** Validation across the sections of a configuration document. */
 import { InvalidFile } from "@coltsfootreach/errors";
-import type { EstateContent } from "./schema.ts";
+import type { ConfigurationContent } from "./schema.ts";
 
-/** A fault of the document by key and reason. */
-interface Fault {
+interface ValidationIssue {
   readonly key: string;
   readonly reason: string;
 }
 
-interface Named {
+interface NamedItem {
   readonly name: string;
 }
 
-/** The first fault across sections; undefined when there is none. */
-export function findFault(
+/** Returns the first duplicate or unknown reference; undefined if none. */
+export function findValidationError(
   file: string,
-  estate: EstateContent,
+  configuration: ConfigurationContent,
 ): InvalidFile | undefined {
-  const fault = findRepeatedName(estate) ?? findUnknownReference(estate) ??
-    findRepeatedRule(estate);
-  return fault && new InvalidFile(file, fault.key, fault.reason);
+  const issue = findDuplicateName(configuration) ??
+    findUnknownReference(configuration) ??
+    findDuplicateRule(configuration);
+  return issue && new InvalidFile(file, issue.key, issue.reason);
 }
 
-function findRepeatedName(estate: EstateContent): Fault | undefined {
-  return repeatedIn("data_centres", estate.dataCentres) ??
-    repeatedIn("workers", estate.workers) ??
-    repeatedIn("servers", estate.servers) ??
-    repeatedIn("tenants", estate.tenants) ??
-    repeatedIn("classes", estate.classes);
+function findDuplicateName(
+  configuration: ConfigurationContent,
+): ValidationIssue | undefined {
+  return findDuplicateInSection("data_centres", configuration.dataCentres) ??
+    findDuplicateInSection("workers", configuration.workers) ??
+    findDuplicateInSection("servers", configuration.servers) ??
+    findDuplicateInSection("tenants", configuration.tenants) ??
+    findDuplicateInSection("classes", configuration.classes);
 }
 
-function repeatedIn(
+function findDuplicateInSection(
   section: string,
-  items: readonly Named[],
-): Fault | undefined {
-  const position = firstRepeated(items.map((item) => item.name));
-  if (position === undefined) return undefined;
-  const name = items[position]!.name;
+  items: readonly NamedItem[],
+): ValidationIssue | undefined {
+  const index = indexOfFirstDuplicate(items.map((item) => item.name));
+  if (index === undefined) return undefined;
+  const name = items[index]!.name;
   return {
-    key: `${section}[${position}].name`,
-    reason: `"${name}" is used twice`,
+    key: `${section}[${index}].name`,
+    reason: `"${name}" is already used`,
   };
 }
 
-function findUnknownReference(estate: EstateContent): Fault | undefined {
-  return unknownDataCentre(estate) ?? unknownWorker(estate);
+function findUnknownReference(
+  configuration: ConfigurationContent,
+): ValidationIssue | undefined {
+  return findUnknownDataCentre(configuration) ??
+    findUnknownWorker(configuration);
 }
 
-function unknownDataCentre(estate: EstateContent): Fault | undefined {
-  const known = namesOf(estate.dataCentres);
-  const position = estate.workers
-    .findIndex((worker) => !known.has(worker.dataCentre));
-  if (position < 0) return undefined;
+function findUnknownDataCentre(
+  configuration: ConfigurationContent,
+): ValidationIssue | undefined {
+  const knownNames = collectNames(configuration.dataCentres);
+  const index = configuration.workers
+    .findIndex((worker) => !knownNames.has(worker.dataCentre));
+  if (index < 0) return undefined;
   return {
-    key: `workers[${position}].data_centre`,
-    reason: `no data centre is named "${estate.workers[position]!.dataCentre}"`,
+    key: `workers[${index}].data_centre`,
+    reason: `unknown data centre "${configuration.workers[index]!.dataCentre}"`,
   };
 }
 
-function unknownWorker(estate: EstateContent): Fault | undefined {
-  const known = namesOf(estate.workers);
-  const position = estate.servers
-    .findIndex((server) => !known.has(server.worker));
-  if (position < 0) return undefined;
+function findUnknownWorker(
+  configuration: ConfigurationContent,
+): ValidationIssue | undefined {
+  const knownNames = collectNames(configuration.workers);
+  const index = configuration.servers
+    .findIndex((server) => !knownNames.has(server.worker));
+  if (index < 0) return undefined;
   return {
-    key: `servers[${position}].worker`,
-    reason: `no worker is named "${estate.servers[position]!.worker}"`,
+    key: `servers[${index}].worker`,
+    reason: `unknown worker "${configuration.servers[index]!.worker}"`,
   };
 }
 
-function findRepeatedRule({ rules }: EstateContent): Fault | undefined {
-  return repeatedValue("rules.held", rules.held) ??
-    repeatedValue("rules.drained", rules.drained) ??
-    repeatedValue("rules.never_ejected", rules.neverEjected) ??
-    repeatedValue("rules.gone", rules.gone);
+function findDuplicateRule(
+  { rules }: ConfigurationContent,
+): ValidationIssue | undefined {
+  return findDuplicateValue("rules.held", rules.held) ??
+    findDuplicateValue("rules.drained", rules.drained) ??
+    findDuplicateValue("rules.never_ejected", rules.neverEjected) ??
+    findDuplicateValue("rules.gone", rules.gone);
 }
 
-function repeatedValue(
+function findDuplicateValue(
   key: string,
   values: readonly string[],
-): Fault | undefined {
-  const position = firstRepeated(values);
-  if (position === undefined) return undefined;
+): ValidationIssue | undefined {
+  const index = indexOfFirstDuplicate(values);
+  if (index === undefined) return undefined;
   return {
-    key: `${key}[${position}]`,
-    reason: `"${values[position]}" is listed twice`,
+    key: `${key}[${index}]`,
+    reason: `"${values[index]}" is listed twice`,
   };
 }
 
-function firstRepeated(values: readonly string[]): number | undefined {
+function indexOfFirstDuplicate(values: readonly string[]): number | undefined {
   const seen = new Set<string>();
-  for (const [position, value] of values.entries()) {
-    if (seen.has(value)) return position;
+  for (const [index, value] of values.entries()) {
+    if (seen.has(value)) return index;
     seen.add(value);
   }
   return undefined;
 }
 
-function namesOf(items: readonly Named[]): ReadonlySet<string> {
+function collectNames(items: readonly NamedItem[]): ReadonlySet<string> {
   return new Set(items.map((item) => item.name));
 }
--- a/packages/inventory/src/document_test.ts
+++ b/packages/inventory/src/document_test.ts
@@ -6,14 +6,14 @@
   operatorSchema,
   sideSchema,
 } from "@coltsfootreach/settings";
-import { estateSchema } from "./schema.ts";
+import { configurationSchema } from "./schema.ts";
 
-const PAGE = readFileSync(
+const CONFIGURATION_PAGE = readFileSync(
   new URL("../../../docs/CONFIGURATION.md", import.meta.url),
   "utf8",
 );
 
-/** The parts of a JSON schema that matter here. */
+/** The JSON schema properties used in this test. */
 interface JsonSchema {
   readonly properties?: Readonly<Record<string, JsonSchema>>;
   readonly items?: JsonSchema;
@@ -27,15 +27,18 @@
 }
 
 function collectKeys(schema: JsonSchema, path = ""): DocumentedKey[] {
-  return Object.entries(schema.properties ?? {}).flatMap(([name, inner]) => {
+  return Object.entries(schema.properties ?? {}).flatMap(([name, child]) => {
     const key = path === "" ? name : `${path}.${name}`;
-    const section = inner.properties === undefined ? inner.items : inner;
+    const section = child.properties === undefined ? child.items : child;
     if (section?.properties !== undefined) return collectKeys(section, key);
-    return [{ key, fallback: formatDefault(inner.default) }];
+    return [{ key, fallback: formatDefault(child.default) }];
   });
 }
 
-/** An empty list of sections or origins is as good as none. */
+/**
+ * Formats a default as the page shows it; empty when there is none. An empty
+ * list of sections or origins counts as no default.
+ */
 function formatDefault(value: unknown): string {
   if (value === undefined) return "";
   return typeof value === "string"
@@ -43,11 +46,11 @@
     : `\`${JSON.stringify(value)}\``;
 }
 
-/** Key and default of each row of the table below a heading. */
-function rowsBelow(heading: string): DocumentedKey[] {
-  const start = PAGE.indexOf(`## ${heading}\n`);
-  const end = PAGE.indexOf("\n## ", start + 1);
-  const rows = PAGE.slice(start, end)
+/** Reads key and default from each row of the table below a heading. */
+function readDocumentedKeys(heading: string): DocumentedKey[] {
+  const start = CONFIGURATION_PAGE.indexOf(`## ${heading}\n`);
+  const end = CONFIGURATION_PAGE.indexOf("\n## ", start + 1);
+  const rows = CONFIGURATION_PAGE.slice(start, end)
     .matchAll(/^\| `([a-z_.]+)`\s*\|\s*(\S*)\s*\|/gm);
   return [...rows].map(([, key, fallback]) => ({
     key: key!,
@@ -55,15 +58,15 @@
   }));
 }
 
-const DOCUMENTS: readonly [string, z.ZodType][] = [
+const SCHEMAS: readonly [string, z.ZodType][] = [
   ["Settings of an entry", entrySchema],
   ["Settings of a side", sideSchema],
   ["Settings of the command line", operatorSchema],
-  ["The configuration document", estateSchema],
+  ["The configuration document", configurationSchema],
 ];
 
 describe("docs/CONFIGURATION.md", () => {
-  for (const [heading, schema] of DOCUMENTS) {
+  for (const [heading, schema] of SCHEMAS) {
     it(`lists every key and default under "${heading}"`, () => {
       const json = z.toJSONSchema(schema, {
         io: "input",
@@ -74,7 +77,7 @@
           key,
           fallback: key === "entries" ? "" : fallback,
         }));
-      expect(rowsBelow(heading)).to.have.deep.members(keys);
+      expect(readDocumentedKeys(heading)).to.have.deep.members(keys);
     });
   }
 });
--- a/packages/inventory/src/edit.ts
+++ b/packages/inventory/src/edit.ts
@@ -1,6 +1,6 @@
 /**
- * Small edits of a configuration's rules by command. The operators' own text,
- * with its comments, is kept wherever the edit can be made in place.
+ * Edits to a configuration's rules made by operator commands. The operators'
+ * text and its comments are preserved whenever the edit can be made in place.
  */
 import { isDeepStrictEqual } from "node:util";
 import type { Result } from "neverthrow";
@@ -13,39 +13,39 @@
 import { formatEstate, formatRules } from "./format.ts";
 import { parseEstate } from "./parse.ts";
 
-/** The lists in the rules that commands add names to and take them from. */
+/** The rule lists that commands add names to and remove names from. */
 export type RuleList = "held" | "drained" | "neverEjected" | "gone";
 
 export interface RuleEdit {
   readonly list: RuleList;
   readonly name: string;
-  /** True when the name is to be in the list afterwards. */
+  /** Whether the list contains the name after the edit. */
   readonly listed: boolean;
 }
 
-const TOML_KEY: Readonly<Record<RuleList, string>> = {
+const TOML_KEYS: Readonly<Record<RuleList, string>> = {
   held: "held",
   drained: "drained",
   neverEjected: "never_ejected",
   gone: "gone",
 };
 
-/** The configuration text after an edit; unchanged when it holds already. */
+/** Returns the edited text, or the same text if the edit changes nothing. */
 export function editRules(
   configuration: Configuration,
   edit: RuleEdit,
 ): Result<string, InvalidFile> {
-  return parseEstate(configuration).andThen((estate) => {
-    const rules = applyEdit(estate.rules, edit);
-    const edited: ParsedConfiguration = { ...estate, rules };
-    if (isDeepStrictEqual(edited, estate)) {
+  return parseEstate(configuration).andThen((current) => {
+    const rules = applyRuleEdit(current.rules, edit);
+    const edited: ParsedConfiguration = { ...current, rules };
+    if (isDeepStrictEqual(edited, current)) {
       return parseEstate(configuration).map(() => configuration.text);
     }
-    return writeEdit(configuration, { edited, list: edit.list });
+    return applyTextEdit(configuration, { edited, list: edit.list });
   });
 }
 
-function applyEdit(rules: Rules, { list, name, listed }: RuleEdit): Rules {
+function applyRuleEdit(rules: Rules, { list, name, listed }: RuleEdit): Rules {
   const names: readonly string[] = rules[list];
   if (names.includes(name) === listed) return rules;
   const edited = listed
@@ -54,33 +54,33 @@
   return { ...rules, [list]: edited };
 }
 
-function writeEdit(
+function applyTextEdit(
   { version, text }: Configuration,
   { edited, list }: {
     readonly edited: ParsedConfiguration;
     readonly list: RuleList;
   },
 ): Result<string, InvalidFile> {
-  const inPlace = replaceList(text, list, edited.rules);
-  const kept = parseEstate({ version, text: inPlace })
-    .map((estate) => isDeepStrictEqual(estate, edited))
+  const editedText = replaceRuleList(text, list, edited.rules);
+  const isEquivalent = parseEstate({ version, text: editedText })
+    .map((reparsed) => isDeepStrictEqual(reparsed, edited))
     .unwrapOr(false);
-  const chosen = kept ? inPlace : formatEstate(edited);
-  return parseEstate({ version, text: chosen }).map(() => chosen);
+  const result = isEquivalent ? editedText : formatEstate(edited);
+  return parseEstate({ version, text: result }).map(() => result);
 }
 
-/** Rewrites one list of the rules; the caller checks what came of it. */
-function replaceList(text: string, list: RuleList, rules: Rules): string {
-  const key = TOML_KEY[list];
+/** Rewrites one rule list in the text; the caller validates the result. */
+function replaceRuleList(text: string, list: RuleList, rules: Rules): string {
+  const key = TOML_KEYS[list];
   const values = formatRules(rules)[key as "held"];
   const line = `${key} = ${JSON.stringify(values)}`;
   const header = /^\[rules\][^\n]*$/m.exec(text);
   if (header === null) return `${text.trimEnd()}\n\n[rules]\n${line}\n`;
-  const start = header.index + header[0].length;
-  const section = text.slice(start);
-  const existing = new RegExp(`^${key}\\s*=\\s*\\[[^\\]]*\\]`, "m");
-  const replaced = existing.test(section)
-    ? section.replace(existing, () => line)
+  const headerEnd = header.index + header[0].length;
+  const section = text.slice(headerEnd);
+  const listPattern = new RegExp(`^${key}\\s*=\\s*\\[[^\\]]*\\]`, "m");
+  const editedSection = listPattern.test(section)
+    ? section.replace(listPattern, () => line)
     : `\n${line}${section}`;
-  return text.slice(0, start) + replaced;
+  return text.slice(0, headerEnd) + editedSection;
 }
--- a/packages/inventory/src/format.ts
+++ b/packages/inventory/src/format.ts
@@ -1,21 +1,21 @@
-/** Writes an estate as a configuration document. */
+/** Formats a parsed configuration as a TOML document. */
 import { stringify } from "smol-toml";
 import { formatDuration } from "@coltsfootreach/settings";
 import type { ParsedConfiguration, Rules } from "@coltsfootreach/types";
-import type { EstateContent } from "./schema.ts";
+import type { ConfigurationContent } from "./schema.ts";
 
 const MB_PER_GB = 1_024;
 
-/** The document of an estate as TOML; its version is not part of it. */
+/** Formats a configuration as TOML, without its version. */
 export function formatEstate(
-  estate: EstateContent | ParsedConfiguration,
+  configuration: ConfigurationContent | ParsedConfiguration,
 ): string {
   return stringify({
-    data_centres: estate.dataCentres.map(({ delayMs, ...rest }) => ({
+    data_centres: configuration.dataCentres.map(({ delayMs, ...rest }) => ({
       ...rest,
       delay: formatDelay(delayMs),
     })),
-    workers: estate.workers.map((worker) => ({
+    workers: configuration.workers.map((worker) => ({
       name: worker.name,
       data_centre: worker.dataCentre,
       rack: worker.rack,
@@ -23,33 +23,33 @@
       memory: formatMemory(worker.memoryMb),
       accelerators: worker.accelerators,
     })),
-    servers: estate.servers.map((server) => ({ ...server })),
-    tenants: estate.tenants.map((tenant) => ({
+    servers: configuration.servers.map((server) => ({ ...server })),
+    tenants: configuration.tenants.map((tenant) => ({
       name: tenant.name,
       weight: tenant.weight,
       starts_per_second: tenant.startsPerSecond,
       max_queued: tenant.maxQueued,
     })),
-    classes: estate.classes.map((requestClass) => ({
+    classes: configuration.classes.map((requestClass) => ({
       name: requestClass.name,
       deadline: formatDuration(requestClass.deadlineMs),
       idempotent: requestClass.idempotent,
     })),
-    rules: formatRules(estate.rules),
+    rules: formatRules(configuration.rules),
   });
 }
 
 /**
- * The document without its workers and backend servers. It is what sides need,
- * and small however large the fleet is.
+ * Formats the configuration without workers and backend servers. Sides don't
+ * need those, so the excerpt stays small for any fleet size.
  */
 export function excerptForSides(
-  estate: EstateContent | ParsedConfiguration,
+  configuration: ConfigurationContent | ParsedConfiguration,
 ): string {
-  return formatEstate({ ...estate, workers: [], servers: [] });
+  return formatEstate({ ...configuration, workers: [], servers: [] });
 }
 
-/** The rules under their TOML names. */
+/** Converts rules to their TOML key names. */
 export function formatRules(rules: Rules) {
   return {
     held: [...rules.held],
--- a/packages/inventory/src/index.ts
+++ b/packages/inventory/src/index.ts
@@ -1,4 +1,4 @@
-/** The operators' inventory and rules, read, written and imported. */
+/** Parses, formats and imports the operators' inventory and rules. */
 export * from "./edit.ts";
 export * from "./format.ts";
 export * from "./parse.ts";
--- a/packages/inventory/src/parse.ts
+++ b/packages/inventory/src/parse.ts
@@ -1,42 +1,42 @@
-/** Reads a configuration document: syntax, schema, then checks across it. */
+/** Parses configuration documents: syntax, schema, then cross-references. */
 import { err, ok, type Result } from "neverthrow";
 import type { InvalidFile } from "@coltsfootreach/errors";
 import { checkDocument, parseToml } from "@coltsfootreach/settings";
 import type { Configuration, ParsedConfiguration } from "@coltsfootreach/types";
-import { findFault } from "./check.ts";
-import { estateSchema } from "./schema.ts";
+import { findValidationError } from "./check.ts";
+import { configurationSchema } from "./schema.ts";
 
 /**
- * Parses one configuration version. `file` names the source in errors; without
- * it the version does.
+ * Parses one configuration version. `file` names the source in errors and
+ * defaults to the version.
  */
 export function parseEstate(
   configuration: Configuration,
   file: string = `configuration ${configuration.version}`,
 ): Result<ParsedConfiguration, InvalidFile> {
   return parseToml(file, configuration.text)
-    .andThen((document) => checkDocument(file, document, estateSchema))
+    .andThen((document) => checkDocument(file, document, configurationSchema))
     .andThen((content) => {
-      const fault = findFault(file, content);
-      return fault === undefined ? ok(content) : err(fault);
+      const error = findValidationError(file, content);
+      return error === undefined ? ok(content) : err(error);
     })
     .map((content) => ({ version: configuration.version, ...content }));
 }
 
-const BASE_VERSION_LINE = /^base_version\s*=\s*(\d+)[^\n]*\n?/m;
+const BASE_VERSION_PATTERN = /^base_version\s*=\s*(\d+)[^\n]*\n?/m;
 
-/** The version that a text says it was edited from. */
+/** Returns the base version stated in a text, if any. */
 export function readBaseVersion(text: string): number | undefined {
-  const match = BASE_VERSION_LINE.exec(text);
+  const match = BASE_VERSION_PATTERN.exec(text);
   return match === null ? undefined : Number(match[1]);
 }
 
-/** The text without the line that says what it was edited from. */
+/** Returns the text without the line that states its base version. */
 export function removeBaseVersion(text: string): string {
-  return text.replace(BASE_VERSION_LINE, "");
+  return text.replace(BASE_VERSION_PATTERN, "");
 }
 
-/** The text with a first line that says what it will be edited from. */
+/** Returns the text with its version as base version in the first line. */
 export function withBaseVersion({ version, text }: Configuration): string {
   return `base_version = ${version}\n${removeBaseVersion(text)}`;
 }
--- a/packages/inventory/src/parse_test.ts
+++ b/packages/inventory/src/parse_test.ts
@@ -23,38 +23,39 @@
   return parseEstate({ version: 7, text }, "f.toml");
 }
 
-function faultOf(text: string): string {
-  return parse(text).match(() => "accepted", (fault) => fault.message);
+function validationErrorOf(text: string): string {
+  return parse(text).match(() => "accepted", (error) => error.message);
 }
 
 describe("the inventory", () => {
   for (const [name, text] of Object.entries({ DELTA, URVAERK })) {
-    it(`reads the example of ${name} and writes it back`, () => {
-      const estate = parse(text)._unsafeUnwrap();
-      expect(estate.version).to.equal(7);
-      expect(estate.dataCentres).to.have.lengthOf(3);
-      expect(estate.workers).to.have.lengthOf(10);
-      expect(estate.servers).to.have.lengthOf(10);
-      expect(parse(formatEstate(estate))._unsafeUnwrap()).to.deep.equal(estate);
+    it(`parses the example of ${name} and formats it again`, () => {
+      const configuration = parse(text)._unsafeUnwrap();
+      expect(configuration.version).to.equal(7);
+      expect(configuration.dataCentres).to.have.lengthOf(3);
+      expect(configuration.workers).to.have.lengthOf(10);
+      expect(configuration.servers).to.have.lengthOf(10);
+      expect(parse(formatEstate(configuration))._unsafeUnwrap()).to.deep
+        .equal(configuration);
     });
   }
 
-  const faults: readonly [string, string, string][] = [
+  const invalidCases: readonly [string, string, string][] = [
     ["an unknown key", `x = 1\n${DELTA}`, "f.toml: x: unknown key"],
     [
       "an unknown data centre",
       DELTA.replace('data_centre = "kiln-yard"', 'data_centre = "moon"'),
-      'f.toml: workers[0].data_centre: no data centre is named "moon"',
+      'f.toml: workers[0].data_centre: unknown data centre "moon"',
     ],
     [
       "an unknown worker",
       DELTA.replace('worker = "worker-02"', 'worker = "worker-99"'),
-      'f.toml: servers[1].worker: no worker is named "worker-99"',
+      'f.toml: servers[1].worker: unknown worker "worker-99"',
     ],
     [
-      "a name used twice",
+      "a duplicate name",
       DELTA.replace('"bindery-desks"', '"kiln-crews"'),
-      'f.toml: tenants[1].name: "kiln-crews" is used twice',
+      'f.toml: tenants[1].name: "kiln-crews" is already used',
     ],
     [
       "a weight of zero",
@@ -64,15 +65,15 @@
     [
       "a deadline of zero",
       DELTA.replace('deadline = "2s"', 'deadline = "0s"'),
-      "f.toml: classes[0].deadline: must be longer than zero",
+      "f.toml: classes[0].deadline: must be greater than zero",
     ],
     [
-      "a missing flag",
+      "a missing boolean",
       DELTA.replace("idempotent = true", ""),
       "f.toml: classes[0].idempotent: missing value",
     ],
     [
-      "an unknown kind of act",
+      "an unknown kind of automatic action",
       DELTA.replace("held = []", 'held = ["jump"]'),
       "f.toml: rules.held[0]: ",
     ],
@@ -82,13 +83,13 @@
       "f.toml: rules.eject_at_most: ",
     ],
   ];
-  for (const [what, text, message] of faults) {
-    it(`names key and reason for ${what}`, () => {
-      expect(faultOf(text)).to.include(message);
+  for (const [description, text, message] of invalidCases) {
+    it(`reports key and reason for ${description}`, () => {
+      expect(validationErrorOf(text)).to.include(message);
     });
   }
 
-  it("keeps track of the version that a text was edited from", () => {
+  it("sets, reads and removes the base version", () => {
     const text = withBaseVersion({ version: 4, text: DELTA });
     expect(readBaseVersion(text)).to.equal(4);
     expect(readBaseVersion(DELTA)).to.equal(undefined);
@@ -97,41 +98,45 @@
     expect(parse(text).isOk()).to.equal(true);
   });
 
-  it("leaves the machines out of what sides get", () => {
-    const estate = parse(DELTA)._unsafeUnwrap();
-    const excerpt = parse(excerptForSides(estate))._unsafeUnwrap();
-    expect(excerpt).to.deep.equal({ ...estate, workers: [], servers: [] });
+  it("omits workers and backend servers from the excerpt for sides", () => {
+    const configuration = parse(DELTA)._unsafeUnwrap();
+    const excerpt = parse(excerptForSides(configuration))._unsafeUnwrap();
+    expect(excerpt).to.deep.equal({
+      ...configuration,
+      workers: [],
+      servers: [],
+    });
   });
 
-  it("imports the register and keeps known delays", () => {
-    const estate = parse(DELTA)._unsafeUnwrap();
-    const machines = importRegister({
+  it("imports the asset register and keeps known delays", () => {
+    const configuration = parse(DELTA)._unsafeUnwrap();
+    const imported = importRegister({
       file: "r.csv",
       csv: readExample("asset_register.csv"),
-      known: estate.dataCentres,
+      known: configuration.dataCentres,
     })._unsafeUnwrap();
-    expect(machines.workers).to.deep.equal(estate.workers);
-    expect(machines.servers).to.deep.equal(estate.servers);
-    expect(machines.dataCentres).to.deep.equal(estate.dataCentres);
+    expect(imported.workers).to.deep.equal(configuration.workers);
+    expect(imported.servers).to.deep.equal(configuration.servers);
+    expect(imported.dataCentres).to.deep.equal(configuration.dataCentres);
   });
 
-  it("names the line of a bad row", () => {
+  it("reports the line of an invalid row", () => {
     const csv = readExample("asset_register.csv").replace("16,64GB", "many,1");
-    const fault = importRegister({ file: "r.csv", csv, known: [] })
+    const error = importRegister({ file: "r.csv", csv, known: [] })
       ._unsafeUnwrapErr();
-    expect(fault.message).to.include("r.csv: line 2: cores: ");
+    expect(error.message).to.include("r.csv: line 2: cores: ");
   });
 
-  it("edits rules in place and keeps comments", () => {
+  it("edits rules in place and preserves comments", () => {
     const edit = { list: "held", name: "eject", listed: true } as const;
     const text = editRules({ version: 1, text: DELTA }, edit)._unsafeUnwrap();
     expect(text).to.equal(DELTA.replace("held = []", 'held = ["eject"]'));
-    const back = { ...edit, listed: false };
-    expect(editRules({ version: 2, text }, back)._unsafeUnwrap())
+    const revertedEdit = { ...edit, listed: false };
+    expect(editRules({ version: 2, text }, revertedEdit)._unsafeUnwrap())
       .to.equal(DELTA);
   });
 
-  it("edits rules that are written in another way", () => {
+  it("edits rules that are missing or given as an inline table", () => {
     const short = DELTA.slice(0, DELTA.indexOf("[rules]"));
     const inline = `rules = { drained = ["a"] }\n${short}`;
     const edit = { list: "drained", name: "b", listed: true } as const;
@@ -142,7 +147,7 @@
   });
 
   for (const name of ["entry", "side", "operator"]) {
-    it(`comes with valid example settings for the ${name}`, () => {
+    it(`has valid example settings for the ${name}`, () => {
       const file = new URL(`${name}.toml`, EXAMPLES).pathname;
       const role = readAnySettings(file).map((settings) => settings.role);
       expect(role._unsafeUnwrap()).to.equal(name);
--- a/packages/inventory/src/parser.ts
+++ b/packages/inventory/src/parser.ts
@@ -1,7 +1,8 @@
 /**
- * Reads configuration texts in a daemon without holding up its other work. A
- * long text is read in parts, and parts that the text before had too are not
- * read again. Preparing a text reads its parts ahead with pauses in between.
+ * Incremental parser that keeps a daemon's event loop responsive. A long text
+ * is parsed in parts, and parts unchanged since the previous text are reused.
+ * Preparing a text parses its new parts in advance and yields to the event loop
+ * before each of them.
  */
 import { setImmediate } from "node:timers/promises";
 import { ok, type Result } from "neverthrow";
@@ -14,19 +15,19 @@
   ParsedConfiguration,
   Worker,
 } from "@coltsfootreach/types";
-import { findFault } from "./check.ts";
+import { findValidationError } from "./check.ts";
 import { parseEstate } from "./parse.ts";
-import { estateSchema, serverSchema, workerSchema } from "./schema.ts";
+import { configurationSchema, serverSchema, workerSchema } from "./schema.ts";
 import { splitText } from "./split.ts";
 
 export interface EstateParser {
-  /** Same result as `parseEstate`; quick for what is prepared. */
+  /** Same result as parsing the whole text; fast for prepared texts. */
   parse(configuration: Configuration): Result<ParsedConfiguration, InvalidFile>;
   prepare(configuration: Configuration): Promise<void>;
 }
 
-/** One part of a document: its machines checked, all else as it was read. */
-interface Part {
+/** A part of a document: validated machines, and the rest not yet validated. */
+interface ParsedPart {
   readonly workers: readonly Worker[];
   readonly servers: readonly ExpectedServer[];
   readonly rest: Readonly<Record<string, unknown>>;
@@ -35,89 +36,91 @@
 const partSchema = z.looseObject({
   workers: z.array(workerSchema).default([]),
   servers: z.array(serverSchema).default([]),
-}).transform(({ workers, servers, ...rest }): Part => ({
+}).transform(({ workers, servers, ...rest }): ParsedPart => ({
   workers,
   servers,
   rest,
 }));
 
 export function createEstateParser(): EstateParser {
-  /** Parts of the last text. */
-  let known: ReadonlyMap<string, Part> = new Map();
-  /** Parts read ahead. */
-  let prepared: ReadonlyMap<string, Part> = new Map();
+  /** Parts of the text that was parsed last, by their text. */
+  let lastParts: ReadonlyMap<string, ParsedPart> = new Map();
+  /** Parts that were parsed in advance, by their text. */
+  let preparedParts: ReadonlyMap<string, ParsedPart> = new Map();
 
-  function findPart(text: string): Part | undefined {
-    return known.get(text) ?? prepared.get(text);
+  function findPart(text: string): ParsedPart | undefined {
+    return lastParts.get(text) ?? preparedParts.get(text);
   }
 
   async function prepare({ text }: Configuration): Promise<void> {
-    const ahead = new Map<string, Part>();
-    for (const piece of splitText(text)) {
-      if (findPart(piece) !== undefined) continue;
+    const newParts = new Map<string, ParsedPart>();
+    for (const partText of splitText(text)) {
+      if (findPart(partText) !== undefined) continue;
       await setImmediate();
-      const part = readPart(piece);
+      const part = parsePart(partText);
       if (part === undefined) return;
-      ahead.set(piece, part);
+      newParts.set(partText, part);
     }
-    prepared = ahead;
+    preparedParts = newParts;
   }
 
   function parse(
     configuration: Configuration,
   ): Result<ParsedConfiguration, InvalidFile> {
-    const parts = new Map<string, Part>();
-    const pieces = splitText(configuration.text);
-    for (const piece of pieces) {
-      const part = findPart(piece) ?? readPart(piece);
+    const parts = new Map<string, ParsedPart>();
+    const partTexts = splitText(configuration.text);
+    for (const partText of partTexts) {
+      const part = findPart(partText) ?? parsePart(partText);
       if (part === undefined) return parseEstate(configuration);
-      parts.set(piece, part);
+      parts.set(partText, part);
     }
-    known = parts;
-    const ordered = pieces.map((piece) => parts.get(piece)!);
-    const estate = assemble(configuration.version, ordered);
-    // The whole text is read at once to say what is wrong with it.
-    return estate === undefined ? parseEstate(configuration) : ok(estate);
+    lastParts = parts;
+    const ordered = partTexts.map((partText) => parts.get(partText)!);
+    const assembled = assembleConfiguration(configuration.version, ordered);
+    // Parses the whole text at once to report its first error.
+    return assembled === undefined ? parseEstate(configuration) : ok(assembled);
   }
 
   return { parse, prepare };
 }
 
-/** Undefined when the part cannot be read by itself. */
-function readPart(text: string): Part | undefined {
+/** Undefined when the part is invalid on its own. */
+function parsePart(text: string): ParsedPart | undefined {
   const part = parseToml("part", text)
     .map((document) => partSchema.safeParse(document));
   return part.isOk() ? part.value.data : undefined;
 }
 
-/** Undefined when the parts make no valid document. */
-function assemble(
+/** Undefined when the parts do not form a valid document. */
+function assembleConfiguration(
   version: number,
-  parts: readonly Part[],
+  parts: readonly ParsedPart[],
 ): ParsedConfiguration | undefined {
   const rest = mergeTables(parts.map((part) => part.rest));
   if (rest === undefined) return undefined;
-  const checked = estateSchema.safeParse(rest);
+  const checked = configurationSchema.safeParse(rest);
   if (!checked.success) return undefined;
-  const estate: ParsedConfiguration = {
+  const configuration: ParsedConfiguration = {
     ...checked.data,
     version,
     workers: parts.flatMap((part) => part.workers),
     servers: parts.flatMap((part) => part.servers),
   };
-  return findFault("part", estate) === undefined ? estate : undefined;
+  return findValidationError("part", configuration) === undefined
+    ? configuration
+    : undefined;
 }
 
-/** Arrays of tables go on from part to part; all else stands in one part. */
+/** Concatenates arrays of tables; any other key may occur in one part only. */
 function mergeTables(
   tables: readonly Readonly<Record<string, unknown>>[],
 ): Readonly<Record<string, unknown>> | undefined {
   const merged: Record<string, unknown> = {};
   for (const [key, value] of tables.flatMap(Object.entries)) {
-    const before = merged[key];
-    if (before === undefined) merged[key] = value;
-    else if (Array.isArray(before) && Array.isArray(value)) {
-      merged[key] = [...before, ...value];
+    const existing = merged[key];
+    if (existing === undefined) merged[key] = value;
+    else if (Array.isArray(existing) && Array.isArray(value)) {
+      merged[key] = [...existing, ...value];
     } else return undefined;
   }
   return merged;
--- a/packages/inventory/src/parser_test.ts
+++ b/packages/inventory/src/parser_test.ts
@@ -10,47 +10,48 @@
   "utf8",
 );
 
-/** The example with many more workers, so that it stands in parts. */
+/** The example with 6,000 workers, so that it is split into several parts. */
 function createLongText(): string {
-  const estate = parseEstate({ version: 1, text: DELTA })._unsafeUnwrap();
+  const configuration = parseEstate({ version: 1, text: DELTA })
+    ._unsafeUnwrap();
   const workers = Array.from({ length: 6_000 }, (_, i) => ({
-    ...estate.workers[0]!,
+    ...configuration.workers[0]!,
     name: `worker-${String(i).padStart(2, "0")}`,
   }));
-  return formatEstate({ ...estate, workers });
+  return formatEstate({ ...configuration, workers });
 }
 
-describe("the parser of daemons", () => {
+describe("the incremental parser", () => {
   const text = createLongText();
-  const broken: Readonly<Record<string, string>> = {
+  const invalidTexts: Readonly<Record<string, string>> = {
     "a second [rules]": `${text}\n[rules]\n`,
     "an unknown key": `x = 1\n${text}`,
-    "a name used twice": text.replace('"worker-4001"', '"worker-4000"'),
-    "a bad worker": text.replace('rack = "kiln-yard-r1"', "rack = 3"),
-    "bad syntax": text.replace("slots = 8", "slots = "),
+    "a duplicate name": text.replace('"worker-4001"', '"worker-4000"'),
+    "an invalid worker": text.replace('rack = "kiln-yard-r1"', "rack = 3"),
+    "invalid syntax": text.replace("slots = 8", "slots = "),
     "no tenants": text.replaceAll(/\[\[tenants\]\][^[]*/g, ""),
   };
 
-  it("reads what the plain reader reads", async () => {
+  it("parses the same as the parser of whole texts", async () => {
     expect(splitText(text).length).to.be.greaterThan(3);
     const parser = createEstateParser();
     const edited = text.replace(/drained = \[.*\]/, 'drained = ["a"]');
     expect(edited).not.to.equal(text);
-    for (const [version, each] of [DELTA, text, edited, text].entries()) {
-      const expected = parseEstate({ version, text: each })._unsafeUnwrap();
-      if (version % 2 === 1) await parser.prepare({ version, text: each });
-      const read = parser.parse({ version, text: each });
-      expect(read._unsafeUnwrap()).to.deep.equal(expected);
+    for (const [version, input] of [DELTA, text, edited, text].entries()) {
+      const expected = parseEstate({ version, text: input })._unsafeUnwrap();
+      if (version % 2 === 1) await parser.prepare({ version, text: input });
+      const result = parser.parse({ version, text: input });
+      expect(result._unsafeUnwrap()).to.deep.equal(expected);
     }
   });
 
-  for (const [what, bad] of Object.entries(broken)) {
-    it(`says the same as the plain reader of ${what}`, async () => {
-      const expected = parseEstate({ version: 1, text: bad });
+  for (const [description, invalidText] of Object.entries(invalidTexts)) {
+    it(`reports the same error as for whole texts: ${description}`, async () => {
+      const expected = parseEstate({ version: 1, text: invalidText });
       const parser = createEstateParser();
-      await parser.prepare({ version: 1, text: bad });
-      const read = parser.parse({ version: 1, text: bad });
-      expect(read._unsafeUnwrapErr().message)
+      await parser.prepare({ version: 1, text: invalidText });
+      const result = parser.parse({ version: 1, text: invalidText });
+      expect(result._unsafeUnwrapErr().message)
         .to.equal(expected._unsafeUnwrapErr().message);
     });
   }
--- a/packages/inventory/src/register.ts
+++ b/packages/inventory/src/register.ts
@@ -1,17 +1,21 @@
 /**
- * Imports machines from a CSV export of an asset register. One row is one
- * worker, with the backend server that stands on it if there is one. Columns
- * that the inventory has no use for are passed over.
+ * Imports machines from a CSV export of an asset register. Each row describes
+ * one worker and, optionally, the backend server on it. Columns that the
+ * inventory does not use are ignored.
  */
 import { parse } from "csv-parse/sync";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { InvalidFile } from "@coltsfootreach/errors";
-import { checkDocument, size, WHOLE_DOCUMENT } from "@coltsfootreach/settings";
+import {
+  checkDocument,
+  sizeSchema,
+  WHOLE_DOCUMENT,
+} from "@coltsfootreach/settings";
 import type { DataCentre, ExpectedServer, Worker } from "@coltsfootreach/types";
 
-/** The part of an estate that an asset register describes. */
-export interface Machines {
+/** The part of a configuration that is imported from an asset register. */
+export interface ImportedInventory {
   readonly dataCentres: readonly DataCentre[];
   readonly workers: readonly Worker[];
   readonly servers: readonly ExpectedServer[];
@@ -19,36 +23,36 @@
 
 const DEFAULT_DELAY_MS = 1;
 const BYTES_PER_MB = 1_048_576;
-/** The header is line 1, so the first row of data is line 2. */
+/** Line number of the first data row; the header is line 1. */
 const FIRST_ROW_LINE = 2;
 
-const count = () =>
+const countSchema = () =>
   z.string().regex(/^\d+$/, "must be a whole number")
     .transform(Number);
 /** An empty or absent cell counts as 0. */
-const optionalCount = () =>
+const optionalCountSchema = () =>
   z.string().regex(/^\d*$/, "must be a whole number").default("")
     .transform(Number);
-const text = () => z.string().min(1, "must not be empty");
+const nonEmptySchema = () => z.string().min(1, "must not be empty");
 
 const rowSchema = z.object({
-  data_centre: text(),
-  region: text(),
-  rack: text(),
-  worker: text(),
-  cores: count(),
-  memory: size(),
-  accelerators: optionalCount(),
+  data_centre: nonEmptySchema(),
+  region: nonEmptySchema(),
+  rack: nonEmptySchema(),
+  worker: nonEmptySchema(),
+  cores: countSchema(),
+  memory: sizeSchema(),
+  accelerators: optionalCountSchema(),
   server: z.string().default(""),
-  slots: optionalCount(),
-  connections: optionalCount(),
+  slots: optionalCountSchema(),
+  connections: optionalCountSchema(),
 });
 
 type Row = z.output<typeof rowSchema>;
 
 /**
- * Reads the rows of a register. Data centres that are `known` keep their
- * delays, which a register does not hold; others get one of 1 ms.
+ * Imports the rows of a register. A register holds no network delays: data
+ * centres in `known` keep theirs, others get the default of 1 ms.
  */
 export function importRegister(
   { file, csv, known }: {
@@ -56,9 +60,9 @@
     readonly csv: string;
     readonly known: readonly DataCentre[];
   },
-): Result<Machines, InvalidFile> {
+): Result<ImportedInventory, InvalidFile> {
   return parseRows(file, csv)
-    .andThen((rows) => checkRows(file, rows))
+    .andThen((rows) => validateRows(file, rows))
     .map((rows) => ({
       dataCentres: collectDataCentres(rows, known),
       workers: rows.map(toWorker),
@@ -83,31 +87,31 @@
   }
 }
 
-function checkRows(
+function validateRows(
   file: string,
   rows: readonly unknown[],
 ): Result<readonly Row[], InvalidFile> {
-  const checked: Row[] = [];
-  for (const [position, row] of rows.entries()) {
-    const source = `${file}: line ${position + FIRST_ROW_LINE}`;
+  const validRows: Row[] = [];
+  for (const [index, row] of rows.entries()) {
+    const source = `${file}: line ${index + FIRST_ROW_LINE}`;
     const result = checkDocument(source, row, rowSchema);
     if (result.isErr()) return err(result.error);
-    checked.push(result.value);
+    validRows.push(result.value);
   }
-  return ok(checked);
+  return ok(validRows);
 }
 
 function collectDataCentres(
   rows: readonly Row[],
   known: readonly DataCentre[],
 ): readonly DataCentre[] {
-  const found = new Map<string, DataCentre>();
+  const dataCentres = new Map<string, DataCentre>();
   for (const { data_centre: name, region } of rows) {
     const delayMs = known.find((item) => item.name === name)?.delayMs ??
       DEFAULT_DELAY_MS;
-    found.set(name, { name, region, delayMs });
+    dataCentres.set(name, { name, region, delayMs });
   }
-  return [...found.values()];
+  return [...dataCentres.values()];
 }
 
 function toWorker(row: Row): Worker {
--- a/packages/inventory/src/split.ts
+++ b/packages/inventory/src/split.ts
@@ -1,54 +1,55 @@
 /**
- * Cuts a long configuration text into parts that each fit a value of the
- * key-value service and are read in little time. Cuts are chosen by content
- * and fall before a TOML table, so that an edit changes the part that it falls
- * into and leaves the others as they are.
+ * Content-defined chunking of a long configuration text. Each part fits into a
+ * value of the key-value service and is parsed in little time. Boundaries are
+ * chosen by content and lie before a TOML table, so that an edit changes only
+ * the part that contains it.
  */
 import { Buffer } from "node:buffer";
 import murmurhash from "murmurhash";
 
-/** A cut is never made before a part has reached this size. */
-export const SMALLEST_PART_BYTES = 32 * 1024;
+/** Content boundaries are used only once a part has reached this size. */
+export const MIN_PART_BYTES = 32 * 1024;
 
-/** The service holds values up to a megabyte; this leaves room to spare. */
+/** The service accepts values up to a megabyte; this leaves a margin. */
 export const LARGEST_PART_BYTES = 512 * 1024;
 
-/** One table in so many is a place to cut. */
-const CUT_EVERY = 512;
+/** On average, one table in this many starts at a part boundary. */
+const BOUNDARY_MODULUS = 512;
 
-/** The parts in order; joined they are the text. */
+/** Splits a text into parts; joined in order, they equal the text. */
 export function splitText(text: string): readonly string[] {
   const parts: string[] = [];
-  let start = 0;
-  let bytes = 0;
-  let from = 0;
-  while (from < text.length) {
-    const to = nextTable(text, from + 1);
-    const tableBytes = Buffer.byteLength(text.slice(from, to));
-    const full = bytes + tableBytes > LARGEST_PART_BYTES;
-    const cut = bytes >= SMALLEST_PART_BYTES && isCut(text, from);
-    if (bytes > 0 && (full || cut)) {
-      parts.push(text.slice(start, from));
-      start = from;
-      bytes = 0;
+  let partStart = 0;
+  let partBytes = 0;
+  let tableStart = 0;
+  while (tableStart < text.length) {
+    const tableEnd = findNextTable(text, tableStart + 1);
+    const tableBytes = Buffer.byteLength(text.slice(tableStart, tableEnd));
+    const isFull = partBytes + tableBytes > LARGEST_PART_BYTES;
+    const isAtBoundary = partBytes >= MIN_PART_BYTES &&
+      isPartBoundary(text, tableStart);
+    if (partBytes > 0 && (isFull || isAtBoundary)) {
+      parts.push(text.slice(partStart, tableStart));
+      partStart = tableStart;
+      partBytes = 0;
     }
-    bytes += tableBytes;
-    from = to;
+    partBytes += tableBytes;
+    tableStart = tableEnd;
   }
-  parts.push(text.slice(start));
+  parts.push(text.slice(partStart));
   return parts;
 }
 
-/** Where the next table's header begins, or the end of the text. */
-function nextTable(text: string, from: number): number {
+/** Returns the offset of the next table's header, or the end of the text. */
+function findNextTable(text: string, from: number): number {
   const found = text.indexOf("\n[", from - 1);
   return found < 0 ? text.length : found + 1;
 }
 
-/** The line after a table's header holds its name, so it tells tables apart. */
-function isCut(text: string, header: number): boolean {
-  const nameStart = text.indexOf("\n", header) + 1;
+/** Hashes the line after the table's header, which holds the table's name. */
+function isPartBoundary(text: string, tableStart: number): boolean {
+  const nameStart = text.indexOf("\n", tableStart) + 1;
   const nameEnd = text.indexOf("\n", nameStart);
   const name = text.slice(nameStart, nameEnd);
-  return murmurhash.v3(name) % CUT_EVERY === 0;
+  return murmurhash.v3(name) % BOUNDARY_MODULUS === 0;
 }
--- a/packages/inventory/src/split_test.ts
+++ b/packages/inventory/src/split_test.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { expect } from "chai";
 import fc from "fast-check";
-import { LARGEST_PART_BYTES, SMALLEST_PART_BYTES, splitText } from "./split.ts";
+import { LARGEST_PART_BYTES, MIN_PART_BYTES, splitText } from "./split.ts";
 
 const SEED = 20_261_204;
 
@@ -12,8 +12,8 @@
   ).join("");
 }
 
-describe("splitting a text", () => {
-  it("loses nothing, whatever the text", () => {
+describe("splitting a configuration text", () => {
+  it("preserves any text", () => {
     const line = fc.constantFrom("[a]\n", "[", "\n", "é = 1\n", "\n[[b]]\n");
     fc.assert(
       fc.property(fc.array(line), (lines) => {
@@ -24,12 +24,12 @@
     );
   });
 
-  it("keeps a short text whole", () => {
+  it("does not split a short text", () => {
     expect(splitText("a = 1\n[b]\n")).to.deep.equal(["a = 1\n[b]\n"]);
     expect(splitText("")).to.deep.equal([""]);
   });
 
-  it("cuts before tables and within bounds", () => {
+  it("splits before tables and keeps parts within the size limits", () => {
     const parts = splitText(createText(60_000));
     expect(parts.join("")).to.equal(createText(60_000));
     for (const [position, part] of parts.entries()) {
@@ -37,12 +37,12 @@
       expect(part.startsWith("[[workers]]")).to.equal(true);
       expect(bytes).to.be.at.most(LARGEST_PART_BYTES);
       if (position < parts.length - 1) {
-        expect(bytes).to.be.at.least(SMALLEST_PART_BYTES);
+        expect(bytes).to.be.at.least(MIN_PART_BYTES);
       }
     }
   });
 
-  it("cuts by content, so that a removal changes few parts", () => {
+  it("splits by content, so that a removal changes few parts", () => {
     const text = createText(60_000);
     const before = new Set(splitText(text));
     const edited = text.replace('[[workers]]\nname = "værk-30000"\n', "");
--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -1,6 +1,6 @@
 /**
- * Reads a TOML document and checks it against a schema. The first fault is
- * reported by file, key and reason.
+ * Parses a TOML document and validates it against a schema. Only the first
+ * error is reported, with its file, key and reason.
  */
 import { readFileSync } from "node:fs";
 import { err, ok, type Result } from "neverthrow";
@@ -8,10 +8,10 @@
 import type { z } from "zod";
 import { InvalidFile } from "@coltsfootreach/errors";
 
-/** The key that a fault of the document as a whole is reported under. */
+/** The key reported for an error that concerns the document as a whole. */
 export const WHOLE_DOCUMENT = "(document)";
 
-/** Reads a text file; an unreadable one is reported as a fault of the file. */
+/** Reads a text file. An I/O error is returned as an invalid file. */
 export function readText(file: string): Result<string, InvalidFile> {
   try {
     return ok(readFileSync(file, "utf8"));
@@ -21,7 +21,7 @@
   }
 }
 
-/** Parses TOML text; `file` is only used to name the source in errors. */
+/** Parses TOML text; `file` only names the source in errors. */
 export function parseToml(
   file: string,
   text: string,
@@ -29,28 +29,30 @@
   try {
     return ok(parse(text, { unsafeKeyBehaviour: "throw" }));
   } catch (error) {
-    return err(new InvalidFile(file, WHOLE_DOCUMENT, describeSyntax(error)));
+    return err(
+      new InvalidFile(file, WHOLE_DOCUMENT, describeSyntaxError(error)),
+    );
   }
 }
 
-/** Checks a parsed document against a schema and reports the first fault. */
+/** Validates a parsed document against a schema; returns the first error. */
 export function checkDocument<S extends z.ZodType>(
   file: string,
   document: unknown,
   schema: S,
 ): Result<z.output<S>, InvalidFile> {
-  const checked = schema.safeParse(document, { reportInput: true });
-  if (checked.success) return ok(checked.data);
-  return err(describeIssue(file, checked.error.issues[0]!));
+  const result = schema.safeParse(document, { reportInput: true });
+  if (result.success) return ok(result.data);
+  return err(toInvalidFile(file, result.error.issues[0]!));
 }
 
-function describeSyntax(error: unknown): string {
+function describeSyntaxError(error: unknown): string {
   if (!(error instanceof TomlError)) return String(error);
   const reason = error.message.split("\n")[0];
   return `line ${error.line}, column ${error.column}: ${reason}`;
 }
 
-function describeIssue(file: string, issue: z.core.$ZodIssue): InvalidFile {
+function toInvalidFile(file: string, issue: z.core.$ZodIssue): InvalidFile {
   if (issue.code === "unrecognized_keys") {
     const key = formatPath([...issue.path, issue.keys[0]!]);
     return new InvalidFile(file, key, "unknown key");
@@ -63,8 +65,8 @@
 
 function formatPath(path: readonly PropertyKey[]): string {
   if (path.length === 0) return WHOLE_DOCUMENT;
-  return path.map((step, position) => {
-    if (typeof step === "number") return `[${step}]`;
-    return position === 0 ? String(step) : `.${String(step)}`;
+  return path.map((segment, index) => {
+    if (typeof segment === "number") return `[${segment}]`;
+    return index === 0 ? String(segment) : `.${String(segment)}`;
   }).join("");
 }
--- a/packages/settings/src/documentation_test.ts
+++ b/packages/settings/src/documentation_test.ts
@@ -5,7 +5,7 @@
 import { operatorSchema } from "./operator.ts";
 import { sideSchema } from "./side.ts";
 
-const PAGE = readFileSync(
+const CONFIGURATION_PAGE = readFileSync(
   new URL("../../../docs/CONFIGURATION.md", import.meta.url),
   "utf8",
 );
@@ -16,42 +16,46 @@
   ["Settings of the command line", operatorSchema],
 ] as const;
 
-/** Defaults by key; an empty text where there is none. */
+/** Default values by key; an empty string for a key without a default. */
 type Defaults = Readonly<Record<string, string>>;
 
-function readTable(heading: string): Defaults {
-  const [section] = PAGE.split(`\n## ${heading}\n`)[1]!.split("\n## ");
+function readDocumentedDefaults(heading: string): Defaults {
+  const [section] = CONFIGURATION_PAGE.split(`\n## ${heading}\n`)[1]!.split(
+    "\n## ",
+  );
   const rows = section!.matchAll(/^\| `([a-z_.]+)` +\| *(.*?) *\|/gm);
   return Object.fromEntries(
     [...rows].map(([, key, value]) => [key!, value!.replaceAll("`", "")]),
   );
 }
 
-interface Property {
+interface JsonSchema {
   readonly default?: unknown;
-  readonly properties?: Readonly<Record<string, Property>>;
+  readonly properties?: Readonly<Record<string, JsonSchema>>;
 }
 
-function flatten(property: Property, prefix = ""): Defaults {
-  const entries = Object.entries(property.properties ?? {});
+function collectDefaults(schema: JsonSchema, prefix = ""): Defaults {
+  const entries = Object.entries(schema.properties ?? {});
   return Object.assign(
     {},
     ...entries.map(([name, child]) =>
       child.properties === undefined
         ? { [prefix + name]: String(child.default ?? "") }
-        : flatten(child, `${prefix}${name}.`)
+        : collectDefaults(child, `${prefix}${name}.`)
     ),
   );
 }
 
-describe("the page on settings", () => {
+describe("the documented settings", () => {
   for (const [heading, schema] of SCHEMAS) {
-    it(`agrees with the schema: ${heading}`, () => {
+    it(`match the schema: ${heading}`, () => {
       const document = z.toJSONSchema(schema, {
         io: "input",
         unrepresentable: "any",
       });
-      expect(readTable(heading)).to.deep.equal(flatten(document as Property));
+      expect(readDocumentedDefaults(heading)).to.deep.equal(
+        collectDefaults(document as JsonSchema),
+      );
     });
   }
 });
--- a/packages/settings/src/entry.ts
+++ b/packages/settings/src/entry.ts
@@ -1,44 +1,48 @@
 /** Settings of an entry. */
 import { z } from "zod";
 import { type Placement, PLACEMENTS } from "@coltsfootreach/place";
-import { type Address, listenAddress, remoteAddress } from "./address.ts";
 import {
-  logSection,
+  type Address,
+  listenAddressSchema,
+  remoteAddressSchema,
+} from "./address.ts";
+import {
+  logSchema,
   type LogSettings,
-  managementSection,
+  managementSchema,
   type ManagementSettings,
-  name,
-  storeSection,
+  nameSchema,
+  storeSchema,
   type StoreSettings,
   type Timeouts,
-  timeoutsSection,
-  tlsSection,
+  timeoutsSchema,
+  tlsSchema,
   type TlsSettings,
 } from "./section.ts";
-import { duration, size } from "./unit.ts";
+import { durationSchema, sizeSchema } from "./unit.ts";
 
-/** Where sides and other entries reach this entry. */
+/** Address for connections from sides and from other entries. */
 export interface LinkSettings {
   readonly listen: Address;
-  /** As `IP:port`; told to others through the table of entries. */
+  /** As `IP:port`; published to other processes in the table of entries. */
   readonly advertise: string;
 }
 
-/** Bounds on what callers may send and on what the entry keeps. */
+/** Limits on callers' requests and on the records that the entry keeps. */
 export interface EntryLimits {
   readonly bodyBytes: number;
   readonly headerBytes: number;
-  /** Length of a job's key in characters. */
+  /** Maximum length of a job's key in characters. */
   readonly keyLength: number;
-  /** Tasks in one job. */
+  /** Maximum number of tasks in one job. */
   readonly tasks: number;
-  /** Job records kept at once. */
+  /** Maximum number of job records kept at the same time. */
   readonly jobs: number;
-  /** How long an ended job's record is kept for resubmissions. */
+  /** How long an ended job's record is kept to answer resubmissions. */
   readonly recordWindowMs: number;
-  /** How far a caller's clock may be ahead of the entry's. */
+  /** Maximum lead of a caller's clock over the entry's clock. */
   readonly skewMs: number;
-  /** Records of automatic acts kept. */
+  /** Maximum number of records of automatic actions. */
   readonly acts: number;
 }
 
@@ -46,36 +50,36 @@
   readonly role: "entry";
   readonly name: string;
   readonly dataCentre: string;
-  /** Where callers submit jobs. */
+  /** Listen address of the callers' interface. */
   readonly listen: Address;
   readonly link: LinkSettings;
   readonly store: StoreSettings;
   readonly limits: EntryLimits;
-  /** Which policy places tasks; for comparisons. */
+  /** The placement policy; selectable so that policies can be compared. */
   readonly placement: Placement;
   readonly timeouts: Timeouts;
   readonly log: LogSettings;
-  /** The operators' interface is off while this is absent. */
+  /** The management interface is disabled when this is absent. */
   readonly management?: ManagementSettings | undefined;
   readonly tls?: TlsSettings | undefined;
 }
 
-const MOST_TASKS = 540;
-const LONGEST_KEY = 256;
+const MAX_TASKS_PER_JOB = 540;
+const MAX_KEY_LENGTH = 256;
 
-const linkSection = z.strictObject({
-  listen: listenAddress(),
-  advertise: remoteAddress(),
+const linkSchema = z.strictObject({
+  listen: listenAddressSchema(),
+  advertise: remoteAddressSchema(),
 });
 
-const limitsSection = z.strictObject({
-  body: size().prefault("16MB"),
-  header: size().prefault("16KB"),
-  key: z.int().min(1).max(LONGEST_KEY).default(128),
-  tasks: z.int().min(1).max(MOST_TASKS).default(MOST_TASKS),
+const limitsSchema = z.strictObject({
+  body: sizeSchema().prefault("16MB"),
+  header: sizeSchema().prefault("16KB"),
+  key: z.int().min(1).max(MAX_KEY_LENGTH).default(128),
+  tasks: z.int().min(1).max(MAX_TASKS_PER_JOB).default(MAX_TASKS_PER_JOB),
   jobs: z.int().min(1).default(200_000),
-  record_window: duration().prefault("10m"),
-  skew: duration().prefault("5s"),
+  record_window: durationSchema().prefault("10m"),
+  skew: durationSchema().prefault("5s"),
   acts: z.int().min(1).default(10_000),
 }).transform((section): EntryLimits => ({
   bodyBytes: section.body,
@@ -90,17 +94,17 @@
 
 export const entrySchema = z.strictObject({
   role: z.literal("entry"),
-  name: name(),
-  data_centre: name(),
-  listen: listenAddress(),
-  link: linkSection,
-  store: storeSection,
-  limits: limitsSection.prefault({}),
+  name: nameSchema(),
+  data_centre: nameSchema(),
+  listen: listenAddressSchema(),
+  link: linkSchema,
+  store: storeSchema,
+  limits: limitsSchema.prefault({}),
   placement: z.enum(PLACEMENTS).default("expected-delay"),
-  timeouts: timeoutsSection.prefault({}),
-  log: logSection.prefault({}),
-  management: managementSection.optional(),
-  tls: tlsSection.optional(),
+  timeouts: timeoutsSchema.prefault({}),
+  log: logSchema.prefault({}),
+  management: managementSchema.optional(),
+  tls: tlsSchema.optional(),
 }).transform(({ data_centre, ...rest }): EntrySettings => ({
   ...rest,
   dataCentre: data_centre,
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,4 +1,4 @@
-/** Settings of daemons and operators, and the reading of checked TOML. */
+/** Settings of daemons and operators, and validated reading of TOML files. */
 export * from "./address.ts";
 export * from "./document.ts";
 export * from "./entry.ts";
--- a/packages/settings/src/operator.ts
+++ b/packages/settings/src/operator.ts
@@ -1,10 +1,10 @@
-/** Settings of the command line: which fleet it speaks to. */
+/** Settings of the command line: the fleet that it connects to. */
 import { z } from "zod";
-import { origin } from "./address.ts";
-import { storeSection, type StoreSettings, token } from "./section.ts";
+import { originSchema } from "./address.ts";
+import { storeSchema, type StoreSettings, tokenSchema } from "./section.ts";
 
-/** The operators' interfaces of the entries. */
-export interface ManagementAccess {
+/** Access to the management interfaces of the entries. */
+export interface ManagementClientSettings {
   readonly endpoints: readonly string[];
   readonly token: string;
 }
@@ -12,19 +12,19 @@
 export interface OperatorSettings {
   readonly role: "operator";
   readonly store?: StoreSettings | undefined;
-  readonly management?: ManagementAccess | undefined;
-  /** Callers' interfaces of the entries, as HTTP origins. */
+  readonly management?: ManagementClientSettings | undefined;
+  /** HTTP origins of the entries' interface for callers. */
   readonly entries: readonly string[];
 }
 
-const managementAccess = z.strictObject({
-  endpoints: z.array(origin()).min(1, "needs at least one endpoint"),
-  token: token(),
+const managementClientSchema = z.strictObject({
+  endpoints: z.array(originSchema()).min(1, "must have at least one endpoint"),
+  token: tokenSchema(),
 });
 
 export const operatorSchema = z.strictObject({
   role: z.literal("operator"),
-  store: storeSection.optional(),
-  management: managementAccess.optional(),
-  entries: z.array(origin()).default([]),
+  store: storeSchema.optional(),
+  management: managementClientSchema.optional(),
+  entries: z.array(originSchema()).default([]),
 }).transform((settings): OperatorSettings => settings);
--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -1,43 +1,47 @@
-/** Reads a settings file of any role. */
+/** Reads and validates settings files of all roles. */
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile } from "@coltsfootreach/errors";
 import { checkDocument, parseToml, readText } from "./document.ts";
 import { entrySchema, type EntrySettings } from "./entry.ts";
 import { operatorSchema, type OperatorSettings } from "./operator.ts";
 import { sideSchema, type SideSettings } from "./side.ts";
-import { checkTlsFiles } from "./tls_files.ts";
+import { validateTlsFiles } from "./tls_files.ts";
 
 export type DaemonSettings = EntrySettings | SideSettings;
 
 export type Settings = DaemonSettings | OperatorSettings;
 
-/** Reads and checks the settings of an entry or a side. */
+/** Reads and validates the settings of an entry or a side. */
 export function readSettings(
   file: string,
 ): Result<DaemonSettings, InvalidFile> {
   return readAnySettings(file).andThen((settings) =>
     settings.role === "operator"
       ? err(
-        new InvalidFile(file, "role", 'a daemon is an "entry" or a "side"'),
+        new InvalidFile(file, "role", 'must be "entry" or "side" for a daemon'),
       )
       : ok(settings)
   );
 }
 
-/** Reads and checks the settings of the command line. */
+/** Reads and validates the settings of the command line. */
 export function readOperatorSettings(
   file: string,
 ): Result<OperatorSettings, InvalidFile> {
   return readAnySettings(file).andThen((settings) =>
-    settings.role === "operator"
-      ? ok(settings)
-      : err(new InvalidFile(file, "role", 'expected "operator"'))
+    settings.role === "operator" ? ok(settings) : err(
+      new InvalidFile(
+        file,
+        "role",
+        'must be "operator" for the command line',
+      ),
+    )
   );
 }
 
 /**
- * Reads and checks settings of whichever role the file names, and the files
- * that they name.
+ * Reads and validates settings of any role, including the TLS files that they
+ * refer to.
  */
 export function readAnySettings(file: string): Result<Settings, InvalidFile> {
   return readText(file)
@@ -45,24 +49,24 @@
     .andThen((settings) =>
       settings.role === "operator" || settings.tls === undefined
         ? ok(settings)
-        : checkTlsFiles(file, settings.tls).map(() => settings)
+        : validateTlsFiles(file, settings.tls).map(() => settings)
     );
 }
 
-/** Checks settings text; `file` is only used to name the source in errors. */
+/** Parses and validates settings; `file` only names the source in errors. */
 export function parseSettings(
   file: string,
   text: string,
 ): Result<Settings, InvalidFile> {
   return parseToml(file, text)
-    .andThen((document) => checkSettings(file, document));
+    .andThen((document) => validateSettings(file, document));
 }
 
-function checkSettings(
+function validateSettings(
   file: string,
   document: unknown,
 ): Result<Settings, InvalidFile> {
-  switch (roleOf(document)) {
+  switch (getRole(document)) {
     case "entry":
       return checkDocument(file, document, entrySchema);
     case "side":
@@ -82,6 +86,6 @@
   }
 }
 
-function roleOf(document: unknown): unknown {
+function getRole(document: unknown): unknown {
   return (document as { readonly role?: unknown }).role;
 }
--- a/packages/settings/src/read_test.ts
+++ b/packages/settings/src/read_test.ts
@@ -25,15 +25,15 @@
 announcement.listen = "127.0.0.1:7080"
 `;
 
-function faultOf(text: string): string {
+function validationErrorOf(text: string): string {
   const message = parseSettings("f.toml", text)
-    .match(() => "accepted", (fault) => fault.message);
+    .match(() => "accepted", (error) => error.message);
   expect(message).not.to.include("\n");
   return message;
 }
 
 describe("settings", () => {
-  it("fill in the defaults of an entry", () => {
+  it("apply the defaults of an entry", () => {
     const settings = parseSettings("f.toml", ENTRY)._unsafeUnwrap();
     expect(settings).to.deep.include({
       role: "entry",
@@ -51,7 +51,7 @@
     expect(settings).not.to.have.property("management");
   });
 
-  it("read a side", () => {
+  it("parse a side's settings", () => {
     const settings = parseSettings("f.toml", SIDE)._unsafeUnwrap();
     expect(settings).to.deep.include({
       announcement: { host: "127.0.0.1", port: 7080 },
@@ -60,7 +60,7 @@
     });
   });
 
-  const faults: readonly [string, string, string][] = [
+  const invalidCases: readonly [string, string, string][] = [
     ["an unknown key", `colour = 1\n${ENTRY}`, "f.toml: colour: unknown key"],
     [
       "an unknown key of a section",
@@ -68,17 +68,17 @@
       "f.toml: timeouts.freshnes: unknown key",
     ],
     [
-      "a wrong unit",
+      "an unknown unit",
       `${ENTRY}\n[timeouts]\ndrain = "3 parsecs"`,
-      'f.toml: timeouts.drain: "3 parsecs" is no duration; write a number and one of ms, s, m, h',
+      'f.toml: timeouts.drain: "3 parsecs" is not a valid duration; expected a number and one of ms, s, m, h',
     ],
     [
-      "a number without unit",
+      "a string without a unit",
       `${ENTRY}\n[limits]\nbody = "64"`,
-      'f.toml: limits.body: "64" is no size; write a number and one of B, KB, MB, GB',
+      'f.toml: limits.body: "64" is not a valid size; expected a number and one of B, KB, MB, GB',
     ],
     [
-      "a bare number",
+      "a number instead of a string",
       `${ENTRY}\n[timeouts]\ndrain = 30`,
       "f.toml: timeouts.drain: Invalid input: expected string, received number",
     ],
@@ -93,17 +93,17 @@
       "f.toml: store: missing value; expected object",
     ],
     [
-      "a host name for an IP number",
+      "a host name instead of an IP address",
       ENTRY.replace("127.0.0.1:8080", "localhost:8080"),
-      'f.toml: listen: "localhost:8080" is no address; write an IP number and a port',
+      'f.toml: listen: "localhost:8080" is not a valid address; expected an IP address and a port',
     ],
     [
       "an advertised port 0",
       ENTRY.replace("10.0.1.1:7070", "10.0.1.1:0"),
-      "f.toml: link.advertise: write an IP number and a port other than 0",
+      "f.toml: link.advertise: expected an IP address and a port other than 0",
     ],
     [
-      "a heartbeat that is too slow",
+      "a heartbeat interval that is too long",
       `${ENTRY}\n[timeouts]\nheartbeat = "3s"`,
       "f.toml: timeouts.heartbeat: must be shorter than side_lost",
     ],
@@ -114,27 +114,27 @@
     ],
     ["an unknown role", 'role = "x"', "f.toml: role: must be"],
     ["a missing role", "", "f.toml: role: missing value"],
-    ["broken TOML", "role = ", "f.toml: (document): line 1, column"],
+    ["invalid TOML syntax", "role = ", "f.toml: (document): line 1, column"],
     [
-      "an entry of a list",
+      "an invalid list element",
       SIDE.replace("10.0.1.1:7070", "x"),
-      "f.toml: entries[0]: write an IP number",
+      "f.toml: entries[0]: expected an IP address and a port other than 0",
     ],
   ];
-  for (const [what, text, message] of faults) {
-    it(`name file, key and reason for ${what}`, () => {
-      expect(faultOf(text)).to.include(message);
+  for (const [description, text, message] of invalidCases) {
+    it(`report file, key and reason for ${description}`, () => {
+      expect(validationErrorOf(text)).to.include(message);
     });
   }
 
-  it("name a file that is absent", () => {
-    const fault = readSettings("/nonexistent/x.toml")._unsafeUnwrapErr();
-    expect(fault.message).to.include("/nonexistent/x.toml: (document): ENOENT");
+  it("report a missing file", () => {
+    const error = readSettings("/nonexistent/x.toml")._unsafeUnwrapErr();
+    expect(error.message).to.include("/nonexistent/x.toml: (document): ENOENT");
   });
 
-  it("never show a token", () => {
+  it("never include a token in an error", () => {
     const text = `${ENTRY}\n[management]\nlisten = "127.0.0.1:1"\n` +
       `token = "short-secret"`;
-    expect(faultOf(text)).not.to.include("short-secret");
+    expect(validationErrorOf(text)).not.to.include("short-secret");
   });
 });
--- a/packages/settings/src/section.ts
+++ b/packages/settings/src/section.ts
@@ -1,46 +1,46 @@
 /**
- * Sections that several kinds of settings share. Each schema reads the TOML
- * names and yields the names of the code.
+ * Sections that settings of several roles share. Each schema accepts the TOML
+ * key names and converts them to the property names used in code.
  */
 import { z } from "zod";
-import { listenAddress, origin } from "./address.ts";
-import { duration } from "./unit.ts";
+import { listenAddressSchema, originSchema } from "./address.ts";
+import { durationSchema } from "./unit.ts";
 
-/** A token shorter than this is guessed too easily. */
-const SHORTEST_TOKEN = 16;
+/** Shorter tokens are too easy to guess. */
+const MIN_TOKEN_LENGTH = 16;
 
-/** Names go into addresses of the interfaces and into keys of the store. */
-const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+/** Names appear in URLs of the interfaces and in keys of the store. */
+const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
 
 /** The name of a process, worker, server, tenant or class. */
-export function name() {
+export function nameSchema() {
   return z.string().regex(
-    NAME,
-    "a name has 1 to 63 letters, digits, dots, underscores or hyphens",
+    NAME_PATTERN,
+    "must be 1 to 63 letters, digits, dots, underscores or hyphens, starting with a letter or digit",
   );
 }
 
 /** A bearer token. */
-export function token() {
+export function tokenSchema() {
   return z.string().min(
-    SHORTEST_TOKEN,
-    `must have at least ${SHORTEST_TOKEN} characters`,
+    MIN_TOKEN_LENGTH,
+    `must have at least ${MIN_TOKEN_LENGTH} characters`,
   );
 }
 
-/** The platform's key-value service. */
+/** Connection to the platform's key-value service. */
 export interface StoreSettings {
-  /** HTTP origins, tried in order. */
+  /** HTTP origins, tried in this order. */
   readonly endpoints: readonly string[];
-  /** Bound on each call. */
+  /** Timeout of each call. */
   readonly timeoutMs: number;
-  /** Put before every key, so that several fleets can share one service. */
+  /** Prefix of every key, so that several fleets can share one service. */
   readonly prefix: string;
 }
 
-export const storeSection = z.strictObject({
-  endpoints: z.array(origin()).min(1, "needs at least one endpoint"),
-  timeout: duration().prefault("1s"),
+export const storeSchema = z.strictObject({
+  endpoints: z.array(originSchema()).min(1, "must have at least one endpoint"),
+  timeout: durationSchema().prefault("1s"),
   prefix: z.string().default("coltsfootreach/"),
 }).transform((section): StoreSettings => ({
   endpoints: section.endpoints,
@@ -48,28 +48,28 @@
   prefix: section.prefix,
 }));
 
-/** Files of the certificate, its private key and the trusted authority. */
+/** Paths of the certificate, its private key and the trusted CA certificate. */
 export interface TlsSettings {
   readonly certificate: string;
   readonly key: string;
   readonly authority: string;
 }
 
-export const tlsSection = z.strictObject({
+export const tlsSchema = z.strictObject({
   certificate: z.string().min(1),
   key: z.string().min(1),
   authority: z.string().min(1),
 });
 
-/** The operators' interface of an entry. */
+/** The management interface that an entry serves to operators. */
 export interface ManagementSettings {
   readonly listen: { readonly host: string; readonly port: number };
   readonly token: string;
 }
 
-export const managementSection = z.strictObject({
-  listen: listenAddress(),
-  token: token(),
+export const managementSchema = z.strictObject({
+  listen: listenAddressSchema(),
+  token: tokenSchema(),
 });
 
 export type LogLevel = "error" | "warn" | "info" | "debug";
@@ -78,35 +78,35 @@
   readonly level: LogLevel;
 }
 
-export const logSection = z.strictObject({
+export const logSchema = z.strictObject({
   level: z.enum(["error", "warn", "info", "debug"]).default("info"),
 });
 
-/** Bounds on waiting that entries and sides share; all in milliseconds. */
+/** Timeouts that entries and sides share, in milliseconds. */
 export interface Timeouts {
-  /** How long a side goes on starting tasks without a confirmed table. */
+  /** How long a side keeps starting tasks without a confirmed table. */
   readonly freshnessMs: number;
-  /** Life of an entry's lease in the store; whole seconds. */
+  /** TTL of an entry's lease in the store; a whole number of seconds. */
   readonly leaseMs: number;
-  /** Interval of frames on an idle link. */
+  /** Interval at which heartbeats are sent on an idle link. */
   readonly heartbeatMs: number;
-  /** Silence after which a side is taken out of placement. */
+  /** How long a side may be silent before it is excluded from placement. */
   readonly sideLostMs: number;
-  /** Bound on a graceful shutdown. */
+  /** Maximum duration of a graceful shutdown. */
   readonly drainMs: number;
 }
 
-const ONE_SECOND_MS = 1_000;
+const MS_PER_SECOND = 1_000;
 
-export const timeoutsSection = z.strictObject({
-  freshness: duration().prefault("3s"),
-  lease: duration().prefault("5s"),
-  heartbeat: duration().prefault("1400ms"),
-  side_lost: duration().prefault("3s"),
-  drain: duration().prefault("30s"),
-}).refine((section) => section.lease % ONE_SECOND_MS === 0, {
+export const timeoutsSchema = z.strictObject({
+  freshness: durationSchema().prefault("3s"),
+  lease: durationSchema().prefault("5s"),
+  heartbeat: durationSchema().prefault("1400ms"),
+  side_lost: durationSchema().prefault("3s"),
+  drain: durationSchema().prefault("30s"),
+}).refine((section) => section.lease % MS_PER_SECOND === 0, {
   path: ["lease"],
-  message: "must be whole seconds",
+  message: "must be a whole number of seconds",
 }).refine((section) => section.heartbeat < section.side_lost, {
   path: ["heartbeat"],
   message: "must be shorter than side_lost",
--- a/packages/settings/src/side.ts
+++ b/packages/settings/src/side.ts
@@ -1,13 +1,17 @@
 /** Settings of a side. */
 import { z } from "zod";
-import { type Address, listenAddress, remoteAddress } from "./address.ts";
 import {
-  logSection,
+  type Address,
+  listenAddressSchema,
+  remoteAddressSchema,
+} from "./address.ts";
+import {
+  logSchema,
   type LogSettings,
-  name,
+  nameSchema,
   type Timeouts,
-  timeoutsSection,
-  tlsSection,
+  timeoutsSchema,
+  tlsSchema,
   type TlsSettings,
 } from "./section.ts";
 
@@ -17,31 +21,34 @@
   readonly dataCentre: string;
   readonly rack: string;
   readonly worker: string;
-  /** Where the backend server on this VM announces itself. */
+  /** Listen address for announcements of the backend server on this VM. */
   readonly announcement: Address;
-  /** Link addresses of the entries that the side asks first, as `IP:port`. */
+  /** Link addresses of the entries contacted first, as `IP:port`. */
   readonly entries: readonly string[];
-  /** Starts that may wait for each slot of the backend server. */
+  /** Maximum number of queued starts per slot of the backend server. */
   readonly queuePerSlot: number;
   readonly timeouts: Timeouts;
   readonly log: LogSettings;
   readonly tls?: TlsSettings | undefined;
 }
 
-const announcementSection = z.strictObject({ listen: listenAddress() });
+const announcementSchema = z.strictObject({ listen: listenAddressSchema() });
 
 export const sideSchema = z.strictObject({
   role: z.literal("side"),
-  name: name(),
-  data_centre: name(),
-  rack: name(),
-  worker: name(),
-  announcement: announcementSection,
-  entries: z.array(remoteAddress()).min(1, "needs at least one entry"),
+  name: nameSchema(),
+  data_centre: nameSchema(),
+  rack: nameSchema(),
+  worker: nameSchema(),
+  announcement: announcementSchema,
+  entries: z.array(remoteAddressSchema()).min(
+    1,
+    "must have at least one entry",
+  ),
   queue_per_slot: z.number().min(0).default(1),
-  timeouts: timeoutsSection.prefault({}),
-  log: logSection.prefault({}),
-  tls: tlsSection.optional(),
+  timeouts: timeoutsSchema.prefault({}),
+  log: logSchema.prefault({}),
+  tls: tlsSchema.optional(),
 }).transform((
   { data_centre, queue_per_slot, announcement, ...rest },
 ): SideSettings => ({
--- a/packages/settings/src/unit.ts
+++ b/packages/settings/src/unit.ts
@@ -1,7 +1,6 @@
 /**
- * Durations and sizes with units, as settings and inventories write them:
- * "250ms", "3s", "10m", "64MB". Durations are kept in milliseconds and sizes
- * in bytes.
+ * Durations and sizes with units, as used in settings and inventories: "250ms",
+ * "3s", "10m", "64MB". They are parsed to milliseconds and bytes.
  */
 import { z } from "zod";
 
@@ -19,54 +18,55 @@
   ["GB", 1_073_741_824],
 ]);
 
-const QUANTITY = /^(\d+(?:\.\d+)?)\s*([A-Za-z]*)$/;
+const QUANTITY_PATTERN = /^(\d+(?:\.\d+)?)\s*([A-Za-z]*)$/;
 
-/** Parses a duration such as "250ms"; undefined when it is none. */
+/** Parses a duration such as "250ms"; undefined when it is invalid. */
 export function parseDuration(text: string): number | undefined {
   return parseQuantity(text, MS_PER_UNIT);
 }
 
-/** Parses a size such as "64MB"; undefined when it is none. */
+/** Parses a size such as "64MB"; undefined when it is invalid. */
 export function parseSize(text: string): number | undefined {
   return parseQuantity(text, BYTES_PER_UNIT);
 }
 
-/** Writes milliseconds in the largest unit that keeps them whole. */
+/** Formats milliseconds in the largest unit that gives a whole number. */
 export function formatDuration(ms: number): string {
   return formatQuantity(ms, MS_PER_UNIT);
 }
 
-/** Writes bytes in the largest unit that keeps them whole. */
+/** Formats bytes in the largest unit that gives a whole number. */
 export function formatSize(bytes: number): string {
   return formatQuantity(bytes, BYTES_PER_UNIT);
 }
 
-/** A duration longer than zero, in milliseconds. */
-export function duration() {
-  return quantity("duration", MS_PER_UNIT)
-    .refine((ms) => ms > 0, "must be longer than zero");
+/** Parses a duration greater than zero to milliseconds. */
+export function durationSchema() {
+  return quantitySchema("duration", MS_PER_UNIT)
+    .refine((ms) => ms > 0, "must be greater than zero");
 }
 
-/** A duration of zero or more, in milliseconds. */
-export function delay() {
-  return quantity("duration", MS_PER_UNIT);
+/** Parses a duration of zero or more to milliseconds. */
+export function delaySchema() {
+  return quantitySchema("duration", MS_PER_UNIT);
 }
 
-/** A size greater than zero, in bytes. */
-export function size() {
-  return quantity("size", BYTES_PER_UNIT)
+/** Parses a size greater than zero to bytes. */
+export function sizeSchema() {
+  return quantitySchema("size", BYTES_PER_UNIT)
     .refine((bytes) => bytes > 0, "must be greater than zero");
 }
 
-function quantity(noun: string, units: ReadonlyMap<string, number>) {
+function quantitySchema(kind: string, units: ReadonlyMap<string, number>) {
   return z.string().transform((text, context) => {
     const value = parseQuantity(text, units);
     if (value !== undefined) return value;
     context.addIssue({
       code: "custom",
-      message: `"${text}" is no ${noun}; write a number and one of ${
-        [...units.keys()].join(", ")
-      }`,
+      message:
+        `"${text}" is not a valid ${kind}; expected a number and one of ${
+          [...units.keys()].join(", ")
+        }`,
     });
     return z.NEVER;
   });
@@ -76,7 +76,7 @@
   text: string,
   units: ReadonlyMap<string, number>,
 ): number | undefined {
-  const match = QUANTITY.exec(text.trim());
+  const match = QUANTITY_PATTERN.exec(text.trim());
   const factor = units.get(match?.[2] ?? "");
   if (match === null || factor === undefined) return undefined;
   return Number(match[1]) * factor;
@@ -86,8 +86,8 @@
   value: number,
   units: ReadonlyMap<string, number>,
 ): string {
-  const largest = [...units].reverse()
+  const largestUnit = [...units].reverse()
     .find(([, factor]) => value >= factor && value % factor === 0);
-  const [unit, factor] = largest ?? [...units][0]!;
+  const [unit, factor] = largestUnit ?? [...units][0]!;
   return `${value / factor}${unit}`;
 }
--- a/packages/settings/src/unit_test.ts
+++ b/packages/settings/src/unit_test.ts
@@ -18,12 +18,12 @@
   });
 
   for (const text of ["", "ms", "3", "-3s", "3S", "3s 4s", "1e3ms", "NaNs"]) {
-    it(`refuse "${text}" as a duration`, () => {
+    it(`reject "${text}" as a duration`, () => {
       expect(parseDuration(text)).to.equal(undefined);
     });
   }
 
-  it("read back what they write", () => {
+  it("parse their own formatted output", () => {
     fc.assert(
       fc.property(fc.nat(), (value) => {
         expect(parseDuration(formatDuration(value))).to.equal(value);
