Rename exported names of the settings and inventory packages

Cause: several exported names were figurative or vague (parseEstate, readText, splitText, WHOLE_DOCUMENT, LARGEST_PART_BYTES).

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -7,9 +7,9 @@
 import { type CAC, cac } from "cac";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
 import {
+  DOCUMENT_ROOT_KEY,
   type OperatorSettings,
   readOperatorSettings,
-  WHOLE_DOCUMENT,
 } from "@coltsfootreach/settings";
 import packageFile from "../package.json" with { type: "json" };
 import { COMMANDS, type Options } from "./commands.ts";
@@ -166,7 +166,7 @@
     return readOperatorSettings(DEFAULT_SETTINGS);
   }
   const reason = `not found; give --settings or set ${SETTINGS_VARIABLE}`;
-  return err(new InvalidFile(DEFAULT_SETTINGS, WHOLE_DOCUMENT, reason));
+  return err(new InvalidFile(DEFAULT_SETTINGS, DOCUMENT_ROOT_KEY, reason));
 }
 
 function formatError(error: CommandError): string {
--- a/packages/cli/src/commands/config_apply/run.ts
+++ b/packages/cli/src/commands/config_apply/run.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { digestOf } from "@coltsfootreach/configure";
 import { readBaseVersion, removeBaseVersion } from "@coltsfootreach/inventory";
-import { readText } from "@coltsfootreach/settings";
+import { readTextFile } from "@coltsfootreach/settings";
 import {
   type Edit,
   reportOutcome,
@@ -31,7 +31,7 @@
   context: Context,
   args: ApplyArguments,
 ): Promise<CommandResult> {
-  const read = readText(args.file);
+  const read = readTextFile(args.file);
   if (read.isErr()) return err(read.error);
   const applied = await withVersions(
     context,
--- a/packages/cli/src/commands/config_check/run.ts
+++ b/packages/cli/src/commands/config_check/run.ts
@@ -1,11 +1,11 @@
 /** Checks a configuration file without asking anyone. */
-import { parseEstate } from "@coltsfootreach/inventory";
-import { readText } from "@coltsfootreach/settings";
+import { parseConfiguration } from "@coltsfootreach/inventory";
+import { readTextFile } from "@coltsfootreach/settings";
 import { type CommandResult, succeed } from "../../report.ts";
 
 export function run(file: string): CommandResult {
-  return readText(file)
-    .andThen((text) => parseEstate({ version: 0, text }, file))
+  return readTextFile(file)
+    .andThen((text) => parseConfiguration({ version: 0, text }, file))
     .map(({ dataCentres, workers, servers, tenants, classes }) => {
       const counts = {
         dataCentres: dataCentres.length,
--- a/packages/cli/src/commands/config_import/run.ts
+++ b/packages/cli/src/commands/config_import/run.ts
@@ -1,13 +1,13 @@
 /** Makes a configuration document of an asset register's export. */
 import { err } from "neverthrow";
 import {
-  formatEstate,
+  formatConfiguration,
   importRegister,
-  parseEstate,
+  parseConfiguration,
   readBaseVersion,
   withBaseVersion,
 } from "@coltsfootreach/inventory";
-import { readText } from "@coltsfootreach/settings";
+import { readTextFile } from "@coltsfootreach/settings";
 import { type CommandResult, succeed } from "../../report.ts";
 
 export interface ImportArguments {
@@ -17,20 +17,20 @@
 }
 
 export function run({ register, into }: ImportArguments): CommandResult {
-  const base = readText(into);
+  const base = readTextFile(into);
   if (base.isErr()) return err(base.error);
-  const csv = readText(register);
+  const csv = readTextFile(register);
   if (csv.isErr()) return err(csv.error);
-  return parseEstate({ version: 0, text: base.value }, into)
+  return parseConfiguration({ version: 0, text: base.value }, into)
     .andThen((estate) =>
       importRegister({
         file: register,
         csv: csv.value,
         known: estate.dataCentres,
-      }).map((machines) => formatEstate({ ...estate, ...machines }))
+      }).map((machines) => formatConfiguration({ ...estate, ...machines }))
     )
     .andThen((text) =>
-      parseEstate({ version: 0, text }, register).map((estate) => {
+      parseConfiguration({ version: 0, text }, register).map((estate) => {
         const version = readBaseVersion(base.value);
         const shown = version === undefined
           ? text
--- a/packages/cli/src/commands/config_plan/run.ts
+++ b/packages/cli/src/commands/config_plan/run.ts
@@ -1,8 +1,8 @@
 /** Shows what a file would change, and what that does to running work. */
 import { err, ok, type Result } from "neverthrow";
 import { type Plan, planChange } from "@coltsfootreach/configure";
-import { parseEstate, readBaseVersion } from "@coltsfootreach/inventory";
-import { readText } from "@coltsfootreach/settings";
+import { parseConfiguration, readBaseVersion } from "@coltsfootreach/inventory";
+import { readTextFile } from "@coltsfootreach/settings";
 import {
   estateOf,
   formatDifference,
@@ -21,9 +21,9 @@
   context: Context,
   file: string,
 ): Promise<CommandResult> {
-  const text = readText(file);
+  const text = readTextFile(file);
   if (text.isErr()) return err(text.error);
-  const next = parseEstate({ version: 0, text: text.value }, file);
+  const next = parseConfiguration({ version: 0, text: text.value }, file);
   if (next.isErr()) return err(next.error);
   const running = await readRunning(context);
   const planned = await withVersions(
--- a/packages/cli/src/commands/submit/run.ts
+++ b/packages/cli/src/commands/submit/run.ts
@@ -3,9 +3,9 @@
 import { z } from "zod";
 import { InvalidFile } from "@coltsfootreach/errors";
 import {
-  checkDocument,
-  readText,
-  WHOLE_DOCUMENT,
+  DOCUMENT_ROOT_KEY,
+  readTextFile,
+  validateDocument,
 } from "@coltsfootreach/settings";
 import {
   type EntryChoice,
@@ -52,10 +52,10 @@
 }
 
 function readJob(context: Context, { file, key, tenant }: SubmitArguments) {
-  return readText(file)
+  return readTextFile(file)
     .andThen((text) => parseJson(file, text))
     .andThen((document) =>
-      checkDocument(file, {
+      validateDocument(file, {
         key: context.newToken(),
         firstSubmittedAtMs: context.now(),
         ...document,
@@ -69,9 +69,11 @@
   try {
     const document: unknown = JSON.parse(text);
     if (document !== null && typeof document === "object") return ok(document);
-    return err(new InvalidFile(file, WHOLE_DOCUMENT, "is no JSON object"));
+    return err(new InvalidFile(file, DOCUMENT_ROOT_KEY, "is no JSON object"));
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    return err(new InvalidFile(file, WHOLE_DOCUMENT, reason.split("\n")[0]!));
+    return err(
+      new InvalidFile(file, DOCUMENT_ROOT_KEY, reason.split("\n")[0]!),
+    );
   }
 }
--- a/packages/cli/src/configuration.ts
+++ b/packages/cli/src/configuration.ts
@@ -12,7 +12,7 @@
   type Outcome,
   type ReadFault,
 } from "@coltsfootreach/configure";
-import { parseEstate } from "@coltsfootreach/inventory";
+import { parseConfiguration } from "@coltsfootreach/inventory";
 import type { Configuration, ParsedConfiguration } from "@coltsfootreach/types";
 import type { Context } from "./context.ts";
 import { CommandFailed, fail, type Report, succeed } from "./report.ts";
@@ -48,7 +48,7 @@
     return await use({
       repository,
       apply: (edit) =>
-        applyChange({ store, keys, check: parseEstate }, {
+        applyChange({ store, keys, check: parseConfiguration }, {
           ...edit,
           author: context.author,
           token: context.newToken(),
@@ -65,7 +65,7 @@
   configuration: Configuration | undefined,
 ): ParsedConfiguration | undefined {
   if (configuration === undefined) return undefined;
-  return parseEstate(configuration).unwrapOr(undefined);
+  return parseConfiguration(configuration).unwrapOr(undefined);
 }
 
 /** Says what became of a change, with the difference after a conflict. */
--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -7,7 +7,10 @@
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
-import { LARGEST_PART_BYTES, splitText } from "@coltsfootreach/inventory";
+import {
+  MAX_PART_BYTES,
+  splitConfigurationText,
+} from "@coltsfootreach/inventory";
 import {
   type Owned,
   type Store,
@@ -115,8 +118,8 @@
   if (Buffer.byteLength(text) > LARGEST_TEXT_BYTES) {
     return err(new InvalidFile("configuration", "text", "is too long"));
   }
-  const parts = splitText(text);
-  if (parts.some((part) => Buffer.byteLength(part) > LARGEST_PART_BYTES)) {
+  const parts = splitConfigurationText(text);
+  if (parts.some((part) => Buffer.byteLength(part) > MAX_PART_BYTES)) {
     return err(
       new InvalidFile("configuration", "text", "has too long a table"),
     );
@@ -182,7 +185,7 @@
     head?.record.parts.map((part) => [part.digest, part]),
   );
   const parts: PartReference[] = [];
-  for (const [position, part] of splitText(text).entries()) {
+  for (const [position, part] of splitConfigurationText(text).entries()) {
     const digest = digestOf(part);
     const reference = present.get(digest) ??
       { key: keys.part(token, position), digest };
--- a/packages/configure/src/plan_test.ts
+++ b/packages/configure/src/plan_test.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from "node:fs";
 import { expect } from "chai";
-import { parseEstate } from "@coltsfootreach/inventory";
+import { parseConfiguration } from "@coltsfootreach/inventory";
 import type { ParsedConfiguration } from "@coltsfootreach/types";
 import type { Running } from "./effect.ts";
 import { planChange } from "./plan.ts";
@@ -21,7 +21,7 @@
 };
 
 function parse(text: string, version: number): ParsedConfiguration {
-  return parseEstate({ version, text })._unsafeUnwrap();
+  return parseConfiguration({ version, text })._unsafeUnwrap();
 }
 
 function plan(...edits: readonly [string, string][]) {
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -8,7 +8,7 @@
 } from "@coltsfootreach/configure";
 import { createLimits } from "@coltsfootreach/coordinate";
 import type { EntryOptions } from "@coltsfootreach/entry";
-import { createEstateParser } from "@coltsfootreach/inventory";
+import { createConfigurationParser } from "@coltsfootreach/inventory";
 import type { Log } from "@coltsfootreach/log";
 import { createPlacement, createRunTimes } from "@coltsfootreach/place";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
@@ -37,7 +37,7 @@
 }
 
 export function createFollowed(): Followed {
-  const parser = createEstateParser();
+  const parser = createConfigurationParser();
   const holder = createConfigurationHolder({ parse: parser.parse });
   return {
     holder,
--- a/packages/inventory/src/edit.ts
+++ b/packages/inventory/src/edit.ts
@@ -10,8 +10,8 @@
   ParsedConfiguration,
   Rules,
 } from "@coltsfootreach/types";
-import { formatEstate, formatRules } from "./format.ts";
-import { parseEstate } from "./parse.ts";
+import { formatConfiguration, formatRules } from "./format.ts";
+import { parseConfiguration } from "./parse.ts";
 
 /** The rule lists that commands add names to and remove names from. */
 export type RuleList = "held" | "drained" | "neverEjected" | "gone";
@@ -35,11 +35,11 @@
   configuration: Configuration,
   edit: RuleEdit,
 ): Result<string, InvalidFile> {
-  return parseEstate(configuration).andThen((current) => {
+  return parseConfiguration(configuration).andThen((current) => {
     const rules = applyRuleEdit(current.rules, edit);
     const edited: ParsedConfiguration = { ...current, rules };
     if (isDeepStrictEqual(edited, current)) {
-      return parseEstate(configuration).map(() => configuration.text);
+      return parseConfiguration(configuration).map(() => configuration.text);
     }
     return applyTextEdit(configuration, { edited, list: edit.list });
   });
@@ -62,11 +62,11 @@
   },
 ): Result<string, InvalidFile> {
   const editedText = replaceRuleList(text, list, edited.rules);
-  const isEquivalent = parseEstate({ version, text: editedText })
+  const isEquivalent = parseConfiguration({ version, text: editedText })
     .map((reparsed) => isDeepStrictEqual(reparsed, edited))
     .unwrapOr(false);
-  const result = isEquivalent ? editedText : formatEstate(edited);
-  return parseEstate({ version, text: result }).map(() => result);
+  const result = isEquivalent ? editedText : formatConfiguration(edited);
+  return parseConfiguration({ version, text: result }).map(() => result);
 }
 
 /** Rewrites one rule list in the text; the caller validates the result. */
--- a/packages/inventory/src/format.ts
+++ b/packages/inventory/src/format.ts
@@ -7,7 +7,7 @@
 const MB_PER_GB = 1_024;
 
 /** Formats a configuration as TOML, without its version. */
-export function formatEstate(
+export function formatConfiguration(
   configuration: ConfigurationContent | ParsedConfiguration,
 ): string {
   return stringify({
@@ -46,7 +46,7 @@
 export function excerptForSides(
   configuration: ConfigurationContent | ParsedConfiguration,
 ): string {
-  return formatEstate({ ...configuration, workers: [], servers: [] });
+  return formatConfiguration({ ...configuration, workers: [], servers: [] });
 }
 
 /** Converts rules to their TOML key names. */
--- a/packages/inventory/src/parse.ts
+++ b/packages/inventory/src/parse.ts
@@ -1,7 +1,7 @@
 /** Parses configuration documents: syntax, schema, then cross-references. */
 import { err, ok, type Result } from "neverthrow";
 import type { InvalidFile } from "@coltsfootreach/errors";
-import { checkDocument, parseToml } from "@coltsfootreach/settings";
+import { parseToml, validateDocument } from "@coltsfootreach/settings";
 import type { Configuration, ParsedConfiguration } from "@coltsfootreach/types";
 import { findValidationError } from "./check.ts";
 import { configurationSchema } from "./schema.ts";
@@ -10,12 +10,14 @@
  * Parses one configuration version. `file` names the source in errors and
  * defaults to the version.
  */
-export function parseEstate(
+export function parseConfiguration(
   configuration: Configuration,
   file: string = `configuration ${configuration.version}`,
 ): Result<ParsedConfiguration, InvalidFile> {
   return parseToml(file, configuration.text)
-    .andThen((document) => checkDocument(file, document, configurationSchema))
+    .andThen((document) =>
+      validateDocument(file, document, configurationSchema)
+    )
     .andThen((content) => {
       const error = findValidationError(file, content);
       return error === undefined ? ok(content) : err(error);
--- a/packages/inventory/src/parse_test.ts
+++ b/packages/inventory/src/parse_test.ts
@@ -2,9 +2,9 @@
 import { expect } from "chai";
 import { readAnySettings } from "@coltsfootreach/settings";
 import { editRules } from "./edit.ts";
-import { excerptForSides, formatEstate } from "./format.ts";
+import { excerptForSides, formatConfiguration } from "./format.ts";
 import {
-  parseEstate,
+  parseConfiguration,
   readBaseVersion,
   removeBaseVersion,
   withBaseVersion,
@@ -20,7 +20,7 @@
 }
 
 function parse(text: string) {
-  return parseEstate({ version: 7, text }, "f.toml");
+  return parseConfiguration({ version: 7, text }, "f.toml");
 }
 
 function validationErrorOf(text: string): string {
@@ -35,7 +35,7 @@
       expect(configuration.dataCentres).to.have.lengthOf(3);
       expect(configuration.workers).to.have.lengthOf(10);
       expect(configuration.servers).to.have.lengthOf(10);
-      expect(parse(formatEstate(configuration))._unsafeUnwrap()).to.deep
+      expect(parse(formatConfiguration(configuration))._unsafeUnwrap()).to.deep
         .equal(configuration);
     });
   }
--- a/packages/inventory/src/parser.ts
+++ b/packages/inventory/src/parser.ts
@@ -16,11 +16,11 @@
   Worker,
 } from "@coltsfootreach/types";
 import { findValidationError } from "./check.ts";
-import { parseEstate } from "./parse.ts";
+import { parseConfiguration } from "./parse.ts";
 import { configurationSchema, serverSchema, workerSchema } from "./schema.ts";
-import { splitText } from "./split.ts";
+import { splitConfigurationText } from "./split.ts";
 
-export interface EstateParser {
+export interface ConfigurationParser {
   /** Same result as parsing the whole text; fast for prepared texts. */
   parse(configuration: Configuration): Result<ParsedConfiguration, InvalidFile>;
   prepare(configuration: Configuration): Promise<void>;
@@ -42,7 +42,7 @@
   rest,
 }));
 
-export function createEstateParser(): EstateParser {
+export function createConfigurationParser(): ConfigurationParser {
   /** Parts of the text that was parsed last, by their text. */
   let lastParts: ReadonlyMap<string, ParsedPart> = new Map();
   /** Parts that were parsed in advance, by their text. */
@@ -54,7 +54,7 @@
 
   async function prepare({ text }: Configuration): Promise<void> {
     const newParts = new Map<string, ParsedPart>();
-    for (const partText of splitText(text)) {
+    for (const partText of splitConfigurationText(text)) {
       if (findPart(partText) !== undefined) continue;
       await setImmediate();
       const part = parsePart(partText);
@@ -68,17 +68,19 @@
     configuration: Configuration,
   ): Result<ParsedConfiguration, InvalidFile> {
     const parts = new Map<string, ParsedPart>();
-    const partTexts = splitText(configuration.text);
+    const partTexts = splitConfigurationText(configuration.text);
     for (const partText of partTexts) {
       const part = findPart(partText) ?? parsePart(partText);
-      if (part === undefined) return parseEstate(configuration);
+      if (part === undefined) return parseConfiguration(configuration);
       parts.set(partText, part);
     }
     lastParts = parts;
     const ordered = partTexts.map((partText) => parts.get(partText)!);
     const assembled = assembleConfiguration(configuration.version, ordered);
     // Parses the whole text at once to report its first error.
-    return assembled === undefined ? parseEstate(configuration) : ok(assembled);
+    return assembled === undefined
+      ? parseConfiguration(configuration)
+      : ok(assembled);
   }
 
   return { parse, prepare };
--- a/packages/inventory/src/parser_test.ts
+++ b/packages/inventory/src/parser_test.ts
@@ -1,9 +1,9 @@
 import { readFileSync } from "node:fs";
 import { expect } from "chai";
-import { formatEstate } from "./format.ts";
-import { parseEstate } from "./parse.ts";
-import { createEstateParser } from "./parser.ts";
-import { splitText } from "./split.ts";
+import { formatConfiguration } from "./format.ts";
+import { parseConfiguration } from "./parse.ts";
+import { createConfigurationParser } from "./parser.ts";
+import { splitConfigurationText } from "./split.ts";
 
 const DELTA = readFileSync(
   new URL("../../../examples/delta.toml", import.meta.url),
@@ -12,13 +12,13 @@
 
 /** The example with 6,000 workers, so that it is split into several parts. */
 function createLongText(): string {
-  const configuration = parseEstate({ version: 1, text: DELTA })
+  const configuration = parseConfiguration({ version: 1, text: DELTA })
     ._unsafeUnwrap();
   const workers = Array.from({ length: 6_000 }, (_, i) => ({
     ...configuration.workers[0]!,
     name: `worker-${String(i).padStart(2, "0")}`,
   }));
-  return formatEstate({ ...configuration, workers });
+  return formatConfiguration({ ...configuration, workers });
 }
 
 describe("the incremental parser", () => {
@@ -33,12 +33,13 @@
   };
 
   it("parses the same as the parser of whole texts", async () => {
-    expect(splitText(text).length).to.be.greaterThan(3);
-    const parser = createEstateParser();
+    expect(splitConfigurationText(text).length).to.be.greaterThan(3);
+    const parser = createConfigurationParser();
     const edited = text.replace(/drained = \[.*\]/, 'drained = ["a"]');
     expect(edited).not.to.equal(text);
     for (const [version, input] of [DELTA, text, edited, text].entries()) {
-      const expected = parseEstate({ version, text: input })._unsafeUnwrap();
+      const expected = parseConfiguration({ version, text: input })
+        ._unsafeUnwrap();
       if (version % 2 === 1) await parser.prepare({ version, text: input });
       const result = parser.parse({ version, text: input });
       expect(result._unsafeUnwrap()).to.deep.equal(expected);
@@ -47,8 +48,8 @@
 
   for (const [description, invalidText] of Object.entries(invalidTexts)) {
     it(`reports the same error as for whole texts: ${description}`, async () => {
-      const expected = parseEstate({ version: 1, text: invalidText });
-      const parser = createEstateParser();
+      const expected = parseConfiguration({ version: 1, text: invalidText });
+      const parser = createConfigurationParser();
       await parser.prepare({ version: 1, text: invalidText });
       const result = parser.parse({ version: 1, text: invalidText });
       expect(result._unsafeUnwrapErr().message)
--- a/packages/inventory/src/register.ts
+++ b/packages/inventory/src/register.ts
@@ -8,9 +8,9 @@
 import { z } from "zod";
 import { InvalidFile } from "@coltsfootreach/errors";
 import {
-  checkDocument,
+  DOCUMENT_ROOT_KEY,
   sizeSchema,
-  WHOLE_DOCUMENT,
+  validateDocument,
 } from "@coltsfootreach/settings";
 import type { DataCentre, ExpectedServer, Worker } from "@coltsfootreach/types";
 
@@ -83,7 +83,7 @@
     }));
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    return err(new InvalidFile(file, WHOLE_DOCUMENT, reason));
+    return err(new InvalidFile(file, DOCUMENT_ROOT_KEY, reason));
   }
 }
 
@@ -94,7 +94,7 @@
   const validRows: Row[] = [];
   for (const [index, row] of rows.entries()) {
     const source = `${file}: line ${index + FIRST_ROW_LINE}`;
-    const result = checkDocument(source, row, rowSchema);
+    const result = validateDocument(source, row, rowSchema);
     if (result.isErr()) return err(result.error);
     validRows.push(result.value);
   }
--- a/packages/inventory/src/split.ts
+++ b/packages/inventory/src/split.ts
@@ -11,13 +11,13 @@
 export const MIN_PART_BYTES = 32 * 1024;
 
 /** The service accepts values up to a megabyte; this leaves a margin. */
-export const LARGEST_PART_BYTES = 512 * 1024;
+export const MAX_PART_BYTES = 512 * 1024;
 
 /** On average, one table in this many starts at a part boundary. */
 const BOUNDARY_MODULUS = 512;
 
 /** Splits a text into parts; joined in order, they equal the text. */
-export function splitText(text: string): readonly string[] {
+export function splitConfigurationText(text: string): readonly string[] {
   const parts: string[] = [];
   let partStart = 0;
   let partBytes = 0;
@@ -25,7 +25,7 @@
   while (tableStart < text.length) {
     const tableEnd = findNextTable(text, tableStart + 1);
     const tableBytes = Buffer.byteLength(text.slice(tableStart, tableEnd));
-    const isFull = partBytes + tableBytes > LARGEST_PART_BYTES;
+    const isFull = partBytes + tableBytes > MAX_PART_BYTES;
     const isAtBoundary = partBytes >= MIN_PART_BYTES &&
       isPartBoundary(text, tableStart);
     if (partBytes > 0 && (isFull || isAtBoundary)) {
--- a/packages/propagation/src/operator.ts
+++ b/packages/propagation/src/operator.ts
@@ -8,7 +8,7 @@
   findDifferences,
   type Outcome,
 } from "@coltsfootreach/configure";
-import { editRules, parseEstate } from "@coltsfootreach/inventory";
+import { editRules, parseConfiguration } from "@coltsfootreach/inventory";
 import { createEtcdStore } from "@coltsfootreach/store";
 import type { ActionKind } from "@coltsfootreach/types";
 import { v4 } from "uuid";
@@ -64,7 +64,11 @@
   }
 
   async function applyOn(base: Base, edit: Edit): Promise<Outcome> {
-    const applied = await applyChange({ store, keys, check: parseEstate }, {
+    const applied = await applyChange({
+      store,
+      keys,
+      check: parseConfiguration,
+    }, {
       text: editText(base, edit),
       baseVersion: base.version,
       author,
@@ -78,7 +82,7 @@
   async function estateOf(version: number) {
     const record = (await repository.readVersion(version))._unsafeUnwrap();
     const text = await repository.readText(record!);
-    return parseEstate(text._unsafeUnwrap())._unsafeUnwrap();
+    return parseConfiguration(text._unsafeUnwrap())._unsafeUnwrap();
   }
 
   return {
--- a/packages/scenario/src/entry_process.ts
+++ b/packages/scenario/src/entry_process.ts
@@ -12,7 +12,7 @@
   NO_LIMITS,
 } from "@coltsfootreach/coordinate";
 import { createConfigurationHolder } from "@coltsfootreach/configure";
-import { excerptForSides, parseEstate } from "@coltsfootreach/inventory";
+import { excerptForSides, parseConfiguration } from "@coltsfootreach/inventory";
 import { createTenantQueue } from "@coltsfootreach/limit";
 import { createLeastOutstanding } from "@coltsfootreach/place";
 import type {
@@ -105,7 +105,7 @@
   let isStopping = false;
   let isLeaving = false;
   const holder = createConfigurationHolder({
-    parse: (configuration) => parseEstate(configuration),
+    parse: (configuration) => parseConfiguration(configuration),
   });
   let run: Run;
 
--- a/packages/settings/src/document.ts
+++ b/packages/settings/src/document.ts
@@ -9,15 +9,15 @@
 import { InvalidFile } from "@coltsfootreach/errors";
 
 /** The key reported for an error that concerns the document as a whole. */
-export const WHOLE_DOCUMENT = "(document)";
+export const DOCUMENT_ROOT_KEY = "(document)";
 
 /** Reads a text file. An I/O error is returned as an invalid file. */
-export function readText(file: string): Result<string, InvalidFile> {
+export function readTextFile(file: string): Result<string, InvalidFile> {
   try {
     return ok(readFileSync(file, "utf8"));
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
-    return err(new InvalidFile(file, WHOLE_DOCUMENT, reason));
+    return err(new InvalidFile(file, DOCUMENT_ROOT_KEY, reason));
   }
 }
 
@@ -30,13 +30,13 @@
     return ok(parse(text, { unsafeKeyBehaviour: "throw" }));
   } catch (error) {
     return err(
-      new InvalidFile(file, WHOLE_DOCUMENT, describeSyntaxError(error)),
+      new InvalidFile(file, DOCUMENT_ROOT_KEY, describeSyntaxError(error)),
     );
   }
 }
 
 /** Validates a parsed document against a schema; returns the first error. */
-export function checkDocument<S extends z.ZodType>(
+export function validateDocument<S extends z.ZodType>(
   file: string,
   document: unknown,
   schema: S,
@@ -64,7 +64,7 @@
 }
 
 function formatPath(path: readonly PropertyKey[]): string {
-  if (path.length === 0) return WHOLE_DOCUMENT;
+  if (path.length === 0) return DOCUMENT_ROOT_KEY;
   return path.map((segment, index) => {
     if (typeof segment === "number") return `[${segment}]`;
     return index === 0 ? String(segment) : `.${String(segment)}`;
--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -1,7 +1,7 @@
 /** Reads and validates settings files of all roles. */
 import { err, ok, type Result } from "neverthrow";
 import { InvalidFile } from "@coltsfootreach/errors";
-import { checkDocument, parseToml, readText } from "./document.ts";
+import { parseToml, readTextFile, validateDocument } from "./document.ts";
 import { entrySchema, type EntrySettings } from "./entry.ts";
 import { operatorSchema, type OperatorSettings } from "./operator.ts";
 import { sideSchema, type SideSettings } from "./side.ts";
@@ -44,7 +44,7 @@
  * refer to.
  */
 export function readAnySettings(file: string): Result<Settings, InvalidFile> {
-  return readText(file)
+  return readTextFile(file)
     .andThen((text) => parseSettings(file, text))
     .andThen((settings) =>
       settings.role === "operator" || settings.tls === undefined
@@ -68,11 +68,11 @@
 ): Result<Settings, InvalidFile> {
   switch (getRole(document)) {
     case "entry":
-      return checkDocument(file, document, entrySchema);
+      return validateDocument(file, document, entrySchema);
     case "side":
-      return checkDocument(file, document, sideSchema);
+      return validateDocument(file, document, sideSchema);
     case "operator":
-      return checkDocument(file, document, operatorSchema);
+      return validateDocument(file, document, operatorSchema);
     case undefined:
       return err(new InvalidFile(file, "role", "missing value"));
     default:
--- a/packages/side/src/side.ts
+++ b/packages/side/src/side.ts
@@ -5,7 +5,7 @@
 import { v4 } from "uuid";
 import { createConfigurationHolder } from "@coltsfootreach/configure";
 import { createGuard, type GuardEffect } from "@coltsfootreach/guard";
-import { parseEstate } from "@coltsfootreach/inventory";
+import { parseConfiguration } from "@coltsfootreach/inventory";
 import type { Log } from "@coltsfootreach/log";
 import type { Target } from "@coltsfootreach/link";
 import type {
@@ -69,7 +69,7 @@
   });
   const links = new Map<string, EntryLink>();
   const holder = createConfigurationHolder({
-    parse: (configuration) => parseEstate(configuration),
+    parse: (configuration) => parseConfiguration(configuration),
   });
   let runner: Runner | undefined;
   /** Name of the backend server on this VM, while it is announced. */
