Reword the serve package

Cause: names such as Desk, Answered and marked, and several comments were figurative or private to the project.

HTTP texts are unchanged. Assertions changed only in names.

The other tests were not run.

--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -1,42 +1,42 @@
-/** Serves the callers' HTTP interface of an entry. */
+/** Serves the HTTP API for callers of an entry. */
 import type { AddressInfo } from "node:net";
 import { createAdaptorServer, type ServerType } from "@hono/node-server";
 import type { EstateLookup } from "@coltsfootreach/configure";
 import type { Entry } from "@coltsfootreach/entry";
 import type { Metrics } from "@coltsfootreach/measure";
-import { createApp } from "@coltsfootreach/serve";
+import { createCallerApp } from "@coltsfootreach/serve";
 import { type EntrySettings, formatAddress } from "@coltsfootreach/settings";
 
-/** Deadline of a class while no configuration names it. */
+/** Deadline of every class until a configuration is known. */
 const DEFAULT_DEADLINE_MS = 30_000;
 
-/** Time that callers' connections get to take their last answers. */
+/** Time allowed for open connections to finish before `close` resolves. */
 const CLOSE_GRACE_MS = 2000;
 
 export interface CallerServer {
-  /** Where it listens, as `IP:port`. */
+  /** Listen address as `IP:port`. */
   readonly address: string;
-  /** Lets answers that are being written reach their callers. */
+  /** Stops accepting connections and waits for responses in progress. */
   close(): Promise<void>;
 }
 
-export interface Served {
+export interface CallerServerDependencies {
   readonly entry: Entry;
   readonly estate: EstateLookup;
   readonly metrics: Metrics;
 }
 
-/** Rejects when the address cannot be listened on. */
+/** Starts the server; rejects if it cannot listen on the address. */
 export async function serveCallers(
   { limits, listen }: EntrySettings,
-  { entry, estate, metrics }: Served,
+  { entry, estate, metrics }: CallerServerDependencies,
 ): Promise<CallerServer> {
-  const app = createApp({
-    desk: {
+  const app = createCallerApp({
+    jobService: {
       request: (job, ask) => entry.request(job, ask),
       isReady: () => entry.isReady(),
       metrics: () => metrics.text(entry.counts()),
-      answered: (done) => metrics.answered(done),
+      answered: (submission) => metrics.answered(submission),
     },
     bodyBytes: limits.bodyBytes,
     tasks: limits.tasks,
@@ -45,7 +45,8 @@
       estate.isKnown()
         ? estate.requestClass(name)?.deadlineMs
         : DEFAULT_DEADLINE_MS,
-    isTenant: (name) => !estate.isKnown() || estate.tenant(name) !== undefined,
+    isKnownTenant: (name) =>
+      !estate.isKnown() || estate.tenant(name) !== undefined,
   });
   const server = createAdaptorServer({
     fetch: app.fetch,
--- a/packages/serve/src/app.ts
+++ b/packages/serve/src/app.ts
@@ -1,6 +1,6 @@
 /**
- * The callers' HTTP interface: submit, read and cancel a job. Every answer and
- * every refusal carries a verdict.
+ * HTTP API for callers: submits, reads and cancels jobs. Every answer and
+ * every refusal states by its verdict whether the job ran.
  */
 import { Hono } from "hono";
 import { bodyLimit } from "hono/body-limit";
@@ -14,20 +14,20 @@
   type RefusalCode,
   type Reply,
 } from "@coltsfootreach/types";
-import { createJobReader, type JobLimits, malformed } from "./body.ts";
+import { createJobParser, type JobLimits, malformed } from "./body.ts";
 
-/** What the interface needs of the entry behind it. */
-export interface Desk {
-  request(job: JobId, ask: Ask): Promise<Reply>;
+/** The operations of the entry that the API depends on. */
+export interface JobService {
+  request(job: JobId, request: Ask): Promise<Reply>;
   isReady(): boolean;
-  /** Metrics as text for a collector. */
+  /** Returns the metrics in the Prometheus text format. */
   metrics(): string;
-  /** Called when an answer has been handed to the caller's connection. */
-  answered(done: Answered): void;
+  /** Called when the reply to a submission is about to be sent. */
+  answered(submission: AnsweredSubmission): void;
 }
 
-/** One answered submission, for the histograms. */
-export interface Answered {
+/** A submission and its reply, recorded in the histograms. */
+export interface AnsweredSubmission {
   readonly tenant: string;
   readonly class: string;
   readonly responseMs: number;
@@ -35,13 +35,13 @@
 }
 
 export interface AppOptions extends JobLimits {
-  readonly desk: Desk;
+  readonly jobService: JobService;
   readonly bodyBytes: number;
-  /** False for a tenant that the configuration does not name. */
-  isTenant(name: string): boolean;
+  /** Returns false for a tenant that is missing from the configuration. */
+  isKnownTenant(name: string): boolean;
 }
 
-const STATUS: Record<RefusalCode, ContentfulStatusCode> = {
+const REFUSAL_STATUS: Record<RefusalCode, ContentfulStatusCode> = {
   malformed: 400,
   unknownTenant: 403,
   unknownClass: 400,
@@ -59,88 +59,102 @@
 
 const MS_PER_SECOND = 1000;
 
-export function createApp(options: AppOptions): Hono {
-  const { desk } = options;
-  const readJob = createJobReader(options);
+export function createCallerApp(options: AppOptions): Hono {
+  const { jobService } = options;
+  const parseJob = createJobParser(options);
   const app = new Hono();
 
   app.use(async (context, next) => {
     await next();
-    // Callers that keep connections open move on to another entry.
-    if (!desk.isReady()) context.header("connection", "close");
+    // Makes callers with keep-alive connections reconnect to another entry.
+    if (!jobService.isReady()) context.header("connection", "close");
   });
 
   app.get("/livez", (context) => context.text("ok"));
   app.get("/readyz", (context) => {
-    return desk.isReady() ? context.text("ok") : context.text("not ready", 503);
+    return jobService.isReady()
+      ? context.text("ok")
+      : context.text("not ready", 503);
   });
-  app.get("/metrics", (context) => context.text(desk.metrics()));
+  app.get("/metrics", (context) => context.text(jobService.metrics()));
 
-  const limit = bodyLimit({
+  const limitBodySize = bodyLimit({
     maxSize: options.bodyBytes,
     onError: (context) =>
-      refuse(context, malformed("the body is larger than allowed"), 413),
+      sendRefusal(context, malformed("the body is larger than allowed"), 413),
   });
 
-  app.post("/v1/tenants/:tenant/jobs", limit, async (context) => {
+  app.post("/v1/tenants/:tenant/jobs", limitBodySize, async (context) => {
     const receivedAtMs = performance.now();
     const tenant = context.req.param("tenant");
-    if (!options.isTenant(tenant)) return refuse(context, unknown(tenant));
+    if (!options.isKnownTenant(tenant)) {
+      return sendRefusal(context, unknownTenant(tenant));
+    }
     const body = await context.req.json().catch(() => undefined);
     if (body === undefined) {
-      return refuse(context, malformed("the body is not JSON"));
+      return sendRefusal(context, malformed("the body is not JSON"));
     }
-    const job = readJob(tenant, body);
-    if (job.isErr()) return refuse(context, job.error);
+    const job = parseJob(tenant, body);
+    if (job.isErr()) return sendRefusal(context, job.error);
     const wait = context.req.query("wait") !== "0";
-    const ask: Ask = { kind: "submit", job: job.value, wait };
-    const reply = await desk.request(jobId(job.value), ask);
+    const request: Ask = { kind: "submit", job: job.value, wait };
+    const reply = await jobService.request(jobId(job.value), request);
     const responseMs = performance.now() - receivedAtMs;
-    const marked = markLate(reply, responseMs > job.value.deadlineMs);
+    const finalReply = markLate(reply, responseMs > job.value.deadlineMs);
     const { class: className } = job.value;
-    desk.answered({ tenant, class: className, responseMs, reply: marked });
-    return send(context, marked);
+    jobService.answered({
+      tenant,
+      class: className,
+      responseMs,
+      reply: finalReply,
+    });
+    return sendReply(context, finalReply);
   });
 
   app.get("/v1/tenants/:tenant/jobs/:key", async (context) => {
-    return send(context, await desk.request(idOf(context), { kind: "read" }));
+    return sendReply(
+      context,
+      await jobService.request(jobIdFromPath(context), { kind: "read" }),
+    );
   });
 
   app.delete("/v1/tenants/:tenant/jobs/:key", async (context) => {
-    const reply = await desk.request(idOf(context), { kind: "cancel" });
-    return send(context, reply);
+    const reply = await jobService.request(jobIdFromPath(context), {
+      kind: "cancel",
+    });
+    return sendReply(context, reply);
   });
 
   app.notFound((context) =>
-    refuse(context, malformed("there is no such path"), 404)
+    sendRefusal(context, malformed("there is no such path"), 404)
   );
   return app;
 }
 
-function idOf(context: Context): JobId {
+function jobIdFromPath(context: Context): JobId {
   const tenant = context.req.param("tenant") ?? "";
   const key = context.req.param("key") ?? "";
   return jobId({ tenant, key });
 }
 
-/** An answer that was ready in time may still have come late to this entry. */
+/** An answer that was ready in time may still reach this entry too late. */
 function markLate(reply: Reply, isLate: boolean): Reply {
   if (reply.kind !== "answered" || !isLate) return reply;
   return { ...reply, answer: { ...reply.answer, late: true } };
 }
 
-function send(context: Context, reply: Reply): Response {
+function sendReply(context: Context, reply: Reply): Response {
   switch (reply.kind) {
     case "answered":
       return context.json(reply.answer);
     case "pending":
       return context.json(reply, HTTP_ACCEPTED);
     case "refused":
-      return refuse(context, reply.refusal);
+      return sendRefusal(context, reply.refusal);
   }
 }
 
-function refuse(
+function sendRefusal(
   context: Context,
   refusal: Refusal,
   status?: ContentfulStatusCode,
@@ -149,10 +163,10 @@
     const seconds = Math.ceil(refusal.retryAfterMs / MS_PER_SECOND);
     context.header("retry-after", String(seconds));
   }
-  return context.json(refusal, status ?? STATUS[refusal.code]);
+  return context.json(refusal, status ?? REFUSAL_STATUS[refusal.code]);
 }
 
-function unknown(tenant: string): Refusal {
+function unknownTenant(tenant: string): Refusal {
   return {
     code: "unknownTenant",
     verdict: "notRun",
--- a/packages/serve/src/app_test.ts
+++ b/packages/serve/src/app_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { Reply } from "@coltsfootreach/types";
-import { type Answered, createApp } from "./app.ts";
+import { type AnsweredSubmission, createCallerApp } from "./app.ts";
 
 const REPLY: Reply = {
   kind: "answered",
@@ -14,31 +14,31 @@
   },
 };
 
-describe("the callers' interface", () => {
-  let answered: Answered[];
+describe("the HTTP API for callers", () => {
+  let submissions: AnsweredSubmission[];
 
   beforeEach(() => {
-    answered = [];
+    submissions = [];
   });
 
-  function appOf(reply: () => Promise<Reply>, isReady = true) {
-    return createApp({
-      desk: {
+  function createTestApp(reply: () => Promise<Reply>, isReady = true) {
+    return createCallerApp({
+      jobService: {
         request: reply,
         isReady: () => isReady,
         metrics: () => "",
-        answered: (done) => answered.push(done),
+        answered: (submission) => submissions.push(submission),
       },
       bodyBytes: 10_000,
       tasks: 10,
       keyLength: 100,
       deadlineMsOf: () => 1000,
-      isTenant: () => true,
+      isKnownTenant: () => true,
     });
   }
 
   async function submit(deadlineMs: number, reply: () => Promise<Reply>) {
-    const app = appOf(reply);
+    const app = createTestApp(reply);
     const body = { key: "k", class: "c", deadlineMs, tasks: [{ body: "b" }] };
     const response = await app.request("/v1/tenants/t/jobs", {
       method: "POST",
@@ -47,25 +47,27 @@
     return await response.json() as { late: boolean };
   }
 
-  it("gives an answer as it is when it comes in time", async () => {
+  it("returns an answer unchanged when it arrives before its deadline", async () => {
     const answer = await submit(60_000, () => Promise.resolve(REPLY));
     expect(answer.late).to.equal(false);
   });
 
-  it("marks an answer that reached this entry after its deadline", async () => {
+  it("marks an answer as late when it arrives after its deadline", async () => {
     const answer = await submit(1, async () => {
-      await new Promise((wake) => setTimeout(wake, 5));
+      await new Promise((resolve) => setTimeout(resolve, 5));
       return REPLY;
     });
     expect(answer.late).to.equal(true);
-    expect(answered[0]!.reply).to.have.nested.property("answer.late", true);
+    expect(submissions[0]!.reply).to.have.nested.property("answer.late", true);
   });
 
-  it("asks callers to close their connections while it drains", async () => {
+  it("sends `connection: close` while the entry is draining", async () => {
     const path = "/v1/tenants/t/jobs/k";
-    const ready = await appOf(() => Promise.resolve(REPLY)).request(path);
+    const ready = await createTestApp(() => Promise.resolve(REPLY)).request(
+      path,
+    );
     expect(ready.headers.get("connection")).to.equal(null);
-    const draining = appOf(() => Promise.resolve(REPLY), false);
+    const draining = createTestApp(() => Promise.resolve(REPLY), false);
     const answer = await draining.request(path);
     expect(answer.headers.get("connection")).to.equal("close");
   });
--- a/packages/serve/src/body.ts
+++ b/packages/serve/src/body.ts
@@ -1,23 +1,23 @@
-/** Checks what callers send, and makes a job of it. */
+/** Validates request bodies of callers and converts them to jobs. */
 import { z } from "zod";
 import { err, ok, type Result } from "neverthrow";
 import type { Job, Refusal } from "@coltsfootreach/types";
 
 export interface JobLimits {
   readonly tasks: number;
-  /** Length of a key in characters. */
+  /** Maximum length of a key in characters. */
   readonly keyLength: number;
-  /** The deadline of a class in milliseconds; undefined if unknown. */
+  /** Returns the deadline of a class in milliseconds; undefined if unknown. */
   deadlineMsOf(className: string): number | undefined;
 }
 
-/** Longest deadline that a caller may ask for. */
+/** Maximum deadline that a caller may request. */
 const MAX_DEADLINE_MS = 600_000;
 
-/** Run time that is assumed of a task that declares none. */
-const DEFAULT_DECLARED_MS = 250;
+/** Run time assumed for a task that declares none. */
+const DEFAULT_RUN_TIME_MS = 250;
 
-const NO_LINE_BREAK = /^[^\n\r]+$/;
+const SINGLE_LINE = /^[^\n\r]+$/;
 
 const sizeSchema = z.strictObject({
   cores: z.number().min(0).default(1),
@@ -28,32 +28,32 @@
 const taskSchema = z.strictObject({
   body: z.string(),
   size: sizeSchema.prefault({}),
-  declaredMs: z.number().positive().default(DEFAULT_DECLARED_MS),
+  declaredMs: z.number().positive().default(DEFAULT_RUN_TIME_MS),
   idempotent: z.boolean().default(false),
 });
 
-function jobSchema(limits: JobLimits) {
+function createJobSchema(limits: JobLimits) {
   return z.strictObject({
     key: z.string().max(limits.keyLength).regex(
-      NO_LINE_BREAK,
+      SINGLE_LINE,
       "must be one line of text",
     ),
-    class: z.string().regex(NO_LINE_BREAK, "must be one line of text"),
+    class: z.string().regex(SINGLE_LINE, "must be one line of text"),
     deadlineMs: z.number().positive().max(MAX_DEADLINE_MS).optional(),
     firstSubmittedAtMs: z.number().positive().optional(),
     tasks: z.array(taskSchema).min(1).max(limits.tasks),
   });
 }
 
-export function createJobReader(limits: JobLimits) {
-  const schema = jobSchema(limits);
+export function createJobParser(limits: JobLimits) {
+  const schema = createJobSchema(limits);
 
-  return function readJob(
+  return function parseJob(
     tenant: string,
     body: unknown,
   ): Result<Job, Refusal> {
     const parsed = schema.safeParse(body);
-    if (!parsed.success) return err(malformed(describe(parsed.error)));
+    if (!parsed.success) return err(malformed(describeError(parsed.error)));
     const { deadlineMs, ...job } = parsed.data;
     const classDeadlineMs = limits.deadlineMsOf(job.class);
     if (classDeadlineMs === undefined) return err(unknownClass(job.class));
@@ -73,7 +73,7 @@
   };
 }
 
-function describe(error: z.ZodError): string {
+function describeError(error: z.ZodError): string {
   const issue = error.issues[0]!;
   const path = issue.path.join(".");
   return path === "" ? issue.message : `${path}: ${issue.message}`;
--- a/packages/serve/src/index.ts
+++ b/packages/serve/src/index.ts
@@ -1,3 +1,3 @@
-/** The callers' HTTP interface. */
+/** HTTP API for callers. */
 export * from "./app.ts";
 export * from "./body.ts";
