Reword the manage package

Cause: acts, undoing and standing were private terms for automatic actions, and comments were figurative.

Change: comments, test titles and names are in plain terms. Paths, JSON fields and HTTP texts are unchanged. The made-up token in the test has another text; assertions changed only in names and formatting.

The other tests were not run.

--- a/packages/manage/src/app.ts
+++ b/packages/manage/src/app.ts
@@ -1,10 +1,10 @@
 /**
- * The routes of the operators' interface. Every one of them is a query and
- * asks for the bearer token.
+ * Routes of the management API. All of them are read-only and require the
+ * bearer token.
  */
 import { Hono } from "hono";
 import { laggards } from "@coltsfootreach/configure";
-import { createTokenCheck } from "./token.ts";
+import { createTokenVerifier } from "./token.ts";
 import type { EntryStatus, EntryView, StatusReport } from "./view.ts";
 
 export interface ManagementOptions {
@@ -15,24 +15,27 @@
 export function createManagementApp(
   { view, token }: ManagementOptions,
 ): Hono {
-  const isAllowed = createTokenCheck(token);
+  const isAuthorized = createTokenVerifier(token);
   const app = new Hono();
 
   app.use(async (context, next) => {
-    if (isAllowed(context.req.header("authorization"))) return await next();
+    if (isAuthorized(context.req.header("authorization"))) return await next();
     context.header("www-authenticate", "Bearer");
     return context.json({ reason: "a bearer token is needed" }, 401);
   });
 
-  app.get("/status", (context) => context.json(reportStatus(view.status())));
+  app.get(
+    "/status",
+    (context) => context.json(createStatusReport(view.status())),
+  );
 
   app.get("/top", (context) => context.json(view.top()));
 
   app.get("/acts", (context) => context.json(view.acts()));
 
   app.get("/acts/:id", (context) => {
-    const act = view.act(context.req.param("id"));
-    if (act !== undefined) return context.json(act);
+    const action = view.act(context.req.param("id"));
+    if (action !== undefined) return context.json(action);
     return context.json({ reason: "no such act is kept here" }, 404);
   });
 
@@ -55,8 +58,8 @@
   return app;
 }
 
-/** Adds what follows from a status: who lags, and what differs from plan. */
-export function reportStatus(status: EntryStatus): StatusReport {
+/** Adds lagging processes and differences from the inventory to a status. */
+export function createStatusReport(status: EntryStatus): StatusReport {
   const present = new Set(status.presentServers);
   const expected = new Set(status.expectedServers);
   return {
--- a/packages/manage/src/app_test.ts
+++ b/packages/manage/src/app_test.ts
@@ -1,11 +1,11 @@
 import { expect } from "chai";
 import type { AutomaticAction } from "@coltsfootreach/types";
 import { createManagementApp } from "./app.ts";
-import { createActJournal, type NewAct } from "./journal.ts";
+import { createActJournal, type NewAction } from "./journal.ts";
 import { serveManagement } from "./serve.ts";
 import type { EntryStatus, EntryView } from "./view.ts";
 
-const TOKEN = "a-token-of-the-operators";
+const TOKEN = "a-management-token";
 
 const STATUS: EntryStatus = {
   entry: "entry-1",
@@ -23,7 +23,7 @@
   presentServers: ["b", "c"],
 };
 
-const ACT: NewAct = {
+const ACTION: NewAction = {
   kind: "eject",
   subject: "pot-dispatch-03",
   why: "most of its tasks failed",
@@ -32,9 +32,9 @@
   atMs: 1,
 };
 
-function createApp() {
+function createTestApp() {
   const journal = createActJournal({ incarnation: "i1", limit: 10 });
-  journal.record(ACT);
+  journal.record(ACTION);
   const view: EntryView = {
     status: () => STATUS,
     acts: journal.list,
@@ -59,17 +59,17 @@
 }
 
 async function get(path: string, authorization = `Bearer ${TOKEN}`) {
-  const response = await createApp().request(path, {
+  const response = await createTestApp().request(path, {
     headers: { authorization },
   });
   const body = await response.json() as Readonly<Record<string, unknown>>;
   return { status: response.status, body };
 }
 
-describe("the operators' interface", () => {
+describe("the management API", () => {
   const paths = ["/status", "/acts", "/acts/i1-1", "/top", "/jobs/t/k", "/x"];
   const headers = ["", "Bearer ", "Bearer x", TOKEN, `Bearer ${TOKEN}x`];
-  it("answers nothing without the token", async () => {
+  it("rejects every request without the token", async () => {
     for (const path of paths) {
       for (const header of headers) {
         const { status, body } = await get(path, header);
@@ -79,7 +79,7 @@
     }
   });
 
-  it("names laggards and what differs from the inventory", async () => {
+  it("reports lagging processes and differences from the inventory", async () => {
     const { body } = await get("/status");
     expect(body.laggards).to.deep.equal([{
       process: "side-2",
@@ -93,13 +93,13 @@
     expect(body.unexpectedServers).to.deep.equal(["c"]);
   });
 
-  it("lists and explains acts", async () => {
+  it("lists and explains automatic actions", async () => {
     expect((await get("/acts")).body).to.have.lengthOf(1);
-    expect((await get("/acts/i1-1")).body).to.deep.include(ACT);
+    expect((await get("/acts/i1-1")).body).to.deep.include(ACTION);
     expect((await get("/acts/i1-9")).status).to.equal(404);
   });
 
-  it("explains jobs and tasks, whatever stands in a key", async () => {
+  it("explains jobs and tasks, also when a key contains a slash", async () => {
     const job = await get("/jobs/t/k%2F1");
     expect(job.body).to.include({ key: "k/1", why: "waits for a slot" });
     const task = await get("/tasks/t/k%2F1/0");
@@ -108,9 +108,9 @@
     expect((await get("/jobs/t/none")).status).to.equal(404);
   });
 
-  it("serves on its own address", async () => {
+  it("listens on a separate address", async () => {
     const address = { host: "127.0.0.1", port: 0 };
-    const server = await serveManagement(createApp(), address);
+    const server = await serveManagement(createTestApp(), address);
     const response = await fetch(`http://${server.address}/top`);
     expect(response.status).to.equal(401);
     await response.body?.cancel();
@@ -118,16 +118,20 @@
   });
 });
 
-describe("the journal of acts", () => {
-  it("keeps the newest within its bound", () => {
+describe("the action journal", () => {
+  it("keeps only the newest actions up to its limit", () => {
     const journal = createActJournal({ incarnation: "i", limit: 3 });
-    for (let atMs = 0; atMs < 10; atMs++) journal.record({ ...ACT, atMs });
-    expect(journal.list().map((act) => act.atMs)).to.deep.equal([7, 8, 9]);
+    for (let atMs = 0; atMs < 10; atMs++) journal.record({ ...ACTION, atMs });
+    expect(journal.list().map((action) => action.atMs)).to.deep.equal([
+      7,
+      8,
+      9,
+    ]);
   });
 
-  it("marks acts as undone, once", () => {
+  it("marks an action as undone only once", () => {
     const journal = createActJournal({ incarnation: "i", limit: 3 });
-    const { id } = journal.record(ACT);
+    const { id } = journal.record(ACTION);
     journal.markUndone(id, { atMs: 50, figures: { refusedJobs: 3 } });
     journal.markUndone(id, { atMs: 60 });
     journal.markUndone("gone", { atMs: 60 });
@@ -136,23 +140,23 @@
       .to.deep.equal({ failureRatio: 0.9, refusedJobs: 3 });
   });
 
-  it("gives each act its own name, whatever its maker called it", () => {
+  it("assigns unique ids and ignores the id of the given action", () => {
     const journal = createActJournal({ incarnation: "i", limit: 3 });
-    const named: AutomaticAction = { ...ACT, id: "" };
-    expect(journal.record(named).id).to.equal("i-1");
-    expect(journal.record(named).id).to.equal("i-2");
+    const actionWithId: AutomaticAction = { ...ACTION, id: "" };
+    expect(journal.record(actionWithId).id).to.equal("i-1");
+    expect(journal.record(actionWithId).id).to.equal("i-2");
   });
 
-  it("finds the act that stands", () => {
+  it("finds the newest action that is not undone", () => {
     const journal = createActJournal({ incarnation: "i", limit: 9 });
-    const standing = (): AutomaticAction | undefined =>
-      journal.findStanding("eject", ACT.subject);
-    const first = journal.record(ACT);
-    const second = journal.record(ACT);
-    expect(standing()?.id).to.equal(second.id);
+    const activeEjection = (): AutomaticAction | undefined =>
+      journal.findStanding("eject", ACTION.subject);
+    const first = journal.record(ACTION);
+    const second = journal.record(ACTION);
+    expect(activeEjection()?.id).to.equal(second.id);
     journal.markUndone(second.id, { atMs: 1 });
-    expect(standing()?.id).to.equal(first.id);
+    expect(activeEjection()?.id).to.equal(first.id);
     journal.markUndone(first.id, { atMs: 1 });
-    expect(standing()).to.equal(undefined);
+    expect(activeEjection()).to.equal(undefined);
   });
 });
--- a/packages/manage/src/index.ts
+++ b/packages/manage/src/index.ts
@@ -1,4 +1,4 @@
-/** The operators' HTTP interface and the journal of automatic acts. */
+/** HTTP API for operators and the journal of automatic actions. */
 export * from "./app.ts";
 export * from "./journal.ts";
 export * from "./serve.ts";
--- a/packages/manage/src/journal.ts
+++ b/packages/manage/src/journal.ts
@@ -1,65 +1,68 @@
 /**
- * Keeps records of what an entry did by itself. The oldest are dropped beyond
- * a bound.
+ * Records the automatic actions of an entry, such as ejecting a server. Drops
+ * the oldest when there are more than the limit.
  */
 import type { AutomaticAction, Measurements } from "@coltsfootreach/types";
 
-/** An act as its decider describes it; the journal gives it its identity. */
-export type NewAct = Omit<AutomaticAction, "id" | "undoneAtMs">;
+/** An action before it is recorded; the journal assigns its id. */
+export type NewAction = Omit<AutomaticAction, "id" | "undoneAtMs">;
 
 export interface ActJournal {
-  record(act: NewAct): AutomaticAction;
-  /** Marks an act as undone; an act that is gone or undone stays as it is. */
-  markUndone(id: string, undoing: Undoing): void;
-  /** From the oldest to the newest. */
+  record(action: NewAction): AutomaticAction;
+  /** Marks an action as undone, unless it was dropped or already undone. */
+  markUndone(id: string, details: UndoDetails): void;
+  /** Returns actions from the oldest to the newest. */
   list(): readonly AutomaticAction[];
   find(id: string): AutomaticAction | undefined;
-  /** The newest act of a kind on a subject that stands. */
+  /** Finds the newest action of a kind on a subject that is not undone. */
   findStanding(
     kind: AutomaticAction["kind"],
     subject: string,
   ): AutomaticAction | undefined;
 }
 
-/** When an act ceased to stand, and what came to light until then. */
-export interface Undoing {
+/** When an action was undone, and measurements to add to its figures. */
+export interface UndoDetails {
   readonly atMs: number;
   readonly figures?: Measurements | undefined;
 }
 
-export interface JournalOptions {
-  /** Goes into each act's name, so that names differ between entries. */
+export interface ActionJournalOptions {
+  /** Prefix of every action id, which makes ids unique across entries. */
   readonly incarnation: string;
-  /** Acts kept. */
+  /** Maximum number of actions to keep. */
   readonly limit: number;
 }
 
 export function createActJournal(
-  { incarnation, limit }: JournalOptions,
+  { incarnation, limit }: ActionJournalOptions,
 ): ActJournal {
-  /** In the order of their making, as a map keeps its insertion order. */
-  const acts = new Map<string, AutomaticAction>();
+  /** Ordered by time of recording, since a map keeps insertion order. */
+  const actions = new Map<string, AutomaticAction>();
   let count = 0;
 
-  function record(act: NewAct): AutomaticAction {
+  function record(action: NewAction): AutomaticAction {
     count++;
-    const recorded: AutomaticAction = { ...act, id: `${incarnation}-${count}` };
-    acts.set(recorded.id, recorded);
-    if (acts.size > limit) dropOldest();
-    return recorded;
+    const recordedAction: AutomaticAction = {
+      ...action,
+      id: `${incarnation}-${count}`,
+    };
+    actions.set(recordedAction.id, recordedAction);
+    if (actions.size > limit) dropOldest();
+    return recordedAction;
   }
 
   function dropOldest(): void {
-    const [oldest] = acts.keys();
-    if (oldest !== undefined) acts.delete(oldest);
+    const [oldest] = actions.keys();
+    if (oldest !== undefined) actions.delete(oldest);
   }
 
-  function markUndone(id: string, { atMs, figures }: Undoing): void {
-    const act = acts.get(id);
-    if (act === undefined || act.undoneAtMs !== undefined) return;
-    acts.set(id, {
-      ...act,
-      figures: { ...act.figures, ...figures },
+  function markUndone(id: string, { atMs, figures }: UndoDetails): void {
+    const action = actions.get(id);
+    if (action === undefined || action.undoneAtMs !== undefined) return;
+    actions.set(id, {
+      ...action,
+      figures: { ...action.figures, ...figures },
       undoneAtMs: atMs,
     });
   }
@@ -68,9 +71,9 @@
     kind: AutomaticAction["kind"],
     subject: string,
   ): AutomaticAction | undefined {
-    return [...acts.values()].findLast((act) =>
-      act.kind === kind && act.subject === subject &&
-      act.undoneAtMs === undefined
+    return [...actions.values()].findLast((action) =>
+      action.kind === kind && action.subject === subject &&
+      action.undoneAtMs === undefined
     );
   }
 
@@ -78,7 +81,7 @@
     record,
     markUndone,
     findStanding,
-    list: () => [...acts.values()],
-    find: (id) => acts.get(id),
+    list: () => [...actions.values()],
+    find: (id) => actions.get(id),
   };
 }
--- a/packages/manage/src/serve.ts
+++ b/packages/manage/src/serve.ts
@@ -1,16 +1,16 @@
-/** Serves the operators' interface on its own address. */
+/** Serves the management API on a separate address. */
 import type { AddressInfo } from "node:net";
 import { createAdaptorServer, type ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
 import { type Address, formatAddress } from "@coltsfootreach/settings";
 
 export interface ManagementServer {
-  /** Where it listens, as `IP:port`. */
+  /** Listen address as `IP:port`. */
   readonly address: string;
   close(): Promise<void>;
 }
 
-/** Rejects when the address cannot be listened on. */
+/** Starts the server; rejects if it cannot listen on the address. */
 export async function serveManagement(
   app: Hono,
   { host, port }: Address,
@@ -20,9 +20,9 @@
     server.once("error", reject);
     server.listen(port, host, resolve);
   });
-  const bound = server.address() as AddressInfo;
+  const listenAddress = server.address() as AddressInfo;
   return {
-    address: formatAddress({ host, port: bound.port }),
+    address: formatAddress({ host, port: listenAddress.port }),
     close: () => closeServer(server),
   };
 }
--- a/packages/manage/src/token.ts
+++ b/packages/manage/src/token.ts
@@ -1,20 +1,20 @@
-/** Compares bearer tokens without telling by time how much of one is right. */
+/** Compares bearer tokens in constant time to prevent timing attacks. */
 import { createHash, timingSafeEqual } from "node:crypto";
 
-const SCHEME = /^Bearer (.+)$/;
+const BEARER_HEADER = /^Bearer (.+)$/;
 
-/** Answers whether an `Authorization` header carries the token. */
-export function createTokenCheck(
+/** Creates a check whether an `Authorization` header contains the token. */
+export function createTokenVerifier(
   token: string,
 ): (header: string | undefined) => boolean {
-  const expected = hash(token);
+  const expected = sha256(token);
   return (header) => {
-    const given = SCHEME.exec(header ?? "")?.[1] ?? "";
-    return timingSafeEqual(hash(given), expected);
+    const presentedToken = BEARER_HEADER.exec(header ?? "")?.[1] ?? "";
+    return timingSafeEqual(sha256(presentedToken), expected);
   };
 }
 
-/** Hashes have one length, which the comparison needs. */
-function hash(text: string): Uint8Array {
+/** Gives inputs of equal length, which `timingSafeEqual` requires. */
+function sha256(text: string): Uint8Array {
   return createHash("sha256").update(text).digest();
 }
--- a/packages/manage/src/view.ts
+++ b/packages/manage/src/view.ts
@@ -1,6 +1,6 @@
 /**
- * What operators can ask of one entry. All of it is queries: they return state
- * and change nothing.
+ * Read-only view of one entry for operators. Queries return state and change
+ * nothing.
  */
 import type {
   ConfigurationSource,
@@ -16,38 +16,38 @@
   TaskOutcome,
 } from "@coltsfootreach/types";
 
-/** The interface that an entry implements for its operators. */
+/** The queries that an entry implements for the management API. */
 export interface EntryView {
   status(): EntryStatus;
-  /** Kept acts from the oldest to the newest. */
+  /** Returns the recorded actions from the oldest to the newest. */
   acts(): readonly AutomaticAction[];
   act(id: string): AutomaticAction | undefined;
-  /** Undefined when this entry holds no record of the job. */
+  /** Returns undefined if this entry has no record of the job. */
   job(tenant: string, key: string): JobExplanation | undefined;
   top(): Top;
 }
 
-/** An entry, what it has in force and whom it sees. */
+/** Active configuration, table and known processes of an entry. */
 export interface EntryStatus {
   readonly entry: string;
   readonly incarnation: string;
-  /** The entry's clock in Unix milliseconds; other times are on it too. */
+  /** Time on the entry's clock in Unix milliseconds, as all times here. */
   readonly nowMs: number;
-  readonly configuration: ConfigurationInForce;
-  /** The newest version that the entry knows of, in force here or not. */
+  readonly configuration: ActiveConfiguration;
+  /** Newest version known to the entry, even if it is not active here. */
   readonly newest: KnownVersion;
-  /** The configuration in each process, this one included. */
+  /** Configuration of each process, including this one. */
   readonly processes: readonly ConfigurationStatus[];
   readonly table: Table;
   readonly store: StoreStatus;
-  /** Backend servers that the inventory expects. */
+  /** Backend servers listed in the inventory. */
   readonly expectedServers: readonly string[];
   /** Backend servers that have announced themselves. */
   readonly presentServers: readonly string[];
 }
 
-export interface ConfigurationInForce {
-  /** 0 while none is in force. */
+export interface ActiveConfiguration {
+  /** 0 until a configuration is active. */
   readonly version: number;
   readonly sinceMs?: number | undefined;
   readonly source?: ConfigurationSource | undefined;
@@ -56,20 +56,20 @@
 
 export interface StoreStatus {
   readonly reachable: boolean;
-  /** Since when it is or is not reachable. */
+  /** Time of the last change of `reachable`. */
   readonly sinceMs: number;
 }
 
-/** The reply to `GET /status`. */
+/** Response body of `GET /status`. */
 export interface StatusReport extends EntryStatus {
   readonly laggards: readonly Laggard[];
-  /** Expected by the inventory and not present. */
+  /** Servers that are in the inventory but not present. */
   readonly missingServers: readonly string[];
-  /** Present and not in the inventory. */
+  /** Servers that are present but not in the inventory. */
   readonly unexpectedServers: readonly string[];
 }
 
-/** Where a job stands and why. */
+/** State of a job and the reason for it. */
 export interface JobExplanation {
   readonly tenant: string;
   readonly key: string;
@@ -79,11 +79,11 @@
   readonly entry: string;
   readonly tableVersion: number;
   readonly configurationVersion: number;
-  /** Time since the record was made in milliseconds. */
+  /** Milliseconds since the record was created. */
   readonly ageMs: number;
-  /** Time until the deadline; negative after it. */
+  /** Milliseconds until the deadline; negative after it. */
   readonly leftMs: number;
-  /** One sentence on what the job waits for or how it ended. */
+  /** One sentence about what the job waits for or how it ended. */
   readonly why: string;
   readonly tasks: readonly TaskExplanation[];
   readonly answer?: Answer | undefined;
@@ -92,15 +92,15 @@
 export interface TaskExplanation {
   readonly index: number;
   readonly state: "waiting" | "sent" | "ended";
-  /** Starts sent so far. */
+  /** Number of starts sent so far. */
   readonly attempts: number;
   readonly side?: string | undefined;
-  /** One sentence on what the task waits for or how it ended. */
+  /** One sentence about what the task waits for or how it ended. */
   readonly why: string;
   readonly outcome?: TaskOutcome | undefined;
 }
 
-/** What is going on, as one entry sees it. */
+/** Response body of `GET /top`: current activity known to one entry. */
 export interface Top {
   readonly entry: string;
   readonly nowMs: number;
@@ -108,20 +108,20 @@
   readonly servers: readonly ServerTop[];
 }
 
-/** One tenant and class, counted over jobs that this entry owns. */
+/** Counts for one tenant and class over the jobs that this entry owns. */
 export interface TenantTop {
   readonly tenant: string;
   readonly class: string;
-  /** Tasks that wait for a slot. */
+  /** Tasks waiting for a slot. */
   readonly waiting: number;
-  /** Tasks that were sent to a side and have not ended. */
+  /** Tasks sent to a side that have not ended. */
   readonly running: number;
-  /** Jobs ended since the entry began. */
+  /** Jobs ended since the entry started. */
   readonly ended: number;
   readonly failed: number;
   readonly late: number;
   readonly refused: number;
-  /** Response times of jobs in milliseconds. */
+  /** Distribution of job response times in milliseconds. */
   readonly response: HistogramSummary;
 }
 
@@ -134,13 +134,13 @@
   readonly buckets: readonly Bucket[];
 }
 
-/** Counts values up to a bound and above that of the bucket before. */
+/** Number of values up to `upTo` and above that of the previous bucket. */
 export interface Bucket {
   readonly upTo: number;
   readonly count: number;
 }
 
-/** One backend server; its load is from all entries, as its side last said. */
+/** A backend server with its load from all entries, as last reported. */
 export interface ServerTop {
   readonly server: string;
   readonly side: string;
@@ -150,6 +150,6 @@
   readonly slots: number;
   readonly running: number;
   readonly queued: number;
-  /** Share of recent tasks that failed, 0 to 1. */
+  /** Fraction of recent tasks that failed, from 0 to 1. */
   readonly failureRatio: number;
 }
