Reword the daemon package

Cause: names such as Followed, Surroundings and stopProcess were vague, and comments and two usage errors were in unusual terms.

Change: comments, test titles and names are in plain terms. Assertions changed only in names.

The other tests were not run.

--- a/packages/daemon/src/credentials.ts
+++ b/packages/daemon/src/credentials.ts
@@ -1,4 +1,4 @@
-/** TLS credentials of the links between processes. */
+/** TLS credentials for the links between processes. */
 import { readFileSync } from "node:fs";
 import {
   ChannelCredentials,
@@ -12,7 +12,7 @@
   readonly client: ChannelCredentials;
 }
 
-/** Both ends show a certificate that the authority has signed. */
+/** Reads credentials for mutual TLS: the authority must sign both ends. */
 export function readCredentials(
   tls: TlsSettings | undefined,
 ): LinkCredentials | undefined {
--- a/packages/daemon/src/credentials_test.ts
+++ b/packages/daemon/src/credentials_test.ts
@@ -21,9 +21,14 @@
   messages: [],
 };
 
-const NEW_KEY = ["-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:P-256"];
-
-describe("TLS of the links", () => {
+const NEW_KEY_OPTIONS = [
+  "-newkey",
+  "ec",
+  "-pkeyopt",
+  "ec_paramgen_curve:P-256",
+];
+
+describe("mutual TLS on links", () => {
   let folder: string;
 
   const file = (name: string) => join(folder, name);
@@ -35,13 +40,13 @@
   function makeAuthority(name: string): void {
     openssl(
       ...["req", "-x509", "-nodes", "-days", "2", "-subj", `/CN=${name}`],
-      ...[...NEW_KEY, "-keyout", `${name}.key`, "-out", `${name}.pem`],
+      ...[...NEW_KEY_OPTIONS, "-keyout", `${name}.key`, "-out", `${name}.pem`],
     );
   }
 
   function makeCertificate(name: string, authority: string): void {
     openssl(
-      ...["req", "-nodes", "-subj", `/CN=${name}`, ...NEW_KEY],
+      ...["req", "-nodes", "-subj", `/CN=${name}`, ...NEW_KEY_OPTIONS],
       ...["-keyout", `${name}.key`, "-out", `${name}.csr`],
     );
     writeFileSync(file("san"), "subjectAltName=IP:127.0.0.1\n");
@@ -52,7 +57,7 @@
     );
   }
 
-  function tlsOf(name: string, authority = "authority") {
+  function tlsFiles(name: string, authority = "authority") {
     return {
       certificate: file(`${name}.pem`),
       key: file(`${name}.key`),
@@ -65,32 +70,32 @@
     try {
       openssl("version");
     } catch {
-      console.log("      not run: openssl is not on this machine");
+      console.log("      not run: openssl is not installed");
       this.skip();
     }
     makeAuthority("authority");
-    makeAuthority("stranger");
+    makeAuthority("other-authority");
     makeCertificate("entry", "authority");
     makeCertificate("side", "authority");
-    makeCertificate("intruder", "stranger");
+    makeCertificate("untrusted", "other-authority");
   });
 
   after(() => rmSync(folder, { recursive: true }));
 
-  /** Resolves with true when the entry got a frame, false when it closed. */
-  async function connects(client: Target["credentials"]): Promise<boolean> {
-    let heard = (_isHeard: boolean) => {};
-    const outcome = new Promise<boolean>((resolve) => heard = resolve);
+  /** Resolves to true if the entry receives a frame, false if it closes. */
+  async function isAccepted(client: Target["credentials"]): Promise<boolean> {
+    let settle = (_isAccepted: boolean) => {};
+    const outcome = new Promise<boolean>((resolve) => settle = resolve);
     const server = (await listenForLinks({
       address: "127.0.0.1:0",
-      credentials: readCredentials(tlsOf("entry"))!.server,
+      credentials: readCredentials(tlsFiles("entry"))!.server,
       acceptSide: () => ({
-        received: () => heard(true),
+        received: () => settle(true),
         drained: () => {},
         closed: () => {},
       }),
       acceptPeer: () => {
-        throw new Error("no entry dials here");
+        throw new Error("unexpected peer connection");
       },
     }))._unsafeUnwrap();
     const target = {
@@ -100,48 +105,54 @@
     const stream = dialAsSide(target, {
       received: () => {},
       drained: () => {},
-      closed: () => heard(false),
+      closed: () => settle(false),
     });
     stream.send(FRAME);
-    const isConnected = await outcome;
+    const isFrameReceived = await outcome;
     stream.close();
     server.close();
-    return isConnected;
+    return isFrameReceived;
   }
 
-  it("lets in who shows a certificate of the authority", async () => {
-    const { client } = readCredentials(tlsOf("side"))!;
-    expect(await connects(client)).to.equal(true);
+  it("accepts a client certificate signed by the authority", async () => {
+    const { client } = readCredentials(tlsFiles("side"))!;
+    expect(await isAccepted(client)).to.equal(true);
   });
 
-  it("lets in nobody else", async () => {
-    const { client } = readCredentials(tlsOf("intruder"))!;
-    expect(await connects(client)).to.equal(false);
+  it("rejects clients without a certificate signed by the authority", async () => {
+    const { client } = readCredentials(tlsFiles("untrusted"))!;
+    expect(await isAccepted(client)).to.equal(false);
     const authority = readFileSync(file("authority.pem"));
-    expect(await connects(credentials.createSsl(authority))).to.equal(false);
-    expect(await connects(undefined)).to.equal(false);
+    expect(await isAccepted(credentials.createSsl(authority))).to.equal(false);
+    expect(await isAccepted(undefined)).to.equal(false);
   });
 
-  it("needs files that can be read and belong together", () => {
+  it("rejects files that are unreadable or do not match", () => {
     const example = new URL("../../../examples/side.toml", import.meta.url);
     const text = readFileSync(example, "utf8");
 
-    function check(tls: ReturnType<typeof tlsOf>): string {
+    function validateSettings(tls: ReturnType<typeof tlsFiles>): string {
       const lines = Object.entries(tls)
         .map(([key, value]) => `${key} = "${value}"`);
       const settings = [text, "[tls]", ...lines].join("\n");
       writeFileSync(file("side.toml"), settings);
       return readAnySettings(file("side.toml")).match(
         () => "valid",
-        (fault) => fault.message,
+        (error) => error.message,
       );
     }
 
-    expect(check(tlsOf("side"))).to.equal("valid");
-    const missing = check({ ...tlsOf("side"), key: file("none.key") });
+    expect(validateSettings(tlsFiles("side"))).to.equal("valid");
+    const missing = validateSettings({
+      ...tlsFiles("side"),
+      key: file("none.key"),
+    });
     expect(missing).to.match(/side\.toml: tls\.key: .*cannot be read.*ENOENT/);
-    const foreign = check({ ...tlsOf("side"), key: file("entry.key") });
-    expect(foreign).to.match(/side\.toml: tls: .*cannot be used/);
-    expect(missing + foreign).not.to.include("\n");
+    const mismatched = validateSettings({
+      ...tlsFiles("side"),
+      key: file("entry.key"),
+    });
+    expect(mismatched).to.match(/side\.toml: tls: .*cannot be used/);
+    expect(missing + mismatched).not.to.include("\n");
   });
 });
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -1,4 +1,4 @@
-/** Turns the settings of an entry into the options of its process. */
+/** Converts the settings of an entry to the options of its process. */
 import {
   type ConfigurationHolder,
   createConfigurationHolder,
@@ -18,28 +18,28 @@
 import type { Store } from "@coltsfootreach/store";
 import { readCredentials } from "./credentials.ts";
 
-/** How long tasks on a lost side are waited for. */
-const DOUBT_MS = 10_000;
+/** Time to wait for tasks on a lost side before ending them. */
+const LOST_SIDE_GRACE_MS = 10_000;
 
-/** How long after its deadline a started task is waited for. */
-const OVERDUE_MS = 60_000;
+/** Time to wait for a started task after its deadline. */
+const OVERDUE_GRACE_MS = 60_000;
 
-/** How long a job known by evidence alone waits for its resubmission. */
-const ORPHAN_MS = 30_000;
+/** Time that a job known only from sides' evidence awaits resubmission. */
+const RESUBMISSION_TIMEOUT_MS = 30_000;
 
-/** Most requests that wait for a takeover to settle. */
-const MAX_HELD = 50_000;
+/** Maximum number of requests held until a takeover is settled. */
+const MAX_HELD_REQUESTS = 50_000;
 
 const MS_PER_SECOND = 1000;
 
-/** What an entry's process follows of the configuration. */
-export interface Followed {
+/** Configuration state and parsing of an entry process. */
+export interface EntryConfiguration {
   readonly holder: ConfigurationHolder;
   readonly estate: EstateLookup;
   readonly prepare: EntryOptions["prepareConfiguration"];
 }
 
-export function createFollowed(): Followed {
+export function createEntryConfiguration(): EntryConfiguration {
   const parser = createEstateParser();
   const holder = createConfigurationHolder({ parse: parser.parse });
   return {
@@ -49,14 +49,14 @@
   };
 }
 
-export interface Surroundings extends Followed {
+export interface EntryDependencies extends EntryConfiguration {
   readonly store: Store;
   readonly log: Log;
 }
 
 export function createEntryOptions(
   settings: EntrySettings,
-  { store, log, holder, estate, prepare }: Surroundings,
+  { store, log, holder, estate, prepare }: EntryDependencies,
 ): EntryOptions {
   const { limits, timeouts } = settings;
   return {
@@ -70,15 +70,15 @@
     freshnessMs: timeouts.freshnessMs,
     heartbeatMs: timeouts.heartbeatMs,
     sideLostMs: timeouts.sideLostMs,
-    doubtMs: DOUBT_MS,
+    doubtMs: LOST_SIDE_GRACE_MS,
     drainMs: timeouts.drainMs,
-    maxHeld: MAX_HELD,
+    maxHeld: MAX_HELD_REQUESTS,
     records: {
       windowMs: limits.recordWindowMs,
       skewMs: limits.skewMs,
       maxRecords: limits.jobs,
-      overdueMs: OVERDUE_MS,
-      orphanMs: ORPHAN_MS,
+      overdueMs: OVERDUE_GRACE_MS,
+      orphanMs: RESUBMISSION_TIMEOUT_MS,
     },
     maxActs: limits.acts,
     holder,
@@ -86,10 +86,16 @@
     createPlanner({ slots, entries }) {
       const runTimes = createRunTimeModel();
       const rules = () => rulesInForce(holder);
-      const limited = createLimits({ estate, runTimes, rules, slots, entries });
-      const placing = { random: Math.random, runTimes };
-      const policy = createPlacementPolicy(settings.placement, placing);
-      return { ...limited, policy };
+      const limitedQueue = createLimits({
+        estate,
+        runTimes,
+        rules,
+        slots,
+        entries,
+      });
+      const policyOptions = { random: Math.random, runTimes };
+      const policy = createPlacementPolicy(settings.placement, policyOptions);
+      return { ...limitedQueue, policy };
     },
     credentials: readCredentials(settings.tls),
     log,
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,10 +1,10 @@
-/** The coltsfootreachd binary: `coltsfootreachd entry|side --settings FILE`. */
+/** Command line of the daemon: `coltsfootreachd entry|side --settings FILE`. */
 import process from "node:process";
 import { cac } from "cac";
 import { readSettings } from "@coltsfootreach/settings";
 import { runEntry } from "./run_entry.ts";
 import { runSide } from "./run_side.ts";
-import { handleSignals } from "./signals.ts";
+import { installSignalHandlers } from "./signals.ts";
 
 const VERSION = "0.1.0";
 
@@ -22,14 +22,17 @@
 }
 
 async function run(role: "entry" | "side", flags: Flags): Promise<void> {
-  if (flags.settings === undefined) fail("give --settings FILE", EXIT_USAGE);
+  if (flags.settings === undefined) fail("missing --settings FILE", EXIT_USAGE);
   const settings = readSettings(flags.settings);
   if (settings.isErr()) fail(settings.error.message, EXIT_FAILED);
   const { value } = settings;
   if (value.role !== role) {
-    fail(`${flags.settings}: role: is "${value.role}"`, EXIT_FAILED);
+    fail(
+      `${flags.settings}: role: "${value.role}" does not match the command`,
+      EXIT_FAILED,
+    );
   }
-  handleSignals();
+  installSignalHandlers();
   try {
     if (value.role === "entry") await runEntry(value);
     else await runSide(value);
--- a/packages/daemon/src/management.ts
+++ b/packages/daemon/src/management.ts
@@ -1,4 +1,4 @@
-/** Serves the operators' interface of an entry. */
+/** Serves the management API of an entry. */
 import type { ConfigurationHolder } from "@coltsfootreach/configure";
 import {
   assembleTenantTops,
@@ -13,16 +13,16 @@
 import type { Metrics } from "@coltsfootreach/measure";
 import type { EntrySettings } from "@coltsfootreach/settings";
 
-export interface Managed {
+export interface OperatorServerDependencies {
   readonly entry: Entry;
   readonly holder: ConfigurationHolder;
   readonly metrics: Metrics;
 }
 
-/** Undefined while settings leave the interface off. */
+/** Starts the API; returns undefined if the settings do not enable it. */
 export async function serveOperators(
   { name, management }: EntrySettings,
-  { entry, holder, metrics }: Managed,
+  { entry, holder, metrics }: OperatorServerDependencies,
 ): Promise<ManagementServer | undefined> {
   if (management === undefined) return undefined;
   const view = createEntryView({
--- a/packages/daemon/src/run_entry.ts
+++ b/packages/daemon/src/run_entry.ts
@@ -1,36 +1,47 @@
-/** Runs an entry from its settings. */
+/** Starts an entry process with its settings. */
 import { startEntry } from "@coltsfootreach/entry";
 import { createLog, type Log } from "@coltsfootreach/log";
 import { createMetrics } from "@coltsfootreach/measure";
 import type { EntrySettings } from "@coltsfootreach/settings";
 import { createEtcdStore } from "@coltsfootreach/store";
 import { serveCallers } from "./caller_server.ts";
-import { createEntryOptions, createFollowed } from "./entry_options.ts";
+import {
+  createEntryConfiguration,
+  createEntryOptions,
+} from "./entry_options.ts";
 import { serveOperators } from "./management.ts";
-import { stopOnSignal } from "./signals.ts";
+import { setShutdownHandler } from "./signals.ts";
 
-/** Silence after which a watch of the store is opened again. */
-const WATCH_SILENT_MS = 15 * 60_000;
+/** A store watch without any message for this long is opened again. */
+const WATCH_IDLE_TIMEOUT_MS = 15 * 60_000;
 
 export async function runEntry(settings: EntrySettings): Promise<void> {
   const log = createEntryLog(settings);
   const store = createEtcdStore({
     endpoints: settings.store.endpoints,
     timeoutMs: settings.store.timeoutMs,
-    watchSilentMs: WATCH_SILENT_MS,
+    watchSilentMs: WATCH_IDLE_TIMEOUT_MS,
   });
   const metrics = createMetrics();
-  const followed = createFollowed();
-  const { holder, estate } = followed;
-  const options = createEntryOptions(settings, { ...followed, store, log });
+  const entryConfiguration = createEntryConfiguration();
+  const { holder, estate } = entryConfiguration;
+  const options = createEntryOptions(settings, {
+    ...entryConfiguration,
+    store,
+    log,
+  });
   const entry = await startEntry(options);
-  const callers = await serveCallers(settings, { entry, estate, metrics });
-  log.info("listening for callers", { address: callers.address });
-  const operators = await serveOperators(settings, { entry, holder, metrics });
-  stopOnSignal(async () => {
+  const callerServer = await serveCallers(settings, { entry, estate, metrics });
+  log.info("listening for callers", { address: callerServer.address });
+  const operatorServer = await serveOperators(settings, {
+    entry,
+    holder,
+    metrics,
+  });
+  setShutdownHandler(async () => {
     await entry.stop();
-    await callers.close();
-    await operators?.close();
+    await callerServer.close();
+    await operatorServer?.close();
     await store.close();
   });
 }
--- a/packages/daemon/src/run_side.ts
+++ b/packages/daemon/src/run_side.ts
@@ -1,18 +1,18 @@
-/** Runs a side from its settings. */
+/** Starts a side process with its settings. */
 import { createLog } from "@coltsfootreach/log";
 import type { SideSettings } from "@coltsfootreach/settings";
 import { startSide } from "@coltsfootreach/side";
 import { readCredentials } from "./credentials.ts";
-import { stopOnSignal } from "./signals.ts";
+import { setShutdownHandler } from "./signals.ts";
 
-/** How long evidence of starts is kept; beyond any resubmission window. */
-const KEEP_EVIDENCE_MS = 15 * 60_000;
+/** Retention of evidence of starts; longer than any resubmission window. */
+const EVIDENCE_RETENTION_MS = 15 * 60_000;
 
-/** How long results of ended jobs are kept for an entry that takes over. */
-const KEEP_RESULTS_MS = 60_000;
+/** Retention of results of ended jobs for an entry that takes over. */
+const RESULT_RETENTION_MS = 60_000;
 
-/** Most jobs with evidence on one side. */
-const MAX_JOBS = 200_000;
+/** Maximum number of jobs with evidence on one side. */
+const MAX_JOBS_WITH_EVIDENCE = 200_000;
 
 export async function runSide(settings: SideSettings): Promise<void> {
   const { timeouts } = settings;
@@ -34,11 +34,11 @@
     heartbeatMs: timeouts.heartbeatMs,
     silentMs: timeouts.sideLostMs,
     drainMs: timeouts.drainMs,
-    keepEvidenceMs: KEEP_EVIDENCE_MS,
-    keepResultsMs: KEEP_RESULTS_MS,
-    maxJobs: MAX_JOBS,
+    keepEvidenceMs: EVIDENCE_RETENTION_MS,
+    keepResultsMs: RESULT_RETENTION_MS,
+    maxJobs: MAX_JOBS_WITH_EVIDENCE,
     credentials: readCredentials(settings.tls)?.client,
     log,
   });
-  stopOnSignal(() => side.stop());
+  setShutdownHandler(() => side.stop());
 }
--- a/packages/daemon/src/signals.ts
+++ b/packages/daemon/src/signals.ts
@@ -1,26 +1,26 @@
-/** Ends the process in order on SIGTERM and SIGINT. */
+/** Shuts the process down gracefully on SIGTERM and SIGINT. */
 import process from "node:process";
 
 /**
- * Until `stopOnSignal`, a signal ends the process at once with 0: a process that
- * still waits to join holds nothing for others.
+ * Does nothing until `setShutdownHandler` is called, so a signal exits at once
+ * with status 0: a process that has not joined yet holds no work of others.
  */
-let stopProcess = () => Promise.resolve();
+let shutdownHandler = () => Promise.resolve();
 
 let isStopping = false;
 
-export function handleSignals(): void {
-  async function end(): Promise<void> {
+export function installSignalHandlers(): void {
+  async function shutDown(): Promise<void> {
     if (isStopping) return;
     isStopping = true;
-    await stopProcess();
+    await shutdownHandler();
     process.exit(0);
   }
 
-  process.on("SIGTERM", end);
-  process.on("SIGINT", end);
+  process.on("SIGTERM", shutDown);
+  process.on("SIGINT", shutDown);
 }
 
-export function stopOnSignal(stop: () => Promise<void>): void {
-  stopProcess = stop;
+export function setShutdownHandler(handler: () => Promise<void>): void {
+  shutdownHandler = handler;
 }
