Apply the names agreed across packages

Files renamed: worker lists.ts to list_poller.ts, suspicion.ts to circuit_breaker.ts, slowness.ts to slowness_estimator.ts; dispatch patience.ts and its test to caller_age.ts. The store key "shared/patience" and all wire names are unchanged.

--- a/packages/dispatch/src/patience.ts
+++ b/packages/dispatch/src/caller_age.ts
@@ -24,9 +24,9 @@
 /** Typical minimum timeout per queue, in milliseconds. */
 export type TypicalTimeoutTable = Readonly<Record<string, number>>;
 
-export interface Patience {
+export interface CallerAgeEstimator {
   /** Records the timeout of a caller in normal operation. */
-  learn(queue: string, timeoutMs: number): void;
+  recordTimeout(queue: string, timeoutMs: number): void;
   /** Returns a lower bound on the time that a caller has already waited. */
   ageMs(queue: string, timeoutMs: number): number;
   /** Returns the current estimates, including adopted ones. */
@@ -35,7 +35,7 @@
   adopt(table: TypicalTimeoutTable): void;
 }
 
-export function createPatience(): Patience {
+export function createCallerAgeEstimator(): CallerAgeEstimator {
   const samples = new Map<string, number[]>();
   let sharedTable: TypicalTimeoutTable = {};
 
@@ -49,7 +49,7 @@
   }
 
   return {
-    learn(queue, timeoutMs) {
+    recordTimeout(queue, timeoutMs) {
       const timeouts = samples.get(queue) ?? [];
       if (timeouts.length === 0) {
         if (samples.size >= MAX_QUEUES) return;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -68,12 +68,12 @@
   /** Stops the job of a caller that disconnected. */
   abandon(submission: SubmissionId, now: number): void;
   sessionOpened(session: SessionId, now: number): void;
-  sessionSent(session: SessionId, frame: WorkFrame, now: number): void;
+  frameReceived(session: SessionId, frame: WorkFrame, now: number): void;
   sessionClosed(session: SessionId, now: number): void;
   /** Sets the addresses of all entries, which are forwarded to sides. */
   setEntries(addresses: readonly string[]): void;
   /** Refuses new jobs that are not expected to end before this time. */
-  stopBy(time: number): void;
+  setStopDeadline(time: number): void;
   tick(now: number): void;
   /** Places waiting tasks and returns all pending effects. */
   takeEffects(now: number): readonly DispatchEffect[];
@@ -523,13 +523,13 @@
     submit,
     abandon,
     sessionOpened: sides.opened,
-    sessionSent(session, frame, now) {
+    frameReceived(session, frame, now) {
       sides.received(session, frame, now);
       isPlacementDue = true;
     },
     sessionClosed: sides.closed,
     setEntries: sides.setEntries,
-    stopBy(time) {
+    setStopDeadline(time) {
       stopDeadline = time;
     },
     tick,
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -72,7 +72,7 @@
     now: number,
   ): void {
     const frame: WorkFrame = { kind: "work", seen: 99, news: [], ...overrides };
-    dispatcher.sessionSent(session, frame, now);
+    dispatcher.frameReceived(session, frame, now);
     performEffects(now);
   }
 
@@ -390,7 +390,7 @@
   it("refuses jobs that would not end before shutdown", () => {
     const harness = createHarness();
     harness.connect(1, "one", report("s1", 4000), START_MS);
-    harness.dispatcher.stopBy(START_MS + 150);
+    harness.dispatcher.setStopDeadline(START_MS + 150);
     harness.submit(1, job("j"), START_MS);
     expect(harness.answers.get(1)).to.include({
       kind: "refused",
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -5,4 +5,4 @@
 export * from "./objective.ts";
 export * from "./placement.ts";
 export * from "./refusal.ts";
-export * from "./patience.ts";
+export * from "./caller_age.ts";
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,5 +1,9 @@
 /** Streams of frames between the system's processes. */
-export type { Accept, Stream, StreamListener } from "@coltsfootreach/stream";
+export type {
+  Stream,
+  StreamHandler,
+  StreamListener,
+} from "@coltsfootreach/stream";
 export * from "./server.ts";
 export * from "./dial.ts";
 export * from "./outbox.ts";
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -5,15 +5,15 @@
 import { ListenFailed } from "@coltsfootreach/errors";
 import type { EntryFrame, PeerFrame, SideFrame } from "@coltsfootreach/types";
 import { CHANNEL_OPTIONS, LINK_SERVICE } from "./service.ts";
-import type { Accept } from "@coltsfootreach/stream";
+import type { StreamHandler } from "@coltsfootreach/stream";
 import { wrapCall } from "./wrap.ts";
 
 export interface LinkServerOptions {
   /** Where to listen, as `IP:port`; port 0 picks a free one. */
   readonly address: string;
   readonly credentials?: ServerCredentials | undefined;
-  readonly acceptSide?: Accept<SideFrame, EntryFrame>;
-  readonly acceptPeer?: Accept<PeerFrame, PeerFrame>;
+  readonly acceptSide?: StreamHandler<SideFrame, EntryFrame>;
+  readonly acceptPeer?: StreamHandler<PeerFrame, PeerFrame>;
 }
 
 export interface LinkServer {
@@ -47,7 +47,7 @@
 /** Streams of a kind that nobody here takes are ended at once. */
 function accept<In, Out>(
   call: Duplex,
-  to: Accept<In, Out> | undefined,
+  to: StreamHandler<In, Out> | undefined,
 ): void {
   if (to === undefined) {
     call.end();
--- a/packages/runtime/src/configuration.ts
+++ b/packages/runtime/src/configuration.ts
@@ -6,7 +6,7 @@
 import type { Log } from "@coltsfootreach/log";
 import type { QueueTable } from "@coltsfootreach/run";
 import type { Store, Versioned, Watch } from "@coltsfootreach/store";
-import type { ConfigurationDocument } from "./ports.ts";
+import type { ConfigurationSource } from "./ports.ts";
 
 /** Interval of the stale reads. */
 const POLL_INTERVAL_MS = 1000;
@@ -16,7 +16,7 @@
 
 export interface ConfigurationOptions {
   readonly store: Store;
-  readonly document: ConfigurationDocument;
+  readonly document: ConfigurationSource;
   readonly log: Log;
 }
 
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -3,8 +3,8 @@
 import { ListenFailed } from "@coltsfootreach/errors";
 import {
   type Answer,
+  createCallerAgeEstimator,
   createDispatcher,
-  createPatience,
   type DispatchEffect,
   type SessionId,
   type SubmissionId,
@@ -28,7 +28,7 @@
 import { monotonicNowMs, startCoreLoop } from "./loop.ts";
 import { createEntryMetrics } from "./entry_metrics.ts";
 import { joinMembership } from "./membership.ts";
-import type { ConfigurationDocument } from "./ports.ts";
+import type { ConfigurationSource } from "./ports.ts";
 import { syncSharedRecord } from "./shared_record.ts";
 
 /** Tick interval while no job is live. */
@@ -48,7 +48,7 @@
   /** Address to listen on for sides, as `IP:port`. */
   readonly listen: string;
   readonly store: Store;
-  readonly document: ConfigurationDocument;
+  readonly document: ConfigurationSource;
   readonly timing: Timing;
   /** Factor by which a task takes longer outside the rack that has its data. */
   readonly remoteFactor: number;
@@ -90,7 +90,7 @@
 ): Promise<Result<EntryProcess, ListenFailed>> {
   const { log } = options;
   const decisionLog = createDecisionLog(log);
-  const timeoutEstimator = createPatience();
+  const callerAgeEstimator = createCallerAgeEstimator();
   const dispatcher = createDispatcher({
     entry: options.name,
     timing: options.timing,
@@ -152,7 +152,7 @@
     dispatcher.sessionOpened(session, monotonicNowMs());
     return {
       received(frame: WorkFrame) {
-        dispatcher.sessionSent(session, frame, monotonicNowMs());
+        dispatcher.frameReceived(session, frame, monotonicNowMs());
         loop.wake();
       },
       drained() {},
@@ -199,7 +199,7 @@
   const sharedRecord = syncSharedRecord({
     store: options.store,
     key: TIMEOUT_ESTIMATES_KEY,
-    estimator: timeoutEstimator,
+    estimator: callerAgeEstimator,
     log,
     isWriter: () => entries[0] === options.listen,
   });
@@ -207,9 +207,9 @@
   /** Only after startup do enough callers reconnect for their age to matter. */
   function estimateAgeMs(queue: Queue, job: Job, now: number): number {
     if (now - startedAtMs < RECONNECT_WINDOW_MS) {
-      return timeoutEstimator.ageMs(queue.name, job.timeoutMs);
+      return callerAgeEstimator.ageMs(queue.name, job.timeoutMs);
     }
-    timeoutEstimator.learn(queue.name, job.timeoutMs);
+    callerAgeEstimator.recordTimeout(queue.name, job.timeoutMs);
     return 0;
   }
 
@@ -251,7 +251,7 @@
     metricsText: metrics.text,
     async stop(graceMs, callers) {
       isStopping = true;
-      dispatcher.stopBy(monotonicNowMs() + graceMs);
+      dispatcher.setStopDeadline(monotonicNowMs() + graceMs);
       // Callers keep submitting on open connections until the load balancer has
       // detected that this entry is not ready.
       const propagationMs = Math.min(graceMs, READINESS_PROPAGATION_MS);
--- a/packages/runtime/src/ports.ts
+++ b/packages/runtime/src/ports.ts
@@ -1,24 +1,24 @@
 /** Interfaces of the external systems that the processes depend on. */
 import type { QueueTable } from "@coltsfootreach/run";
 import type {
-  ListOrder,
   ListReply,
-  StartOrder,
+  ListRequest,
   StartReply,
-  StopOrder,
+  StartRequest,
   StopReply,
+  StopRequest,
 } from "@coltsfootreach/worker";
 import type { Result } from "neverthrow";
 
 /** Client of this VM's backend server; its promises never reject. */
-export interface ServerCalls {
-  start(order: StartOrder): Promise<StartReply>;
-  stop(order: StopOrder): Promise<StopReply>;
-  list(order: ListOrder): Promise<ListReply>;
+export interface BackendServerClient {
+  start(request: StartRequest): Promise<StartReply>;
+  stop(request: StopRequest): Promise<StopReply>;
+  list(request: ListRequest): Promise<ListReply>;
 }
 
 /** Store key of the operators' configuration, and its decoder. */
-export interface ConfigurationDocument {
+export interface ConfigurationSource {
   readonly key: string;
   decode(text: string): Result<QueueTable, InvalidDocument>;
 }
--- a/packages/runtime/src/shared_record_test.ts
+++ b/packages/runtime/src/shared_record_test.ts
@@ -1,4 +1,7 @@
-import { createPatience, type Patience } from "@coltsfootreach/dispatch";
+import {
+  type CallerAgeEstimator,
+  createCallerAgeEstimator,
+} from "@coltsfootreach/dispatch";
 import { createLog } from "@coltsfootreach/log";
 import { createFakeClock, createMemoryStore } from "@coltsfootreach/standin";
 import type { Store } from "@coltsfootreach/store";
@@ -32,9 +35,11 @@
   sharedRecord.stop();
 }
 
-function createTrainedEstimator(queue: string): Patience {
-  const estimator = createPatience();
-  for (let count = 0; count < 20; count += 1) estimator.learn(queue, 2000);
+function createTrainedEstimator(queue: string): CallerAgeEstimator {
+  const estimator = createCallerAgeEstimator();
+  for (let count = 0; count < 20; count += 1) {
+    estimator.recordTimeout(queue, 2000);
+  }
   return estimator;
 }
 
@@ -42,7 +47,7 @@
   it("is available after its writer has stopped", async () => {
     const store = createMemoryStore(createFakeClock());
     await runEntry(store, createTrainedEstimator("a"));
-    const restarted = createPatience();
+    const restarted = createCallerAgeEstimator();
     await runEntry(store, restarted, false);
     expect(restarted.ageMs("a", 800)).to.equal(1000);
   });
@@ -50,7 +55,7 @@
   it("is written only by the writer", async () => {
     const store = createMemoryStore(createFakeClock());
     await runEntry(store, createTrainedEstimator("a"), false);
-    const restarted = createPatience();
+    const restarted = createCallerAgeEstimator();
     await runEntry(store, restarted);
     expect(restarted.table()).to.deep.equal({});
   });
@@ -60,7 +65,7 @@
     for (const queue of ["a", "b"]) {
       await runEntry(store, createTrainedEstimator(queue));
     }
-    const restarted = createPatience();
+    const restarted = createCallerAgeEstimator();
     await runEntry(store, restarted);
     expect(restarted.table()).to.deep.equal({ a: 2000, b: 2000 });
   });
@@ -69,7 +74,7 @@
     const store = createMemoryStore(createFakeClock());
     const value = '{"a":"fast","b":';
     await store.swap({ key: KEY, value, expectedRevision: 0 });
-    const estimator = createPatience();
+    const estimator = createCallerAgeEstimator();
     await runEntry(store, estimator);
     expect(estimator.table()).to.deep.equal({});
   });
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -14,7 +14,7 @@
 import { monotonicNowMs, startCoreLoop } from "./loop.ts";
 import { discoverEntries } from "./membership.ts";
 import { createPauseDetector } from "./pause.ts";
-import type { ServerCalls } from "./ports.ts";
+import type { BackendServerClient } from "./ports.ts";
 
 /** Tick interval while there are no runs and no unsent report. */
 const IDLE_TICK_MS = 200;
@@ -27,7 +27,7 @@
   readonly dataCentre: string;
   readonly timing: Timing;
   readonly store: Store;
-  readonly calls: ServerCalls;
+  readonly backendServer: BackendServerClient;
   readonly log: Log;
 }
 
@@ -42,7 +42,7 @@
 }
 
 export function startSide(options: SideOptions): SideProcess {
-  const { log, calls: server } = options;
+  const { log, backendServer } = options;
   const decisionLog = createDecisionLog(log);
   const core = createWorkerCore({
     side: options.name,
@@ -58,7 +58,7 @@
     tickMs: () =>
       core.runs() > 0 || core.hasUnsentReport() ? BUSY_TICK_MS : IDLE_TICK_MS,
     tick(now) {
-      if (pauseDetector.hasPaused()) core.suspended(now);
+      if (pauseDetector.hasPaused()) core.pauseDetected(now);
       core.tick(now);
     },
     applyEffects,
@@ -69,7 +69,7 @@
       loop.wake();
     },
     received(owner, frame) {
-      if (pauseDetector.hasPaused()) core.suspended(monotonicNowMs());
+      if (pauseDetector.hasPaused()) core.pauseDetected(monotonicNowMs());
       core.ownerSent(owner, frame, monotonicNowMs());
       if (frame.entries !== undefined) streams.addAddresses(frame.entries);
       loop.wake();
@@ -116,14 +116,14 @@
     effect: Extract<WorkerEffect, { kind: "start" | "stop" | "list" }>,
   ): Promise<void> {
     if (effect.kind === "start") {
-      const reply = await server.start(effect.order);
-      core.startReplied(effect.order.ref, reply, monotonicNowMs());
+      const reply = await backendServer.start(effect.request);
+      core.startReplied(effect.request.ref, reply, monotonicNowMs());
     } else if (effect.kind === "stop") {
-      const reply = await server.stop(effect.order);
-      core.stopReplied(effect.order.ref, reply, monotonicNowMs());
+      const reply = await backendServer.stop(effect.request);
+      core.stopReplied(effect.request.ref, reply, monotonicNowMs());
     } else {
-      const reply = await server.list(effect.order);
-      core.listReplied(effect.order, reply, monotonicNowMs());
+      const reply = await backendServer.list(effect.request);
+      core.listReplied(effect.request, reply, monotonicNowMs());
     }
     loop.wake();
   }
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -431,7 +431,7 @@
         delayMs: () => 0.3 + random.next(),
         canReceive: () => canRun(entryNode),
         received(frame) {
-          entryNode.dispatcher.sessionSent(id, frame, clock.now());
+          entryNode.dispatcher.frameReceived(id, frame, clock.now());
           entryNode.poke();
         },
       }),
--- a/packages/simulate/src/server_line.ts
+++ b/packages/simulate/src/server_line.ts
@@ -43,16 +43,18 @@
   function carry(effect: Order): void {
     const node = options.node();
     if (effect.kind === "start") {
-      const { order } = effect;
-      call((target) => target.start(order), ORDER_TIMEOUT_MS, {
+      const { request } = effect;
+      call((target) => target.start(request), ORDER_TIMEOUT_MS, {
         lost: { kind: "unanswered" },
-        reply: (reply) => node.core.startReplied(order.ref, reply, clock.now()),
+        reply: (reply) =>
+          node.core.startReplied(request.ref, reply, clock.now()),
       });
     } else if (effect.kind === "stop") {
-      const { order } = effect;
-      call((target) => target.stop(order), ORDER_TIMEOUT_MS, {
-        lost: { isBarred: false },
-        reply: (reply) => node.core.stopReplied(order.ref, reply, clock.now()),
+      const { request } = effect;
+      call((target) => target.stop(request), ORDER_TIMEOUT_MS, {
+        lost: { isConfirmed: false },
+        reply: (reply) =>
+          node.core.stopReplied(request.ref, reply, clock.now()),
       });
     } else {
       callList(effect);
@@ -92,7 +94,7 @@
   }
 
   function callList(
-    { order }: Extract<WorkerEffect, { kind: "list" }>,
+    { request }: Extract<WorkerEffect, { kind: "list" }>,
   ): void {
     const node = options.node();
     const target = node.server();
@@ -102,12 +104,12 @@
       if (isAnswered || node.life !== calledIn) return;
       isAnswered = true;
       whenAwake(node, () => {
-        node.core.listReplied(order, answer, clock.now());
+        node.core.listReplied(request, answer, clock.now());
         poke();
       });
     };
     clock.after(
-      order.waitMs + LIST_TIMEOUT_MS,
+      request.waitMs + LIST_TIMEOUT_MS,
       () => reply({ kind: "unanswered" }),
     );
     if (random.chance(node.lossShare)) return;
@@ -115,7 +117,7 @@
       random.next(),
       () =>
         target.list(
-          order,
+          request,
           (answer) => clock.after(random.next(), () => reply(answer)),
         ),
     );
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -12,13 +12,13 @@
   type RunRef,
 } from "@coltsfootreach/run";
 import type {
-  EndRow,
-  ListOrder,
   ListReply,
-  StartOrder,
+  ListRequest,
+  RunEnd,
   StartReply,
-  StopOrder,
+  StartRequest,
   StopReply,
+  StopRequest,
 } from "@coltsfootreach/worker";
 import type { SimulatedClock } from "./clock.ts";
 
@@ -52,10 +52,10 @@
   readonly id: string;
   readonly born: number;
   readonly capacity: Resources;
-  start(order: StartOrder): StartReply;
-  stop(order: StopOrder): StopReply;
+  start(request: StartRequest): StartReply;
+  stop(request: StopRequest): StopReply;
   /** Answers when there is an end or the wait is over. */
-  list(order: ListOrder, answer: (reply: ListReply) => void): void;
+  list(request: ListRequest, answer: (reply: ListReply) => void): void;
   /** All runs end without a trace; nothing answers any more. */
   crash(): void;
   setSlowness(slowness: number): void;
@@ -79,7 +79,7 @@
 }
 
 interface Waiter {
-  readonly order: ListOrder;
+  readonly request: ListRequest;
   readonly answer: (reply: ListReply) => void;
   isDone: boolean;
 }
@@ -93,7 +93,7 @@
   const startedAt = clock.now();
   const running = new Map<string, LocalRun>();
   const barred = new Map<string, number>();
-  let ends: EndRow[] = [];
+  let ends: RunEnd[] = [];
   let endNumber = 0;
   let highestToken = 0;
   let leaseUntil = 0;
@@ -158,7 +158,7 @@
     clock.after(STEP_MS, step);
   }
 
-  function reply(order: ListOrder): ListReply {
+  function reply(request: ListRequest): ListReply {
     return {
       kind: "listed",
       clockMs: clockMs(),
@@ -167,7 +167,7 @@
         ref: run.ref,
         percent: Math.floor(run.percent),
       })),
-      ends: ends.filter((row) => row.number > order.observed),
+      ends: ends.filter((row) => row.number > request.observed),
     };
   }
 
@@ -175,7 +175,7 @@
     if (waiter.isDone) return;
     waiter.isDone = true;
     waiters = waiters.filter((other) => other !== waiter);
-    if (isUp) waiter.answer(reply(waiter.order));
+    if (isUp) waiter.answer(reply(waiter.request));
   }
 
   function wake(): void {
@@ -187,66 +187,68 @@
     born: options.born,
     capacity,
     drainedFrom: Infinity,
-    start(order) {
+    start(request) {
       if (!isUp) return { kind: "unanswered" };
-      if (order.server.id !== options.id) {
+      if (request.server.id !== options.id) {
         return { kind: "refused", reason: "other" };
       }
-      if (order.fencingToken < highestToken) {
+      if (request.fencingToken < highestToken) {
         return { kind: "refused", reason: "fence" };
       }
-      highestToken = order.fencingToken;
-      const key = keyOfTask(order.ref.task);
+      highestToken = request.fencingToken;
+      const key = keyOfTask(request.ref.task);
       const known = running.get(key);
-      extendLease(order.untilMs);
-      if (known?.ref.run === order.ref.run) {
+      extendLease(request.untilMs);
+      if (known?.ref.run === request.ref.run) {
         return { kind: "started", clockMs: clockMs() };
       }
-      if (known !== undefined || (barred.get(key) ?? 0) >= order.ref.run) {
+      if (known !== undefined || (barred.get(key) ?? 0) >= request.ref.run) {
         return { kind: "refused", reason: "old" };
       }
-      if (order.untilMs <= clockMs()) {
+      if (request.untilMs <= clockMs()) {
         return { kind: "refused", reason: "late" };
       }
       if (clock.now() > self.drainedFrom) {
         observer.broke("DRAIN", `${options.id} ${key}`);
       }
       running.set(key, {
-        ref: order.ref,
-        truth: options.truth(order.ref),
+        ref: request.ref,
+        truth: options.truth(request.ref),
         startedAt: clock.now(),
         percent: 0,
         isOver: false,
       });
-      observer.started(self, order.ref);
+      observer.started(self, request.ref);
       checkRoom();
       return { kind: "started", clockMs: clockMs() };
     },
-    stop(order) {
-      if (!isUp) return { isBarred: false };
-      if (order.server.id !== options.id) return { isBarred: true };
-      if (order.fencingToken < highestToken) return { isBarred: false };
-      highestToken = order.fencingToken;
-      bar(order.ref);
-      const run = running.get(keyOfTask(order.ref.task));
-      if (run !== undefined && run.ref.run <= order.ref.run) {
+    stop(request) {
+      if (!isUp) return { isConfirmed: false };
+      if (request.server.id !== options.id) return { isConfirmed: true };
+      if (request.fencingToken < highestToken) return { isConfirmed: false };
+      highestToken = request.fencingToken;
+      bar(request.ref);
+      const run = running.get(keyOfTask(request.ref.task));
+      if (run !== undefined && run.ref.run <= request.ref.run) {
         clock.after(options.stopMs / 2, () => end(run, "stopped"));
       }
-      return { isBarred: true };
+      return { isConfirmed: true };
     },
-    list(order, answer) {
+    list(request, answer) {
       if (!isUp) return;
-      if (order.server.id !== options.id) return answer({ kind: "otherLife" });
-      if (order.fencingToken < highestToken) {
+      if (request.server.id !== options.id) {
+        return answer({ kind: "otherLife" });
+      }
+      if (request.fencingToken < highestToken) {
         return answer({ kind: "fenced", clockMs: clockMs() });
       }
-      highestToken = order.fencingToken;
-      extendLease(order.untilMs);
-      ends = ends.filter((row) => row.number > order.observed);
-      const waiter: Waiter = { order, answer, isDone: false };
+      highestToken = request.fencingToken;
+      extendLease(request.untilMs);
+      ends = ends.filter((row) => row.number > request.observed);
+      const waiter: Waiter = { request, answer, isDone: false };
       waiters.push(waiter);
       if (ends.length > 0) finishWaiter(waiter);
-      else clock.after(order.waitMs, () => finishWaiter(waiter));
+      else clock.after(request.waitMs, () => finishWaiter(waiter));
     },
     crash() {
       isUp = false;
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -4,9 +4,9 @@
  */
 import { Agent, request } from "node:http";
 import {
-  callerHeaders,
+  formatCallerHeaders,
   formatJob,
-  isCompleted,
+  isJobCompleted,
 } from "@coltsfootreach/platform";
 import type { Queue } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, sampleStep } from "@coltsfootreach/standin";
@@ -86,7 +86,7 @@
       path: queue.prefix + job.id,
       method: "POST",
       agent: agents[entry]!,
-      headers: callerHeaders(queue, leftMs),
+      headers: formatCallerHeaders(queue, leftMs),
     });
     const sentAt = performance.now();
     let isOver = false;
@@ -138,7 +138,7 @@
 
   function answered(job: CallerJob, status: number, text: string): void {
     if (status === 200) {
-      const isDone = isCompleted(text);
+      const isDone = isJobCompleted(text);
       if (isDone) completed += 1;
       checker.answered(
         job.id,
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -86,7 +86,7 @@
   const store = await startStoreStandin({
     address: storeAddress,
     random: random.next,
-    readAs: (_key, value) => relayed.get(value) ?? value,
+    transformValue: (_key, value) => relayed.get(value) ?? value,
   });
   closing.push(store);
 
@@ -169,8 +169,8 @@
         address,
         sideAddress,
         service: options.service,
-        behaviour: () => server,
-        lossShare: () => lossShare,
+        currentServer: () => server,
+        responseLossRate: () => lossShare,
         random: random.next,
       }),
     );
--- a/packages/stream/src/listen.ts
+++ b/packages/stream/src/listen.ts
@@ -3,7 +3,7 @@
 import { ListenFailed } from "@coltsfootreach/errors";
 import { ResultAsync } from "neverthrow";
 import { createSocketStream } from "./socket_stream.ts";
-import type { Accept, FrameGuard } from "./stream.ts";
+import type { FrameGuard, StreamHandler } from "./stream.ts";
 
 /** After an outage, all sides of a fleet may connect at the same time. */
 const BACKLOG_CONNECTIONS = 4096;
@@ -12,7 +12,7 @@
   /** As `IP:port`; port 0 selects a free port. */
   readonly address: string;
   readonly isFrame: FrameGuard<In>;
-  readonly accept: Accept<In, Out>;
+  readonly accept: StreamHandler<In, Out>;
 }
 
 export interface StreamServer {
--- a/packages/stream/src/stream.ts
+++ b/packages/stream/src/stream.ts
@@ -23,7 +23,9 @@
 }
 
 /** Called for each incoming stream; returns the listener for its events. */
-export type Accept<In, Out> = (stream: Stream<Out>) => StreamListener<In>;
+export type StreamHandler<In, Out> = (
+  stream: Stream<Out>,
+) => StreamListener<In>;
 
 /** Type guard for received values. */
 export type FrameGuard<Frame> = (value: unknown) => value is Frame;
--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -2,14 +2,14 @@
 import type { RunOutcome, RunRef } from "@coltsfootreach/run";
 
 /** Instance of a backend server that a request targets. */
-export interface ServerLife {
+export interface ServerInstance {
   readonly id: string;
   readonly born: number;
   readonly address: string;
 }
 
-export interface StartOrder {
-  readonly server: ServerLife;
+export interface StartRequest {
+  readonly server: ServerInstance;
   readonly ref: RunRef;
   readonly payload: string;
   /** Deadline for the start and end of the lease, on the server's clock. */
@@ -26,19 +26,19 @@
   /** Outcome unknown: the server may start the run, even later. */
   | { readonly kind: "unanswered" };
 
-export interface StopOrder {
-  readonly server: ServerLife;
+export interface StopRequest {
+  readonly server: ServerInstance;
   readonly ref: RunRef;
   readonly fencingToken: number;
 }
 
 /** True if the server confirms that the run ends soon and cannot start again. */
-export type StopReply = { readonly isBarred: boolean };
+export type StopReply = { readonly isConfirmed: boolean };
 
-export interface ListOrder {
+export interface ListRequest {
   /** Increases with each list request of the side. */
   readonly number: number;
-  readonly server: ServerLife;
+  readonly server: ServerInstance;
   readonly fencingToken: number;
   /** Acknowledges the run ends up to this number. */
   readonly observed: number;
@@ -48,12 +48,12 @@
   readonly waitMs: number;
 }
 
-export interface RunningRow {
+export interface ListedRun {
   readonly ref: RunRef;
   readonly percent: number;
 }
 
-export interface EndRow {
+export interface RunEnd {
   /** Increases with each run that ends on one instance of the server. */
   readonly number: number;
   readonly ref: RunRef;
@@ -65,8 +65,8 @@
     readonly kind: "listed";
     readonly clockMs: number;
     readonly born: number;
-    readonly running: readonly RunningRow[];
-    readonly ends: readonly EndRow[];
+    readonly running: readonly ListedRun[];
+    readonly ends: readonly RunEnd[];
   }
   /** The server has seen a higher token; the next must exceed this clock. */
   | { readonly kind: "fenced"; readonly clockMs: number }
--- a/packages/worker/src/effect.ts
+++ b/packages/worker/src/effect.ts
@@ -1,6 +1,6 @@
 /** Effects that the worker core returns for its process to perform. */
 import type { WorkFrame } from "@coltsfootreach/run";
-import type { ListOrder, StartOrder, StopOrder } from "./calls.ts";
+import type { ListRequest, StartRequest, StopRequest } from "./calls.ts";
 
 /** Identifies one stream from an entry. */
 export type OwnerId = number;
@@ -12,9 +12,9 @@
     readonly frame: WorkFrame;
   }
   | { readonly kind: "close"; readonly owner: OwnerId }
-  | { readonly kind: "start"; readonly order: StartOrder }
-  | { readonly kind: "stop"; readonly order: StopOrder }
-  | { readonly kind: "list"; readonly order: ListOrder }
+  | { readonly kind: "start"; readonly request: StartRequest }
+  | { readonly kind: "stop"; readonly request: StopRequest }
+  | { readonly kind: "list"; readonly request: ListRequest }
   | { readonly kind: "log"; readonly decision: WorkerDecision };
 
 /** A decision to write to the log. */
--- a/packages/worker/src/index.ts
+++ b/packages/worker/src/index.ts
@@ -2,5 +2,5 @@
 export * from "./calls.ts";
 export * from "./effect.ts";
 export * from "./worker_core.ts";
-export * from "./slowness.ts";
-export * from "./suspicion.ts";
+export * from "./slowness_estimator.ts";
+export * from "./circuit_breaker.ts";
--- a/packages/worker/src/lists.ts
+++ b/packages/worker/src/list_poller.ts
@@ -4,7 +4,7 @@
  * they renew can last.
  */
 import type { Announcement } from "@coltsfootreach/run";
-import type { ListOrder } from "./calls.ts";
+import type { ListRequest } from "./calls.ts";
 import { type ServerState, toInstance } from "./server_state.ts";
 
 /** Maximum wait of a list request for a run to end; also the renewal interval. */
@@ -69,14 +69,14 @@
   /** True after several consecutive list requests without a reply. */
   isDown(): boolean;
   /** Checks whether the announced instance answers, and reads its clock. */
-  probe(announcement: Announcement): ListOrder;
+  probe(announcement: Announcement): ListRequest;
   nextRequest(
     server: ServerState,
     activity: RunActivity,
     now: number,
-  ): ListOrder;
+  ): ListRequest;
   /** Completes a list request; undefined if the request is obsolete. */
-  answered(request: ListOrder): PendingList | undefined;
+  answered(request: ListRequest): PendingList | undefined;
   /** The server instance has ended; a request in flight becomes obsolete. */
   instanceEnded(): void;
   /** The server replied; resets the counters of losses and refusals. */
--- a/packages/worker/src/server_state.ts
+++ b/packages/worker/src/server_state.ts
@@ -4,10 +4,10 @@
  * only after the instance itself has replied.
  */
 import type { Announcement } from "@coltsfootreach/run";
-import type { ServerLife } from "./calls.ts";
+import type { ServerInstance } from "./calls.ts";
 
 export interface ServerState {
-  readonly instance: ServerLife;
+  readonly instance: ServerInstance;
   announcement: Announcement;
   /** Higher than that of any earlier side process; see `createServerState`. */
   fencingToken: number;
@@ -20,12 +20,15 @@
   hasRunList: boolean;
 }
 
-export function toInstance(announcement: Announcement): ServerLife {
+export function toInstance(announcement: Announcement): ServerInstance {
   const { id, born, address } = announcement;
   return { id, born, address };
 }
 
-export function isSameInstance(left: ServerLife, right: ServerLife): boolean {
+export function isSameInstance(
+  left: ServerInstance,
+  right: ServerInstance,
+): boolean {
   return left.id === right.id && left.born === right.born;
 }
 
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -20,10 +20,14 @@
   subtractResources,
   type Timing,
 } from "@coltsfootreach/run";
-import type { ListOrder, ListReply, StartReply, StopReply } from "./calls.ts";
+import type { ListReply, ListRequest, StartReply, StopReply } from "./calls.ts";
 import { createClaims } from "./claims.ts";
 import type { OwnerId, WorkerDecision, WorkerEffect } from "./effect.ts";
-import { createListPoller, type PendingList, toServerClock } from "./lists.ts";
+import {
+  createListPoller,
+  type PendingList,
+  toServerClock,
+} from "./list_poller.ts";
 import { createOwners } from "./owners.ts";
 import { areReportsEqual, createReport } from "./report.ts";
 import { createRuns, type Run } from "./runs.ts";
@@ -33,8 +37,8 @@
   type ServerState,
   toInstance,
 } from "./server_state.ts";
-import { createSlownessEstimator } from "./slowness.ts";
-import { createCircuitBreaker } from "./suspicion.ts";
+import { createSlownessEstimator } from "./slowness_estimator.ts";
+import { createCircuitBreaker } from "./circuit_breaker.ts";
 
 /** Minimum interval between reports of changed capacity to one entry. */
 const MIN_REPORT_INTERVAL_MS = 50;
@@ -85,7 +89,7 @@
   ownerClosed(owner: OwnerId, now: number): void;
   startReplied(ref: RunRef, reply: StartReply, now: number): void;
   stopReplied(ref: RunRef, reply: StopReply, now: number): void;
-  listReplied(request: ListOrder, reply: ListReply, now: number): void;
+  listReplied(request: ListRequest, reply: ListReply, now: number): void;
   /** Refuses all further offers; called before the process exits. */
   close(): void;
   /** Number of runs that may use capacity on the server. */
@@ -97,7 +101,7 @@
    * The process was paused. Input that it reads next may come from entries that
    * have since considered this side lost and restarted its runs elsewhere.
    */
-  suspended(now: number): void;
+  pauseDetected(now: number): void;
   /** Returns the effects that have accumulated since the last call. */
   takeEffects(now: number): readonly WorkerEffect[];
   counts(): WorkerCounts;
@@ -250,7 +254,7 @@
   }
 
   function sendProbe(announcement: Announcement): void {
-    effects.push({ kind: "list", order: listPoller.probe(announcement) });
+    effects.push({ kind: "list", request: listPoller.probe(announcement) });
   }
 
   function probeReplied(reply: ListReply, now: number): void {
@@ -286,12 +290,12 @@
     };
     effects.push({
       kind: "list",
-      order: listPoller.nextRequest(current, activity, now),
+      request: listPoller.nextRequest(current, activity, now),
     });
   }
 
   function listReplied(
-    request: ListOrder,
+    request: ListRequest,
     reply: ListReply,
     now: number,
   ): void {
@@ -519,7 +523,7 @@
     listPoller.extendLease(now);
     effects.push({
       kind: "start",
-      order: {
+      request: {
         server: current.instance,
         ref: run.ref,
         payload: offer.payload,
@@ -618,7 +622,7 @@
     run.lastRequestAt = now;
     effects.push({
       kind: "stop",
-      order: {
+      request: {
         server: server.instance,
         ref: run.ref,
         fencingToken: server.fencingToken,
@@ -628,7 +632,7 @@
 
   function stopReplied(ref: RunRef, reply: StopReply, now: number): void {
     const run = runs.find(ref);
-    if (run === undefined || !reply.isBarred) return;
+    if (run === undefined || !reply.isConfirmed) return;
     run.isStopConfirmed = true;
     run.visibleAfterList = listPoller.latestNumber();
     sendList(now);
@@ -712,7 +716,7 @@
   function cancelUnsentStarts(owner: OwnerId): void {
     effects = effects.filter((effect) => {
       if (effect.kind !== "start") return true;
-      const run = runs.find(effect.order.ref);
+      const run = runs.find(effect.request.ref);
       if (run?.owner !== owner) return true;
       run.owner = undefined;
       loseRun(run, "not started");
@@ -810,7 +814,7 @@
     runs: () => runs.count(),
     hasUnsentReport: () => owners.isReportPending(report),
     tick,
-    suspended(now) {
+    pauseDetected(now) {
       staleInputUntil = now + STALE_INPUT_WINDOW_MS;
       log({ message: "process was paused; refusing offers that may be stale" });
     },
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -6,7 +6,7 @@
 } from "@coltsfootreach/run";
 import { SAMPLE_TIMING } from "@coltsfootreach/standin";
 import { expect } from "chai";
-import type { ListOrder, ListReply, RunningRow } from "./calls.ts";
+import type { ListedRun, ListReply, ListRequest } from "./calls.ts";
 import type { WorkerEffect } from "./effect.ts";
 import { createWorkerCore, type WorkerCore } from "./worker_core.ts";
 
@@ -57,13 +57,13 @@
     dataCentre: "a",
     timing: SAMPLE_TIMING,
   });
-  let listRequest: ListOrder | undefined;
+  let listRequest: ListRequest | undefined;
   let sequence = 0;
 
   function takeEffects(now: number): readonly WorkerEffect[] {
     const effects = core.takeEffects(now);
     for (const effect of effects) {
-      if (effect.kind === "list") listRequest = effect.order;
+      if (effect.kind === "list") listRequest = effect.request;
     }
     return effects;
   }
@@ -117,13 +117,13 @@
 
 function startRequests(effects: readonly WorkerEffect[]) {
   return effects.flatMap((effect) =>
-    effect.kind === "start" ? [effect.order] : []
+    effect.kind === "start" ? [effect.request] : []
   );
 }
 
 function stoppedRuns(effects: readonly WorkerEffect[]) {
   return effects.flatMap((effect) =>
-    effect.kind === "stop" ? [effect.order.ref] : []
+    effect.kind === "stop" ? [effect.request.ref] : []
   );
 }
 
@@ -138,7 +138,7 @@
   harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
 }
 
-function listedRun(index: number, run = 1): RunningRow {
+function listedRun(index: number, run = 1): ListedRun {
   return { ref: refOf(index, run), percent: 1 };
 }
 
@@ -167,7 +167,7 @@
     harness.takeEffects(11);
     harness.core.ownerSent(OWNER, createFrame(2, { stops: [refOf(0)] }), 12);
     expect(stoppedRuns(harness.takeEffects(12))).to.deep.equal([refOf(0)]);
-    harness.core.stopReplied(refOf(0), { isBarred: true }, 13);
+    harness.core.stopReplied(refOf(0), { isConfirmed: true }, 13);
     harness.offer(1, 14);
     expect(startRequests(harness.takeEffects(14))).to.deep.equal([]);
     const end = { number: 1, ref: refOf(0), end: "stopped" as const };
@@ -184,11 +184,11 @@
     const effects = harness.takeEffects(70);
     expect(stoppedRuns(effects)).to.deep.equal([refOf(0)]);
     harness.core.tick(75);
-    harness.core.stopReplied(refOf(0), { isBarred: false }, 130);
+    harness.core.stopReplied(refOf(0), { isConfirmed: false }, 130);
     expect(harness.news(130)).to.deep.equal([]);
     harness.core.tick(240);
     expect(stoppedRuns(harness.takeEffects(240))).to.deep.equal([refOf(0)]);
-    harness.core.stopReplied(refOf(0), { isBarred: true }, 241);
+    harness.core.stopReplied(refOf(0), { isConfirmed: true }, 241);
     expect(harness.news(241)).to.deep.equal([]);
     // This list request was sent before the stop was confirmed: no evidence.
     harness.listed(242);
@@ -284,11 +284,11 @@
       dataCentre: "a",
       timing: SAMPLE_TIMING,
     });
-    const requests: ListOrder[] = [];
+    const requests: ListRequest[] = [];
     const takeEffects = (now: number) => {
       const effects = core.takeEffects(now);
       for (const effect of effects) {
-        if (effect.kind === "list") requests.push(effect.order);
+        if (effect.kind === "list") requests.push(effect.request);
       }
       return effects;
     };
@@ -325,7 +325,7 @@
     expect(startRequest?.untilMs).to.equal(5710);
     harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
     const [list] = listRequests(harness.takeEffects(12));
-    expect(list?.kind === "list" && list.order.untilMs).to.equal(5711);
+    expect(list?.kind === "list" && list.request.untilMs).to.equal(5711);
   });
 
   it("takes a renewal in flight into account before a lease expires", () => {
@@ -416,7 +416,7 @@
 
   it("refuses offers that it reads right after the process was paused", () => {
     const harness = createHarness();
-    harness.core.suspended(10);
+    harness.core.pauseDetected(10);
     harness.offer(0, 10);
     expect(harness.news(10)).to.deep.include({
       kind: "refused",
@@ -461,12 +461,12 @@
     const effects = harness.takeEffects(31);
     expect(stoppedRuns(effects)).to.deep.equal([refOf(0)]);
     const [stopRequest] = effects.flatMap((effect) =>
-      effect.kind === "stop" ? [effect.order] : []
+      effect.kind === "stop" ? [effect.request] : []
     );
     // The new instance may have seen the token of the start request: 5,001.
     expect(stopRequest?.server.born).to.equal(78);
     expect(stopRequest?.fencingToken).to.be.above(5001);
-    harness.core.stopReplied(refOf(0), { isBarred: true }, 32);
+    harness.core.stopReplied(refOf(0), { isConfirmed: true }, 32);
     harness.listed(33, { born: 78, running: [listedRun(0)] });
     expect(harness.news(33)).to.deep.equal([]);
     harness.listed(60, { born: 78 });
@@ -509,7 +509,7 @@
       harness.core.tick(now + 59);
       const [list] = listRequests(harness.takeEffects(now + 59));
       attempts += 1;
-      if (list?.kind === "list" && list.order.fencingToken > 1e8) break;
+      if (list?.kind === "list" && list.request.fencingToken > 1e8) break;
     }
     expect(attempts).to.be.below(6);
   });
@@ -624,7 +624,7 @@
 ): void {
   for (let now = from; now < until; now += 1) {
     const number = now;
-    const order = { number, server: ANNOUNCEMENT, fencingToken: 0 };
+    const request = { number, server: ANNOUNCEMENT, fencingToken: 0 };
     const reply: ListReply = {
       kind: "listed",
       clockMs: 5000,
@@ -632,7 +632,7 @@
       running: [],
       ends: [],
     };
-    core.listReplied({ ...order, observed: 0, waitMs: 0 }, reply, now);
+    core.listReplied({ ...request, observed: 0, waitMs: 0 }, reply, now);
     if (now + 1 < until) core.takeEffects(now);
   }
 }
