--- a/packages/simulate/src/callers.ts
+++ b/packages/simulate/src/callers.ts
@@ -1,6 +1,6 @@
 /**
- * Callers that hand in jobs, wait, and hand a job in again after they lost
- * their connection or were told that its fate is unknown.
+ * Simulated callers. They submit jobs and wait for the answers, and resubmit a
+ * job after their connection broke or an answer left the outcome unknown.
  */
 import type { Answer } from "@coltsfootreach/dispatch";
 import type { Job, Queue } from "@coltsfootreach/run";
@@ -20,7 +20,7 @@
   readonly jobsPerSecond: number;
   readonly untilMs: number;
   readonly shape: JobShape;
-  /** What each task really takes, by job; filled as jobs are made. */
+  /** Actual resources and run times of the tasks by job; filled by the callers. */
   readonly truths: Map<string, readonly TaskTruth[]>;
 }
 
@@ -28,90 +28,93 @@
   readonly meanTasks: number;
   readonly meanMs: number;
   readonly cpu: number;
-  /** Share of tasks whose run fails by itself. */
-  readonly failShare: number;
+  /** Share of tasks whose runs fail without an injected fault. */
+  readonly failureRate: number;
 }
 
 export interface Callers {
-  /** Jobs completed within their objective. */
+  /** Number of jobs completed within their response time objective. */
   inTime(): number;
 }
 
-export function playCallers(options: CallerOptions): Callers {
+export function simulateCallers(options: CallerOptions): Callers {
   const { clock, random, fleet, checker, queue, shape, truths } = options;
-  let made = 0;
+  let jobCount = 0;
   let inTime = 0;
 
   function makeJob(): Job {
-    made += 1;
-    const id = `job-${queue.name}-${made}`;
+    jobCount += 1;
+    const id = `job-${queue.name}-${jobCount}`;
     const count = 1 + random.below(shape.meanTasks * 2 - 1);
     const resources = { cpu: shape.cpu, memoryMb: 64, gpu: 0 };
     const tasks = Array.from({ length: count }, () => ({
       resources,
       workMs: shape.meanMs * random.factor(0.5),
-      fails: random.chance(shape.failShare),
+      fails: random.chance(shape.failureRate),
     }));
     truths.set(id, tasks);
     checker.jobMade({ id, tasks: count, attempts: queue.attempts });
-    const longest = Math.max(...tasks.map((task) => task.workMs));
+    const longestMs = Math.max(...tasks.map((task) => task.workMs));
     return {
       id,
       payload: id,
-      timeoutMs: 3 * (longest * queue.slackFactor + queue.extraMs),
+      timeoutMs: 3 * (longestMs * queue.slackFactor + queue.extraMs),
       steps: [sampleStep({
         count,
         resources,
-        estimateMs: longest * random.factor(0.4),
+        estimateMs: longestMs * random.factor(0.4),
       })],
     };
   }
 
-  function handIn(job: Job, firstAt: number): void {
-    const leavesAt = firstAt + job.timeoutMs;
-    if (clock.now() >= leavesAt) return;
+  function submit(job: Job, firstSubmittedAt: number): void {
+    const timeoutAt = firstSubmittedAt + job.timeoutMs;
+    if (clock.now() >= timeoutAt) return;
     const entry = fleet.entries[random.below(fleet.entries.length)]!;
-    let isOver = false;
+    let isSettled = false;
 
-    function sendAgain(): void {
-      isOver = true;
+    function resubmit(): void {
+      isSettled = true;
       checker.unanswered(job.id);
-      clock.after(SAMPLE_BOUNDS.resendMs, () => handIn(job, firstAt));
+      clock.after(SAMPLE_BOUNDS.resendMs, () => submit(job, firstSubmittedAt));
     }
 
     function answered(answer: Answer): void {
-      if (isOver) return;
-      isOver = true;
+      if (isSettled) return;
+      isSettled = true;
       checker.answered(job.id, answer);
-      const dueMs = (job.timeoutMs / 3) + 1;
-      if (answer.kind === "completed" && clock.now() - firstAt <= dueMs) {
+      const objectiveMs = (job.timeoutMs / 3) + 1;
+      if (
+        answer.kind === "completed" &&
+        clock.now() - firstSubmittedAt <= objectiveMs
+      ) {
         inTime += 1;
       }
-      if (answer.kind === "timedOut") sendAgain();
+      if (answer.kind === "timedOut") resubmit();
     }
 
-    const caller = { answered, broken: () => isOver || sendAgain() };
-    const submitted = entry.submit(queue, job, caller);
-    if (submitted === undefined) {
-      clock.after(SAMPLE_BOUNDS.resendMs, () => handIn(job, firstAt));
+    const caller = { answered, broken: () => isSettled || resubmit() };
+    const submission = entry.submit(queue, job, caller);
+    if (submission === undefined) {
+      clock.after(SAMPLE_BOUNDS.resendMs, () => submit(job, firstSubmittedAt));
       return;
     }
-    clock.after(leavesAt - clock.now(), () => {
-      if (isOver) return;
-      isOver = true;
+    clock.after(timeoutAt - clock.now(), () => {
+      if (isSettled) return;
+      isSettled = true;
       checker.unanswered(job.id);
-      submitted.abandon();
+      submission.abandon();
     });
   }
 
-  function next(): void {
+  function submitNext(): void {
     if (clock.now() >= options.untilMs) return;
-    handIn(makeJob(), clock.now());
+    submit(makeJob(), clock.now());
     const gapMs = -Math.log(1 - random.next()) * 1000 / options.jobsPerSecond;
-    clock.after(gapMs, next);
+    clock.after(gapMs, submitNext);
   }
 
-  clock.after(500, next);
+  clock.after(500, submitNext);
   return {
     inTime: () => inTime,
   };
--- a/packages/simulate/src/checker.ts
+++ b/packages/simulate/src/checker.ts
@@ -1,4 +1,4 @@
-/** Checks the promises from what callers and backend servers see. */
+/** Checks invariants on what callers and backend servers observe. */
 import type { Answer } from "@coltsfootreach/dispatch";
 import { keyOfTask, type RunOutcome, type RunRef } from "@coltsfootreach/run";
 import type { ServerStandin } from "./server_standin.ts";
@@ -9,14 +9,14 @@
   readonly what: string;
 }
 
-export interface JobView {
+export interface JobSummary {
   readonly id: string;
   readonly tasks: number;
   readonly attempts: number;
 }
 
 export interface Checker {
-  jobMade(job: JobView): void;
+  jobMade(job: JobSummary): void;
   started(server: ServerStandin, ref: RunRef): void;
   ended(server: ServerStandin, ref: RunRef, end: RunOutcome): void;
   broke(rule: string, what: string): void;
@@ -36,11 +36,11 @@
   readonly starts: number;
 }
 
-interface SeenJob {
-  readonly view: JobView;
+interface ObservedJob {
+  readonly summary: JobSummary;
   hasStarted: boolean;
-  /** Some submission got another answer than a refusal. */
-  wasTaken: boolean;
+  /** At least one submission ended in something other than a refusal. */
+  isPossiblyAccepted: boolean;
   readonly done: Set<string>;
   readonly failures: Map<string, number>;
 }
@@ -51,8 +51,8 @@
 }
 
 export function createChecker({ now, trace }: CheckerOptions): Checker {
-  const jobs = new Map<string, SeenJob>();
-  /** Servers that run a task now. */
+  const jobs = new Map<string, ObservedJob>();
+  /** Servers that currently run a task, by task. */
   const running = new Map<string, Set<ServerStandin>>();
   const breaches: Breach[] = [];
   const counts = { jobs: 0, completed: 0, failed: 0, refused: 0, starts: 0 };
@@ -61,26 +61,32 @@
     breaches.push({ rule, at: now(), what });
   }
 
-  function checkCompleted(job: SeenJob): void {
-    if (job.done.size < job.view.tasks) {
-      broke("MIXED", `${job.view.id}: ${job.done.size} of ${job.view.tasks}`);
+  function checkCompleted(job: ObservedJob): void {
+    if (job.done.size < job.summary.tasks) {
+      broke(
+        "MIXED",
+        `${job.summary.id}: ${job.done.size} of ${job.summary.tasks}`,
+      );
     }
   }
 
-  function checkFailed(job: SeenJob): void {
-    const most = Math.max(0, ...job.failures.values());
-    if (most < job.view.attempts) {
-      broke("FAILED", `${job.view.id}: ${most} of ${job.view.attempts}`);
+  function checkFailed(job: ObservedJob): void {
+    const maxFailures = Math.max(0, ...job.failures.values());
+    if (maxFailures < job.summary.attempts) {
+      broke(
+        "FAILED",
+        `${job.summary.id}: ${maxFailures} of ${job.summary.attempts}`,
+      );
     }
   }
 
   return {
-    jobMade(view) {
+    jobMade(summary) {
       counts.jobs += 1;
-      jobs.set(view.id, {
-        view,
+      jobs.set(summary.id, {
+        summary,
         hasStarted: false,
-        wasTaken: false,
+        isPossiblyAccepted: false,
         done: new Set(),
         failures: new Map(),
       });
@@ -89,12 +95,12 @@
       counts.starts += 1;
       const key = keyOfTask(ref.task);
       trace(`${key} run ${ref.run} started on ${server.id}`);
-      const places = running.get(key) ?? new Set();
-      running.set(key, places);
-      for (const other of places) {
+      const servers = running.get(key) ?? new Set();
+      running.set(key, servers);
+      for (const other of servers) {
         if (other.isUp()) broke("TWICE", `${key}: ${other.id}, ${server.id}`);
       }
-      places.add(server);
+      servers.add(server);
       const job = jobs.get(ref.task.job);
       if (job === undefined) broke("UNASKED", key);
       else job.hasStarted = true;
@@ -114,7 +120,7 @@
       const job = jobs.get(id);
       trace(`${id} answered ${answer.kind}`);
       if (job === undefined) return;
-      if (answer.kind !== "refused") job.wasTaken = true;
+      if (answer.kind !== "refused") job.isPossiblyAccepted = true;
       if (answer.kind === "completed") {
         counts.completed += 1;
         checkCompleted(job);
@@ -128,11 +134,13 @@
     unanswered(id) {
       trace(`${id} unanswered`);
       const job = jobs.get(id);
-      if (job !== undefined) job.wasTaken = true;
+      if (job !== undefined) job.isPossiblyAccepted = true;
     },
     breaches() {
       for (const job of jobs.values()) {
-        if (job.hasStarted && !job.wasTaken) broke("REFUSED", job.view.id);
+        if (job.hasStarted && !job.isPossiblyAccepted) {
+          broke("REFUSED", job.summary.id);
+        }
       }
       return breaches;
     },
--- a/packages/simulate/src/clock.ts
+++ b/packages/simulate/src/clock.ts
@@ -1,30 +1,30 @@
-/** Events in the order of a simulated time. */
+/** Discrete event queue with a simulated clock. */
 
 export interface SimulatedClock {
   now(): number;
-  /** Runs `event` after a delay in milliseconds. */
+  /** Schedules `event` after a delay in milliseconds. */
   after(delayMs: number, event: () => void): void;
-  /** Runs events until the given time. */
+  /** Runs all events due by the given time and advances the clock to it. */
   runUntil(time: number): void;
 }
 
-interface Scheduled {
+interface ScheduledEvent {
   readonly at: number;
-  readonly order: number;
+  readonly sequence: number;
   readonly event: () => void;
 }
 
 export function createClock(): SimulatedClock {
-  const heap: Scheduled[] = [];
+  const heap: ScheduledEvent[] = [];
   let now = 0;
-  let order = 0;
+  let sequence = 0;
 
-  function isBefore(left: Scheduled, right: Scheduled): boolean {
+  function isBefore(left: ScheduledEvent, right: ScheduledEvent): boolean {
     return left.at < right.at ||
-      (left.at === right.at && left.order < right.order);
+      (left.at === right.at && left.sequence < right.sequence);
   }
 
-  function push(item: Scheduled): void {
+  function push(item: ScheduledEvent): void {
     heap.push(item);
     let index = heap.length - 1;
     while (index > 0) {
@@ -36,14 +36,14 @@
     heap[index] = item;
   }
 
-  function pop(): Scheduled {
+  function pop(): ScheduledEvent {
     const first = heap[0]!;
     const last = heap.pop()!;
-    if (heap.length > 0) sink(last);
+    if (heap.length > 0) siftDown(last);
     return first;
   }
 
-  function sink(item: Scheduled): void {
+  function siftDown(item: ScheduledEvent): void {
     let index = 0;
     while (true) {
       let child = 2 * index + 1;
@@ -62,8 +62,8 @@
   return {
     now: () => now,
     after(delayMs, event) {
-      order += 1;
-      push({ at: now + Math.max(0, delayMs), order, event });
+      sequence += 1;
+      push({ at: now + Math.max(0, delayMs), sequence, event });
     },
     runUntil(time) {
       while (heap.length > 0 && heap[0]!.at <= time) {
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -1,4 +1,4 @@
-/** Entries, sides and backend servers, with the streams between them. */
+/** Simulated entries, sides and backend servers, and the streams between them. */
 import {
   type Answer,
   createDispatcher,
@@ -33,16 +33,16 @@
   type TaskTruth,
 } from "./server_standin.ts";
 import { createNodes, type Node } from "./node.ts";
-import { createServerLine } from "./server_line.ts";
+import { createServerConnection } from "./server_connection.ts";
 import { createTrafficCounter, type Traffic } from "./traffic.ts";
-import { createWire, type Way, type Wire } from "./wire.ts";
+import { type Channel, createChannel, type NetworkPath } from "./channel.ts";
 
-/** A server that is back before anyone has noticed that it was down. */
-const BRIEF_MS = 5;
+/** Downtime of a server that restarts before its failure is detected. */
+const BRIEF_DOWNTIME_MS = 5;
 
-const ANNOUNCE_MS = 1500;
+const ANNOUNCE_INTERVAL_MS = 1500;
 
-const REDIAL_MS = 100;
+const REDIAL_DELAY_MS = 100;
 
 export interface FleetOptions {
   readonly clock: SimulatedClock;
@@ -52,26 +52,26 @@
   readonly entries: number;
   readonly sides: number;
   readonly capacity: Resources;
-  /** Run time over work, for each server in turn. */
+  /** Ratio of run time to work; servers are assigned the values in turn. */
   readonly slowness: readonly number[];
   truth(ref: RunRef): TaskTruth;
   trace(what: string): void;
 }
 
-export interface Submitted {
-  /** The caller has left. */
+export interface SubmissionHandle {
+  /** The caller disconnects. */
   abandon(): void;
 }
 
 export interface SimulatedEntry {
   isUp: boolean;
   frozenUntil: number;
-  /** Undefined when the connection could not be opened. */
+  /** Returns undefined if the entry is down. */
   submit(
     queue: Queue,
     job: Job,
     caller: { answered(answer: Answer): void; broken(): void },
-  ): Submitted | undefined;
+  ): SubmissionHandle | undefined;
   kill(downMs: number): void;
   liveJobs(): number;
 }
@@ -79,12 +79,12 @@
 export interface SimulatedSide {
   isUp: boolean;
   frozenUntil: number;
-  /** Share of its orders that get no answer. */
-  lossShare: number;
+  /** Share of the side's requests to its server that get no response. */
+  responseLossRate: number;
   server(): ServerStandin;
   kill(downMs: number): void;
   crashServer(downMs: number): void;
-  /** The server says that it drains, and leaves later. */
+  /** The server announces that it is draining, and shuts down after `leaveMs`. */
   drainServer(leaveMs: number): void;
 }
 
@@ -92,21 +92,21 @@
   readonly traffic: Readonly<Traffic>;
   readonly entries: readonly SimulatedEntry[];
   readonly sides: readonly SimulatedSide[];
-  /** The way between an entry and a side, by direction. */
-  way(entry: number, side: number, toSide: boolean): Way;
+  /** The network path between an entry and a side in one direction. */
+  networkPath(entry: number, side: number, toSide: boolean): NetworkPath;
   resetStream(entry: number, side: number): void;
 }
 
 interface EntryNode extends SimulatedEntry, Node {
   dispatcher: Dispatcher;
   readonly sessions: Map<SessionId, Stream>;
-  poke(): void;
+  scheduleEffects(): void;
 }
 
 interface SideNode extends SimulatedSide, Node {
   core: WorkerCore;
   readonly owners: Map<OwnerId, Stream>;
-  poke(): void;
+  scheduleEffects(): void;
 }
 
 interface Stream {
@@ -114,23 +114,32 @@
   readonly side: number;
   readonly session: SessionId;
   readonly owner: OwnerId;
-  readonly toSide: Wire<DispatchFrame>;
-  readonly toEntry: Wire<WorkFrame>;
-  isOver: boolean;
+  readonly toSide: Channel<DispatchFrame>;
+  readonly toEntry: Channel<WorkFrame>;
+  isClosed: boolean;
 }
 
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, random, checker } = options;
-  const { canRun, whenAwake, createPoke, tickEvery } = createNodes(clock);
-  const ways = new Map<string, Way>();
+  const {
+    canRun,
+    runWhenUnfrozen,
+    createEffectScheduler,
+    tickEvery,
+  } = createNodes(clock);
+  const networkPaths = new Map<string, NetworkPath>();
   const counter = createTrafficCounter();
   let lastId = 0;
 
-  function way(entry: number, side: number, toSide: boolean): Way {
+  function networkPath(
+    entry: number,
+    side: number,
+    toSide: boolean,
+  ): NetworkPath {
     const key = `${entry}/${side}/${toSide}`;
-    const known = ways.get(key) ?? { isCut: false };
-    ways.set(key, known);
-    return known;
+    const path = networkPaths.get(key) ?? { isPartitioned: false };
+    networkPaths.set(key, path);
+    return path;
   }
 
   const entries: EntryNode[] = [];
@@ -153,14 +162,14 @@
       SubmissionId,
       { answered(answer: Answer): void; broken(): void }
     >();
-    const poke = createPoke(() => node, carryOut);
+    const scheduleEffects = createEffectScheduler(() => node, applyEffects);
     const node: EntryNode = {
       isUp: true,
       frozenUntil: 0,
-      life: 0,
+      incarnation: 0,
       dispatcher: makeDispatcher(),
       sessions,
-      poke,
+      scheduleEffects,
       submit(queue, job, caller) {
         if (!node.isUp) return undefined;
         lastId += 1;
@@ -173,16 +182,16 @@
           configurationVersion: 1,
           ageMs: 0,
         };
-        whenAwake(node, () => {
+        runWhenUnfrozen(node, () => {
           node.dispatcher.submit(submission, clock.now());
-          poke();
+          scheduleEffects();
         });
         return {
           abandon() {
             if (!callers.delete(id)) return;
-            whenAwake(node, () => {
+            runWhenUnfrozen(node, () => {
               node.dispatcher.abandon(id, clock.now());
-              poke();
+              scheduleEffects();
             });
           },
         };
@@ -190,8 +199,8 @@
       kill(downMs) {
         if (!node.isUp) return;
         node.isUp = false;
-        node.life += 1;
-        for (const stream of [...sessions.values()]) endStream(stream);
+        node.incarnation += 1;
+        for (const stream of [...sessions.values()]) closeStream(stream);
         const broken = [...callers.values()];
         callers.clear();
         for (const caller of broken) caller.broken();
@@ -214,19 +223,19 @@
       });
     }
 
-    function carryOut(): void {
+    function applyEffects(): void {
       for (const effect of node.dispatcher.takeEffects(clock.now())) {
-        perform(effect);
+        applyEffect(effect);
       }
     }
 
-    function perform(effect: DispatchEffect): void {
+    function applyEffect(effect: DispatchEffect): void {
       if (effect.kind === "send") {
         counter.entrySent(effect.frame);
         sessions.get(effect.session)?.toSide.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = sessions.get(effect.session);
-        if (stream !== undefined) endStream(stream);
+        if (stream !== undefined) closeStream(stream);
       } else if (effect.kind === "answer") {
         const caller = callers.get(effect.submission);
         callers.delete(effect.submission);
@@ -238,7 +247,7 @@
 
     tickEvery(node, () => {
       node.dispatcher.tick(clock.now());
-      poke();
+      scheduleEffects();
     });
     return node;
   }
@@ -247,13 +256,13 @@
 
   function createSideNode(index: number): SideNode {
     const owners = new Map<OwnerId, Stream>();
-    const poke = createPoke(() => node, carryOut);
-    const line = createServerLine({
+    const scheduleEffects = createEffectScheduler(() => node, applyEffects);
+    const connection = createServerConnection({
       clock,
       random,
-      whenAwake,
+      runWhenUnfrozen,
       node: () => node,
-      poke,
+      scheduleEffects,
     });
     let serverId = "";
     let server = makeServer();
@@ -262,17 +271,17 @@
     const node: SideNode = {
       isUp: true,
       frozenUntil: 0,
-      life: 0,
-      lossShare: 0,
+      incarnation: 0,
+      responseLossRate: 0,
       core: makeCore(),
       owners,
-      poke,
+      scheduleEffects,
       server: () => server,
       kill(downMs) {
         if (!node.isUp) return;
         node.isUp = false;
-        node.life += 1;
-        for (const stream of [...owners.values()]) endStream(stream);
+        node.incarnation += 1;
+        for (const stream of [...owners.values()]) closeStream(stream);
         clock.after(downMs, () => {
           node.isUp = true;
           node.frozenUntil = 0;
@@ -286,7 +295,7 @@
         if (!server.isUp()) return;
         const isBrief = random.chance(0.3);
         server.crash();
-        clock.after(isBrief ? BRIEF_MS : downMs, () => {
+        clock.after(isBrief ? BRIEF_DOWNTIME_MS : downMs, () => {
           server = makeServer();
           sequence = 0;
           isDraining = false;
@@ -297,12 +306,12 @@
         if (isDraining || !server.isUp()) return;
         isDraining = true;
         announce();
-        const leaving = server;
+        const drainingServer = server;
         clock.after(leaveMs, () => {
-          if (server !== leaving || !leaving.isUp()) return;
-          whenAwake(node, () => {
-            node.core.left(leaving.id);
-            poke();
+          if (server !== drainingServer || !drainingServer.isUp()) return;
+          runWhenUnfrozen(node, () => {
+            node.core.left(drainingServer.id);
+            scheduleEffects();
           });
           node.crashServer(1000);
         });
@@ -319,7 +328,7 @@
 
     function makeServer(): ServerStandin {
       lastId += 1;
-      // A server may start again under the id that it had.
+      // A server may keep its ID when it restarts.
       if (serverId === "" || random.chance(0.5)) {
         serverId = `server-${index}-${lastId}`;
       }
@@ -353,41 +362,43 @@
       };
       if (!canRun(node)) return;
       node.core.announced(announcement);
-      poke();
-      // The announcement is acknowledged at once.
-      if (isDraining && server.drainedFrom === Infinity) {
-        server.drainedFrom = clock.now() + DRAIN_MS;
+      scheduleEffects();
+      // The side acknowledges the announcement immediately.
+      if (isDraining && server.startDeadline === Infinity) {
+        server.startDeadline = clock.now() + START_GRACE_MS;
       }
     }
 
-    function carryOut(): void {
-      for (const effect of node.core.takeEffects(clock.now())) perform(effect);
+    function applyEffects(): void {
+      for (const effect of node.core.takeEffects(clock.now())) {
+        applyEffect(effect);
+      }
     }
 
-    function perform(effect: WorkerEffect): void {
+    function applyEffect(effect: WorkerEffect): void {
       if (effect.kind === "send") {
         counter.sideSent(effect.frame);
         owners.get(effect.owner)?.toEntry.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = owners.get(effect.owner);
-        if (stream !== undefined) endStream(stream);
+        if (stream !== undefined) closeStream(stream);
       } else if (effect.kind === "log") {
         options.trace(`side ${index} ${JSON.stringify(effect.decision)}`);
       } else {
         if (effect.kind === "list") counter.listed();
-        line.carry(effect);
+        connection.send(effect);
       }
     }
 
-    function announceEvery(): void {
+    function announcePeriodically(): void {
       announce();
-      clock.after(ANNOUNCE_MS, announceEvery);
+      clock.after(ANNOUNCE_INTERVAL_MS, announcePeriodically);
     }
 
-    clock.after(random.next() * 200, announceEvery);
+    clock.after(random.next() * 200, announcePeriodically);
     tickEvery(node, () => {
       node.core.tick(clock.now());
-      poke();
+      scheduleEffects();
     });
     return node;
   }
@@ -403,8 +414,8 @@
         if (stream.entry === entry) return;
       }
     }
-    if (!entryNode.isUp || way(entry, side, true).isCut) {
-      clock.after(REDIAL_MS, () => dial(entry, side));
+    if (!entryNode.isUp || networkPath(entry, side, true).isPartitioned) {
+      clock.after(REDIAL_DELAY_MS, () => dial(entry, side));
       return;
     }
     lastId += 1;
@@ -414,25 +425,25 @@
       side,
       session: id,
       owner: id,
-      isOver: false,
-      toSide: createWire<DispatchFrame>({
+      isClosed: false,
+      toSide: createChannel<DispatchFrame>({
         clock,
-        way: way(entry, side, true),
+        path: networkPath(entry, side, true),
         delayMs: () => 0.3 + random.next(),
         canReceive: () => canRun(sideNode),
         received(frame) {
           sideNode.core.ownerSent(id, frame, clock.now());
-          sideNode.poke();
+          sideNode.scheduleEffects();
         },
       }),
-      toEntry: createWire<WorkFrame>({
+      toEntry: createChannel<WorkFrame>({
         clock,
-        way: way(entry, side, false),
+        path: networkPath(entry, side, false),
         delayMs: () => 0.3 + random.next(),
         canReceive: () => canRun(entryNode),
         received(frame) {
           entryNode.dispatcher.frameReceived(id, frame, clock.now());
-          entryNode.poke();
+          entryNode.scheduleEffects();
         },
       }),
     };
@@ -440,15 +451,15 @@
     sideNode.owners.set(id, stream);
     entryNode.dispatcher.sessionOpened(id, clock.now());
     sideNode.core.ownerOpened(id, clock.now());
-    sideNode.poke();
+    sideNode.scheduleEffects();
   }
 
-  /** Ends a stream; each end learns of it once it is awake. */
-  function endStream(stream: Stream): void {
-    if (stream.isOver) return;
-    stream.isOver = true;
-    stream.toSide.cutOff();
-    stream.toEntry.cutOff();
+  /** Closes a stream; each end is notified once it is not frozen. */
+  function closeStream(stream: Stream): void {
+    if (stream.isClosed) return;
+    stream.isClosed = true;
+    stream.toSide.close();
+    stream.toEntry.close();
     const entryNode = entries[stream.entry]!;
     const sideNode = sides[stream.side]!;
     entryNode.sessions.delete(stream.session);
@@ -456,27 +467,27 @@
     const { dispatcher } = entryNode;
     const { core } = sideNode;
     clock.after(0.5, () => {
-      whenAwake(entryNode, () => {
+      runWhenUnfrozen(entryNode, () => {
         dispatcher.sessionClosed(stream.session, clock.now());
-        entryNode.poke();
+        entryNode.scheduleEffects();
       });
-      whenAwake(sideNode, () => {
+      runWhenUnfrozen(sideNode, () => {
         core.ownerClosed(stream.owner, clock.now());
-        sideNode.poke();
+        sideNode.scheduleEffects();
       });
     });
-    clock.after(REDIAL_MS, () => dial(stream.entry, stream.side));
+    clock.after(REDIAL_DELAY_MS, () => dial(stream.entry, stream.side));
   }
 
   return {
     traffic: counter.traffic,
     entries,
     sides,
-    way,
+    networkPath,
     resetStream(entry, side) {
       for (const stream of sides[side]!.owners.values()) {
         if (stream.entry === entry) {
-          endStream(stream);
+          closeStream(stream);
           return;
         }
       }
@@ -484,5 +495,5 @@
   };
 }
 
-/** No start is allowed this long after a drain was acknowledged. */
-const DRAIN_MS = 2000;
+/** Starts are forbidden this long after a drain was acknowledged. */
+const START_GRACE_MS = 2000;
--- a/packages/simulate/src/index.ts
+++ b/packages/simulate/src/index.ts
@@ -1,6 +1,6 @@
-/** Plays a fleet on a clock of its own and checks its promises. */
+/** Deterministic simulation of a fleet, with checks of its invariants. */
 export * from "./checker.ts";
 export * from "./clock.ts";
-export * from "./play.ts";
+export * from "./simulation.ts";
 export * from "./random.ts";
 export * from "./server_standin.ts";
--- a/packages/simulate/src/losses_test.ts
+++ b/packages/simulate/src/losses_test.ts
@@ -3,22 +3,26 @@
 import { expect } from "chai";
 import type { SimulatedClock } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
-import { play, type PlayOptions, type PlayResult } from "./play.ts";
+import {
+  runSimulation,
+  type SimulationOptions,
+  type SimulationResult,
+} from "./simulation.ts";
 
 const ENTRIES = 3;
 
 const SIDES = 6;
 
-/** Plays ten seconds in which nothing fails but what the script brings. */
-function playScript(
-  script: PlayOptions["script"],
+/** Simulates ten seconds in which the script injects the only faults. */
+function runScript(
+  script: SimulationOptions["script"],
   timing: Partial<Timing> = {},
-): PlayResult {
-  return play({
+): SimulationResult {
+  return runSimulation({
     seed: 11,
     seconds: 10,
     jobsPerSecond: 30,
-    failShare: 0,
+    failureRate: 0,
     entries: ENTRIES,
     sides: SIDES,
     timing: { ...SAMPLE_TIMING, ...timing },
@@ -26,29 +30,29 @@
   });
 }
 
-/** Does something each second while callers come. */
-function eachSecond(clock: SimulatedClock, act: (second: number) => void) {
+/** Calls `act` once a second while jobs are submitted. */
+function everySecond(clock: SimulatedClock, act: (second: number) => void) {
   for (let second = 1; second < 10; second += 1) {
     clock.after(second * 1000, () => act(second));
   }
 }
 
-/** Nothing is heard of one side for so long, each second of another one. */
-function silenceSides(silentMs: number): PlayOptions["script"] {
+/** Each second, holds back the frames of another side to all entries. */
+function partitionSides(partitionMs: number): SimulationOptions["script"] {
   return (fleet, clock) =>
-    eachSecond(clock, (second) => {
-      const ways = [...Array(ENTRIES).keys()].map((entry) =>
-        fleet.way(entry, second % SIDES, false)
+    everySecond(clock, (second) => {
+      const paths = [...Array(ENTRIES).keys()].map((entry) =>
+        fleet.networkPath(entry, second % SIDES, false)
       );
-      for (const way of ways) way.isCut = true;
-      clock.after(silentMs, () => {
-        for (const way of ways) way.isCut = false;
+      for (const path of paths) path.isPartitioned = true;
+      clock.after(partitionMs, () => {
+        for (const path of paths) path.isPartitioned = false;
       });
     });
 }
 
 function resetStreams(fleet: Fleet, clock: SimulatedClock): void {
-  eachSecond(clock, (second) => {
+  everySecond(clock, (second) => {
     for (let entry = 0; entry < ENTRIES; entry += 1) {
       fleet.resetStream(entry, second % SIDES);
     }
@@ -56,56 +60,56 @@
 }
 
 function freezeSides(fleet: Fleet, clock: SimulatedClock): void {
-  eachSecond(clock, (second) => {
+  everySecond(clock, (second) => {
     fleet.sides[second % SIDES]!.frozenUntil = clock.now() + 2500;
   });
 }
 
-function loseAnswers(fleet: Fleet): void {
-  for (const side of fleet.sides) side.lossShare = 0.2;
+function loseResponses(fleet: Fleet): void {
+  for (const side of fleet.sides) side.responseLossRate = 0.2;
 }
 
-function expectKept({ breaches, stuck }: PlayResult): void {
+function expectNoViolations({ breaches, stuck }: SimulationResult): void {
   expect(breaches).to.deep.equal([]);
   expect(stuck).to.equal(0);
 }
 
-describe("a side that is only silent for a while", () => {
-  const SILENT_MS = 300;
+describe("a side that is unreachable for a short time", () => {
+  const PARTITION_MS = 300;
 
-  it("keeps its runs, and none is started again", () => {
-    const result = playScript(silenceSides(SILENT_MS));
-    expectKept(result);
+  it("keeps its runs, and none is restarted", () => {
+    const result = runScript(partitionSides(PARTITION_MS));
+    expectNoViolations(result);
     expect(result.counts.starts).to.equal(result.tasks);
   });
 
-  it("would have them started again if entries were hastier", () => {
-    const hasty = { sideLostMs: 100, runExpiryMs: 150 };
-    const result = playScript(silenceSides(SILENT_MS), hasty);
+  it("has runs restarted if entries use shorter timeouts", () => {
+    const shortTimeouts = { sideLostMs: 100, runExpiryMs: 150 };
+    const result = runScript(partitionSides(PARTITION_MS), shortTimeouts);
     expect(result.counts.starts).to.be.above(result.tasks);
   });
 });
 
-describe("a stream that is replaced while both ends live", () => {
-  it("hands its runs over, and none is started again", () => {
-    const result = playScript(resetStreams);
-    expectKept(result);
+describe("a stream that is reset while both ends are up", () => {
+  it("has its runs reclaimed, and none is restarted", () => {
+    const result = runScript(resetStreams);
+    expectNoViolations(result);
     expect(result.counts.starts).to.equal(result.tasks);
   });
 
-  it("would lose them if sides gave no time to claim them", () => {
-    const result = playScript(resetStreams, { reclaimMs: 0 });
+  it("has runs restarted if sides allow no time to reclaim them", () => {
+    const result = runScript(resetStreams, { reclaimMs: 0 });
     expect(result.counts.starts).to.be.above(result.tasks);
   });
 });
 
-describe("a side that stands still beyond its leases", () => {
-  it("acts on none of them when it goes on", () => {
-    expectKept(playScript(freezeSides));
+describe("a side that is frozen until after its leases have expired", () => {
+  it("does not act on expired leases when it resumes", () => {
+    expectNoViolations(runScript(freezeSides));
   });
 
-  it("would run tasks twice if entries did not wait for the leases", () => {
-    const result = playScript(freezeSides, {
+  it("runs tasks twice if entries do not wait for the leases to expire", () => {
+    const result = runScript(freezeSides, {
       sideLostMs: 150,
       runExpiryMs: 0,
     });
@@ -113,10 +117,10 @@
   });
 });
 
-describe("answers that are lost after the work was begun", () => {
-  it("lead to no second run beside it, and to no false refusal", () => {
-    const result = playScript(loseAnswers);
-    expectKept(result);
+describe("responses that are lost after the request was executed", () => {
+  it("cause no concurrent second run and no false refusal", () => {
+    const result = runScript(loseResponses);
+    expectNoViolations(result);
     expect(result.counts.completed).to.be.above(0);
   });
 });
--- a/packages/simulate/src/main.ts
+++ b/packages/simulate/src/main.ts
@@ -1,17 +1,18 @@
 /**
- * `npm run simulate -- --seeds N`: plays seeds and prints those with breaches.
- * `--seed N` prints one seed; `--trace TEXT` also prints each decision, start
- * and fault of it that holds the text, such as a job's name.
+ * `npm run simulate -- --seeds N` simulates seeds and prints the results of those
+ * that violate an invariant. `--seed N` prints the result of one seed;
+ * `--trace TEXT` also prints each decision, start and fault whose trace line
+ * contains the text, such as a job ID.
  */
 import process from "node:process";
 import { cac } from "cac";
-import { play } from "./play.ts";
+import { runSimulation } from "./simulation.ts";
 
 const SECONDS = 20;
 
 const JOBS_PER_SECOND = 40;
 
-const FAULT_EVERY_MS = 700;
+const MEAN_FAULT_INTERVAL_MS = 700;
 
 interface Flags {
   readonly seed?: number;
@@ -20,16 +21,16 @@
   readonly trace?: string;
 }
 
-function run(flags: Flags): void {
+function runSeeds(flags: Flags): void {
   const first = flags.seed ?? flags.from;
   const count = flags.seed === undefined ? flags.seeds : 1;
   let failed = 0;
   for (let seed = first; seed < first + count; seed += 1) {
-    const result = play({
+    const result = runSimulation({
       seed,
       seconds: SECONDS,
       jobsPerSecond: JOBS_PER_SECOND,
-      faultEveryMs: FAULT_EVERY_MS,
+      meanFaultIntervalMs: MEAN_FAULT_INTERVAL_MS,
       trace(at, what) {
         if (flags.trace === undefined || !what.includes(flags.trace)) return;
         process.stdout.write(`${at.toFixed(1)} ${what}\n`);
@@ -44,24 +45,24 @@
   if (failed > 0) process.exitCode = 1;
 }
 
-/** Fleets whose messages are counted: today's, and a grown one. */
-const COUNTED_FLEETS = [
+/** Fleets whose messages are counted: the current size and a larger one. */
+const MEASURED_FLEETS = [
   { entries: 3, sides: 11, jobsPerSecond: 65 },
   { entries: 14, sides: 75, jobsPerSecond: 420 },
 ];
 
-/** One server in four is old. */
-const SLOWNESS = [1.8, 0.85, 0.85, 0.85];
+/** One server in four is an older, slower machine. */
+const SLOWNESS_FACTORS = [1.8, 0.85, 0.85, 0.85];
 
-/** Prints the messages for each start of a task, without faults. */
+/** Prints the number of messages per started run, without faults. */
 function countMessages(): void {
-  for (const fleet of COUNTED_FLEETS) {
-    const result = play({
+  for (const fleet of MEASURED_FLEETS) {
+    const result = runSimulation({
       ...fleet,
-      slowness: SLOWNESS,
+      slowness: SLOWNESS_FACTORS,
       seed: 3,
       seconds: 6,
-      failShare: 0,
+      failureRate: 0,
     });
     const { starts, jobs } = result.counts;
     const perStart = Object.entries(result.traffic).map(([kind, count]) =>
@@ -74,13 +75,13 @@
 }
 
 const cli = cac("simulate");
-cli.command("messages", "Counts messages for each start of a task")
+cli.command("messages", "Count messages per started run")
   .action(countMessages);
-cli.command("", "Plays fleets on a simulated clock")
-  .option("--seed <n>", "Plays one seed and prints all of it")
-  .option("--trace <text>", "Prints what holds the text")
-  .option("--seeds <n>", "How many seeds to play", { default: 100 })
+cli.command("", "Simulate fleets with random faults")
+  .option("--seed <n>", "Simulate one seed and print its result")
+  .option("--trace <text>", "Print trace lines that contain the text")
+  .option("--seeds <n>", "Number of seeds to simulate", { default: 100 })
   .option("--from <n>", "First seed", { default: 1 })
-  .action(run);
+  .action(runSeeds);
 cli.help();
 cli.parse();
--- a/packages/simulate/src/node.ts
+++ b/packages/simulate/src/node.ts
@@ -1,57 +1,57 @@
-/** A VM of the fleet: up or down, frozen or awake. */
+/** Simulated processes that can be down or frozen. */
 import type { SimulatedClock } from "./clock.ts";
 
 export interface Node {
   isUp: boolean;
   frozenUntil: number;
-  /** Counts the processes of the node. */
-  life: number;
+  /** Increases each time the process is killed. */
+  incarnation: number;
 }
 
 export interface Nodes {
   canRun(node: Node): boolean;
-  /** Runs `work` now, or once the node is awake; never after it died. */
-  whenAwake(node: Node, work: () => void): void;
-  /** Carries out what was decided, a little after it was first asked to. */
-  createPoke(node: () => Node, carryOut: () => void): () => void;
-  /** Ticks for as long as the node runs. */
+  /** Runs `work` once the node is not frozen, unless the node is killed first. */
+  runWhenUnfrozen(node: Node, work: () => void): void;
+  /** Returns a function that applies pending effects after a short delay. */
+  createEffectScheduler(node: () => Node, applyEffects: () => void): () => void;
+  /** Calls `tick` periodically while the node is up and not frozen. */
   tickEvery(node: Node, tick: () => void): void;
 }
 
-const TICK_MS = 25;
+const TICK_INTERVAL_MS = 25;
 
-/** Between input and what is done about it. */
-const LOOP_MS = 0.2;
+/** Delay between an input and applying its effects. */
+const EFFECT_DELAY_MS = 0.2;
 
 export function createNodes(clock: SimulatedClock): Nodes {
   function canRun(node: Node): boolean {
     return node.isUp && clock.now() >= node.frozenUntil;
   }
 
-  function whenAwake(node: Node, work: () => void): void {
+  function runWhenUnfrozen(node: Node, work: () => void): void {
     if (!node.isUp) return;
     const waitMs = node.frozenUntil - clock.now();
     if (waitMs <= 0) {
       work();
       return;
     }
-    const { life } = node;
+    const { incarnation } = node;
     clock.after(waitMs, () => {
-      if (node.life === life) whenAwake(node, work);
+      if (node.incarnation === incarnation) runWhenUnfrozen(node, work);
     });
   }
 
-  function createPoke(
+  function createEffectScheduler(
     node: () => Node,
-    carryOut: () => void,
+    applyEffects: () => void,
   ): () => void {
-    let isPoked = false;
+    let isScheduled = false;
     return () => {
-      if (isPoked) return;
-      isPoked = true;
-      clock.after(LOOP_MS, () => {
-        isPoked = false;
-        whenAwake(node(), carryOut);
+      if (isScheduled) return;
+      isScheduled = true;
+      clock.after(EFFECT_DELAY_MS, () => {
+        isScheduled = false;
+        runWhenUnfrozen(node(), applyEffects);
       });
     };
   }
@@ -60,11 +60,16 @@
     node: Node,
     tick: () => void,
   ): void {
-    clock.after(TICK_MS, () => {
+    clock.after(TICK_INTERVAL_MS, () => {
       if (canRun(node)) tick();
       tickEvery(node, tick);
     });
   }
 
-  return { canRun, whenAwake, createPoke, tickEvery };
+  return {
+    canRun,
+    runWhenUnfrozen,
+    createEffectScheduler,
+    tickEvery,
+  };
 }
--- a/packages/simulate/src/random.ts
+++ b/packages/simulate/src/random.ts
@@ -1,12 +1,13 @@
-/** Numbers that a seed determines. */
+/** Seeded pseudorandom number generator. */
 
 export interface Random {
-  /** From 0 to 1. */
+  /** Returns a number from 0 inclusive to 1 exclusive. */
   next(): number;
-  /** A whole number from 0 to below `count`. */
+  /** Returns an integer from 0 inclusive to `count` exclusive. */
   below(count: number): number;
+  /** Returns true with the given probability. */
   chance(share: number): boolean;
-  /** Around 1, spread over a factor in both directions. */
+  /** Returns a factor from `e ** -spread` to `e ** spread`, log-uniform. */
   factor(spread: number): number;
 }
 
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -1,7 +1,8 @@
 /**
- * A backend server as the platform describes it: it starts whatever it is told
- * to, runs it under a lease, remembers stops, and keeps its list of ends until
- * they are taken in. It reports each breach of the promises to the checker.
+ * Stand-in for a backend server that implements the platform's protocol. It
+ * starts every run it is asked to, stops runs when their lease expires, refuses
+ * to start stopped runs again, and lists ended runs until they are acknowledged.
+ * It reports violations of invariants to its observer.
  */
 import {
   addResources,
@@ -22,7 +23,7 @@
 } from "@coltsfootreach/worker";
 import type { SimulatedClock } from "./clock.ts";
 
-/** What tasks need and how long they take, as only the stand-in knows. */
+/** Actual resources and run time of a task, known only to the stand-in. */
 export interface TaskTruth {
   readonly resources: Resources;
   readonly workMs: number;
@@ -40,7 +41,7 @@
   readonly id: string;
   readonly born: number;
   readonly capacity: Resources;
-  /** Run time is work times this. */
+  /** Ratio of run time to work. */
   slowness: number;
   readonly maxLeaseMs: number;
   readonly stopMs: number;
@@ -54,20 +55,20 @@
   readonly capacity: Resources;
   start(request: StartRequest): StartReply;
   stop(request: StopRequest): StopReply;
-  /** Answers when there is an end or the wait is over. */
+  /** Long polling: answers once a run has ended or the wait has elapsed. */
   list(request: ListRequest, answer: (reply: ListReply) => void): void;
-  /** All runs end without a trace; nothing answers any more. */
+  /** Ends all runs without listing them; no further request is answered. */
   crash(): void;
   setSlowness(slowness: number): void;
-  /** Runs started from now on fail. */
+  /** While true, runs that end on their own fail. */
   setFailing(isFailing: boolean): void;
-  /** Work stands still. */
+  /** While true, runs make no progress. */
   setHanging(isHanging: boolean): void;
   clockMs(): number;
   runningCount(): number;
   isUp(): boolean;
-  /** Nothing may be started after this time. */
-  drainedFrom: number;
+  /** Starts after this time violate an invariant. */
+  startDeadline: number;
 }
 
 interface LocalRun {
@@ -75,16 +76,16 @@
   readonly truth: TaskTruth;
   readonly startedAt: number;
   percent: number;
-  isOver: boolean;
+  hasEnded: boolean;
 }
 
-interface Waiter {
+interface PendingList {
   readonly request: ListRequest;
   readonly answer: (reply: ListReply) => void;
-  isDone: boolean;
+  isAnswered: boolean;
 }
 
-const STEP_MS = 5;
+const STEP_INTERVAL_MS = 5;
 
 export function createServerStandin(
   options: ServerStandinOptions,
@@ -92,7 +93,7 @@
   const { clock, observer, capacity } = options;
   const startedAt = clock.now();
   const running = new Map<string, LocalRun>();
-  const barred = new Map<string, number>();
+  const blockedRuns = new Map<string, number>();
   let ends: RunEnd[] = [];
   let endNumber = 0;
   let highestToken = 0;
@@ -101,14 +102,14 @@
   let isFailing = false;
   let isHanging = false;
   let isUp = true;
-  let waiters: Waiter[] = [];
+  let pendingLists: PendingList[] = [];
 
   const clockMs = () => clock.now() - startedAt + 1000;
 
   function extendLease(untilMs: number | undefined): void {
     if (untilMs === undefined) return;
-    const longest = clockMs() + options.maxLeaseMs;
-    leaseUntil = Math.max(leaseUntil, Math.min(untilMs, longest));
+    const maxUntilMs = clockMs() + options.maxLeaseMs;
+    leaseUntil = Math.max(leaseUntil, Math.min(untilMs, maxUntilMs));
   }
 
   function usage(): Resources {
@@ -119,43 +120,43 @@
     return sum;
   }
 
-  function checkRoom(): void {
+  function checkCapacity(): void {
     const used = usage();
-    const isOver = used.cpu > capacity.cpu ||
+    const isExceeded = used.cpu > capacity.cpu ||
       used.memoryMb > capacity.memoryMb || used.gpu > capacity.gpu;
-    if (isOver) observer.broke("LIMIT", `${options.id} ${used.cpu}`);
+    if (isExceeded) observer.broke("LIMIT", `${options.id} ${used.cpu}`);
   }
 
-  function end(run: LocalRun, how: RunOutcome): void {
-    if (run.isOver) return;
-    run.isOver = true;
+  function endRun(run: LocalRun, outcome: RunOutcome): void {
+    if (run.hasEnded) return;
+    run.hasEnded = true;
     running.delete(keyOfTask(run.ref.task));
     endNumber += 1;
-    ends.push({ number: endNumber, ref: run.ref, end: how });
-    bar(run.ref);
-    observer.ended(self, run.ref, how);
-    wake();
+    ends.push({ number: endNumber, ref: run.ref, end: outcome });
+    blockRun(run.ref);
+    observer.ended(self, run.ref, outcome);
+    answerPendingLists();
   }
 
-  function bar(ref: RunRef): void {
+  function blockRun(ref: RunRef): void {
     const key = keyOfTask(ref.task);
-    barred.set(key, Math.max(ref.run, barred.get(key) ?? 0));
+    blockedRuns.set(key, Math.max(ref.run, blockedRuns.get(key) ?? 0));
   }
 
-  function step(): void {
+  function advanceRuns(): void {
     if (!isUp) return;
     for (const run of [...running.values()]) {
       if (clockMs() > leaseUntil) {
-        end(run, "lapsed");
+        endRun(run, "lapsed");
         continue;
       }
       if (isHanging) continue;
-      run.percent += (100 * STEP_MS) / (run.truth.workMs * slowness);
+      run.percent += (100 * STEP_INTERVAL_MS) / (run.truth.workMs * slowness);
       if (run.percent >= 100) {
-        end(run, run.truth.fails || isFailing ? "failed" : "done");
+        endRun(run, run.truth.fails || isFailing ? "failed" : "done");
       }
     }
-    clock.after(STEP_MS, step);
+    clock.after(STEP_INTERVAL_MS, advanceRuns);
   }
 
   function reply(request: ListRequest): ListReply {
@@ -167,26 +168,26 @@
         ref: run.ref,
         percent: Math.floor(run.percent),
       })),
-      ends: ends.filter((row) => row.number > request.observed),
+      ends: ends.filter((runEnd) => runEnd.number > request.observed),
     };
   }
 
-  function finishWaiter(waiter: Waiter): void {
-    if (waiter.isDone) return;
-    waiter.isDone = true;
-    waiters = waiters.filter((other) => other !== waiter);
-    if (isUp) waiter.answer(reply(waiter.request));
+  function answerPendingList(pending: PendingList): void {
+    if (pending.isAnswered) return;
+    pending.isAnswered = true;
+    pendingLists = pendingLists.filter((other) => other !== pending);
+    if (isUp) pending.answer(reply(pending.request));
   }
 
-  function wake(): void {
-    for (const waiter of [...waiters]) finishWaiter(waiter);
+  function answerPendingLists(): void {
+    for (const pending of [...pendingLists]) answerPendingList(pending);
   }
 
   const self: ServerStandin = {
     id: options.id,
     born: options.born,
     capacity,
-    drainedFrom: Infinity,
+    startDeadline: Infinity,
     start(request) {
       if (!isUp) return { kind: "unanswered" };
       if (request.server.id !== options.id) {
@@ -197,18 +198,20 @@
       }
       highestToken = request.fencingToken;
       const key = keyOfTask(request.ref.task);
-      const known = running.get(key);
+      const existing = running.get(key);
       extendLease(request.untilMs);
-      if (known?.ref.run === request.ref.run) {
+      if (existing?.ref.run === request.ref.run) {
         return { kind: "started", clockMs: clockMs() };
       }
-      if (known !== undefined || (barred.get(key) ?? 0) >= request.ref.run) {
+      if (
+        existing !== undefined || (blockedRuns.get(key) ?? 0) >= request.ref.run
+      ) {
         return { kind: "refused", reason: "old" };
       }
       if (request.untilMs <= clockMs()) {
         return { kind: "refused", reason: "late" };
       }
-      if (clock.now() > self.drainedFrom) {
+      if (clock.now() > self.startDeadline) {
         observer.broke("DRAIN", `${options.id} ${key}`);
       }
       running.set(key, {
@@ -216,10 +219,10 @@
         truth: options.truth(request.ref),
         startedAt: clock.now(),
         percent: 0,
-        isOver: false,
+        hasEnded: false,
       });
       observer.started(self, request.ref);
-      checkRoom();
+      checkCapacity();
       return { kind: "started", clockMs: clockMs() };
     },
     stop(request) {
@@ -227,10 +230,10 @@
       if (request.server.id !== options.id) return { isConfirmed: true };
       if (request.fencingToken < highestToken) return { isConfirmed: false };
       highestToken = request.fencingToken;
-      bar(request.ref);
+      blockRun(request.ref);
       const run = running.get(keyOfTask(request.ref.task));
       if (run !== undefined && run.ref.run <= request.ref.run) {
-        clock.after(options.stopMs / 2, () => end(run, "stopped"));
+        clock.after(options.stopMs / 2, () => endRun(run, "stopped"));
       }
       return { isConfirmed: true };
     },
@@ -244,16 +247,16 @@
       }
       highestToken = request.fencingToken;
       extendLease(request.untilMs);
-      ends = ends.filter((row) => row.number > request.observed);
-      const waiter: Waiter = { request, answer, isDone: false };
-      waiters.push(waiter);
-      if (ends.length > 0) finishWaiter(waiter);
-      else clock.after(request.waitMs, () => finishWaiter(waiter));
+      ends = ends.filter((runEnd) => runEnd.number > request.observed);
+      const pending: PendingList = { request, answer, isAnswered: false };
+      pendingLists.push(pending);
+      if (ends.length > 0) answerPendingList(pending);
+      else clock.after(request.waitMs, () => answerPendingList(pending));
     },
     crash() {
       isUp = false;
       for (const run of [...running.values()]) {
-        run.isOver = true;
+        run.hasEnded = true;
         running.delete(keyOfTask(run.ref.task));
         observer.ended(self, run.ref, "lapsed");
       }
@@ -271,6 +274,6 @@
     runningCount: () => running.size,
     isUp: () => isUp,
   };
-  clock.after(STEP_MS, step);
+  clock.after(STEP_INTERVAL_MS, advanceRuns);
   return self;
 }
--- a/packages/simulate/src/play.ts
+++ b/packages/simulate/src/simulation.ts
@@ -1,52 +1,52 @@
-/** One play: a fleet, callers and faults, all drawn from a seed. */
+/** Simulates a fleet, its callers and faults; a seed determines everything. */
 import type { RunRef, Timing } from "@coltsfootreach/run";
 import { SAMPLE_TIMING, sampleQueue } from "@coltsfootreach/standin";
-import { playCallers } from "./callers.ts";
+import { simulateCallers } from "./callers.ts";
 import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
 import { createClock, type SimulatedClock } from "./clock.ts";
-import { playFaults } from "./faults.ts";
+import { injectFaults } from "./faults.ts";
 import { createFleet, type Fleet } from "./fleet.ts";
 import { createRandom } from "./random.ts";
 import type { TaskTruth } from "./server_standin.ts";
 import type { Traffic } from "./traffic.ts";
 
-export interface PlayOptions {
+export interface SimulationOptions {
   readonly seed: number;
   readonly seconds: number;
-  /** Mean time between faults; none without it. */
-  readonly faultEveryMs?: number | undefined;
+  /** Mean time between faults; if undefined, no faults are injected. */
+  readonly meanFaultIntervalMs?: number | undefined;
   readonly jobsPerSecond: number;
-  /** Share of tasks whose runs fail by themselves; 0.01 without it. */
-  readonly failShare?: number | undefined;
+  /** Share of tasks whose runs fail without an injected fault; default 0.01. */
+  readonly failureRate?: number | undefined;
   readonly entries?: number | undefined;
   readonly sides?: number | undefined;
-  /** Run time over work, for each server in turn; all alike without it. */
+  /** Ratio of run time to work, assigned to servers in turn; default 1. */
   readonly slowness?: readonly number[] | undefined;
-  /** The times by which losses are noticed; those that add up without it. */
+  /** Failure detection timeouts; the defaults are consistent with each other. */
   readonly timing?: Timing | undefined;
-  /** Faults at set times. */
+  /** Injects faults at fixed times. */
   script?(fleet: Fleet, clock: SimulatedClock): void;
-  /** Told of every decision, order and fault. */
+  /** Called for every decision, start, end, answer and fault. */
   trace?(at: number, what: string): void;
 }
 
-export interface PlayResult {
+export interface SimulationResult {
   readonly seed: number;
   readonly breaches: readonly Breach[];
   readonly counts: CheckerCounts;
   readonly inTime: number;
-  /** Tasks of all jobs; more starts than these are repeats. */
+  /** Number of tasks of all jobs; any further starts are restarts. */
   readonly tasks: number;
-  /** Jobs that an entry still holds long after the last caller has left. */
+  /** Jobs that entries still hold after all callers have timed out. */
   readonly stuck: number;
   readonly faults: readonly string[];
   readonly traffic: Readonly<Traffic>;
 }
 
-/** After the last hand-in, time for everything to end. */
-const END_MS = 20_000;
+/** Time after the last submission for all jobs to end. */
+const SETTLE_MS = 20_000;
 
-export function play(options: PlayOptions): PlayResult {
+export function runSimulation(options: SimulationOptions): SimulationResult {
   const clock = createClock();
   const random = createRandom(options.seed);
   const trace = (what: string) => options.trace?.(clock.now(), what);
@@ -66,7 +66,7 @@
     capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
     truth: ({ task }: RunRef) => truths.get(task.job)![task.index]!,
   });
-  const callers = playCallers({
+  const callers = simulateCallers({
     truths,
     clock,
     random,
@@ -79,15 +79,15 @@
       meanTasks: 4,
       meanMs: 250,
       cpu: 1600,
-      failShare: options.failShare ?? 0.01,
+      failureRate: options.failureRate ?? 0.01,
     },
   });
-  if (options.faultEveryMs !== undefined) {
-    playFaults({
+  if (options.meanFaultIntervalMs !== undefined) {
+    injectFaults({
       clock,
       random,
       fleet,
-      everyMs: options.faultEveryMs,
+      meanIntervalMs: options.meanFaultIntervalMs,
       untilMs,
       note(what) {
         faults.push(`${Math.round(clock.now())} ${what}`);
@@ -96,7 +96,7 @@
     });
   }
   options.script?.(fleet, clock);
-  clock.runUntil(untilMs + END_MS);
+  clock.runUntil(untilMs + SETTLE_MS);
   const stuck = fleet.entries.reduce((sum, one) => sum + one.liveJobs(), 0);
   return {
     seed: options.seed,
--- a/packages/simulate/src/traffic.ts
+++ b/packages/simulate/src/traffic.ts
@@ -1,11 +1,11 @@
-/** Counts the messages of a fleet by kind. */
+/** Counts the messages of a simulated fleet by kind. */
 import type { DispatchFrame, WorkFrame } from "@coltsfootreach/run";
 
-/** Messages that were sent, by kind. */
+/** Number of messages sent, by kind. */
 export interface Traffic {
-  /** Frames from entries that carry offers or stops... */
+  /** Frames from entries with offers or stops. */
   entryWork: number;
-  /** ...and those that carry nothing. */
+  /** Frames from entries without offers and stops. */
   entryHeartbeats: number;
   /** Frames from sides with news of runs, with only a report, or with neither. */
   sideNews: number;
