--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,5 +1,9 @@
 /** Frame streams between entries and sides over gRPC. */
-export type { Accept, Stream, StreamListener } from "@coltsfootreach/stream";
+export type {
+  Stream,
+  StreamHandler,
+  StreamListener,
+} from "@coltsfootreach/stream";
 export * from "./server.ts";
 export * from "./dial.ts";
 export * from "./outbox.ts";
--- a/packages/link/src/server.ts
+++ b/packages/link/src/server.ts
@@ -5,15 +5,15 @@
 import { ListenFailed } from "@coltsfootreach/errors";
 import type { EntryFrame, PeerFrame, SideFrame } from "@coltsfootreach/types";
 import { CHANNEL_OPTIONS, LINK_SERVICE } from "./service.ts";
-import type { Accept } from "@coltsfootreach/stream";
+import type { StreamHandler } from "@coltsfootreach/stream";
 import { createCallStream } from "./call_stream.ts";
 
 export interface LinkServerOptions {
   /** Listen address, as `IP:port`; port 0 selects a free port. */
   readonly address: string;
   readonly credentials?: ServerCredentials | undefined;
-  readonly acceptSide?: Accept<SideFrame, EntryFrame>;
-  readonly acceptPeer?: Accept<PeerFrame, PeerFrame>;
+  readonly acceptSide?: StreamHandler<SideFrame, EntryFrame>;
+  readonly acceptPeer?: StreamHandler<PeerFrame, PeerFrame>;
 }
 
 export interface LinkServer {
@@ -47,7 +47,7 @@
 /** Ends the stream at once if there is no handler for its kind. */
 function accept<In, Out>(
   call: ServerCall,
-  acceptStream: Accept<In, Out> | undefined,
+  acceptStream: StreamHandler<In, Out> | undefined,
 ): void {
   if (acceptStream === undefined) {
     call.end();
