Join the renames across packages; restore refusal texts

The rewording had also changed texts that leave the process: the reasons of refusals go to callers in answers, and the `why` of an eject or readmit action is served to operators' tools.

Change: rename the exported declarations (Versioned, Owned, decodeOwned, swapOwned, noCalls, Target, isDue/take/repeat of the outbox, ActJournal, createActJournal, findStanding, Top, TenantTop, ServerTop) and all their uses. Three locals in limit follow the new names of their properties. No other behaviour changes.

The tests of link, entry, side, daemon and the other packages were not run.

--- a/packages/cli/src/commands/top/run.ts
+++ b/packages/cli/src/commands/top/run.ts
@@ -1,12 +1,16 @@
 /** Shows what is going on, entry by entry, with response times. */
-import type { HistogramSummary, TenantTop, Top } from "@coltsfootreach/manage";
+import type {
+  HistogramSummary,
+  TenantTopRow,
+  TopReport,
+} from "@coltsfootreach/manage";
 import type { Context } from "../../context.ts";
 import { askAll } from "../../management.ts";
 import { type CommandResult, succeed } from "../../report.ts";
 import { formatBar, formatNumber, formatTable } from "../../text.ts";
 
 export async function run(context: Context): Promise<CommandResult> {
-  const asked = await askAll<Top>(context, "/top");
+  const asked = await askAll<TopReport>(context, "/top");
   return asked.map(({ bodies, failures }) => {
     const silent = failures.map((failure) => `no answer: ${failure}`);
     const text = [...bodies.map(formatTop), ...silent].join("\n\n");
@@ -14,7 +18,7 @@
   });
 }
 
-function formatTop(top: Top): string {
+function formatTop(top: TopReport): string {
   return [
     `entry ${top.entry}`,
     formatTenants(top.tenants),
@@ -25,7 +29,7 @@
   ].join("\n");
 }
 
-function formatTenants(rows: readonly TenantTop[]): string {
+function formatTenants(rows: readonly TenantTopRow[]): string {
   return formatTable([
     [
       "TENANT",
@@ -62,7 +66,7 @@
   return values.map((value) => count === 0 ? undefined : formatNumber(value));
 }
 
-function formatServers({ servers }: Top): string {
+function formatServers({ servers }: TopReport): string {
   return formatTable([
     ["SERVER", "WORKER", "STATE", "SLOTS", "RUNNING", "QUEUED", "FAILED %"],
     ...servers.toSorted((a, b) => a.server.localeCompare(b.server))
@@ -79,7 +83,7 @@
 }
 
 function formatHistogram(
-  { tenant, class: name, response }: TenantTop,
+  { tenant, class: name, response }: TenantTopRow,
 ): readonly string[] {
   const most = Math.max(...response.buckets.map((bucket) => bucket.count));
   const rows = response.buckets.map(({ upTo, count }) => [
--- a/packages/cli/src/running.ts
+++ b/packages/cli/src/running.ts
@@ -2,9 +2,9 @@
 import { NOTHING_RUNNING, type Running } from "@coltsfootreach/configure";
 import type {
   EntryStatus,
-  ServerTop,
-  TenantTop,
-  Top,
+  ServerTopRow,
+  TenantTopRow,
+  TopReport,
 } from "@coltsfootreach/manage";
 import type { Context } from "./context.ts";
 import { askAll } from "./management.ts";
@@ -17,7 +17,7 @@
 }
 
 export async function readRunning(context: Context): Promise<RunningReport> {
-  const tops = await askAll<Top>(context, "/top");
+  const tops = await askAll<TopReport>(context, "/top");
   const statuses = await askAll<EntryStatus>(context, "/status");
   if (tops.isErr()) return unknown(tops.error.message);
   if (statuses.isErr()) return unknown(statuses.error.message);
@@ -39,25 +39,25 @@
 }
 
 /** Each entry reports the load from all, so one report is enough. */
-function mergeServers(servers: readonly ServerTop[]): Running["servers"] {
+function mergeServers(servers: readonly ServerTopRow[]): Running["servers"] {
   return [...new Map(servers.map((item) => [item.server, item])).values()];
 }
 
-function mergeTenants(rows: readonly TenantTop[]): Running["tenants"] {
+function mergeTenants(rows: readonly TenantTopRow[]): Running["tenants"] {
   return [...new Set(rows.map((row) => row.tenant))].map((tenant) => ({
     tenant,
     ...total(rows.filter((row) => row.tenant === tenant)),
   }));
 }
 
-function mergeClasses(rows: readonly TenantTop[]): Running["classes"] {
+function mergeClasses(rows: readonly TenantTopRow[]): Running["classes"] {
   return [...new Set(rows.map((row) => row.class))].map((name) => ({
     class: name,
     ...total(rows.filter((row) => row.class === name)),
   }));
 }
 
-function total(rows: readonly TenantTop[]) {
+function total(rows: readonly TenantTopRow[]) {
   return {
     waiting: rows.reduce((sum, row) => sum + row.waiting, 0),
     running: rows.reduce((sum, row) => sum + row.running, 0),
--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -12,9 +12,9 @@
   splitConfigurationText,
 } from "@coltsfootreach/inventory";
 import {
-  type Owned,
   type Store,
-  swapOwned,
+  swapIdempotently,
+  type VersionedTaggedValue,
   type Write,
 } from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
@@ -224,7 +224,7 @@
 /** The head is not the one any more that the change was prepared on. */
 interface HeadMoved {
   readonly kind: "headMoved";
-  readonly current: Owned | undefined;
+  readonly current: VersionedTaggedValue | undefined;
 }
 
 async function swapHead(
@@ -232,7 +232,7 @@
   record: ConfigurationRecord,
 ): Promise<Result<Outcome, ReadFault>> {
   const { version, token } = record;
-  const swap = await swapOwned<HeadMoved>(store, keys.head, {
+  const swap = await swapIdempotently<HeadMoved>(store, keys.head, {
     decide: (current) =>
       current?.revision === head?.revision
         ? ok(formatRecord(record))
@@ -257,7 +257,7 @@
 
 function conflictWith(
   keys: ConfigurationKeys,
-  current: Owned | undefined,
+  current: VersionedTaggedValue | undefined,
 ): Result<Outcome, InvalidFile> {
   if (current === undefined) {
     return err(new InvalidFile(keys.head, "value", "has been removed"));
--- a/packages/configure/src/apply_test.ts
+++ b/packages/configure/src/apply_test.ts
@@ -2,10 +2,10 @@
 import { err, errAsync, ok, okAsync } from "neverthrow";
 import { InvalidFile, StoreUnavailable } from "@coltsfootreach/errors";
 import {
-  decodeOwned,
+  decodeTaggedValue,
   type Store,
   type Swap,
-  type Versioned,
+  type VersionedValue,
   type Write,
 } from "@coltsfootreach/store";
 import { applyChange, type Change, LONGEST_INLINE_BYTES } from "./apply.ts";
@@ -20,7 +20,7 @@
 
 /** The parts of a store that configuration uses, with scripted faults. */
 function createFakeStore() {
-  const values = new Map<string, Versioned>();
+  const values = new Map<string, VersionedValue>();
   /** Faults of the next swaps of the head key, in order. */
   const faults: SwapFault[] = [];
   /** Runs once, just before the next swap of the head key. */
@@ -117,8 +117,8 @@
 }
 
 /** The parts that a head or a history record refers to. */
-function partKeysOf(found: Versioned): readonly string[] {
-  const record = parseRecord(found.key, decodeOwned(found)!.body);
+function partKeysOf(found: VersionedValue): readonly string[] {
+  const record = parseRecord(found.key, decodeTaggedValue(found)!.body);
   return record._unsafeUnwrap().parts.map(({ key }) => key);
 }
 
--- a/packages/configure/src/feed.ts
+++ b/packages/configure/src/feed.ts
@@ -3,7 +3,7 @@
  * entry's one watch offers changes; a refresh reads the key, for when a watch
  * may be silent or another process is ahead. Failed reads are tried again.
  */
-import type { Store, Versioned } from "@coltsfootreach/store";
+import type { Store, VersionedValue } from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationSource } from "./holder.ts";
 import type { ConfigurationKeys } from "./keys.ts";
@@ -25,7 +25,7 @@
 
 export interface ConfigurationFeed {
   /** Takes a value of the head key, as a watch or a listing shows it. */
-  offer(found: Versioned): void;
+  offer(found: VersionedValue): void;
   /** Reads the head key; one read at a time. */
   refresh(): void;
   close(): void;
@@ -40,7 +40,7 @@
   let isReading = false;
   let isClosed = false;
 
-  async function resolve(found: Versioned): Promise<void> {
+  async function resolve(found: VersionedValue): Promise<void> {
     const resolved = await repository.resolve(found);
     if (resolved.isOk()) await tell(resolved.value, "watch");
     else retry(resolved.error);
--- a/packages/configure/src/repository.ts
+++ b/packages/configure/src/repository.ts
@@ -5,10 +5,10 @@
 import { errAsync, okAsync, type Result, ResultAsync } from "neverthrow";
 import { InvalidFile, type StoreUnavailable } from "@coltsfootreach/errors";
 import {
-  decodeOwned,
-  type Owned,
+  decodeTaggedValue,
   type Store,
-  type Versioned,
+  type VersionedTaggedValue,
+  type VersionedValue,
 } from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationKeys } from "./keys.ts";
@@ -41,7 +41,7 @@
   /** The text of a record, put together from its parts. */
   readText(record: ConfigurationRecord): ResultAsync<Configuration, ReadFault>;
   /** The configuration that a value of the head key stands for. */
-  resolve(found: Versioned): ResultAsync<Configuration, ReadFault>;
+  resolve(found: VersionedValue): ResultAsync<Configuration, ReadFault>;
 }
 
 export interface RepositoryOptions {
@@ -57,7 +57,7 @@
   function readHead(): ResultAsync<Head | undefined, ReadFault> {
     return store.read(keys.head).andThen<Head | undefined, ReadFault>(
       (found) => {
-        const owned = decodeOwned(found);
+        const owned = decodeTaggedValue(found);
         return owned === undefined ? okAsync(undefined) : readOwnedHead(owned);
       },
     );
@@ -69,7 +69,9 @@
     );
   }
 
-  function readOwnedHead(owned: Owned): Result<Head, InvalidFile> {
+  function readOwnedHead(
+    owned: VersionedTaggedValue,
+  ): Result<Head, InvalidFile> {
     return parseRecord(keys.head, owned.body)
       .map((record) => ({ record, revision: owned.revision }));
   }
@@ -157,7 +159,7 @@
     readHistory,
     readText,
     resolve: (found) =>
-      parseRecord(keys.head, decodeOwned(found)!.body)
+      parseRecord(keys.head, decodeTaggedValue(found)!.body)
         .asyncAndThen<Configuration, ReadFault>(readText),
   };
 }
--- a/packages/daemon/src/credentials_test.ts
+++ b/packages/daemon/src/credentials_test.ts
@@ -4,7 +4,11 @@
 import { join } from "node:path";
 import { credentials } from "@grpc/grpc-js";
 import { expect } from "chai";
-import { dialAsSide, listenForLinks, type Target } from "@coltsfootreach/link";
+import {
+  dialAsSide,
+  type LinkTarget,
+  listenForLinks,
+} from "@coltsfootreach/link";
 import { readAnySettings } from "@coltsfootreach/settings";
 import type { SideFrame } from "@coltsfootreach/types";
 import { readCredentials } from "./credentials.ts";
@@ -83,7 +87,9 @@
   after(() => rmSync(folder, { recursive: true }));
 
   /** Resolves to true if the entry receives a frame, false if it closes. */
-  async function isAccepted(client: Target["credentials"]): Promise<boolean> {
+  async function isAccepted(
+    client: LinkTarget["credentials"],
+  ): Promise<boolean> {
     let settle = (_isAccepted: boolean) => {};
     const outcome = new Promise<boolean>((resolve) => settle = resolve);
     const server = (await listenForLinks({
--- a/packages/entry/src/act_log.ts
+++ b/packages/entry/src/act_log.ts
@@ -1,18 +1,18 @@
 /** Puts the core's automatic acts into the journal and the log. */
 import type { EntryEffect, NewAct } from "@coltsfootreach/coordinate";
 import type { Log } from "@coltsfootreach/log";
-import type { ActJournal } from "@coltsfootreach/manage";
+import type { ActionJournal } from "@coltsfootreach/manage";
 
 export interface ActLog {
   record(act: NewAct, log: Log): void;
   undo(undone: Extract<EntryEffect, { kind: "actUndone" }>): void;
 }
 
-export function createActLog(journal: ActJournal): ActLog {
+export function createActLog(journal: ActionJournal): ActLog {
   return {
     record(act, log) {
       if (act.kind === "readmit") {
-        const ejection = journal.findStanding("eject", act.subject);
+        const ejection = journal.findActive("eject", act.subject);
         if (ejection !== undefined) journal.markUndone(ejection.id, act);
       }
       const { id } = journal.record(act);
@@ -25,7 +25,7 @@
     },
     undo({ act, atMs }) {
       const { kind, subject, figures } = act;
-      const standing = journal.findStanding(kind, subject);
+      const standing = journal.findActive(kind, subject);
       if (standing) journal.markUndone(standing.id, { atMs, figures });
     },
   };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,7 +17,7 @@
 import { excerptForSides } from "@coltsfootreach/inventory";
 import { listenForLinks } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
-import { createActJournal } from "@coltsfootreach/manage";
+import { createActionJournal } from "@coltsfootreach/manage";
 import type { JobId, Member, Reply } from "@coltsfootreach/types";
 import { createActLog } from "./act_log.ts";
 import { createMembership, type Membership } from "./membership.ts";
@@ -88,7 +88,7 @@
   const leaseMs = options.leaseSeconds * MS_PER_SECOND * (1 - CLOCK_DRIFT);
   const pending = new Map<number, Pending>();
   const { holder } = options;
-  const journal = createActJournal({
+  const journal = createActionJournal({
     incarnation: `${options.name}-${v4().slice(0, ID_DIGITS)}`,
     limit: options.maxActs,
   });
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -15,12 +15,12 @@
   withoutEarlierRuns,
 } from "@coltsfootreach/ownership";
 import {
-  decodeOwned,
+  decodeTaggedValue,
   type Lease,
-  type Owned,
   type Store,
-  swapOwned,
-  type Versioned,
+  swapIdempotently,
+  type VersionedTaggedValue,
+  type VersionedValue,
   type Watch,
 } from "@coltsfootreach/store";
 import { EMPTY_TABLE, type Member, type Table } from "@coltsfootreach/types";
@@ -51,7 +51,7 @@
   tableRead(table: Table, token: Token): void;
   tableLearned(table: Table): void;
   /** The configuration's key has changed, or may have. */
-  configurationChanged(found: Versioned | undefined): void;
+  configurationChanged(found: VersionedValue | undefined): void;
   /** True while sides are confirmed without reads of the store. */
   isQuiet(): boolean;
   /** True when an operator has stopped automatic takeovers. */
@@ -101,7 +101,7 @@
   async function changeTable(
     change: (table: Table) => Table,
   ): Promise<Table | undefined> {
-    const outcome = await swapOwned(store, tableKey, {
+    const outcome = await swapIdempotently(store, tableKey, {
       decide(current) {
         const table = tableOf(current);
         const next = change(table);
@@ -174,7 +174,7 @@
     const found = await store.read(tableKey);
     noteStore(found.isOk());
     if (found.isErr() || isClosed) return;
-    options.tableRead(tableOf(decodeOwned(found.value)), token);
+    options.tableRead(tableOf(decodeTaggedValue(found.value)), token);
   }
 
   async function readIfNeeded(): Promise<void> {
@@ -199,7 +199,7 @@
     const names = new Set(
       live.value.values.map(({ key }) => key.slice(livePrefix.length)),
     );
-    const lapsed = tableOf(decodeOwned(table.value)).members
+    const lapsed = tableOf(decodeTaggedValue(table.value)).members
       .map(({ incarnation }) => incarnation)
       .filter((incarnation) =>
         incarnation !== member.incarnation && !names.has(incarnation)
@@ -240,9 +240,9 @@
     });
   }
 
-  function noteChange(found: Versioned): void {
+  function noteChange(found: VersionedValue): void {
     if (found.key === tableKey) {
-      options.tableLearned(tableOf(decodeOwned(found)));
+      options.tableLearned(tableOf(decodeTaggedValue(found)));
     } else if (found.key === configurationKey) {
       options.configurationChanged(found);
     }
@@ -329,7 +329,7 @@
   }
 }
 
-function tableOf(current: Owned | undefined): Table {
+function tableOf(current: VersionedTaggedValue | undefined): Table {
   if (current === undefined) return EMPTY_TABLE;
   return JSON.parse(current.body) as Table;
 }
--- a/packages/entry/src/peer_streams.ts
+++ b/packages/entry/src/peer_streams.ts
@@ -4,9 +4,9 @@
  */
 import {
   dialAsPeer,
+  type LinkTarget,
   type Stream,
   type StreamListener,
-  type Target,
 } from "@coltsfootreach/link";
 import type { Member, PeerFrame, PeerMessage } from "@coltsfootreach/types";
 import { isRefused } from "./probe.ts";
@@ -22,7 +22,7 @@
 export interface PeerStreamsOptions {
   /** Incarnation of this entry. */
   readonly me: string;
-  readonly credentials?: Target["credentials"];
+  readonly credentials?: LinkTarget["credentials"];
   readonly heartbeatMs: number;
   readonly silentMs: number;
   header(): Omit<PeerFrame, "messages">;
--- a/packages/entry/src/tenant_tops.ts
+++ b/packages/entry/src/tenant_tops.ts
@@ -1,6 +1,6 @@
 /** Adds what is waiting and running now to what has ended, per tenant. */
 import type { JobRecord } from "@coltsfootreach/admit";
-import type { TenantTop } from "@coltsfootreach/manage";
+import type { TenantTopRow } from "@coltsfootreach/manage";
 import type { ClassStats } from "@coltsfootreach/measure";
 
 const NO_RESPONSE = { count: 0, p50: 0, p99: 0, p999: 0, max: 0, buckets: [] };
@@ -15,7 +15,7 @@
 export function assembleTenantTops(
   flows: readonly ClassStats[],
   open: Iterable<JobRecord>,
-): readonly TenantTop[] {
+): readonly TenantTopRow[] {
   const tallies = countOpen(open);
   const ended = new Map(flows.map((flow) => [nameOf(flow), flow]));
   const names = new Set([...tallies.keys(), ...ended.keys()]);
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -9,9 +9,9 @@
   EntryCore,
   EntryOptions as CoreOptions,
 } from "@coltsfootreach/coordinate";
-import type { Target } from "@coltsfootreach/link";
+import type { LinkTarget } from "@coltsfootreach/link";
 import type { Log } from "@coltsfootreach/log";
-import type { ActJournal, StoreStatus } from "@coltsfootreach/manage";
+import type { ActionJournal, StoreStatus } from "@coltsfootreach/manage";
 import type { Store } from "@coltsfootreach/store";
 import type { Configuration, JobId, Reply } from "@coltsfootreach/types";
 import type { ServerCredentials } from "@grpc/grpc-js";
@@ -44,7 +44,7 @@
   createPlanner(capacity: Capacity): Planner;
   readonly credentials?: {
     readonly server: ServerCredentials;
-    readonly client: Target["credentials"];
+    readonly client: LinkTarget["credentials"];
   } | undefined;
   readonly log: Log;
 }
@@ -66,7 +66,7 @@
   /** True while the balancer should send callers here. */
   isReady(): boolean;
   core(): EntryCore;
-  readonly journal: ActJournal;
+  readonly journal: ActionJournal;
   /** Newest version that any process was heard to have, and since when. */
   newestVersion(): KnownVersion;
   storeStatus(): StoreStatus;
--- a/packages/entry/src/view.ts
+++ b/packages/entry/src/view.ts
@@ -3,14 +3,14 @@
 import type { EntryCore, SideState } from "@coltsfootreach/coordinate";
 import type { ConfigurationHolder } from "@coltsfootreach/configure";
 import type {
-  ActJournal,
+  ActionJournal,
   EntryStatus,
   EntryView,
   JobExplanation,
-  ServerTop,
+  ServerTopRow,
   StoreStatus,
   TaskExplanation,
-  TenantTop,
+  TenantTopRow,
 } from "@coltsfootreach/manage";
 import { jobId, type TaskState } from "@coltsfootreach/types";
 
@@ -19,11 +19,11 @@
   incarnation(): string;
   core(): EntryCore;
   readonly holder: ConfigurationHolder;
-  readonly journal: ActJournal;
+  readonly journal: ActionJournal;
   store(): StoreStatus;
   /** Newest version that any process was heard to have. */
   newestVersion(): { readonly version: number; readonly sinceMs: number };
-  tenants(): readonly TenantTop[];
+  tenants(): readonly TenantTopRow[];
 }
 
 export function createEntryView(options: ViewOptions): EntryView {
@@ -95,7 +95,7 @@
     };
   }
 
-  function serverOf(side: SideState, nowMs: number): ServerTop {
+  function serverOf(side: SideState, nowMs: number): ServerTopRow {
     const core = options.core();
     const server = side.announcement?.server ?? "";
     return {
@@ -133,7 +133,7 @@
   core: EntryCore,
   side: SideState,
   nowMs: number,
-): ServerTop["state"] {
+): ServerTopRow["state"] {
   if (side.lost) return "lost";
   if (side.draining) return "draining";
   if (core.configuration.isLagging(side, nowMs)) return "lagging";
--- a/packages/limit/src/admission.ts
+++ b/packages/limit/src/admission.ts
@@ -111,28 +111,26 @@
     const maxTenantTasks = options.maxQueuedOf(tenant);
     if (options.queued(tenant) + tasks > maxTenantTasks) {
       const reason =
-        `tenant queue limit of ${maxTenantTasks} tasks would be exceeded`;
+        `more than ${maxTenantTasks} tasks of the tenant would wait`;
       return createRefusal("tooMuchQueued", reason, estimatedWaitMs);
     }
     if (options.queued() + tasks > options.maxQueued) {
-      const reason =
-        `entry queue limit of ${options.maxQueued} tasks would be exceeded`;
+      const reason = `more than ${options.maxQueued} tasks would wait`;
       return createRefusal("tooMuchQueued", reason, estimatedWaitMs);
     }
     return undefined;
   }
 
   function checkDeadline(
-    { deadlineMs, longestTaskMs: longestMs }: Submission,
+    { deadlineMs, longestTaskMs }: Submission,
     estimatedWaitMs: number,
   ): Refusal | undefined {
-    const estimatedResponseMs = estimatedWaitMs + longestMs;
+    const estimatedResponseMs = estimatedWaitMs + longestTaskMs;
     if (estimatedResponseMs <= MAX_DEADLINE_SHARE * deadlineMs) {
       return undefined;
     }
-    const reason =
-      `estimated response time is ${Math.round(estimatedResponseMs)} ms, ` +
-      `the deadline is in ${Math.round(deadlineMs)} ms`;
+    const reason = `expected after ${Math.round(estimatedResponseMs)} ms, ` +
+      `due after ${Math.round(deadlineMs)} ms`;
     return createRefusal(
       "deadlineUnreachable",
       reason,
--- a/packages/limit/src/tenant_queue_test.ts
+++ b/packages/limit/src/tenant_queue_test.ts
@@ -124,9 +124,9 @@
   });
 
   it("delays only the tenant that is over its quota", () => {
-    const startableAtMs = (tenant: string, nowMs: number) =>
+    const nextStartAtMs = (tenant: string, nowMs: number) =>
       tenant === "a" ? Math.max(50, nowMs) : nowMs;
-    const queue = createTenantQueue({ nextStartAtMs: startableAtMs });
+    const queue = createTenantQueue({ nextStartAtMs });
     queue.push(createTasks("j1", 2, { tenant: "a" }));
     queue.push(createTasks("j2", 2, { tenant: "b" }));
     expect(drainUpTo(queue, 9).map((task) => task.tenant)).to.deep.equal([
@@ -140,8 +140,8 @@
 
   it("neither loses nor duplicates tasks under random operations", () => {
     const random = createRandom(7);
-    const hasRoom = () => random() < 0.9;
-    const queue = createTenantQueue({ hasCapacity: hasRoom, slots: () => 4 });
+    const hasCapacity = () => random() < 0.9;
+    const queue = createTenantQueue({ hasCapacity, slots: () => 4 });
     const queuedTasks = new Map<string, QueuedTask>();
     const keyOf = (task: QueuedTask) => `${task.job} ${task.index}`;
     for (let step = 0; step < 3_000; step++) {
--- a/packages/link/src/dial.ts
+++ b/packages/link/src/dial.ts
@@ -6,7 +6,7 @@
 import type { Stream, StreamListener } from "@coltsfootreach/stream";
 import { createCallStream } from "./call_stream.ts";
 
-export interface Target {
+export interface LinkTarget {
   /** Address at which the entry accepts links, as `IP:port`. */
   readonly address: string;
   readonly credentials?: ChannelCredentials | undefined;
@@ -14,7 +14,7 @@
 
 /** Opens a stream from a side to an entry. */
 export function dialAsSide(
-  target: Target,
+  target: LinkTarget,
   listener: StreamListener<EntryFrame>,
 ): Stream<SideFrame> {
   return dial(target, listener, LINK_SERVICE.side);
@@ -22,14 +22,14 @@
 
 /** Opens a stream from an entry to another entry. */
 export function dialAsPeer(
-  target: Target,
+  target: LinkTarget,
   listener: StreamListener<PeerFrame>,
 ): Stream<PeerFrame> {
   return dial(target, listener, LINK_SERVICE.peer);
 }
 
 function dial<In, Out>(
-  target: Target,
+  target: LinkTarget,
   listener: StreamListener<In>,
   method: typeof LINK_SERVICE.side,
 ): Stream<Out> {
--- a/packages/link/src/outbox.ts
+++ b/packages/link/src/outbox.ts
@@ -5,13 +5,13 @@
 export interface Outbox<Message> {
   push(message: Message): void;
   /** True if there are messages to send. */
-  isDue(): boolean;
+  hasPending(): boolean;
   /** Dequeues all pending messages, to be sent in frame `sequence`. */
-  take(sequence: number): readonly Message[];
+  takePending(sequence: number): readonly Message[];
   /** Drops the messages of all frames up to and including `sequence`. */
   acknowledge(sequence: number): void;
   /** Requeues all unacknowledged messages before the pending ones, in order. */
-  repeat(): void;
+  requeueUnacknowledged(): void;
   isEmpty(): boolean;
 }
 
@@ -27,8 +27,8 @@
     push(message) {
       pending.push(message);
     },
-    isDue: () => pending.length > 0,
-    take(sequence) {
+    hasPending: () => pending.length > 0,
+    takePending(sequence) {
       const messages = pending;
       pending = [];
       if (messages.length > 0) unacknowledged.push({ sequence, messages });
@@ -44,7 +44,7 @@
         unacknowledged = unacknowledged.slice(acknowledgedCount);
       }
     },
-    repeat() {
+    requeueUnacknowledged() {
       pending = [
         ...unacknowledged.flatMap((frame) => frame.messages),
         ...pending,
--- a/packages/manage/src/app_test.ts
+++ b/packages/manage/src/app_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import type { AutomaticAction } from "@coltsfootreach/types";
 import { createManagementApp } from "./app.ts";
-import { createActJournal, type NewAction } from "./journal.ts";
+import { createActionJournal, type NewAction } from "./journal.ts";
 import { serveManagement } from "./serve.ts";
 import type { EntryStatus, EntryView } from "./view.ts";
 
@@ -33,7 +33,7 @@
 };
 
 function createTestApp() {
-  const journal = createActJournal({ incarnation: "i1", limit: 10 });
+  const journal = createActionJournal({ incarnation: "i1", limit: 10 });
   journal.record(ACTION);
   const view: EntryView = {
     status: () => STATUS,
@@ -120,7 +120,7 @@
 
 describe("the action journal", () => {
   it("keeps only the newest actions up to its limit", () => {
-    const journal = createActJournal({ incarnation: "i", limit: 3 });
+    const journal = createActionJournal({ incarnation: "i", limit: 3 });
     for (let atMs = 0; atMs < 10; atMs++) journal.record({ ...ACTION, atMs });
     expect(journal.list().map((action) => action.atMs)).to.deep.equal([
       7,
@@ -130,7 +130,7 @@
   });
 
   it("marks an action as undone only once", () => {
-    const journal = createActJournal({ incarnation: "i", limit: 3 });
+    const journal = createActionJournal({ incarnation: "i", limit: 3 });
     const { id } = journal.record(ACTION);
     journal.markUndone(id, { atMs: 50, figures: { refusedJobs: 3 } });
     journal.markUndone(id, { atMs: 60 });
@@ -141,16 +141,16 @@
   });
 
   it("assigns unique ids and ignores the id of the given action", () => {
-    const journal = createActJournal({ incarnation: "i", limit: 3 });
+    const journal = createActionJournal({ incarnation: "i", limit: 3 });
     const actionWithId: AutomaticAction = { ...ACTION, id: "" };
     expect(journal.record(actionWithId).id).to.equal("i-1");
     expect(journal.record(actionWithId).id).to.equal("i-2");
   });
 
   it("finds the newest action that is not undone", () => {
-    const journal = createActJournal({ incarnation: "i", limit: 9 });
+    const journal = createActionJournal({ incarnation: "i", limit: 9 });
     const activeEjection = (): AutomaticAction | undefined =>
-      journal.findStanding("eject", ACTION.subject);
+      journal.findActive("eject", ACTION.subject);
     const first = journal.record(ACTION);
     const second = journal.record(ACTION);
     expect(activeEjection()?.id).to.equal(second.id);
--- a/packages/manage/src/journal.ts
+++ b/packages/manage/src/journal.ts
@@ -7,7 +7,7 @@
 /** An action before it is recorded; the journal assigns its id. */
 export type NewAction = Omit<AutomaticAction, "id" | "undoneAtMs">;
 
-export interface ActJournal {
+export interface ActionJournal {
   record(action: NewAction): AutomaticAction;
   /** Marks an action as undone, unless it was dropped or already undone. */
   markUndone(id: string, details: UndoDetails): void;
@@ -15,7 +15,7 @@
   list(): readonly AutomaticAction[];
   find(id: string): AutomaticAction | undefined;
   /** Finds the newest action of a kind on a subject that is not undone. */
-  findStanding(
+  findActive(
     kind: AutomaticAction["kind"],
     subject: string,
   ): AutomaticAction | undefined;
@@ -34,9 +34,9 @@
   readonly limit: number;
 }
 
-export function createActJournal(
+export function createActionJournal(
   { incarnation, limit }: ActionJournalOptions,
-): ActJournal {
+): ActionJournal {
   /** Ordered by time of recording, since a map keeps insertion order. */
   const actions = new Map<string, AutomaticAction>();
   let count = 0;
@@ -67,7 +67,7 @@
     });
   }
 
-  function findStanding(
+  function findActive(
     kind: AutomaticAction["kind"],
     subject: string,
   ): AutomaticAction | undefined {
@@ -80,7 +80,7 @@
   return {
     record,
     markUndone,
-    findStanding,
+    findActive,
     list: () => [...actions.values()],
     find: (id) => actions.get(id),
   };
--- a/packages/manage/src/view.ts
+++ b/packages/manage/src/view.ts
@@ -24,7 +24,7 @@
   act(id: string): AutomaticAction | undefined;
   /** Returns undefined if this entry has no record of the job. */
   job(tenant: string, key: string): JobExplanation | undefined;
-  top(): Top;
+  top(): TopReport;
 }
 
 /** Active configuration, table and known processes of an entry. */
@@ -101,15 +101,15 @@
 }
 
 /** Response body of `GET /top`: current activity known to one entry. */
-export interface Top {
+export interface TopReport {
   readonly entry: string;
   readonly nowMs: number;
-  readonly tenants: readonly TenantTop[];
-  readonly servers: readonly ServerTop[];
+  readonly tenants: readonly TenantTopRow[];
+  readonly servers: readonly ServerTopRow[];
 }
 
 /** Counts for one tenant and class over the jobs that this entry owns. */
-export interface TenantTop {
+export interface TenantTopRow {
   readonly tenant: string;
   readonly class: string;
   /** Tasks waiting for a slot. */
@@ -141,7 +141,7 @@
 }
 
 /** A backend server with its load from all entries, as last reported. */
-export interface ServerTop {
+export interface ServerTopRow {
   readonly server: string;
   readonly side: string;
   readonly worker: string;
--- a/packages/place/src/health.ts
+++ b/packages/place/src/health.ts
@@ -144,7 +144,7 @@
       id: nextId(),
       kind: "eject",
       subject: side,
-      why: "the failure ratio of its recent tasks reached the limit",
+      why: "it failed too large a share of the tasks it started",
       figures: {
         failureRatio: failureRatioOf([window]),
         ended: window.outcomes.length,
@@ -192,7 +192,7 @@
       id: nextId(),
       kind: "readmit",
       subject: side,
-      why: "its trial task succeeded",
+      why: "its trial task was complete",
       figures: {
         outMs: nowMs - ejection.act.atMs,
         doublings: ejection.doublings,
--- a/packages/propagation/src/bed.ts
+++ b/packages/propagation/src/bed.ts
@@ -7,7 +7,7 @@
   startChild,
   startFleet,
 } from "@coltsfootreach/fleet";
-import type { StatusReport, Top } from "@coltsfootreach/manage";
+import type { StatusReport, TopReport } from "@coltsfootreach/manage";
 import type { AutomaticAction } from "@coltsfootreach/types";
 import { latestRuns, type ProcessRun, readRuns } from "./version_log.ts";
 
@@ -28,7 +28,7 @@
   latest(): ReadonlyMap<string, ProcessRun>;
   /** What an entry's management interface says; undefined when silent. */
   status(entry: number): Promise<StatusReport | undefined>;
-  top(entry: number): Promise<Top | undefined>;
+  top(entry: number): Promise<TopReport | undefined>;
   /** Acts on record at an entry; none when it is silent. */
   acts(entry: number): Promise<readonly AutomaticAction[]>;
   isReady(entry: number): Promise<boolean>;
@@ -76,7 +76,7 @@
     runs: () => readRuns(logs),
     latest: () => latestRuns(readRuns(logs)),
     status: (entry) => ask<StatusReport>(entry, "/status"),
-    top: (entry) => ask<Top>(entry, "/top"),
+    top: (entry) => ask<TopReport>(entry, "/top"),
     acts: async (entry) =>
       await ask<readonly AutomaticAction[]>(entry, "/acts") ?? [],
     async isReady(entry) {
--- a/packages/runtime/src/configuration.ts
+++ b/packages/runtime/src/configuration.ts
@@ -5,7 +5,7 @@
  */
 import type { Log } from "@coltsfootreach/log";
 import type { QueueTable } from "@coltsfootreach/run";
-import type { Store, Versioned, Watch } from "@coltsfootreach/store";
+import type { Store, VersionedValue, Watch } from "@coltsfootreach/store";
 import type { ConfigurationDocument } from "./ports.ts";
 
 /** Interval of the stale reads. */
@@ -36,7 +36,9 @@
   let isStopped = false;
   let pollTimer: NodeJS.Timeout | undefined;
 
-  function applyVersion(item: Pick<Versioned, "value" | "revision">): void {
+  function applyVersion(
+    item: Pick<VersionedValue, "value" | "revision">,
+  ): void {
     if (item.revision <= revision) return;
     revision = item.revision;
     const decoded = document.decode(item.value);
--- a/packages/runtime/src/shared_record.ts
+++ b/packages/runtime/src/shared_record.ts
@@ -4,7 +4,7 @@
  * a single entry writes it.
  */
 import type { Log } from "@coltsfootreach/log";
-import type { Store, Versioned } from "@coltsfootreach/store";
+import type { Store, VersionedValue } from "@coltsfootreach/store";
 
 /** Estimated values by name. */
 export type EstimateTable = Readonly<Record<string, number>>;
@@ -68,7 +68,7 @@
 
   async function write(
     table: EstimateTable,
-    previous: Versioned | undefined,
+    previous: VersionedValue | undefined,
   ): Promise<void> {
     const swapped = await store.swap({
       key,
@@ -82,7 +82,7 @@
     });
   }
 
-  function decode(item: Versioned): EstimateTable {
+  function decode(item: VersionedValue): EstimateTable {
     try {
       return selectPositiveNumbers(JSON.parse(item.value));
     } catch (error) {
--- a/packages/scenario/src/side_process.ts
+++ b/packages/scenario/src/side_process.ts
@@ -168,7 +168,7 @@
           if (stream === own) replace();
         },
       });
-      outbox.repeat();
+      outbox.requeueUnacknowledged();
       isHelloDue = true;
       transmit();
     }
@@ -193,7 +193,7 @@
       isHelloDue = false;
       sequence += 1;
       sentAtMs = host.nowMs();
-      const messages = [...hello, ...outbox.take(sequence)];
+      const messages = [...hello, ...outbox.takePending(sequence)];
       stream.send({ ...frame(entry), sequence, messages } satisfies SideFrame);
     }
 
@@ -210,7 +210,7 @@
         isHelloDue = true;
       },
       flush() {
-        if (isHelloDue || outbox.isDue()) transmit();
+        if (isHelloDue || outbox.hasPending()) transmit();
       },
       entry: () => entry,
       isSettled: () => outbox.isEmpty(),
--- a/packages/side/src/entry_link.ts
+++ b/packages/side/src/entry_link.ts
@@ -6,8 +6,8 @@
 import {
   createOutbox,
   dialAsSide,
+  type LinkTarget,
   type Stream,
-  type Target,
 } from "@coltsfootreach/link";
 import type { EntryFrame, SideFrame, SideMessage } from "@coltsfootreach/types";
 
@@ -15,7 +15,7 @@
 const REDIAL_MS = 100;
 
 export interface EntryLinkOptions {
-  readonly target: Target;
+  readonly target: LinkTarget;
   readonly heartbeatMs: number;
   /** Silence after which the stream is replaced. */
   readonly silentMs: number;
@@ -61,7 +61,7 @@
       },
     });
     stream = own;
-    outbox.repeat();
+    outbox.requeueUnacknowledged();
     isHelloDue = true;
     send();
   }
@@ -86,14 +86,14 @@
     const hello = isHelloDue ? [options.hello()] : [];
     isHelloDue = false;
     sentAtMs = performance.now();
-    const messages = [...hello, ...outbox.take(sequence)];
+    const messages = [...hello, ...outbox.takePending(sequence)];
     stream.send({ ...options.header(entry), sequence, messages });
   }
 
   function flush(): void {
     const isBlocked = stream === undefined || stream.isSaturated();
     if (isBlocked) return;
-    if (isHelloDue || outbox.isDue()) send();
+    if (isHelloDue || outbox.hasPending()) send();
   }
 
   const timer = setInterval(() => {
--- a/packages/side/src/side.ts
+++ b/packages/side/src/side.ts
@@ -7,7 +7,7 @@
 import { createGuard, type GuardEffect } from "@coltsfootreach/guard";
 import { parseConfiguration } from "@coltsfootreach/inventory";
 import type { Log } from "@coltsfootreach/log";
-import type { Target } from "@coltsfootreach/link";
+import type { LinkTarget } from "@coltsfootreach/link";
 import type {
   Announcement,
   Configuration,
@@ -43,7 +43,7 @@
   readonly keepEvidenceMs: number;
   readonly keepResultsMs: number;
   readonly maxJobs: number;
-  readonly credentials?: Target["credentials"];
+  readonly credentials?: LinkTarget["credentials"];
   readonly log: Log;
 }
 
--- a/packages/standin/src/kv/fault.ts
+++ b/packages/standin/src/kv/fault.ts
@@ -2,7 +2,7 @@
  * Scripted faults of the key-value service. The script decides what happens to
  * each call; whoever serves the call carries it out.
  */
-import { noCalls, type StoreCall } from "@coltsfootreach/store";
+import { type StoreCall, zeroCallCounts } from "@coltsfootreach/store";
 import { z } from "zod";
 
 const count = z.number().int().nonnegative();
@@ -66,7 +66,7 @@
 const WRITES: readonly StoreCall[] = ["swap", "grant", "renew", "revoke"];
 
 export function createFaultScript(): FaultScript {
-  const calls = noCalls();
+  const calls = zeroCallCounts();
   let current = NO_FAULTS;
   let second = -1;
   let callsInSecond = 0;
--- a/packages/standin/src/kv/memory_store.ts
+++ b/packages/standin/src/kv/memory_store.ts
@@ -7,14 +7,14 @@
   type Change,
   type Lease,
   type Listing,
-  noCalls,
   type Store,
   type StoreCall,
   type Swap,
-  type Versioned,
+  type VersionedValue,
   type Watch,
   type WatchListener,
   type Write,
+  zeroCallCounts,
 } from "@coltsfootreach/store";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type { Clock } from "../clock/clock.ts";
@@ -58,7 +58,7 @@
   const service = options.service ?? createMemoryService(clock);
   const timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   const silentMs = options.watchSilentMs ?? DEFAULT_WATCH_SILENT_MS;
-  const calls = noCalls();
+  const calls = zeroCallCounts();
 
   return {
     read: (key) => call("read", (keys) => ok(versioned(keys.get(key)))),
@@ -189,7 +189,7 @@
   return new StoreUnavailable(known, `${kind}: ${reason}`);
 }
 
-function versioned(pair: Pair | undefined): Versioned | undefined {
+function versioned(pair: Pair | undefined): VersionedValue | undefined {
   return pair && { key: pair.key, value: pair.value, revision: pair.revision };
 }
 
--- a/packages/store/src/etcd_store.ts
+++ b/packages/store/src/etcd_store.ts
@@ -12,7 +12,14 @@
   type GatewayOptions,
   type GatewayRequest,
 } from "./gateway.ts";
-import type { Lease, Listing, Store, Swap, Versioned, Write } from "./store.ts";
+import type {
+  Lease,
+  Listing,
+  Store,
+  Swap,
+  VersionedValue,
+  Write,
+} from "./store.ts";
 import {
   ignoredResponse,
   leaseGrantResponse,
@@ -61,7 +68,7 @@
 
   function read(
     key: string,
-  ): ResultAsync<Versioned | undefined, StoreUnavailable> {
+  ): ResultAsync<VersionedValue | undefined, StoreUnavailable> {
     return readRange({ key: encodeBase64(key) })
       .map((listing) => listing.values[0]);
   }
--- a/packages/store/src/gateway.ts
+++ b/packages/store/src/gateway.ts
@@ -6,7 +6,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher } from "undici";
 import type { z } from "zod";
-import { noCalls } from "./calls.ts";
+import { zeroCallCounts } from "./calls.ts";
 import {
   type Failure,
   failureFromError,
@@ -54,7 +54,7 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
-  const calls = noCalls();
+  const calls = zeroCallCounts();
   let preferredIndex = 0;
 
   return { post, stream, calls: () => ({ ...calls }), close };
--- a/packages/store/src/idempotent_swap.ts
+++ b/packages/store/src/idempotent_swap.ts
@@ -7,14 +7,14 @@
 import { err, errAsync, ok, type Result, ResultAsync } from "neverthrow";
 import { v4 } from "uuid";
 import {
-  decodeOwned,
+  decodeTaggedValue,
   encodeTaggedValue,
   nextValue,
-  type Owned,
   type TaggedWrite,
+  type VersionedTaggedValue,
   writeStatus,
 } from "./tagged_value.ts";
-import type { Store, Versioned } from "./store.ts";
+import type { Store, VersionedValue } from "./store.ts";
 
 const DEFAULT_ATTEMPTS = 3;
 
@@ -29,7 +29,7 @@
   | {
     /** Another write came first; this one can never take effect. */
     readonly kind: "lostRace";
-    readonly current: Owned | undefined;
+    readonly current: VersionedTaggedValue | undefined;
   }
   | {
     /** The write may have taken or may yet take effect; see `resolveUnknownSwap`. */
@@ -39,7 +39,7 @@
 
 export interface IdempotentSwapOptions<E> {
   /** Returns the new body, or an error to leave the key unchanged. */
-  decide(current: Owned | undefined): Result<string, E>;
+  decide(current: VersionedTaggedValue | undefined): Result<string, E>;
   /** Maximum number of times the same write is sent. */
   readonly attempts?: number | undefined;
   /** Returns a unique token for the write. */
@@ -51,7 +51,7 @@
  * `notRun` if nothing was written. The key must never be removed, because a
  * retry of the write that creates it would create it again.
  */
-export function swapOwned<E>(
+export function swapIdempotently<E>(
   store: Store,
   key: string,
   options: IdempotentSwapOptions<E>,
@@ -59,7 +59,7 @@
   const token = (options.newToken ?? v4)();
   const attempts = options.attempts ?? DEFAULT_ATTEMPTS;
   return store.read(key).andThen((found) => {
-    const base = decodeOwned(found);
+    const base = decodeTaggedValue(found);
     const decision = options.decide(base);
     if (decision.isErr()) {
       return errAsync<IdempotentSwap, E | StoreUnavailable>(decision.error);
@@ -123,9 +123,9 @@
 
 function outcomeFromRead(
   write: TaggedWrite,
-  found: Versioned | undefined,
+  found: VersionedValue | undefined,
 ): IdempotentSwap {
-  const current = decodeOwned(found);
+  const current = decodeTaggedValue(found);
   switch (writeStatus(write, current)) {
     case "tookEffect":
       return acceptedOutcome(write, revisionIfNewest(write, current));
@@ -138,7 +138,7 @@
 
 function revisionIfNewest(
   write: TaggedWrite,
-  current: Owned | undefined,
+  current: VersionedTaggedValue | undefined,
 ): number | undefined {
   return current?.tokens[0] === write.token ? current.revision : undefined;
 }
@@ -150,6 +150,6 @@
   return { kind: "accepted", body: write.next.body, revision };
 }
 
-function lostRaceOutcome(found: Versioned | undefined): IdempotentSwap {
-  return { kind: "lostRace", current: decodeOwned(found) };
+function lostRaceOutcome(found: VersionedValue | undefined): IdempotentSwap {
+  return { kind: "lostRace", current: decodeTaggedValue(found) };
 }
--- a/packages/store/src/idempotent_swap_test.ts
+++ b/packages/store/src/idempotent_swap_test.ts
@@ -8,12 +8,12 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { err, ok, ResultAsync } from "neverthrow";
-import { decodeOwned } from "./tagged_value.ts";
+import { decodeTaggedValue } from "./tagged_value.ts";
 import type { Store } from "./store.ts";
 import {
   type IdempotentSwap,
   resolveUnknownSwap,
-  swapOwned,
+  swapIdempotently,
 } from "./idempotent_swap.ts";
 
 const SEED = Number(process.env["SEED"] ?? 20261204);
@@ -34,7 +34,9 @@
   });
 
   it("leaves the key unchanged when decide returns an error", async () => {
-    const swap = await swapOwned(store, "k", { decide: () => err("no") });
+    const swap = await swapIdempotently(store, "k", {
+      decide: () => err("no"),
+    });
     expect(swap._unsafeUnwrapErr()).to.equal("no");
     expect(store.calls().swap).to.equal(0);
   });
@@ -113,7 +115,7 @@
 
   it("fails with notRun when all connections are refused", async () => {
     store.setFaults({ outage: "refusing" });
-    const swap = await swapOwned(store, "k", { decide: () => ok("a") });
+    const swap = await swapIdempotently(store, "k", { decide: () => ok("a") });
     expect(swap._unsafeUnwrapErr()).to.include({ verdict: "notRun" });
   });
 
@@ -143,7 +145,8 @@
         }
         service.setFaults({ lostAnswers: 0, slowMs: 0 });
         await fakeClock.advance(10_000);
-        const history = decodeOwned(service.keyspace.get("k"))?.body ?? "";
+        const history = decodeTaggedValue(service.keyspace.get("k"))?.body ??
+          "";
         for (const [marker, outcome] of await Promise.all(outcomes)) {
           expect(history.split(marker)).to.have.length.below(3);
           if (outcome?.kind === "accepted") {
@@ -162,7 +165,7 @@
     writerStore: Store = store,
     beforeWrite = () => {},
   ): Promise<IdempotentSwap> {
-    const swap = await swapOwned(writerStore, "k", {
+    const swap = await swapIdempotently(writerStore, "k", {
       decide: (current) => {
         beforeWrite();
         return ok(`${current?.body ?? ""}${text}`);
@@ -172,7 +175,7 @@
   }
 
   async function readBody(): Promise<string | undefined> {
-    return decodeOwned((await store.read("k"))._unsafeUnwrap())?.body;
+    return decodeTaggedValue((await store.read("k"))._unsafeUnwrap())?.body;
   }
 
   /** A store that calls `run` before the swap with this 1-based index. */
@@ -197,7 +200,7 @@
   writerStore: Store,
   marker: string,
 ): Promise<readonly [string, IdempotentSwap | undefined]> {
-  const swap = await swapOwned(writerStore, "k", {
+  const swap = await swapIdempotently(writerStore, "k", {
     decide: (current) => ok(`${current?.body ?? ""}${marker}`),
   });
   return [marker, swap.unwrapOr(undefined)];
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,20 +1,20 @@
 /** Client for the platform's key-value service. */
 export * from "./store.ts";
-export { noCalls } from "./calls.ts";
+export { zeroCallCounts } from "./calls.ts";
 export {
   createEtcdStore,
   type EtcdStore,
   type EtcdStoreOptions,
 } from "./etcd_store.ts";
 export {
-  decodeOwned,
-  type Owned,
+  decodeTaggedValue,
   type TaggedValue,
   type TaggedWrite,
+  type VersionedTaggedValue,
 } from "./tagged_value.ts";
 export {
   type IdempotentSwap,
   type IdempotentSwapOptions,
   resolveUnknownSwap,
-  swapOwned,
+  swapIdempotently,
 } from "./idempotent_swap.ts";
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -7,7 +7,7 @@
 import type { StoreUnavailable } from "@coltsfootreach/errors";
 
 /** A key with its value and the revision of its last change. */
-export interface Versioned {
+export interface VersionedValue {
   readonly key: string;
   readonly value: string;
   /** Revision of the store at the key's last change; 0 for an absent key. */
@@ -16,7 +16,7 @@
 
 /** All keys with a prefix at one revision of the store. */
 export interface Listing {
-  readonly values: readonly Versioned[];
+  readonly values: readonly VersionedValue[];
   /** Revision of the store that was read; start a watch at the next one. */
   readonly revision: number;
 }
@@ -24,7 +24,7 @@
 /** Result of a compare-and-swap. */
 export type Swap =
   | { readonly kind: "swapped"; readonly revision: number }
-  | { readonly kind: "conflict"; readonly current: Versioned | undefined };
+  | { readonly kind: "conflict"; readonly current: VersionedValue | undefined };
 
 export interface Write {
   readonly key: string;
@@ -62,7 +62,7 @@
 /** Every call is bounded by the timeout in the store's options. */
 export interface Store {
   /** Linearizable read of one key. */
-  read(key: string): ResultAsync<Versioned | undefined, StoreUnavailable>;
+  read(key: string): ResultAsync<VersionedValue | undefined, StoreUnavailable>;
   /** Linearizable read of all keys with a prefix. */
   list(prefix: string): ResultAsync<Listing, StoreUnavailable>;
   /** Serializable read of all keys with a prefix; cheap, may be seconds old. */
--- a/packages/store/src/tagged_value.ts
+++ b/packages/store/src/tagged_value.ts
@@ -4,7 +4,7 @@
  * tell whether an earlier write took effect, even after further writes.
  */
 import { z } from "zod";
-import type { Versioned } from "./store.ts";
+import type { VersionedValue } from "./store.ts";
 
 /** Maximum number of tokens in a value; older writes can't be recognized. */
 const MAX_TOKENS = 32;
@@ -16,7 +16,7 @@
 }
 
 /** A tagged value with the revision of its key's last change. */
-export interface Owned extends TaggedValue {
+export interface VersionedTaggedValue extends TaggedValue {
   readonly revision: number;
 }
 
@@ -25,7 +25,7 @@
   readonly key: string;
   readonly token: string;
   /** The value that the write replaces; undefined if the key was absent. */
-  readonly base: Owned | undefined;
+  readonly base: VersionedTaggedValue | undefined;
   readonly next: TaggedValue;
 }
 
@@ -38,7 +38,7 @@
 });
 
 export function nextValue(
-  base: Owned | undefined,
+  base: VersionedTaggedValue | undefined,
   { body, token }: { body: string; token: string },
 ): TaggedValue {
   const tokens = [token, ...(base?.tokens ?? [])].slice(0, MAX_TOKENS);
@@ -50,7 +50,9 @@
 }
 
 /** A value that was not written as a tagged value has no tokens. */
-export function decodeOwned(found: Versioned | undefined): Owned | undefined {
+export function decodeTaggedValue(
+  found: VersionedValue | undefined,
+): VersionedTaggedValue | undefined {
   if (found === undefined) {
     return undefined;
   }
@@ -67,7 +69,7 @@
  */
 export function writeStatus(
   write: TaggedWrite,
-  found: Owned | undefined,
+  found: VersionedTaggedValue | undefined,
 ): WriteStatus {
   if (found === undefined) {
     return "undecided";
--- a/packages/store/src/wire.ts
+++ b/packages/store/src/wire.ts
@@ -4,7 +4,7 @@
  */
 import { z } from "zod";
 import { decodeBase64 } from "./encoding.ts";
-import type { Versioned } from "./store.ts";
+import type { VersionedValue } from "./store.ts";
 
 const integer = z.union([z.string(), z.number()]).transform(Number);
 
@@ -62,7 +62,7 @@
 export type KeyValue = z.infer<typeof keyValue>;
 export type WatchResult = z.infer<typeof watchResponse>["result"];
 
-export function toVersionedValue(kv: KeyValue): Versioned {
+export function toVersionedValue(kv: KeyValue): VersionedValue {
   return {
     key: decodeBase64(kv.key),
     value: decodeBase64(kv.value),
