Reword the soak package

Cause: comments, texts and names of packages/soak were figurative or private to this project.

No change of behaviour: the names of faults, the JSON result and the order of random draws are the same. The test keeps its assertions; its titles and names changed.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,6 +1,6 @@
 /**
- * Callers that hand jobs in over HTTP on open connections, and hand a job in
- * again, at any entry, when its answer was lost.
+ * Simulated callers that submit jobs over HTTP keep-alive connections, and
+ * resubmit a job to a random entry when its response was lost.
  */
 import { Agent, request } from "node:http";
 import {
@@ -14,10 +14,10 @@
 
 const DEADLINE_MS = 2500;
 
-const FAIL_SHARE = 0.01;
+const TASK_FAILURE_PROBABILITY = 0.01;
 
-/** A connection may close just as a request is sent on it. */
-const LOSS_SLACK_MS = 200;
+/** An idle connection may close at the moment a request is sent on it. */
+const CONNECTION_CLOSE_TOLERANCE_MS = 200;
 
 export interface CallersOptions {
   /** Addresses of the entries, as `IP:port`. */
@@ -26,44 +26,44 @@
   readonly checker: Checker;
   readonly queue: Queue;
   readonly jobsPerSecond: number;
-  /** Only planned faults come, which must cut no request. */
-  readonly isPlanned: boolean;
-  readonly truths: Map<string, readonly TaskTruth[]>;
+  /** Only planned faults are injected, which must not interrupt any request. */
+  readonly isPlannedOnly: boolean;
+  readonly taskTruthsByJob: Map<string, readonly TaskTruth[]>;
 }
 
 export interface Callers {
-  /** Jobs handed in and completed since the last call. */
-  takeShare(): { readonly asked: number; readonly completed: number };
+  /** Returns and resets the numbers of jobs submitted and completed. */
+  takeCounts(): { readonly submitted: number; readonly completed: number };
   stop(): void;
 }
 
 interface CallerJob {
   readonly id: string;
   readonly body: string;
-  readonly leavesAt: number;
+  readonly deadlineAt: number;
 }
 
 export function startCallers(options: CallersOptions): Callers {
-  const { random, checker, truths, queue } = options;
+  const { random, checker, taskTruthsByJob, queue } = options;
   const agents = options.addresses.map(() => new Agent({ keepAlive: true }));
-  let made = 0;
-  let asked = 0;
+  let createdJobs = 0;
+  let submitted = 0;
   let completed = 0;
   let isStopped = false;
-  /** Gives up each submission that waits for its answer. */
-  const open = new Set<() => void>();
+  /** Cancels each submission whose response is pending. */
+  const pendingCancels = new Set<() => void>();
 
-  function makeJob(): CallerJob {
-    made += 1;
-    const id = made.toString(16).padStart(16, "0");
+  function createJob(): CallerJob {
+    createdJobs += 1;
+    const id = createdJobs.toString(16).padStart(16, "0");
     const count = 1 + random.below(6);
     const resources = { cpu: 1600, memoryMb: 64, gpu: 0 };
     const tasks = Array.from({ length: count }, () => ({
       resources,
       workMs: 200 * random.factor(0.7),
-      fails: random.chance(FAIL_SHARE),
+      fails: random.chance(TASK_FAILURE_PROBABILITY),
     }));
-    truths.set(id, tasks);
+    taskTruthsByJob.set(id, tasks);
     checker.jobMade({ id, tasks: count, attempts: queue.attempts });
     const longestMs = Math.max(...tasks.map(({ workMs }) => workMs));
     const estimateMs = longestMs * random.factor(0.4);
@@ -71,78 +71,81 @@
     return {
       id,
       body: formatJob(id, step),
-      leavesAt: performance.now() + DEADLINE_MS,
+      deadlineAt: performance.now() + DEADLINE_MS,
     };
   }
 
-  function handIn(job: CallerJob): void {
-    const leftMs = job.leavesAt - performance.now();
-    if (leftMs <= 0 || isStopped) return;
+  function submitJob(job: CallerJob): void {
+    const remainingMs = job.deadlineAt - performance.now();
+    if (remainingMs <= 0 || isStopped) return;
     const entry = random.below(options.addresses.length);
     const [host, port] = options.addresses[entry]!.split(":");
-    const call = request({
+    const httpRequest = request({
       host,
       port,
       path: queue.prefix + job.id,
       method: "POST",
       agent: agents[entry]!,
-      headers: callerHeaders(queue, leftMs),
+      headers: callerHeaders(queue, remainingMs),
     });
     const sentAt = performance.now();
-    let isOver = false;
+    let isSettled = false;
 
-    function end(): void {
-      isOver = true;
+    function settle(): void {
+      isSettled = true;
       clearTimeout(timer);
-      open.delete(leave);
+      pendingCancels.delete(cancel);
     }
 
-    function lose(reason: string): void {
-      if (isOver) return;
-      end();
-      const ms = performance.now() - sentAt;
-      if (options.isPlanned && ms > LOSS_SLACK_MS && !isStopped) {
+    function retryLostRequest(reason: string): void {
+      if (isSettled) return;
+      settle();
+      const elapsedMs = performance.now() - sentAt;
+      if (
+        options.isPlannedOnly && elapsedMs > CONNECTION_CLOSE_TOLERANCE_MS &&
+        !isStopped
+      ) {
         checker.broke(
           "LOST",
-          `${job.id}: ${reason} after ${Math.round(ms)} ms`,
+          `${job.id}: ${reason} after ${Math.round(elapsedMs)} ms`,
         );
       }
       checker.unanswered(job.id);
-      setTimeout(() => handIn(job), SAMPLE_BOUNDS.resendMs);
+      setTimeout(() => submitJob(job), SAMPLE_BOUNDS.resendMs);
     }
 
-    function leave(): void {
-      end();
+    function cancel(): void {
+      settle();
       checker.unanswered(job.id);
-      call.destroy();
+      httpRequest.destroy();
     }
 
-    const timer = setTimeout(leave, leftMs);
-    open.add(leave);
-    call.on("error", (error) => lose(error.message));
-    call.on("response", async (response) => {
+    const timer = setTimeout(cancel, remainingMs);
+    pendingCancels.add(cancel);
+    httpRequest.on("error", (error) => retryLostRequest(error.message));
+    httpRequest.on("response", async (response) => {
       let text = "";
       try {
         for await (const chunk of response) text += chunk;
       } catch {
-        // The connection broke midway, which "error" has not told.
-        lose("cut midway");
+        // A connection lost mid-response emits no "error" on the request.
+        retryLostRequest("cut midway");
         return;
       }
-      if (isOver) return;
-      end();
-      answered(job, response.statusCode ?? 0, text);
+      if (isSettled) return;
+      settle();
+      handleResponse(job, response.statusCode ?? 0, text);
     });
-    call.end(job.body);
+    httpRequest.end(job.body);
   }
 
-  function answered(job: CallerJob, status: number, text: string): void {
+  function handleResponse(job: CallerJob, status: number, text: string): void {
     if (status === 200) {
-      const isDone = isCompleted(text);
-      if (isDone) completed += 1;
+      const hasCompleted = isCompleted(text);
+      if (hasCompleted) completed += 1;
       checker.answered(
         job.id,
-        isDone
+        hasCompleted
           ? { kind: "completed" }
           : { kind: "failed", reason: "attemptsUsed" },
       );
@@ -154,31 +157,31 @@
       });
     } else if (status === 504) {
       checker.unanswered(job.id);
-      setTimeout(() => handIn(job), SAMPLE_BOUNDS.resendMs);
+      setTimeout(() => submitJob(job), SAMPLE_BOUNDS.resendMs);
     } else {
       checker.broke("ANSWER", `${job.id}: ${status} ${text}`);
     }
   }
 
-  function next(): void {
+  function submitNext(): void {
     if (isStopped) return;
-    asked += 1;
-    handIn(makeJob());
+    submitted += 1;
+    submitJob(createJob());
     const gapMs = -Math.log(1 - random.next()) * 1000 / options.jobsPerSecond;
-    setTimeout(next, gapMs);
+    setTimeout(submitNext, gapMs);
   }
 
-  next();
+  submitNext();
   return {
-    takeShare() {
-      const share = { asked, completed };
-      asked = 0;
+    takeCounts() {
+      const counts = { submitted, completed };
+      submitted = 0;
       completed = 0;
-      return share;
+      return counts;
     },
     stop() {
       isStopped = true;
-      for (const leave of [...open]) leave();
+      for (const cancel of [...pendingCancels]) cancel();
       for (const agent of agents) agent.destroy();
     },
   };
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -1,33 +1,33 @@
-/** Faults from outside the processes, drawn from a seed, which may overlap. */
+/** Fault injection from outside the processes; seeded, and faults may overlap. */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { StoreMode } from "@coltsfootreach/platform";
 import type { Random } from "@coltsfootreach/simulate";
-import type { Fleet, SoakedProcess } from "./fleet.ts";
+import type { Fleet, ManagedProcess } from "./fleet.ts";
 
-export interface FaultsOptions {
+export interface FaultInjectionOptions {
   readonly fleet: Fleet;
   readonly random: Random;
   /** Mean time between faults. */
-  readonly everyMs: number;
+  readonly meanIntervalMs: number;
   readonly forMs: number;
-  /** Only faults that operators bring about on purpose. */
-  readonly isPlanned: boolean;
-  /** Writes the configuration under the next version. */
+  /** Only faults that operators cause on purpose, such as restarts. */
+  readonly isPlannedOnly: boolean;
+  /** Writes the configuration with a higher version. */
   changeConfiguration(): void;
   note(fault: string): void;
 }
 
-const LONGEST_MS = 3000;
+const FAULT_DURATION_SPAN_MS = 3000;
 
-/** Some faults come as a series of this many, at short intervals. */
-const SERIES = 3;
+/** Number of times that a fault is repeated when it comes as a series. */
+const SERIES_LENGTH = 3;
 
-const SERIES_CHANCE = 0.15;
+const SERIES_PROBABILITY = 0.15;
 
-const SERIES_GAP_MS = 250;
+const SERIES_INTERVAL_MS = 250;
 
-/** Faults that must cut no request. */
-const PLANNED: readonly string[] = [
+/** Faults that must not interrupt any request. */
+const PLANNED_FAULTS: readonly string[] = [
   "termEntry",
   "termSide",
   "hupEntry",
@@ -35,95 +35,106 @@
   "changeConfiguration",
 ];
 
-/** Resolves when the last fault is over. */
-export async function playFaults(options: FaultsOptions): Promise<void> {
+/** Resolves about when the last fault has ended. */
+export async function injectFaults(
+  options: FaultInjectionOptions,
+): Promise<void> {
   const { fleet, random } = options;
   const endsAt = performance.now() + options.forMs;
-  const pick = <T>(list: readonly T[]): T => list[random.below(list.length)]!;
-  const someMs = () => 50 + random.next() * LONGEST_MS;
+  const pickRandom = <T>(list: readonly T[]): T =>
+    list[random.below(list.length)]!;
+  const randomDurationMs = () => 50 + random.next() * FAULT_DURATION_SPAN_MS;
 
-  function end(one: SoakedProcess, signal: "SIGKILL" | "SIGTERM"): void {
-    one.isEnding = true;
-    one.child.signal(signal);
+  function terminate(
+    target: ManagedProcess,
+    signal: "SIGKILL" | "SIGTERM",
+  ): void {
+    target.isExitExpected = true;
+    target.child.signal(signal);
   }
 
-  function freeze(one: SoakedProcess): void {
-    one.child.signal("SIGSTOP");
-    setTimeout(() => one.child.signal("SIGCONT"), someMs());
+  function suspend(target: ManagedProcess): void {
+    target.child.signal("SIGSTOP");
+    setTimeout(() => target.child.signal("SIGCONT"), randomDurationMs());
   }
 
-  function troubleStore(mode: StoreMode): void {
+  function injectStoreFault(mode: StoreMode): void {
     fleet.store.setMode(mode);
     if (random.chance(0.5)) fleet.store.lapseLeases();
-    setTimeout(() => fleet.store.setMode("up"), someMs());
+    setTimeout(() => fleet.store.setMode("up"), randomDurationMs());
   }
 
   const faults: Readonly<Record<string, () => void>> = {
-    killEntry: () => end(pick(fleet.entries), "SIGKILL"),
-    killSide: () => end(pick(fleet.sides), "SIGKILL"),
-    termEntry: () => end(pick(fleet.entries), "SIGTERM"),
-    termSide: () => end(pick(fleet.sides), "SIGTERM"),
-    hupEntry: () => pick(fleet.entries).child.signal("SIGHUP"),
-    hupSide: () => pick(fleet.sides).child.signal("SIGHUP"),
-    freezeEntry: () => freeze(pick(fleet.entries)),
-    freezeSide: () => freeze(pick(fleet.sides)),
+    killEntry: () => terminate(pickRandom(fleet.entries), "SIGKILL"),
+    killSide: () => terminate(pickRandom(fleet.sides), "SIGKILL"),
+    termEntry: () => terminate(pickRandom(fleet.entries), "SIGTERM"),
+    termSide: () => terminate(pickRandom(fleet.sides), "SIGTERM"),
+    hupEntry: () => pickRandom(fleet.entries).child.signal("SIGHUP"),
+    hupSide: () => pickRandom(fleet.sides).child.signal("SIGHUP"),
+    freezeEntry: () => suspend(pickRandom(fleet.entries)),
+    freezeSide: () => suspend(pickRandom(fleet.sides)),
     killAll() {
-      for (const one of [...fleet.entries, ...fleet.sides]) end(one, "SIGKILL");
+      for (const target of [...fleet.entries, ...fleet.sides]) {
+        terminate(target, "SIGKILL");
+      }
     },
-    resetLinks: () => pick(fleet.entries).links.dropOpen(),
+    resetLinks: () => pickRandom(fleet.entries).linkRelay.dropOpen(),
     silenceLinks() {
-      const direction = pick(["both", "toEntry", "fromEntry"] as const);
-      pick(fleet.entries).links.silenceOpen(
+      const direction = pickRandom(["both", "toEntry", "fromEntry"] as const);
+      pickRandom(fleet.entries).linkRelay.silenceOpen(
         direction,
         () => random.chance(0.5),
       );
     },
     cutLinks() {
-      const { links } = pick(fleet.entries);
-      links.setMode(pick(["refuse", "silent"]));
-      setTimeout(() => links.setMode("pass"), someMs());
+      const { linkRelay: links } = pickRandom(fleet.entries);
+      links.setMode(pickRandom(["refuse", "silent"]));
+      setTimeout(() => links.setMode("pass"), randomDurationMs());
     },
     delayLinks() {
-      const { links } = pick(fleet.entries);
+      const { linkRelay: links } = pickRandom(fleet.entries);
       links.setDelay(20 + random.below(400));
-      setTimeout(() => links.setDelay(0), someMs());
+      setTimeout(() => links.setDelay(0), randomDurationMs());
     },
-    resetCallers: () => pick(fleet.entries).callers.dropOpen(),
+    resetCallers: () => pickRandom(fleet.entries).callerRelay.dropOpen(),
     silenceCallers: () =>
-      pick(fleet.entries).callers.silenceOpen("both", () => random.chance(0.5)),
-    crashServer: () => pick(fleet.sides).crashServer(someMs()),
+      pickRandom(fleet.entries).callerRelay.silenceOpen(
+        "both",
+        () => random.chance(0.5),
+      ),
+    crashServer: () => pickRandom(fleet.sides).crashServer(randomDurationMs()),
     loseAnswers() {
-      const side = pick(fleet.sides);
-      side.setLossShare(0.3);
-      setTimeout(() => side.setLossShare(0), someMs());
+      const side = pickRandom(fleet.sides);
+      side.setResponseLossRate(0.3);
+      setTimeout(() => side.setResponseLossRate(0), randomDurationMs());
     },
     failRuns() {
-      const server = pick(fleet.sides).server();
+      const server = pickRandom(fleet.sides).server();
       server.setFailing(true);
-      setTimeout(() => server.setFailing(false), someMs());
+      setTimeout(() => server.setFailing(false), randomDurationMs());
     },
     hangRuns() {
-      const server = pick(fleet.sides).server();
+      const server = pickRandom(fleet.sides).server();
       server.setHanging(true);
-      setTimeout(() => server.setHanging(false), someMs());
+      setTimeout(() => server.setHanging(false), randomDurationMs());
     },
-    storeBusy: () => troubleStore("busy"),
-    storeReset: () => troubleStore("reset"),
-    storeSilent: () => troubleStore("silent"),
-    storeLossy: () => troubleStore("lossy"),
+    storeBusy: () => injectStoreFault("busy"),
+    storeReset: () => injectStoreFault("reset"),
+    storeSilent: () => injectStoreFault("silent"),
+    storeLossy: () => injectStoreFault("lossy"),
     changeConfiguration: options.changeConfiguration,
   };
-  const names = options.isPlanned ? PLANNED : Object.keys(faults);
+  const names = options.isPlannedOnly ? PLANNED_FAULTS : Object.keys(faults);
 
   while (performance.now() < endsAt) {
-    const name = pick(names);
-    const times = random.chance(SERIES_CHANCE) ? SERIES : 1;
-    for (let time = 0; time < times; time += 1) {
+    const name = pickRandom(names);
+    const repeatCount = random.chance(SERIES_PROBABILITY) ? SERIES_LENGTH : 1;
+    for (let repeat = 0; repeat < repeatCount; repeat += 1) {
       options.note(name);
       faults[name]!();
-      if (time + 1 < times) await sleep(SERIES_GAP_MS);
+      if (repeat + 1 < repeatCount) await sleep(SERIES_INTERVAL_MS);
     }
-    await sleep(random.next() * 2 * options.everyMs);
+    await sleep(random.next() * 2 * options.meanIntervalMs);
   }
-  await sleep(LONGEST_MS);
+  await sleep(FAULT_DURATION_SPAN_MS);
 }
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -1,4 +1,4 @@
-/** The processes of a soak and the stand-ins around them. */
+/** The processes under test and the simulated services around them. */
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import process from "node:process";
@@ -20,110 +20,110 @@
 } from "@coltsfootreach/simulate";
 import type { RunRef } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
-import type { Size } from "./sizes.ts";
+import type { FleetSize } from "./sizes.ts";
 
-const PROGRAM = "target/coltsfootreach.cjs";
+const PROGRAM_PATH = "target/coltsfootreach.cjs";
 
-/** Where entries listen for sides. */
+/** Port on which entries accept connections from sides. */
 const LINK_PORT = 7720;
 
 const GRACE_SECONDS = 4;
 
-/** A process that ended is started again after this long. */
-const RESTART_MS = 300;
+/** Delay before an exited process is restarted. */
+const RESTART_DELAY_MS = 300;
 
-const RESTART_LOOK_MS = 100;
+const EXIT_POLL_INTERVAL_MS = 100;
 
 export interface FleetOptions {
-  readonly size: Size;
+  readonly size: FleetSize;
   readonly random: Random;
   readonly checker: Checker;
-  /** Pool of the backend servers. */
+  /** Name of the service that the backend servers belong to. */
   readonly service: string;
-  /** Folder for settings and logs. */
+  /** Folder for settings files and logs. */
   readonly folder: string;
-  /** First two bytes of the loopback addresses to use. */
-  readonly network: string;
+  /** First two octets of the loopback addresses, as `127.N`. */
+  readonly networkPrefix: string;
   now(): number;
-  truth(ref: RunRef): TaskTruth;
+  taskTruth(ref: RunRef): TaskTruth;
 }
 
-export interface SoakedProcess {
+export interface ManagedProcess {
   readonly child: Child;
-  /** An end is expected from here on: it was told to, or was killed. */
-  isEnding: boolean;
+  /** The process was signalled to exit, so its exit is no breach. */
+  isExitExpected: boolean;
 }
 
-export interface SoakedEntry extends SoakedProcess {
-  /** In front of its streams with sides. */
-  readonly links: Relay;
-  /** In front of its callers. */
-  readonly callers: Relay;
+export interface EntryProcess extends ManagedProcess {
+  /** Relay in front of the port for streams from sides. */
+  readonly linkRelay: Relay;
+  /** Relay in front of the port for callers. */
+  readonly callerRelay: Relay;
 }
 
-export interface SoakedSide extends SoakedProcess {
+export interface SideProcess extends ManagedProcess {
   server(): ServerStandin;
   crashServer(downMs: number): void;
-  setLossShare(share: number): void;
+  setResponseLossRate(rate: number): void;
 }
 
 export interface Fleet {
   readonly store: StoreStandin;
-  readonly entries: readonly SoakedEntry[];
-  readonly sides: readonly SoakedSide[];
+  readonly entries: readonly EntryProcess[];
+  readonly sides: readonly SideProcess[];
   stop(): Promise<void>;
 }
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
-  const { size, random, checker, folder, network } = options;
-  const storeAddress = `${network}.4.1:8169`;
-  /** What sides see in place of the entries' own addresses. */
-  const relayed = new Map<string, string>();
-  const closing: { close(): unknown }[] = [];
+  const { size, random, checker, folder, networkPrefix } = options;
+  const storeAddress = `${networkPrefix}.4.1:8169`;
+  /** Relay addresses that sides read from the store, by entry address. */
+  const relayAddresses = new Map<string, string>();
+  const closables: { close(): unknown }[] = [];
   let isStopping = false;
   mkdirSync(folder, { recursive: true });
 
   const store = await startStoreStandin({
     address: storeAddress,
     random: random.next,
-    readAs: (_key, value) => relayed.get(value) ?? value,
+    readAs: (_key, value) => relayAddresses.get(value) ?? value,
   });
-  closing.push(store);
+  closables.push(store);
 
   function startProgram(
-    place:
+    processSettings:
       & Pick<ProcessSettings, "name" | "role" | "ip">
       & Partial<ProcessSettings>,
   ): Child {
-    const { name, role } = place;
-    const settings = join(folder, `${name}.json`);
+    const { name, role } = processSettings;
+    const settingsPath = join(folder, `${name}.json`);
     writeFileSync(
-      settings,
+      settingsPath,
       formatSettings({
         storeAddress,
         firstPort: LINK_PORT,
         bounds: SAMPLE_BOUNDS,
         remoteFactor: SAMPLE_REMOTE_FACTOR,
         graceSeconds: GRACE_SECONDS,
-        ...place,
+        ...processSettings,
       }),
     );
     return startChild({
       name,
-      args: [PROGRAM, role],
+      args: [PROGRAM_PATH, role],
       logFile: join(folder, `${name}.log`),
       logsOutput: true,
-      variables: { COLTSFOOTREACH_BOOT: settings },
+      variables: { COLTSFOOTREACH_BOOT: settingsPath },
     });
   }
 
-  async function startEntry(index: number): Promise<SoakedEntry> {
-    const ip = `${network}.1.${index + 1}`;
+  async function startEntry(index: number): Promise<EntryProcess> {
+    const ip = `${networkPrefix}.1.${index + 1}`;
     const callerAddress = `${ip}:8161`;
-    const links = await startRelay(`${ip}:${LINK_PORT}`);
-    const callers = await startRelay(callerAddress);
-    relayed.set(`${ip}:${LINK_PORT}`, links.address);
-    closing.push(links, callers);
+    const linkRelay = await startRelay(`${ip}:${LINK_PORT}`);
+    const callerRelay = await startRelay(callerAddress);
+    relayAddresses.set(`${ip}:${LINK_PORT}`, linkRelay.address);
+    closables.push(linkRelay, callerRelay);
     const child = startProgram({
       name: `entry-${index}`,
       role: "entry",
@@ -131,46 +131,53 @@
       callerAddress,
       readinessAddress: `${ip}:8167`,
     });
-    return { child, links, callers, isEnding: false };
+    return {
+      child,
+      linkRelay,
+      callerRelay,
+      isExitExpected: false,
+    };
   }
 
-  async function startSide(index: number): Promise<SoakedSide> {
-    const ip = `${network}.2.${index + 1}`;
-    const address = `${network}.3.${index + 1}:8080`;
+  async function startSide(index: number): Promise<SideProcess> {
+    const ip = `${networkPrefix}.2.${index + 1}`;
+    const address = `${networkPrefix}.3.${index + 1}:8080`;
     const sideAddress = `${ip}:8166`;
-    let lossShare = 0;
-    let lives = 0;
-    let id = "";
-    let server = makeServer();
-
-    function makeServer(): ServerStandin {
-      lives += 1;
-      // A server may start again under the id that it had.
-      if (id === "" || random.chance(0.5)) id = `server-${index}-${lives}`;
+    let responseLossRate = 0;
+    let incarnation = 0;
+    let serverId = "";
+    let server = createServer();
+
+    function createServer(): ServerStandin {
+      incarnation += 1;
+      // A restarted server may reuse its previous id.
+      if (serverId === "" || random.chance(0.5)) {
+        serverId = `server-${index}-${incarnation}`;
+      }
       return createServerStandin({
         clock: {
           now: options.now,
           after: (delayMs, event) => setTimeout(event, delayMs),
           runUntil() {},
         },
-        id,
-        born: 1_000_000 * (lives + 1) + Math.floor(options.now()),
+        id: serverId,
+        born: 1_000_000 * (incarnation + 1) + Math.floor(options.now()),
         capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
         slowness: 1,
         maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
         stopMs: SAMPLE_BOUNDS.stopMs,
-        truth: options.truth,
+        truth: options.taskTruth,
         observer: checker,
       });
     }
 
-    closing.push(
+    closables.push(
       await startServerApp({
         address,
         sideAddress,
         service: options.service,
         behaviour: () => server,
-        lossShare: () => lossShare,
+        lossShare: () => responseLossRate,
         random: random.next,
       }),
     );
@@ -183,17 +190,17 @@
     });
     return {
       child,
-      isEnding: false,
+      isExitExpected: false,
       server: () => server,
       crashServer(downMs) {
         if (!server.isUp()) return;
         server.crash();
         setTimeout(() => {
-          if (!isStopping) server = makeServer();
+          if (!isStopping) server = createServer();
         }, downMs);
       },
-      setLossShare(share) {
-        lossShare = share;
+      setResponseLossRate(rate) {
+        responseLossRate = rate;
       },
     };
   }
@@ -202,27 +209,27 @@
   const entries = await Promise.all(indexes(size.entries).map(startEntry));
   const sides = await Promise.all(indexes(size.sides).map(startSide));
 
-  /** Starts what has ended again, as the platform does. */
-  function restartEnded(one: SoakedProcess): void {
-    if (isStopping || one.child.isRunning()) return;
-    if (!one.isEnding) checker.broke("EXIT", one.child.name);
-    one.isEnding = true;
+  /** Restarts an exited process, as the platform does. */
+  function restartIfExited(target: ManagedProcess): void {
+    if (isStopping || target.child.isRunning()) return;
+    if (!target.isExitExpected) checker.broke("EXIT", target.child.name);
+    target.isExitExpected = true;
     setTimeout(() => {
-      if (isStopping || one.child.isRunning()) return;
-      one.isEnding = false;
-      one.child.restart();
-    }, RESTART_MS);
+      if (isStopping || target.child.isRunning()) return;
+      target.isExitExpected = false;
+      target.child.restart();
+    }, RESTART_DELAY_MS);
   }
 
-  const watch = setInterval(() => {
-    for (const one of [...entries, ...sides]) restartEnded(one);
-  }, RESTART_LOOK_MS);
+  const restartTimer = setInterval(() => {
+    for (const target of [...entries, ...sides]) restartIfExited(target);
+  }, EXIT_POLL_INTERVAL_MS);
 
   function killAll(): void {
     for (const { child } of [...entries, ...sides]) child.signal("SIGKILL");
   }
 
-  // Nothing outlives a soak that fails itself.
+  // Leaves no process behind when the soak itself crashes.
   process.once("exit", killAll);
 
   return {
@@ -231,14 +238,14 @@
     sides,
     async stop() {
       isStopping = true;
-      clearInterval(watch);
+      clearInterval(restartTimer);
       process.off("exit", killAll);
       killAll();
       await Promise.all(
         [...entries, ...sides].map(({ child }) => child.ended()),
       );
       for (const side of sides) side.server().crash();
-      await Promise.all(closing.map((one) => one.close()));
+      await Promise.all(closables.map((one) => one.close()));
     },
   };
 }
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,3 +1,3 @@
-/** Holds the real programs to the promises under faults from outside. */
+/** Soak tests of the real program's invariants under external faults. */
 export * from "./soak.ts";
 export * from "./sizes.ts";
--- a/packages/soak/src/sizes.ts
+++ b/packages/soak/src/sizes.ts
@@ -1,14 +1,14 @@
-/** How many processes a soak runs. */
+/** Fleet sizes and job rates of soak tests. */
 
-export interface Size {
+export interface FleetSize {
   readonly entries: number;
   readonly sides: number;
   readonly jobsPerSecond: number;
 }
 
-export type SizeName = "small" | "few-dozen" | "limit";
+export type FleetSizeName = "small" | "few-dozen" | "limit";
 
-export const SIZES: Readonly<Record<SizeName, Size>> = {
+export const FLEET_SIZES: Readonly<Record<FleetSizeName, FleetSize>> = {
   small: { entries: 2, sides: 4, jobsPerSecond: 15 },
   "few-dozen": { entries: 4, sides: 20, jobsPerSecond: 60 },
   limit: { entries: 10, sides: 150, jobsPerSecond: 150 },
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,4 +1,4 @@
-/** One soak: a fleet of processes, callers and faults, all drawn from a seed. */
+/** Runs one soak: a fleet of processes, callers and faults, drawn from a seed. */
 import { setTimeout as sleep } from "node:timers/promises";
 import {
   configurationDocument,
@@ -13,20 +13,20 @@
 } from "@coltsfootreach/simulate";
 import { sampleQueue } from "@coltsfootreach/standin";
 import { startCallers } from "./callers.ts";
-import { playFaults } from "./faults.ts";
+import { injectFaults } from "./faults.ts";
 import { startFleet } from "./fleet.ts";
-import type { Size } from "./sizes.ts";
+import type { FleetSize } from "./sizes.ts";
 
 export interface SoakOptions {
   readonly seed: number;
-  /** Time in which faults come. */
+  /** Duration of fault injection. */
   readonly seconds: number;
-  readonly size: Size;
-  /** Only planned faults, each of them some time after the one before. */
-  readonly isPlanned?: boolean | undefined;
-  /** Folder for settings and logs. */
+  readonly size: FleetSize;
+  /** Only planned faults, at longer intervals. */
+  readonly isPlannedOnly?: boolean | undefined;
+  /** Folder for settings files and logs. */
   readonly folder: string;
-  trace?(at: number, what: string): void;
+  trace?(atMs: number, message: string): void;
 }
 
 export interface SoakResult {
@@ -36,22 +36,22 @@
   readonly faults: readonly string[];
 }
 
-const FAULT_EVERY_MS = 700;
+const FAULT_INTERVAL_MS = 700;
 
-/** An entry takes some 3 s to stop and 1 s to be back. */
-const PLANNED_EVERY_MS = 5000;
+/** An entry takes about 3 s to stop and 1 s to become ready again. */
+const PLANNED_FAULT_INTERVAL_MS = 5000;
 
-/** Time for processes to start, and to recover after the last fault. */
-const START_MS = 2500;
+/** Time for the processes to start; `RECOVERY_MS` follows the last fault. */
+const STARTUP_MS = 2500;
 
-const RECOVER_MS = 6000;
+const RECOVERY_MS = 6000;
 
-const LAST_MS = 3000;
+const MEASUREMENT_MS = 3000;
 
-/** Share of the jobs after the recovery that must be completed. */
-const RECOVERED_SHARE = 0.75;
+/** Minimum ratio of completed to submitted jobs after the recovery. */
+const MIN_COMPLETED_RATIO = 0.75;
 
-const NETWORKS = 200;
+const NETWORK_COUNT = 200;
 
 const FIRST_NETWORK = 20;
 
@@ -60,12 +60,12 @@
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const random = createRandom(seed);
-  const isPlanned = options.isPlanned ?? false;
-  const truths = new Map<string, readonly TaskTruth[]>();
+  const isPlannedOnly = options.isPlannedOnly ?? false;
+  const taskTruthsByJob = new Map<string, readonly TaskTruth[]>();
   const faults: string[] = [];
-  let isOver = false;
+  let isFinished = false;
   const trace = (what: string) => {
-    if (!isOver) options.trace?.(now(), what);
+    if (!isFinished) options.trace?.(now(), what);
   };
   const checker = createChecker({ now, trace });
   const queue = sampleQueue();
@@ -75,9 +75,9 @@
     random,
     checker,
     folder,
-    network: `127.${FIRST_NETWORK + seed % NETWORKS}`,
+    networkPrefix: `127.${FIRST_NETWORK + seed % NETWORK_COUNT}`,
     now,
-    truth: ({ task }) => truths.get(task.job)![task.index]!,
+    taskTruth: ({ task }) => taskTruthsByJob.get(task.job)![task.index]!,
   });
   let version = 1;
 
@@ -88,21 +88,23 @@
   }
 
   changeConfiguration();
-  await sleep(START_MS);
+  await sleep(STARTUP_MS);
   const callers = startCallers({
-    addresses: fleet.entries.map((entry) => entry.callers.address),
+    addresses: fleet.entries.map((entry) => entry.callerRelay.address),
     random: createRandom(seed + 1),
     checker,
     queue,
     jobsPerSecond: size.jobsPerSecond,
-    isPlanned,
-    truths,
+    isPlannedOnly,
+    taskTruthsByJob,
   });
-  await playFaults({
+  await injectFaults({
     fleet,
     random: createRandom(seed + 2),
-    everyMs: isPlanned ? PLANNED_EVERY_MS : FAULT_EVERY_MS,
-    isPlanned,
+    meanIntervalMs: isPlannedOnly
+      ? PLANNED_FAULT_INTERVAL_MS
+      : FAULT_INTERVAL_MS,
+    isPlannedOnly,
     forMs: options.seconds * 1000,
     changeConfiguration,
     note(fault) {
@@ -110,16 +112,16 @@
       trace(`fault ${fault}`);
     },
   });
-  await sleep(RECOVER_MS);
-  callers.takeShare();
-  await sleep(LAST_MS);
-  const { asked, completed } = callers.takeShare();
-  if (completed < asked * RECOVERED_SHARE) {
-    checker.broke("RECOVER", `${completed} of ${asked}`);
+  await sleep(RECOVERY_MS);
+  callers.takeCounts();
+  await sleep(MEASUREMENT_MS);
+  const { submitted: submitted, completed } = callers.takeCounts();
+  if (completed < submitted * MIN_COMPLETED_RATIO) {
+    checker.broke("RECOVER", `${completed} of ${submitted}`);
   }
   callers.stop();
   await fleet.stop();
-  isOver = true;
+  isFinished = true;
   const breaches = checker.breaches();
   return { seed, breaches, counts: checker.counts(), faults };
 }
--- a/packages/soak/src/soak_test.ts
+++ b/packages/soak/src/soak_test.ts
@@ -4,30 +4,30 @@
 import { join } from "node:path";
 import process from "node:process";
 import { expect } from "chai";
-import { SIZES } from "./sizes.ts";
+import { FLEET_SIZES } from "./sizes.ts";
 import { soak } from "./soak.ts";
 
 const SEED = 11;
 
 const SECONDS = 6;
 
-const BUILD_MS = 60_000;
+const BUILD_TIMEOUT_MS = 60_000;
 
-describe("a short soak of the real programs", () => {
+describe("soak of the real program", () => {
   const folder = mkdtempSync(join(tmpdir(), "soak-"));
 
   before(function () {
-    this.timeout(BUILD_MS);
+    this.timeout(BUILD_TIMEOUT_MS);
     execFileSync(process.execPath, ["scripts/build_platform.mjs"]);
   });
 
   after(() => rmSync(folder, { recursive: true }));
 
-  it("keeps the promises under faults", async () => {
+  it("breaches no invariant under fault injection", async () => {
     const result = await soak({
       seed: SEED,
       seconds: SECONDS,
-      size: SIZES.small,
+      size: FLEET_SIZES.small,
       folder,
     });
     expect(result.breaches).to.deep.equal([]);
--- a/packages/soak/src/warm_up.ts
+++ b/packages/soak/src/warm_up.ts
@@ -1,6 +1,6 @@
 /**
- * Lets the program's two roles work for some seconds while it is built, so that
- * V8's compiled code for what they use can be kept beside the program.
+ * Build step that runs both roles of the program under load for some seconds,
+ * so that the V8 code cache stored beside it covers the functions in use.
  */
 import { rmSync } from "node:fs";
 import process from "node:process";
@@ -18,59 +18,59 @@
 import { startCallers } from "./callers.ts";
 import { startFleet } from "./fleet.ts";
 
-const SIZE = { entries: 1, sides: 2, jobsPerSecond: 60 };
+const FLEET_SIZE = { entries: 1, sides: 2, jobsPerSecond: 60 };
 
-/** Time until the processes take calls. */
-const START_MS = 1000;
+/** Time until the processes accept requests. */
+const STARTUP_MS = 1000;
 
-/** The program keeps its compiled code by then, and ends. */
+/** Time after which the program writes its code cache. */
 const COMPILE_AFTER_MS = 5500;
 
-const END_MS = 6000;
+const STOP_AFTER_MS = 6000;
 
 const SEED = 1;
 
-/** For settings and logs, while it lasts. */
-const FOLDER = "target/warm_up";
+/** Temporary folder for settings files and logs. */
+const OUTPUT_FOLDER = "target/warm_up";
 
-/** Builds may run side by side; each has loopback addresses of its own. */
+/** Loopback networks are chosen by process id, as builds may run in parallel. */
 const FIRST_NETWORK = 221;
 
-const NETWORKS = 30;
+const NETWORK_COUNT = 30;
 
 async function warmUp(): Promise<void> {
   process.env.COLTSFOOTREACH_COMPILE_AFTER_MS = String(COMPILE_AFTER_MS);
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const random = createRandom(SEED);
-  const truths = new Map<string, readonly TaskTruth[]>();
+  const taskTruthsByJob = new Map<string, readonly TaskTruth[]>();
   const checker = createChecker({ now, trace() {} });
   const queue = sampleQueue();
   const fleet = await startFleet({
-    size: SIZE,
+    size: FLEET_SIZE,
     service: queue.service,
     random,
     checker,
-    folder: FOLDER,
-    network: `127.${FIRST_NETWORK + process.pid % NETWORKS}`,
+    folder: OUTPUT_FOLDER,
+    networkPrefix: `127.${FIRST_NETWORK + process.pid % NETWORK_COUNT}`,
     now,
-    truth: ({ task }) => truths.get(task.job)![task.index]!,
+    taskTruth: ({ task }) => taskTruthsByJob.get(task.job)![task.index]!,
   });
   fleet.store.write(configurationDocument.key, formatConfiguration(1, queue));
-  await sleep(START_MS);
+  await sleep(STARTUP_MS);
   const callers = startCallers({
-    addresses: fleet.entries.map((entry) => entry.callers.address),
+    addresses: fleet.entries.map((entry) => entry.callerRelay.address),
     random,
     checker,
     queue,
-    jobsPerSecond: SIZE.jobsPerSecond,
-    isPlanned: false,
-    truths,
+    jobsPerSecond: FLEET_SIZE.jobsPerSecond,
+    isPlannedOnly: false,
+    taskTruthsByJob,
   });
-  await sleep(END_MS - START_MS);
+  await sleep(STOP_AFTER_MS - STARTUP_MS);
   callers.stop();
   await fleet.stop();
-  rmSync(FOLDER, { recursive: true });
+  rmSync(OUTPUT_FOLDER, { recursive: true });
 }
 
 await warmUp();
