Rename the simulate names that soak uses too

Cause: Checker, TaskTruth and Random had figurative names (broke, truths, below).

The printed JSON keys are unchanged. Locals named truths in packages/soak are left.

--- a/packages/simulate/src/callers.ts
+++ b/packages/simulate/src/callers.ts
@@ -9,7 +9,7 @@
 import type { SimulatedClock } from "./clock.ts";
 import type { Fleet } from "./fleet.ts";
 import type { Random } from "./random.ts";
-import type { TaskTruth } from "./server_standin.ts";
+import type { TaskProfile } from "./server_standin.ts";
 
 export interface CallerOptions {
   readonly clock: SimulatedClock;
@@ -21,7 +21,7 @@
   readonly untilMs: number;
   readonly shape: JobShape;
   /** Actual resources and run times of the tasks by job; filled by the callers. */
-  readonly truths: Map<string, readonly TaskTruth[]>;
+  readonly taskProfiles: Map<string, readonly TaskProfile[]>;
 }
 
 export interface JobShape {
@@ -38,22 +38,22 @@
 }
 
 export function simulateCallers(options: CallerOptions): Callers {
-  const { clock, random, fleet, checker, queue, shape, truths } = options;
+  const { clock, random, fleet, checker, queue, shape, taskProfiles } = options;
   let jobCount = 0;
   let inTime = 0;
 
   function makeJob(): Job {
     jobCount += 1;
     const id = `job-${queue.name}-${jobCount}`;
-    const count = 1 + random.below(shape.meanTasks * 2 - 1);
+    const count = 1 + random.integerBelow(shape.meanTasks * 2 - 1);
     const resources = { cpu: shape.cpu, memoryMb: 64, gpu: 0 };
     const tasks = Array.from({ length: count }, () => ({
       resources,
       workMs: shape.meanMs * random.factor(0.5),
       fails: random.chance(shape.failureRate),
     }));
-    truths.set(id, tasks);
-    checker.jobMade({ id, tasks: count, attempts: queue.attempts });
+    taskProfiles.set(id, tasks);
+    checker.jobCreated({ id, tasks: count, attempts: queue.attempts });
     const longestMs = Math.max(...tasks.map((task) => task.workMs));
     return {
       id,
@@ -70,7 +70,7 @@
   function submit(job: Job, firstSubmittedAt: number): void {
     const timeoutAt = firstSubmittedAt + job.timeoutMs;
     if (clock.now() >= timeoutAt) return;
-    const entry = fleet.entries[random.below(fleet.entries.length)]!;
+    const entry = fleet.entries[random.integerBelow(fleet.entries.length)]!;
     let isSettled = false;
 
     function resubmit(): void {
--- a/packages/simulate/src/checker.ts
+++ b/packages/simulate/src/checker.ts
@@ -3,7 +3,7 @@
 import { keyOfTask, type RunOutcome, type RunRef } from "@coltsfootreach/run";
 import type { ServerStandin } from "./server_standin.ts";
 
-export interface Breach {
+export interface Violation {
   readonly rule: string;
   readonly at: number;
   readonly what: string;
@@ -16,15 +16,15 @@
 }
 
 export interface Checker {
-  jobMade(job: JobSummary): void;
+  jobCreated(job: JobSummary): void;
   started(server: ServerStandin, ref: RunRef): void;
   ended(server: ServerStandin, ref: RunRef, end: RunOutcome): void;
-  broke(rule: string, what: string): void;
+  reportViolation(rule: string, what: string): void;
   /** A submission of the job was answered. */
   answered(job: string, answer: Answer): void;
   /** A submission of the job ended without an answer. */
   unanswered(job: string): void;
-  breaches(): readonly Breach[];
+  breaches(): readonly Violation[];
   counts(): CheckerCounts;
 }
 
@@ -54,16 +54,16 @@
   const jobs = new Map<string, ObservedJob>();
   /** Servers that currently run a task, by task. */
   const running = new Map<string, Set<ServerStandin>>();
-  const breaches: Breach[] = [];
+  const breaches: Violation[] = [];
   const counts = { jobs: 0, completed: 0, failed: 0, refused: 0, starts: 0 };
 
-  function broke(rule: string, what: string): void {
+  function reportViolation(rule: string, what: string): void {
     breaches.push({ rule, at: now(), what });
   }
 
   function checkCompleted(job: ObservedJob): void {
     if (job.done.size < job.summary.tasks) {
-      broke(
+      reportViolation(
         "MIXED",
         `${job.summary.id}: ${job.done.size} of ${job.summary.tasks}`,
       );
@@ -73,7 +73,7 @@
   function checkFailed(job: ObservedJob): void {
     const maxFailures = Math.max(0, ...job.failures.values());
     if (maxFailures < job.summary.attempts) {
-      broke(
+      reportViolation(
         "FAILED",
         `${job.summary.id}: ${maxFailures} of ${job.summary.attempts}`,
       );
@@ -81,7 +81,7 @@
   }
 
   return {
-    jobMade(summary) {
+    jobCreated(summary) {
       counts.jobs += 1;
       jobs.set(summary.id, {
         summary,
@@ -98,11 +98,13 @@
       const servers = running.get(key) ?? new Set();
       running.set(key, servers);
       for (const other of servers) {
-        if (other.isUp()) broke("TWICE", `${key}: ${other.id}, ${server.id}`);
+        if (other.isUp()) {
+          reportViolation("TWICE", `${key}: ${other.id}, ${server.id}`);
+        }
       }
       servers.add(server);
       const job = jobs.get(ref.task.job);
-      if (job === undefined) broke("UNASKED", key);
+      if (job === undefined) reportViolation("UNASKED", key);
       else job.hasStarted = true;
     },
     ended(server, ref, end) {
@@ -115,7 +117,7 @@
         job?.failures.set(key, (job.failures.get(key) ?? 0) + 1);
       }
     },
-    broke,
+    reportViolation,
     answered(id, answer) {
       const job = jobs.get(id);
       trace(`${id} answered ${answer.kind}`);
@@ -139,7 +141,7 @@
     breaches() {
       for (const job of jobs.values()) {
         if (job.hasStarted && !job.isPossiblyAccepted) {
-          broke("REFUSED", job.summary.id);
+          reportViolation("REFUSED", job.summary.id);
         }
       }
       return breaches;
--- a/packages/simulate/src/faults.ts
+++ b/packages/simulate/src/faults.ts
@@ -15,15 +15,16 @@
 
 export function injectFaults(options: FaultOptions): void {
   const { clock, random, fleet } = options;
-  const pick = <T>(list: readonly T[]): T => list[random.below(list.length)]!;
+  const pick = <T>(list: readonly T[]): T =>
+    list[random.integerBelow(list.length)]!;
   const randomDurationMs = (maxMs: number) => 50 + random.next() * maxMs;
 
   function cutWay(): void {
-    const entry = random.below(fleet.entries.length);
-    const side = random.below(fleet.sides.length);
+    const entry = random.integerBelow(fleet.entries.length);
+    const side = random.integerBelow(fleet.sides.length);
     const toSide = fleet.networkPath(entry, side, true);
     const toEntry = fleet.networkPath(entry, side, false);
-    const kind = random.below(3);
+    const kind = random.integerBelow(3);
     if (kind !== 0) toSide.isPartitioned = true;
     if (kind !== 1) toEntry.isPartitioned = true;
     clock.after(randomDurationMs(3000), () => {
@@ -47,8 +48,8 @@
     cutWay,
     resetStream: () =>
       fleet.resetStream(
-        random.below(fleet.entries.length),
-        random.below(fleet.sides.length),
+        random.integerBelow(fleet.entries.length),
+        random.integerBelow(fleet.sides.length),
       ),
     loseAnswers() {
       const side = pick(fleet.sides);
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -30,7 +30,7 @@
 import {
   createServerStandin,
   type ServerStandin,
-  type TaskTruth,
+  type TaskProfile,
 } from "./server_standin.ts";
 import { createNodes, type Node } from "./node.ts";
 import { createServerConnection } from "./server_connection.ts";
@@ -54,7 +54,7 @@
   readonly capacity: Resources;
   /** Ratio of run time to work; servers are assigned the values in turn. */
   readonly slowness: readonly number[];
-  truth(ref: RunRef): TaskTruth;
+  profileOf(ref: RunRef): TaskProfile;
   trace(what: string): void;
 }
 
@@ -340,7 +340,7 @@
         slowness: options.slowness[index % options.slowness.length]!,
         maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
         stopMs: SAMPLE_BOUNDS.stopMs,
-        truth: options.truth,
+        profileOf: options.profileOf,
         observer: checker,
       });
     }
--- a/packages/simulate/src/random.ts
+++ b/packages/simulate/src/random.ts
@@ -4,7 +4,7 @@
   /** Returns a number from 0 inclusive to 1 exclusive. */
   next(): number;
   /** Returns an integer from 0 inclusive to `count` exclusive. */
-  below(count: number): number;
+  integerBelow(count: number): number;
   /** Returns true with the given probability. */
   chance(share: number): boolean;
   /** Returns a factor from `e ** -spread` to `e ** spread`, log-uniform. */
@@ -23,7 +23,7 @@
 
   return {
     next,
-    below: (count) => Math.floor(next() * count),
+    integerBelow: (count) => Math.floor(next() * count),
     chance: (share) => next() < share,
     factor: (spread) => Math.exp((next() * 2 - 1) * spread),
   };
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -24,7 +24,7 @@
 import type { SimulatedClock } from "./clock.ts";
 
 /** Actual resources and run time of a task, known only to the stand-in. */
-export interface TaskTruth {
+export interface TaskProfile {
   readonly resources: Resources;
   readonly workMs: number;
   readonly fails: boolean;
@@ -33,7 +33,7 @@
 export interface ServerObserver {
   started(server: ServerStandin, ref: RunRef): void;
   ended(server: ServerStandin, ref: RunRef, end: RunOutcome): void;
-  broke(rule: string, what: string): void;
+  reportViolation(rule: string, what: string): void;
 }
 
 export interface ServerStandinOptions {
@@ -45,7 +45,7 @@
   slowness: number;
   readonly maxLeaseMs: number;
   readonly stopMs: number;
-  truth(ref: RunRef): TaskTruth;
+  profileOf(ref: RunRef): TaskProfile;
   readonly observer: ServerObserver;
 }
 
@@ -73,7 +73,7 @@
 
 interface LocalRun {
   readonly ref: RunRef;
-  readonly truth: TaskTruth;
+  readonly profile: TaskProfile;
   readonly startedAt: number;
   percent: number;
   hasEnded: boolean;
@@ -115,7 +115,7 @@
   function usage(): Resources {
     let sum = NO_RESOURCES;
     for (const run of running.values()) {
-      sum = addResources(sum, run.truth.resources);
+      sum = addResources(sum, run.profile.resources);
     }
     return sum;
   }
@@ -124,7 +124,9 @@
     const used = usage();
     const isExceeded = used.cpu > capacity.cpu ||
       used.memoryMb > capacity.memoryMb || used.gpu > capacity.gpu;
-    if (isExceeded) observer.broke("LIMIT", `${options.id} ${used.cpu}`);
+    if (isExceeded) {
+      observer.reportViolation("LIMIT", `${options.id} ${used.cpu}`);
+    }
   }
 
   function endRun(run: LocalRun, outcome: RunOutcome): void {
@@ -151,9 +153,9 @@
         continue;
       }
       if (isHanging) continue;
-      run.percent += (100 * STEP_INTERVAL_MS) / (run.truth.workMs * slowness);
+      run.percent += (100 * STEP_INTERVAL_MS) / (run.profile.workMs * slowness);
       if (run.percent >= 100) {
-        endRun(run, run.truth.fails || isFailing ? "failed" : "done");
+        endRun(run, run.profile.fails || isFailing ? "failed" : "done");
       }
     }
     clock.after(STEP_INTERVAL_MS, advanceRuns);
@@ -212,11 +214,11 @@
         return { kind: "refused", reason: "late" };
       }
       if (clock.now() > self.startDeadline) {
-        observer.broke("DRAIN", `${options.id} ${key}`);
+        observer.reportViolation("DRAIN", `${options.id} ${key}`);
       }
       running.set(key, {
         ref: request.ref,
-        truth: options.truth(request.ref),
+        profile: options.profileOf(request.ref),
         startedAt: clock.now(),
         percent: 0,
         hasEnded: false,
--- a/packages/simulate/src/simulation.ts
+++ b/packages/simulate/src/simulation.ts
@@ -2,12 +2,16 @@
 import type { RunRef, Timing } from "@coltsfootreach/run";
 import { SAMPLE_TIMING, sampleQueue } from "@coltsfootreach/standin";
 import { simulateCallers } from "./callers.ts";
-import { type Breach, type CheckerCounts, createChecker } from "./checker.ts";
+import {
+  type CheckerCounts,
+  createChecker,
+  type Violation,
+} from "./checker.ts";
 import { createClock, type SimulatedClock } from "./clock.ts";
 import { injectFaults } from "./faults.ts";
 import { createFleet, type Fleet } from "./fleet.ts";
 import { createRandom } from "./random.ts";
-import type { TaskTruth } from "./server_standin.ts";
+import type { TaskProfile } from "./server_standin.ts";
 import type { Traffic } from "./traffic.ts";
 
 export interface SimulationOptions {
@@ -32,7 +36,7 @@
 
 export interface SimulationResult {
   readonly seed: number;
-  readonly breaches: readonly Breach[];
+  readonly breaches: readonly Violation[];
   readonly counts: CheckerCounts;
   readonly inTime: number;
   /** Number of tasks of all jobs; any further starts are restarts. */
@@ -53,7 +57,7 @@
   const checker = createChecker({ now: clock.now, trace });
   const untilMs = options.seconds * 1000;
   const faults: string[] = [];
-  const truths = new Map<string, readonly TaskTruth[]>();
+  const taskProfiles = new Map<string, readonly TaskProfile[]>();
   const fleet = createFleet({
     clock,
     random,
@@ -64,10 +68,10 @@
     sides: options.sides ?? 6,
     slowness: options.slowness ?? [1],
     capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
-    truth: ({ task }: RunRef) => truths.get(task.job)![task.index]!,
+    profileOf: ({ task }: RunRef) => taskProfiles.get(task.job)![task.index]!,
   });
   const callers = simulateCallers({
-    truths,
+    taskProfiles,
     clock,
     random,
     fleet,
@@ -103,7 +107,7 @@
     breaches: checker.breaches(),
     counts: checker.counts(),
     inTime: callers.inTime(),
-    tasks: [...truths.values()].reduce((sum, one) => sum + one.length, 0),
+    tasks: [...taskProfiles.values()].reduce((sum, one) => sum + one.length, 0),
     stuck,
     faults,
     traffic: fleet.traffic,
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -10,7 +10,7 @@
 } from "@coltsfootreach/platform";
 import type { Queue } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, sampleStep } from "@coltsfootreach/standin";
-import type { Checker, Random, TaskTruth } from "@coltsfootreach/simulate";
+import type { Checker, Random, TaskProfile } from "@coltsfootreach/simulate";
 
 const DEADLINE_MS = 2500;
 
@@ -28,7 +28,7 @@
   readonly jobsPerSecond: number;
   /** Only planned faults come, which must cut no request. */
   readonly isPlanned: boolean;
-  readonly truths: Map<string, readonly TaskTruth[]>;
+  readonly taskProfiles: Map<string, readonly TaskProfile[]>;
 }
 
 export interface Callers {
@@ -44,7 +44,7 @@
 }
 
 export function startCallers(options: CallersOptions): Callers {
-  const { random, checker, truths, queue } = options;
+  const { random, checker, taskProfiles: truths, queue } = options;
   const agents = options.addresses.map(() => new Agent({ keepAlive: true }));
   let made = 0;
   let asked = 0;
@@ -56,7 +56,7 @@
   function makeJob(): CallerJob {
     made += 1;
     const id = made.toString(16).padStart(16, "0");
-    const count = 1 + random.below(6);
+    const count = 1 + random.integerBelow(6);
     const resources = { cpu: 1600, memoryMb: 64, gpu: 0 };
     const tasks = Array.from({ length: count }, () => ({
       resources,
@@ -64,7 +64,7 @@
       fails: random.chance(FAIL_SHARE),
     }));
     truths.set(id, tasks);
-    checker.jobMade({ id, tasks: count, attempts: queue.attempts });
+    checker.jobCreated({ id, tasks: count, attempts: queue.attempts });
     const longestMs = Math.max(...tasks.map(({ workMs }) => workMs));
     const estimateMs = longestMs * random.factor(0.4);
     const step = sampleStep({ count, resources, estimateMs });
@@ -78,7 +78,7 @@
   function handIn(job: CallerJob): void {
     const leftMs = job.leavesAt - performance.now();
     if (leftMs <= 0 || isStopped) return;
-    const entry = random.below(options.addresses.length);
+    const entry = random.integerBelow(options.addresses.length);
     const [host, port] = options.addresses[entry]!.split(":");
     const call = request({
       host,
@@ -102,7 +102,7 @@
       end();
       const ms = performance.now() - sentAt;
       if (options.isPlanned && ms > LOSS_SLACK_MS && !isStopped) {
-        checker.broke(
+        checker.reportViolation(
           "LOST",
           `${job.id}: ${reason} after ${Math.round(ms)} ms`,
         );
@@ -156,7 +156,7 @@
       checker.unanswered(job.id);
       setTimeout(() => handIn(job), SAMPLE_BOUNDS.resendMs);
     } else {
-      checker.broke("ANSWER", `${job.id}: ${status} ${text}`);
+      checker.reportViolation("ANSWER", `${job.id}: ${status} ${text}`);
     }
   }
 
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -39,7 +39,8 @@
 export async function playFaults(options: FaultsOptions): Promise<void> {
   const { fleet, random } = options;
   const endsAt = performance.now() + options.forMs;
-  const pick = <T>(list: readonly T[]): T => list[random.below(list.length)]!;
+  const pick = <T>(list: readonly T[]): T =>
+    list[random.integerBelow(list.length)]!;
   const someMs = () => 50 + random.next() * LONGEST_MS;
 
   function end(one: SoakedProcess, signal: "SIGKILL" | "SIGTERM"): void {
@@ -85,7 +86,7 @@
     },
     delayLinks() {
       const { links } = pick(fleet.entries);
-      links.setDelay(20 + random.below(400));
+      links.setDelay(20 + random.integerBelow(400));
       setTimeout(() => links.setDelay(0), someMs());
     },
     resetCallers: () => pick(fleet.entries).callers.dropOpen(),
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -16,7 +16,7 @@
   createServerStandin,
   type Random,
   type ServerStandin,
-  type TaskTruth,
+  type TaskProfile,
 } from "@coltsfootreach/simulate";
 import type { RunRef } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
@@ -45,7 +45,7 @@
   /** First two bytes of the loopback addresses to use. */
   readonly network: string;
   now(): number;
-  truth(ref: RunRef): TaskTruth;
+  profileOf(ref: RunRef): TaskProfile;
 }
 
 export interface SoakedProcess {
@@ -159,7 +159,7 @@
         slowness: 1,
         maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
         stopMs: SAMPLE_BOUNDS.stopMs,
-        truth: options.truth,
+        profileOf: options.profileOf,
         observer: checker,
       });
     }
@@ -205,7 +205,7 @@
   /** Starts what has ended again, as the platform does. */
   function restartEnded(one: SoakedProcess): void {
     if (isStopping || one.child.isRunning()) return;
-    if (!one.isEnding) checker.broke("EXIT", one.child.name);
+    if (!one.isEnding) checker.reportViolation("EXIT", one.child.name);
     one.isEnding = true;
     setTimeout(() => {
       if (isStopping || one.child.isRunning()) return;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,11 +5,11 @@
   formatConfiguration,
 } from "@coltsfootreach/platform";
 import {
-  type Breach,
   type CheckerCounts,
   createChecker,
   createRandom,
-  type TaskTruth,
+  type TaskProfile,
+  type Violation,
 } from "@coltsfootreach/simulate";
 import { sampleQueue } from "@coltsfootreach/standin";
 import { startCallers } from "./callers.ts";
@@ -31,7 +31,7 @@
 
 export interface SoakResult {
   readonly seed: number;
-  readonly breaches: readonly Breach[];
+  readonly breaches: readonly Violation[];
   readonly counts: CheckerCounts;
   readonly faults: readonly string[];
 }
@@ -61,7 +61,7 @@
   const now = () => performance.now() - startedAt;
   const random = createRandom(seed);
   const isPlanned = options.isPlanned ?? false;
-  const truths = new Map<string, readonly TaskTruth[]>();
+  const truths = new Map<string, readonly TaskProfile[]>();
   const faults: string[] = [];
   let isOver = false;
   const trace = (what: string) => {
@@ -77,7 +77,7 @@
     folder,
     network: `127.${FIRST_NETWORK + seed % NETWORKS}`,
     now,
-    truth: ({ task }) => truths.get(task.job)![task.index]!,
+    profileOf: ({ task }) => truths.get(task.job)![task.index]!,
   });
   let version = 1;
 
@@ -96,7 +96,7 @@
     queue,
     jobsPerSecond: size.jobsPerSecond,
     isPlanned,
-    truths,
+    taskProfiles: truths,
   });
   await playFaults({
     fleet,
@@ -115,7 +115,7 @@
   await sleep(LAST_MS);
   const { asked, completed } = callers.takeShare();
   if (completed < asked * RECOVERED_SHARE) {
-    checker.broke("RECOVER", `${completed} of ${asked}`);
+    checker.reportViolation("RECOVER", `${completed} of ${asked}`);
   }
   callers.stop();
   await fleet.stop();
--- a/packages/soak/src/warm_up.ts
+++ b/packages/soak/src/warm_up.ts
@@ -12,7 +12,7 @@
 import {
   createChecker,
   createRandom,
-  type TaskTruth,
+  type TaskProfile,
 } from "@coltsfootreach/simulate";
 import { sampleQueue } from "@coltsfootreach/standin";
 import { startCallers } from "./callers.ts";
@@ -43,7 +43,7 @@
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const random = createRandom(SEED);
-  const truths = new Map<string, readonly TaskTruth[]>();
+  const truths = new Map<string, readonly TaskProfile[]>();
   const checker = createChecker({ now, trace() {} });
   const queue = sampleQueue();
   const fleet = await startFleet({
@@ -54,7 +54,7 @@
     folder: FOLDER,
     network: `127.${FIRST_NETWORK + process.pid % NETWORKS}`,
     now,
-    truth: ({ task }) => truths.get(task.job)![task.index]!,
+    profileOf: ({ task }) => truths.get(task.job)![task.index]!,
   });
   fleet.store.write(configurationDocument.key, formatConfiguration(1, queue));
   await sleep(START_MS);
@@ -65,7 +65,7 @@
     queue,
     jobsPerSecond: SIZE.jobsPerSecond,
     isPlanned: false,
-    truths,
+    taskProfiles: truths,
   });
   await sleep(END_MS - START_MS);
   callers.stop();
