--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -10,7 +10,7 @@
 } from "@coltsfootreach/platform";
 import type { Queue } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, sampleStep } from "@coltsfootreach/standin";
-import type { Checker, Random, TaskTruth } from "@coltsfootreach/simulate";
+import type { Checker, Random, TaskProfile } from "@coltsfootreach/simulate";
 
 const DEADLINE_MS = 2500;
 
@@ -28,7 +28,7 @@
   readonly jobsPerSecond: number;
   /** Only planned faults are injected, which must not interrupt any request. */
   readonly isPlannedOnly: boolean;
-  readonly taskTruthsByJob: Map<string, readonly TaskTruth[]>;
+  readonly taskProfilesByJob: Map<string, readonly TaskProfile[]>;
 }
 
 export interface Callers {
@@ -44,7 +44,7 @@
 }
 
 export function startCallers(options: CallersOptions): Callers {
-  const { random, checker, taskTruthsByJob, queue } = options;
+  const { random, checker, taskProfilesByJob, queue } = options;
   const agents = options.addresses.map(() => new Agent({ keepAlive: true }));
   let createdJobs = 0;
   let submitted = 0;
@@ -56,15 +56,15 @@
   function createJob(): CallerJob {
     createdJobs += 1;
     const id = createdJobs.toString(16).padStart(16, "0");
-    const count = 1 + random.below(6);
+    const count = 1 + random.integerBelow(6);
     const resources = { cpu: 1600, memoryMb: 64, gpu: 0 };
     const tasks = Array.from({ length: count }, () => ({
       resources,
       workMs: 200 * random.factor(0.7),
       fails: random.chance(TASK_FAILURE_PROBABILITY),
     }));
-    taskTruthsByJob.set(id, tasks);
-    checker.jobMade({ id, tasks: count, attempts: queue.attempts });
+    taskProfilesByJob.set(id, tasks);
+    checker.jobCreated({ id, tasks: count, attempts: queue.attempts });
     const longestMs = Math.max(...tasks.map(({ workMs }) => workMs));
     const estimateMs = longestMs * random.factor(0.4);
     const step = sampleStep({ count, resources, estimateMs });
@@ -78,7 +78,7 @@
   function submitJob(job: CallerJob): void {
     const remainingMs = job.deadlineAt - performance.now();
     if (remainingMs <= 0 || isStopped) return;
-    const entry = random.below(options.addresses.length);
+    const entry = random.integerBelow(options.addresses.length);
     const [host, port] = options.addresses[entry]!.split(":");
     const httpRequest = request({
       host,
@@ -105,7 +105,7 @@
         options.isPlannedOnly && elapsedMs > CONNECTION_CLOSE_TOLERANCE_MS &&
         !isStopped
       ) {
-        checker.broke(
+        checker.reportViolation(
           "LOST",
           `${job.id}: ${reason} after ${Math.round(elapsedMs)} ms`,
         );
@@ -159,7 +159,7 @@
       checker.unanswered(job.id);
       setTimeout(() => submitJob(job), SAMPLE_BOUNDS.resendMs);
     } else {
-      checker.broke("ANSWER", `${job.id}: ${status} ${text}`);
+      checker.reportViolation("ANSWER", `${job.id}: ${status} ${text}`);
     }
   }
 
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -42,7 +42,7 @@
   const { fleet, random } = options;
   const endsAt = performance.now() + options.forMs;
   const pickRandom = <T>(list: readonly T[]): T =>
-    list[random.below(list.length)]!;
+    list[random.integerBelow(list.length)]!;
   const randomDurationMs = () => 50 + random.next() * FAULT_DURATION_SPAN_MS;
 
   function terminate(
@@ -93,7 +93,7 @@
     },
     delayLinks() {
       const { linkRelay: links } = pickRandom(fleet.entries);
-      links.setDelay(20 + random.below(400));
+      links.setDelay(20 + random.integerBelow(400));
       setTimeout(() => links.setDelay(0), randomDurationMs());
     },
     resetCallers: () => pickRandom(fleet.entries).callerRelay.dropOpen(),
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -16,7 +16,7 @@
   createServerStandin,
   type Random,
   type ServerStandin,
-  type TaskTruth,
+  type TaskProfile,
 } from "@coltsfootreach/simulate";
 import type { RunRef } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
@@ -45,7 +45,7 @@
   /** First two octets of the loopback addresses, as `127.N`. */
   readonly networkPrefix: string;
   now(): number;
-  taskTruth(ref: RunRef): TaskTruth;
+  taskProfile(ref: RunRef): TaskProfile;
 }
 
 export interface ManagedProcess {
@@ -166,7 +166,7 @@
         slowness: 1,
         maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
         stopMs: SAMPLE_BOUNDS.stopMs,
-        truth: options.taskTruth,
+        profileOf: options.taskProfile,
         observer: checker,
       });
     }
@@ -212,7 +212,9 @@
   /** Restarts an exited process, as the platform does. */
   function restartIfExited(target: ManagedProcess): void {
     if (isStopping || target.child.isRunning()) return;
-    if (!target.isExitExpected) checker.broke("EXIT", target.child.name);
+    if (!target.isExitExpected) {
+      checker.reportViolation("EXIT", target.child.name);
+    }
     target.isExitExpected = true;
     setTimeout(() => {
       if (isStopping || target.child.isRunning()) return;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,11 +5,11 @@
   formatConfiguration,
 } from "@coltsfootreach/platform";
 import {
-  type Breach,
   type CheckerCounts,
   createChecker,
   createRandom,
-  type TaskTruth,
+  type TaskProfile,
+  type Violation,
 } from "@coltsfootreach/simulate";
 import { sampleQueue } from "@coltsfootreach/standin";
 import { startCallers } from "./callers.ts";
@@ -31,7 +31,7 @@
 
 export interface SoakResult {
   readonly seed: number;
-  readonly breaches: readonly Breach[];
+  readonly breaches: readonly Violation[];
   readonly counts: CheckerCounts;
   readonly faults: readonly string[];
 }
@@ -61,7 +61,7 @@
   const now = () => performance.now() - startedAt;
   const random = createRandom(seed);
   const isPlannedOnly = options.isPlannedOnly ?? false;
-  const taskTruthsByJob = new Map<string, readonly TaskTruth[]>();
+  const taskProfilesByJob = new Map<string, readonly TaskProfile[]>();
   const faults: string[] = [];
   let isFinished = false;
   const trace = (what: string) => {
@@ -77,7 +77,7 @@
     folder,
     networkPrefix: `127.${FIRST_NETWORK + seed % NETWORK_COUNT}`,
     now,
-    taskTruth: ({ task }) => taskTruthsByJob.get(task.job)![task.index]!,
+    taskProfile: ({ task }) => taskProfilesByJob.get(task.job)![task.index]!,
   });
   let version = 1;
 
@@ -96,7 +96,7 @@
     queue,
     jobsPerSecond: size.jobsPerSecond,
     isPlannedOnly,
-    taskTruthsByJob,
+    taskProfilesByJob,
   });
   await injectFaults({
     fleet,
@@ -117,7 +117,7 @@
   await sleep(MEASUREMENT_MS);
   const { submitted: submitted, completed } = callers.takeCounts();
   if (completed < submitted * MIN_COMPLETED_RATIO) {
-    checker.broke("RECOVER", `${completed} of ${submitted}`);
+    checker.reportViolation("RECOVER", `${completed} of ${submitted}`);
   }
   callers.stop();
   await fleet.stop();
--- a/packages/soak/src/warm_up.ts
+++ b/packages/soak/src/warm_up.ts
@@ -12,7 +12,7 @@
 import {
   createChecker,
   createRandom,
-  type TaskTruth,
+  type TaskProfile,
 } from "@coltsfootreach/simulate";
 import { sampleQueue } from "@coltsfootreach/standin";
 import { startCallers } from "./callers.ts";
@@ -43,7 +43,7 @@
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   const random = createRandom(SEED);
-  const taskTruthsByJob = new Map<string, readonly TaskTruth[]>();
+  const taskProfilesByJob = new Map<string, readonly TaskProfile[]>();
   const checker = createChecker({ now, trace() {} });
   const queue = sampleQueue();
   const fleet = await startFleet({
@@ -54,7 +54,7 @@
     folder: OUTPUT_FOLDER,
     networkPrefix: `127.${FIRST_NETWORK + process.pid % NETWORK_COUNT}`,
     now,
-    taskTruth: ({ task }) => taskTruthsByJob.get(task.job)![task.index]!,
+    taskProfile: ({ task }) => taskProfilesByJob.get(task.job)![task.index]!,
   });
   fleet.store.write(configurationDocument.key, formatConfiguration(1, queue));
   await sleep(STARTUP_MS);
@@ -65,7 +65,7 @@
     queue,
     jobsPerSecond: FLEET_SIZE.jobsPerSecond,
     isPlannedOnly: false,
-    taskTruthsByJob,
+    taskProfilesByJob,
   });
   await sleep(STOP_AFTER_MS - STARTUP_MS);
   callers.stop();
