--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -1,8 +1,8 @@
 /**
- * Makes a text the next configuration version. The head key moves by
- * compare-and-swap on the version that the operator edited from, so of two
- * racing edits one is told of a conflict. A write whose answer was lost is
- * settled by the token that it leaves in the head.
+ * Applies a text as the next configuration version. The head key is updated by
+ * compare-and-swap on the version that the operator edited from, so that of two
+ * concurrent edits one gets a conflict. When the response to a write is lost,
+ * the token stored in the head tells whether the write took effect.
  */
 import { Buffer } from "node:buffer";
 import { err, ok, type Result } from "neverthrow";
@@ -33,11 +33,11 @@
 } from "./repository.ts";
 import { pruneHistory } from "./prune.ts";
 
-/** An edit that an operator wants to be in force. */
-export interface Change {
+/** An edit that an operator submits. */
+export interface ConfigurationChange {
   readonly text: string;
   /**
-   * The version that the text was edited from; 0 before the first. When the
+   * The version that the text was edited from; 0 before the first. If the
    * store has lost its data, the version that the fleet still has in force.
    */
   readonly baseVersion: number;
@@ -50,13 +50,13 @@
 }
 
 export type Outcome =
-  /** The store has it for certain. */
+  /** The store has confirmed the write. */
   | { readonly kind: "accepted"; readonly version: number }
-  /** The text is in force already. */
+  /** The text is already in force. */
   | { readonly kind: "unchanged"; readonly version: number }
-  /** Another edit came first; nothing was overwritten. */
+  /** Another edit was applied first; nothing was overwritten. */
   | { readonly kind: "conflict"; readonly current: ConfigurationRecord }
-  /** The store gave no answer; the change may be in force or come later. */
+  /** No response from the store; the change may take effect now or later. */
   | {
     readonly kind: "unknown";
     readonly version: number;
@@ -66,29 +66,29 @@
 export interface ApplyOptions {
   readonly store: Store;
   readonly keys: ConfigurationKeys;
-  /** Checks the text before anything is written. */
+  /** Validates the text before anything is written. */
   readonly check: (
     configuration: Configuration,
   ) => Result<unknown, InvalidFile>;
-  /** Earlier versions that are kept. */
+  /** Number of earlier versions to keep. */
   readonly historyLimit?: number | undefined;
 }
 
 export const DEFAULT_HISTORY_LIMIT = 50;
 
-/** Longer texts go into parts, so that history is cheap to list. */
-export const LONGEST_INLINE_BYTES = 32 * 1024;
+/** Longer texts are stored in parts, so that listing the history is cheap. */
+export const MAX_INLINE_BYTES = 32 * 1024;
 
-const LARGEST_TEXT_BYTES = 16 * 1024 * 1024;
-const SWAP_ATTEMPTS = 4;
+const MAX_TEXT_BYTES = 16 * 1024 * 1024;
+const MAX_SWAP_ATTEMPTS = 4;
 
 /**
  * Applies a change. An error means that the change was not made and will not
- * be; `unknown` is the one outcome that leaves it open.
+ * be made later; only the outcome `unknown` leaves this undetermined.
  */
 export async function applyChange(
   options: ApplyOptions,
-  change: Change,
+  change: ConfigurationChange,
 ): Promise<Result<Outcome, ReadFault>> {
   const checked = checkText(options, change);
   if (checked.isErr()) return err(checked.error);
@@ -96,9 +96,9 @@
   const read = await repository.readHead();
   if (read.isErr()) return err(read.error);
   const head = read.value;
-  const settled = settleBeforeWriting(change, head);
-  if (settled !== undefined) return ok(settled);
-  const prepared = await prepare(options, change, head);
+  const earlyOutcome = findOutcomeBeforeWriting(change, head);
+  if (earlyOutcome !== undefined) return ok(earlyOutcome);
+  const prepared = await prepareRecord(options, change, head);
   if (prepared.isErr()) return err(prepared.error);
   const outcome = await swapHead({ ...options, head }, prepared.value);
   if (outcome.isOk() && outcome.value.kind === "accepted") {
@@ -113,22 +113,28 @@
 
 function checkText(
   { check }: ApplyOptions,
-  { text, baseVersion }: Change,
+  { text, baseVersion }: ConfigurationChange,
 ): Result<unknown, InvalidFile> {
-  if (Buffer.byteLength(text) > LARGEST_TEXT_BYTES) {
-    return err(new InvalidFile("configuration", "text", "is too long"));
+  if (Buffer.byteLength(text) > MAX_TEXT_BYTES) {
+    return err(
+      new InvalidFile("configuration", "text", "exceeds the maximum size"),
+    );
   }
   const parts = splitConfigurationText(text);
   if (parts.some((part) => Buffer.byteLength(part) > MAX_PART_BYTES)) {
     return err(
-      new InvalidFile("configuration", "text", "has too long a table"),
+      new InvalidFile(
+        "configuration",
+        "text",
+        "has a table that exceeds the maximum size",
+      ),
     );
   }
   return check({ version: baseVersion + 1, text });
 }
 
-function settleBeforeWriting(
-  { text, baseVersion }: Change,
+function findOutcomeBeforeWriting(
+  { text, baseVersion }: ConfigurationChange,
   head: Head | undefined,
 ): Outcome | undefined {
   if (head?.record.digest === digestOf(text)) {
@@ -140,19 +146,19 @@
   return undefined;
 }
 
-/** Writes all that the new head will refer to; the head itself stays. */
-async function prepare(
+/** Writes the keys that the new head refers to, but not the head itself. */
+async function prepareRecord(
   options: ApplyOptions,
-  change: Change,
+  change: ConfigurationChange,
   head: Head | undefined,
 ): Promise<Result<ConfigurationRecord, ReadFault>> {
   if (head !== undefined) {
     const { version } = head.record;
-    const kept = await writeOnce(options.store, {
+    const archived = await writeOnce(options.store, {
       key: options.keys.history(version),
       value: formatRecord(head.record),
     });
-    if (kept.isErr()) return err(kept.error);
+    if (archived.isErr()) return err(archived.error);
   }
   const body = await writeText(options, change, head);
   return body.map((written) => ({
@@ -166,30 +172,30 @@
   }));
 }
 
-type Body = Pick<ConfigurationRecord, "text" | "parts">;
+type RecordBody = Pick<ConfigurationRecord, "text" | "parts">;
 
 /**
- * Only parts of the present head are referred to again: they are kept for as
- * long as it may be followed by this change, so no other operator's clean-up
- * can take them away.
+ * Reuses only parts of the current head. Pruning keeps these as long as this
+ * change can still replace that head, so no other operator's pruning can remove
+ * them.
  */
 async function writeText(
   { store, keys }: ApplyOptions,
-  { text, token }: Change,
+  { text, token }: ConfigurationChange,
   head: Head | undefined,
-): Promise<Result<Body, ReadFault>> {
-  if (Buffer.byteLength(text) <= LONGEST_INLINE_BYTES) {
+): Promise<Result<RecordBody, ReadFault>> {
+  if (Buffer.byteLength(text) <= MAX_INLINE_BYTES) {
     return ok({ text, parts: [] });
   }
-  const present = new Map(
+  const partsOfHead = new Map(
     head?.record.parts.map((part) => [part.digest, part]),
   );
   const parts: PartReference[] = [];
   for (const [position, part] of splitConfigurationText(text).entries()) {
     const digest = digestOf(part);
-    const reference = present.get(digest) ??
+    const reference = partsOfHead.get(digest) ??
       { key: keys.part(token, position), digest };
-    if (!present.has(digest)) {
+    if (!partsOfHead.has(digest)) {
       const written = await writeOnce(store, {
         key: reference.key,
         value: part,
@@ -201,7 +207,7 @@
   return ok({ parts });
 }
 
-/** Writes a key whose value never changes; present already is as good. */
+/** Writes an immutable key; succeeds if the key already exists. */
 async function writeOnce(
   store: Store,
   entry: Pick<Write, "key" | "value">,
@@ -209,7 +215,7 @@
   for (let attempt = 1;; attempt++) {
     const swap = await store.swap({ ...entry, expectedRevision: 0 });
     if (swap.isOk()) return ok(undefined);
-    if (attempt === SWAP_ATTEMPTS) {
+    if (attempt === MAX_SWAP_ATTEMPTS) {
       return err(new StoreUnavailable("notRun", swap.error.message));
     }
   }
@@ -221,9 +227,9 @@
   readonly head: Head | undefined;
 }
 
-/** The head is not the one any more that the change was prepared on. */
-interface HeadMoved {
-  readonly kind: "headMoved";
+/** The head has changed since the change was prepared. */
+interface HeadChanged {
+  readonly kind: "headChanged";
   readonly current: Owned | undefined;
 }
 
@@ -232,30 +238,30 @@
   record: ConfigurationRecord,
 ): Promise<Result<Outcome, ReadFault>> {
   const { version, token } = record;
-  const swap = await swapOwned<HeadMoved>(store, keys.head, {
+  const swap = await swapOwned<HeadChanged>(store, keys.head, {
     decide: (current) =>
       current?.revision === head?.revision
         ? ok(formatRecord(record))
-        : err({ kind: "headMoved", current }),
-    attempts: SWAP_ATTEMPTS,
+        : err({ kind: "headChanged", current }),
+    attempts: MAX_SWAP_ATTEMPTS,
     newToken: () => token,
   });
   if (swap.isErr()) {
     return swap.error instanceof StoreUnavailable
       ? err(swap.error)
-      : conflictWith(keys, swap.error.current);
+      : conflictOutcome(keys, swap.error.current);
   }
   switch (swap.value.kind) {
     case "accepted":
       return ok({ kind: "accepted", version });
     case "lostRace":
-      return conflictWith(keys, swap.value.current);
+      return conflictOutcome(keys, swap.value.current);
     case "unknown":
       return ok({ kind: "unknown", version, token });
   }
 }
 
-function conflictWith(
+function conflictOutcome(
   keys: ConfigurationKeys,
   current: Owned | undefined,
 ): Result<Outcome, InvalidFile> {
--- a/packages/configure/src/difference.ts
+++ b/packages/configure/src/difference.ts
@@ -1,4 +1,4 @@
-/** What differs between two estates, item by item and field by field. */
+/** Compares two parsed configurations item by item and field by field. */
 import { isDeepStrictEqual } from "node:util";
 import type { ParsedConfiguration } from "@coltsfootreach/types";
 
@@ -21,7 +21,7 @@
   /** The item's name; "rules" for the rules. */
   readonly name: string;
   readonly change: "added" | "removed" | "changed";
-  /** Filled for changed items only. */
+  /** Empty unless the item is changed. */
   readonly fields: readonly FieldDifference[];
 }
 
@@ -33,11 +33,11 @@
   "classes",
 ] as const;
 
-interface Named {
+interface NamedItem {
   readonly name: string;
 }
 
-/** Differences from one estate to the next; an absent one has no items. */
+/** Compares two configurations; an undefined `from` has no items. */
 export function findDifferences(
   from: ParsedConfiguration | undefined,
   to: ParsedConfiguration,
@@ -53,8 +53,8 @@
 function compareSection(
   section: Section,
   { from, to }: {
-    readonly from: readonly Named[];
-    readonly to: readonly Named[];
+    readonly from: readonly NamedItem[];
+    readonly to: readonly NamedItem[];
   },
 ): readonly Difference[] {
   const before = new Map(from.map((item) => [item.name, item]));
@@ -66,18 +66,18 @@
       change: "removed",
       fields: [],
     }));
-  const rest = to.flatMap((item): Difference[] => {
+  const addedOrChanged = to.flatMap((item): Difference[] => {
     const { name } = item;
-    const old = before.get(name);
-    if (old === undefined) {
+    const previous = before.get(name);
+    if (previous === undefined) {
       return [{ section, name, change: "added", fields: [] }];
     }
-    const fields = compareFields(old, item);
+    const fields = compareFields(previous, item);
     return fields.length === 0
       ? []
       : [{ section, name, change: "changed", fields }];
   });
-  return [...removed, ...rest];
+  return [...removed, ...addedOrChanged];
 }
 
 function compareRules(
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -1,32 +1,32 @@
 /**
- * What a change of configuration does to running work, in the words that an
- * operator reads before applying it.
+ * Predicts how a configuration change affects running work, as messages that
+ * an operator reads before applying it.
  */
 import type { ActionKind, ParsedConfiguration } from "@coltsfootreach/types";
 
-/** What runs and waits at the moment, as the entries report it. */
+/** Tasks running and queued now, as the entries report them. */
 export interface Running {
-  readonly servers: readonly RunningServer[];
-  readonly tenants: readonly RunningTenant[];
-  readonly classes: readonly RunningClass[];
+  readonly servers: readonly ServerLoad[];
+  readonly tenants: readonly TenantLoad[];
+  readonly classes: readonly ClassLoad[];
   /** Incarnations of live entries. */
   readonly entries: readonly string[];
 }
 
-export interface RunningServer {
+export interface ServerLoad {
   readonly server: string;
   readonly slots: number;
   readonly running: number;
   readonly queued: number;
 }
 
-export interface RunningTenant {
+export interface TenantLoad {
   readonly tenant: string;
   readonly waiting: number;
   readonly running: number;
 }
 
-export interface RunningClass {
+export interface ClassLoad {
   readonly class: string;
   readonly waiting: number;
   readonly running: number;
@@ -39,7 +39,7 @@
   entries: [],
 };
 
-/** A warning asks for a second look; a notice only tells. */
+/** A warning needs the operator's attention; a notice is informational. */
 export interface Effect {
   readonly severity: "notice" | "warning";
   readonly subject: string;
@@ -74,7 +74,7 @@
 function drainEffects(context: EffectContext): Effect[] {
   const { running } = context;
   const { added, removed } = compareLists(context, "drained");
-  const begun = added.map((name) => {
+  const startedDrains = added.map((name) => {
     const server = running.servers.find((item) => item.server === name);
     if (server === undefined) {
       return warning(name, "is drained, but no such backend server is present");
@@ -82,34 +82,39 @@
     return notice(
       name,
       `gets no new work; ${server.running} running tasks end as usual and ` +
-        `${server.queued} queued ones go elsewhere`,
+        `${server.queued} queued ones move to other servers`,
     );
   });
-  const ended = removed.map((name) => notice(name, "takes work again"));
-  return [...begun, ...ended];
+  const endedDrains = removed.map((name) =>
+    notice(name, "accepts new work again")
+  );
+  return [...startedDrains, ...endedDrains];
 }
 
 function capacityEffects({ from, to, running }: EffectContext): Effect[] {
   const slots = countSlots(running.servers, []);
   const slotsBefore = countSlots(running.servers, from.rules.drained);
-  const slotsLeft = countSlots(running.servers, to.rules.drained);
-  if (slotsLeft >= slotsBefore) return [];
-  if (slotsLeft === 0) {
+  const slotsAfter = countSlots(running.servers, to.rules.drained);
+  if (slotsAfter >= slotsBefore) return [];
+  if (slotsAfter === 0) {
     return [warning("capacity", "no backend server is left to take work")];
   }
-  const busy = sum(running.servers.map((server) => server.running));
-  const text = `${slotsLeft} of ${slots} slots stay in use; ${busy} are busy`;
+  const busySlots = sum(running.servers.map((server) => server.running));
+  const text =
+    `${slotsAfter} of ${slots} slots stay in use; ${busySlots} are busy`;
   return [
-    busy > slotsLeft ? warning("capacity", text) : notice("capacity", text),
+    busySlots > slotsAfter
+      ? warning("capacity", text)
+      : notice("capacity", text),
   ];
 }
 
 function countSlots(
-  servers: readonly RunningServer[],
+  servers: readonly ServerLoad[],
   drained: readonly string[],
 ): number {
-  const left = servers.filter(({ server }) => !drained.includes(server));
-  return sum(left.map(({ slots }) => slots));
+  const undrained = servers.filter(({ server }) => !drained.includes(server));
+  return sum(undrained.map(({ slots }) => slots));
 }
 
 function serverEffects({ from, to, running }: EffectContext): Effect[] {
@@ -120,38 +125,39 @@
     .map(({ name }) =>
       warning(
         name,
-        "leaves the inventory while present; it goes on taking work, drain " +
-          "it to stop that",
+        "is removed from the inventory while present; it continues to take " +
+          "work until it is drained",
       )
     );
 }
 
 function tenantEffects({ from, to, running }: EffectContext): Effect[] {
-  return from.tenants.flatMap((old) => {
-    const now = to.tenants.find(({ name }) => name === old.name);
-    const work = running.tenants.find(({ tenant }) => tenant === old.name);
-    const waiting = work?.waiting ?? 0;
-    if (now === undefined) {
+  return from.tenants.flatMap((previous) => {
+    const next = to.tenants.find(({ name }) => name === previous.name);
+    const load = running.tenants.find(({ tenant }) => tenant === previous.name);
+    const waiting = load?.waiting ?? 0;
+    if (next === undefined) {
       const text = `is removed: new jobs are refused; ${waiting} waiting and ` +
-        `${work?.running ?? 0} running tasks are carried to their end`;
-      return [warning(old.name, text)];
+        `${load?.running ?? 0} running tasks run to completion`;
+      return [warning(previous.name, text)];
     }
     const effects: Effect[] = [];
-    if (now.maxQueued < old.maxQueued && waiting > now.maxQueued) {
-      const text = `has ${waiting} tasks waiting, more than the new bound of ` +
-        `${now.maxQueued}: they stay, new jobs are refused until they drain`;
-      effects.push(warning(old.name, text));
+    if (next.maxQueued < previous.maxQueued && waiting > next.maxQueued) {
+      const text = `has ${waiting} tasks waiting, more than the new limit of ` +
+        `${next.maxQueued}: they stay, new jobs are refused until they drain`;
+      effects.push(warning(previous.name, text));
     }
-    if (isLowerRate(old.startsPerSecond, now.startsPerSecond)) {
+    if (isLowerRate(previous.startsPerSecond, next.startsPerSecond)) {
       const text =
-        `starts at most ${now.startsPerSecond} tasks a second from ` +
+        `starts at most ${next.startsPerSecond} tasks a second from ` +
         `now on; ${waiting} wait`;
-      effects.push(notice(old.name, text));
+      effects.push(notice(previous.name, text));
     }
-    if (now.weight !== old.weight) {
-      const text = `share when all have work: ${shareOf(from, old.name)} to ` +
-        shareOf(to, old.name);
-      effects.push(notice(old.name, text));
+    if (next.weight !== previous.weight) {
+      const text =
+        `share when all have work: ${shareOf(from, previous.name)} to ` +
+        shareOf(to, previous.name);
+      effects.push(notice(previous.name, text));
     }
     return effects;
   });
@@ -169,25 +175,25 @@
 }
 
 function classEffects({ from, to, running }: EffectContext): Effect[] {
-  return from.classes.flatMap((old) => {
-    const now = to.classes.find(({ name }) => name === old.name);
-    const work = running.classes.find((item) => item.class === old.name);
-    const pending = (work?.waiting ?? 0) + (work?.running ?? 0);
-    if (now === undefined) {
-      const text = `is removed: new jobs are refused; ${pending} tasks are ` +
-        "carried to their end";
-      return [warning(old.name, text)];
+  return from.classes.flatMap((previous) => {
+    const next = to.classes.find(({ name }) => name === previous.name);
+    const load = running.classes.find((item) => item.class === previous.name);
+    const pending = (load?.waiting ?? 0) + (load?.running ?? 0);
+    if (next === undefined) {
+      const text = `is removed: new jobs are refused; ${pending} tasks ` +
+        "run to completion";
+      return [warning(previous.name, text)];
     }
     const effects: Effect[] = [];
-    if (now.deadlineMs !== old.deadlineMs) {
+    if (next.deadlineMs !== previous.deadlineMs) {
       const text =
-        `deadline ${old.deadlineMs} ms to ${now.deadlineMs} ms for ` +
-        "new jobs; present ones keep theirs";
-      effects.push(notice(old.name, text));
+        `deadline ${previous.deadlineMs} ms to ${next.deadlineMs} ms for ` +
+        "new jobs; existing ones keep theirs";
+      effects.push(notice(previous.name, text));
     }
-    if (now.idempotent && !old.idempotent) {
+    if (next.idempotent && !previous.idempotent) {
       const text = "becomes idempotent: make sure that a repeated run is safe";
-      effects.push(warning(old.name, text));
+      effects.push(warning(previous.name, text));
     }
     return effects;
   });
@@ -199,27 +205,30 @@
   const gone = compareLists(context, "gone");
   return [
     ...held.added.map((kind) => HELD_EFFECTS[kind as ActionKind]),
-    ...held.removed.map((kind) => notice(kind, "may be done again")),
+    ...held.removed.map((kind) => notice(kind, "is allowed again")),
     ...gone.added.map((entry) =>
       running.entries.includes(entry)
         ? warning(entry, "is declared gone but is alive; its jobs may be lost")
-        : notice(entry, "is declared gone; nothing waits for it any more")
+        : notice(entry, "is declared gone; no process waits for it any longer")
     ),
   ];
 }
 
 const HELD_EFFECTS: Readonly<Record<ActionKind, Effect>> = {
-  eject: notice("eject", "is held: it is not done any more; past ones stand"),
-  readmit: notice("readmit", "is held: what is ejected stays out"),
+  eject: notice(
+    "eject",
+    "is held: no new ejections; existing ones stay in force",
+  ),
+  readmit: notice("readmit", "is held: ejected servers stay ejected"),
   takeOver: warning(
     "takeOver",
-    "is held: jobs of an entry that is lost get no answer until its release",
+    "is held: jobs of a lost entry get no response until the hold is released",
   ),
-  shed: notice("shed", "is held; the bound on job records stays"),
-  moveQuota: notice("moveQuota", "is held: shares of quotas stay as they are"),
+  shed: notice("shed", "is held; the limit on job records stays in force"),
+  moveQuota: notice("moveQuota", "is held: quota shares stay as they are"),
   drain: warning(
     "drain",
-    "cannot be held: a process that is told to stop drains all the same",
+    "cannot be held: a process that is told to stop still drains",
   ),
 };
 
--- a/packages/configure/src/feed.ts
+++ b/packages/configure/src/feed.ts
@@ -1,7 +1,8 @@
 /**
- * Turns what an entry learns of the head key into configuration versions. The
- * entry's one watch offers changes; a refresh reads the key, for when a watch
- * may be silent or another process is ahead. Failed reads are tried again.
+ * Resolves values of the head key to configuration versions. The entry's single
+ * watch delivers changes; a refresh reads the key, for use when the watch may
+ * have missed events or another process has a newer version. Failed reads are
+ * retried.
  */
 import type { Store, Versioned } from "@coltsfootreach/store";
 import type { Configuration } from "@coltsfootreach/types";
@@ -12,21 +13,21 @@
 export interface FeedOptions {
   readonly store: Store;
   readonly keys: ConfigurationKeys;
-  /** Pause before a failed read is tried again, in milliseconds. */
+  /** Delay before a failed read is retried, in milliseconds. */
   readonly retryMs: number;
-  /** Reads a text ahead of `learned`, so that it holds up nothing there. */
+  /** Parses a text in advance, so that `learned` does not block. */
   readonly prepare?:
     | ((configuration: Configuration) => Promise<void>)
     | undefined;
-  /** Called with versions in any order; a holder passes over older ones. */
+  /** Called with versions in any order; the holder ignores older ones. */
   learned(configuration: Configuration, source: ConfigurationSource): void;
   failed(fault: ReadFault): void;
 }
 
 export interface ConfigurationFeed {
-  /** Takes a value of the head key, as a watch or a listing shows it. */
+  /** Handles a value of the head key from a watch event or a list response. */
   offer(found: Versioned): void;
-  /** Reads the head key; one read at a time. */
+  /** Reads the head key, unless a read is already in progress. */
   refresh(): void;
   close(): void;
 }
@@ -36,26 +37,26 @@
 ): ConfigurationFeed {
   const { learned, failed, retryMs } = options;
   const repository = createConfigurationRepository(options);
-  let timer: ReturnType<typeof setTimeout> | undefined;
+  let retryTimer: ReturnType<typeof setTimeout> | undefined;
   let isReading = false;
   let isClosed = false;
 
-  async function resolve(found: Versioned): Promise<void> {
+  async function handleHead(found: Versioned): Promise<void> {
     const resolved = await repository.resolve(found);
-    if (resolved.isOk()) await tell(resolved.value, "watch");
-    else retry(resolved.error);
+    if (resolved.isOk()) await deliver(resolved.value, "watch");
+    else scheduleRetry(resolved.error);
   }
 
-  async function read(): Promise<void> {
+  async function readHead(): Promise<void> {
     if (isReading || isClosed) return;
     isReading = true;
     const current = await repository.readCurrent();
     isReading = false;
-    if (current.isErr()) return retry(current.error);
-    if (current.value !== undefined) await tell(current.value, "read");
+    if (current.isErr()) return scheduleRetry(current.error);
+    if (current.value !== undefined) await deliver(current.value, "read");
   }
 
-  async function tell(
+  async function deliver(
     configuration: Configuration,
     source: ConfigurationSource,
   ): Promise<void> {
@@ -63,19 +64,19 @@
     if (!isClosed) learned(configuration, source);
   }
 
-  function retry(fault: ReadFault): void {
+  function scheduleRetry(fault: ReadFault): void {
     if (isClosed) return;
     failed(fault);
-    clearTimeout(timer);
-    timer = setTimeout(() => void read(), retryMs);
+    clearTimeout(retryTimer);
+    retryTimer = setTimeout(() => void readHead(), retryMs);
   }
 
   return {
-    offer: (found) => void resolve(found),
-    refresh: () => void read(),
+    offer: (found) => void handleHead(found),
+    refresh: () => void readHead(),
     close() {
       isClosed = true;
-      clearTimeout(timer);
+      clearTimeout(retryTimer);
     },
   };
 }
--- a/packages/configure/src/holder.ts
+++ b/packages/configure/src/holder.ts
@@ -1,6 +1,6 @@
 /**
- * The configuration that is in force in one process. It takes versions from
- * wherever they come, in any order, and never goes back to a lower one.
+ * Holds the configuration that is in force in one process. It accepts versions
+ * from any source and in any order, and never reverts to a lower one.
  */
 import type { Result } from "neverthrow";
 import {
@@ -10,46 +10,46 @@
   type Rules,
 } from "@coltsfootreach/types";
 
-/** Where a version was learned. */
+/** Where a version was received from. */
 export type ConfigurationSource = "watch" | "read" | "peer" | "entry";
 
-export interface InForce {
+export interface ActiveConfiguration {
   readonly configuration: Configuration;
   readonly estate: ParsedConfiguration;
-  /** When this process took it, on its own clock. */
+  /** When it came into force in this process, on its own clock. */
   readonly sinceMs: number;
   readonly source: ConfigurationSource;
 }
 
-/** A newer version that this process cannot use. */
+/** A newer version that this process could not parse. */
 export interface Rejected {
   readonly version: number;
   readonly reason: string;
   readonly atMs: number;
 }
 
-export interface ConfigurationNews {
+export interface OfferedConfiguration {
   readonly configuration: Configuration;
   readonly source: ConfigurationSource;
   readonly nowMs: number;
 }
 
 /**
- * - `newer`: it is in force now.
- * - `same`: it was in force already.
- * - `older`: it is below the one in force and was passed over.
- * - `different`: another text under the version in force; passed over.
- * - `invalid`: it is newer and cannot be used.
+ * - `newer`: it is now in force.
+ * - `same`: it was already in force.
+ * - `older`: it is below the version in force and was ignored.
+ * - `different`: it has the version in force but another text; ignored.
+ * - `invalid`: it is newer but could not be parsed.
  */
 export type Taken = "newer" | "same" | "older" | "different" | "invalid";
 
 export interface ConfigurationHolder {
-  take(news: ConfigurationNews): Taken;
+  take(news: OfferedConfiguration): Taken;
   /** Undefined while no version is known. */
-  inForce(): InForce | undefined;
+  inForce(): ActiveConfiguration | undefined;
   /** The version in force; 0 while none is. */
   version(): number;
-  /** The newest version that could not be used, while it is the newest. */
+  /** The newest unparsable version, until that or a newer one is in force. */
   rejected(): Rejected | undefined;
 }
 
@@ -62,19 +62,19 @@
 export function createConfigurationHolder(
   { parse }: HolderOptions,
 ): ConfigurationHolder {
-  let inForce: InForce | undefined;
+  let inForce: ActiveConfiguration | undefined;
   let rejected: Rejected | undefined;
 
   function version(): number {
     return inForce?.configuration.version ?? 0;
   }
 
-  function take(news: ConfigurationNews): Taken {
+  function take(news: OfferedConfiguration): Taken {
     const offered = news.configuration;
     if (offered.version < version()) return "older";
     if (offered.version === version()) return compareText(offered);
     return parse(offered).match(
-      (estate) => putInForce(news, estate),
+      (estate) => activate(news, estate),
       (fault) => reject(news, fault.message),
     );
   }
@@ -85,8 +85,8 @@
       : "different";
   }
 
-  function putInForce(
-    news: ConfigurationNews,
+  function activate(
+    news: OfferedConfiguration,
     estate: ParsedConfiguration,
   ): Taken {
     const { configuration, source, nowMs } = news;
@@ -97,7 +97,7 @@
     return "newer";
   }
 
-  function reject(news: ConfigurationNews, reason: string): Taken {
+  function reject(news: OfferedConfiguration, reason: string): Taken {
     const { version } = news.configuration;
     if (version > (rejected?.version ?? 0)) {
       rejected = { version, reason, atMs: news.nowMs };
@@ -113,7 +113,7 @@
   };
 }
 
-/** The rules that hold now, those of the configuration if there is one. */
+/** The rules of the configuration in force; the defaults if there is none. */
 export function rulesInForce(holder: ConfigurationHolder): Rules {
   return holder.inForce()?.estate.rules ?? DEFAULT_RULES;
 }
--- a/packages/configure/src/index.ts
+++ b/packages/configure/src/index.ts
@@ -1,4 +1,4 @@
-/** Configuration versions: planning, applying, keeping and following them. */
+/** Plans, applies, stores and distributes configuration versions. */
 export * from "./apply.ts";
 export * from "./difference.ts";
 export * from "./effect.ts";
--- a/packages/configure/src/keys.ts
+++ b/packages/configure/src/keys.ts
@@ -1,15 +1,15 @@
 /**
- * Where configuration lives in the key-value service:
+ * Keys of the configuration in the key-value service:
  *
  * - `PREFIX/configuration` is the version in force, changed by
  *   compare-and-swap only;
  * - `PREFIX-archive/history/0000000042` is an earlier version, written before
- *   the head moves past it;
- * - `PREFIX-archive/parts/TOKEN/3` is a piece of a long text, written before
+ *   the head is replaced;
+ * - `PREFIX-archive/parts/TOKEN/3` is a part of a long text, written before
  *   the head that refers to it.
  *
- * The archive has a prefix of its own, so that the one watch that an entry
- * holds on the fleet's prefix reports the head and never the long texts.
+ * The archive has a separate prefix, so that an entry's single watch on the
+ * fleet's prefix reports the head but never the long texts.
  */
 
 export interface ConfigurationKeys {
@@ -20,10 +20,10 @@
   part(token: string, position: number): string;
 }
 
-/** Wide enough that keys sort by version. */
+/** Zero-padded to this width, so that keys sort by version. */
 const VERSION_DIGITS = 10;
 
-/** `prefix` is that of the fleet's keys, such as "coltsfootreach/". */
+/** `prefix` is the prefix of the fleet's keys, such as "coltsfootreach/". */
 export function createConfigurationKeys(prefix: string): ConfigurationKeys {
   const archive = `${prefix.replace(/\/$/, "")}-archive/`;
   const histories = `${archive}history/`;
--- a/packages/configure/src/laggard.ts
+++ b/packages/configure/src/laggard.ts
@@ -1,18 +1,18 @@
-/** Finds the processes that do not have a configuration version in force. */
+/** Finds the processes that run an older configuration version. */
 
-/** What is known of the configuration in one process. */
+/** The configuration version of one process, as last reported. */
 export interface ConfigurationStatus {
   readonly process: string;
   readonly role: "entry" | "side";
-  /** The version that it last said was in force; 0 for none. */
+  /** The version in force in its last report; 0 for none. */
   readonly version: number;
-  /** When it last said so, on the observer's clock. */
+  /** When that report arrived, on the observer's clock. */
   readonly heardAtMs: number;
   /** Since when the observer has had a newer version in force. */
   readonly behindSinceMs?: number | undefined;
 }
 
-/** A version and when the observer first knew of it. */
+/** A version and when the observer first learned of it. */
 export interface KnownVersion {
   readonly version: number;
   readonly sinceMs: number;
@@ -24,10 +24,10 @@
   readonly overdue: boolean;
 }
 
-/** A version is to be in force everywhere within this time. */
+/** Time within which a version must be in force in all processes. */
 export const LAG_BOUND_MS = 3_000;
 
-/** Processes below the version, the furthest behind first. */
+/** Processes below the known version, in ascending order of version. */
 export function laggards(
   statuses: readonly ConfigurationStatus[],
   known: KnownVersion,
--- a/packages/configure/src/lookup.ts
+++ b/packages/configure/src/lookup.ts
@@ -1,11 +1,11 @@
-/** Finds tenants and classes of the configuration in force by name. */
+/** Looks up tenants and classes of the configuration in force by name. */
 import type { RequestClass, Tenant } from "@coltsfootreach/types";
 import type { ConfigurationHolder } from "./holder.ts";
 
 export interface EstateLookup {
   /** False while no configuration is in force. */
   isKnown(): boolean;
-  /** Undefined for a tenant that the configuration does not name. */
+  /** Undefined for a tenant that is not in the configuration. */
   tenant(name: string): Tenant | undefined;
   requestClass(name: string): RequestClass | undefined;
 }
@@ -15,7 +15,7 @@
   let tenants: ReadonlyMap<string, Tenant> = new Map();
   let classes: ReadonlyMap<string, RequestClass> = new Map();
 
-  function refresh(): void {
+  function refreshMaps(): void {
     if (holder.version() === version) return;
     const { estate } = holder.inForce()!;
     version = estate.version;
@@ -26,11 +26,11 @@
   return {
     isKnown: () => holder.version() > 0,
     tenant(name) {
-      refresh();
+      refreshMaps();
       return tenants.get(name);
     },
     requestClass(name) {
-      refresh();
+      refreshMaps();
       return classes.get(name);
     },
   };
--- a/packages/configure/src/plan.ts
+++ b/packages/configure/src/plan.ts
@@ -1,4 +1,4 @@
-/** Shows a change of configuration before it is made. */
+/** Previews a configuration change before it is applied. */
 import type { ParsedConfiguration } from "@coltsfootreach/types";
 import { type Difference, findDifferences } from "./difference.ts";
 import { type Effect, findEffects, type Running } from "./effect.ts";
@@ -10,7 +10,7 @@
   readonly effects: readonly Effect[];
 }
 
-/** What would change, and what that does to the work that runs now. */
+/** Lists the differences and their effects on running work. */
 export function planChange(
   current: ParsedConfiguration | undefined,
   next: ParsedConfiguration,
--- a/packages/configure/src/prune.ts
+++ b/packages/configure/src/prune.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the history: drops records beyond the limit, and the parts that no
- * kept version refers to. What could not be dropped is left for the next time.
+ * Bounds the history: removes records beyond the limit, and the parts that no
+ * kept version refers to. Failed removals are left to the next run.
  */
 import type { Store } from "@coltsfootreach/store";
 import type { ConfigurationKeys } from "./keys.ts";
@@ -14,7 +14,7 @@
   readonly limit: number;
 }
 
-interface KeptRecord {
+interface StoredRecord {
   readonly key: string;
   readonly revision: number;
   readonly record: ConfigurationRecord;
@@ -26,25 +26,32 @@
   if (listed.isErr()) return;
   const records = listed.value.values.flatMap(({ key, value, revision }) =>
     parseRecord(key, value)
-      .match((record): KeptRecord[] => [{ key, revision, record }], () => [])
+      .match((record): StoredRecord[] => [{ key, revision, record }], () => [])
   );
-  const oldest = newest.version - limit;
-  const dropped = records.filter(({ record }) => record.version < oldest);
-  const kept = records.filter(({ record }) => record.version >= oldest);
-  const needed = partKeys([newest, ...kept.map(({ record }) => record)]);
-  for (const { key, revision, record } of dropped) {
-    await dropParts(store, record, needed);
+  const oldestKeptVersion = newest.version - limit;
+  const expired = records.filter(({ record }) =>
+    record.version < oldestKeptVersion
+  );
+  const kept = records.filter(({ record }) =>
+    record.version >= oldestKeptVersion
+  );
+  const referencedKeys = partKeys([
+    newest,
+    ...kept.map(({ record }) => record),
+  ]);
+  for (const { key, revision, record } of expired) {
+    await removeParts(store, record, referencedKeys);
     await store.remove(key, revision);
   }
 }
 
-async function dropParts(
+async function removeParts(
   store: Store,
   record: ConfigurationRecord,
-  needed: ReadonlySet<string>,
+  referencedKeys: ReadonlySet<string>,
 ): Promise<void> {
   for (const { key } of record.parts) {
-    if (needed.has(key)) continue;
+    if (referencedKeys.has(key)) continue;
     const part = await store.read(key);
     const revision = part.isOk() ? part.value?.revision : undefined;
     if (revision !== undefined) await store.remove(key, revision);
--- a/packages/configure/src/record.ts
+++ b/packages/configure/src/record.ts
@@ -1,13 +1,13 @@
 /**
- * The record of one configuration version as the key-value service holds it.
- * A short text stands in the record itself, a long one in parts beside it.
+ * The stored record of one configuration version in the key-value service.
+ * A short text is stored inline, a long one in parts under separate keys.
  */
 import { createHash } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { InvalidFile } from "@coltsfootreach/errors";
 
-/** A piece of a long text. */
+/** Refers to one part of a long text. */
 export interface PartReference {
   readonly key: string;
   readonly digest: string;
@@ -15,7 +15,7 @@
 
 export interface ConfigurationRecord {
   readonly version: number;
-  /** Chosen anew for each change; tells whose write took effect. */
+  /** Unique to each change; identifies the write that took effect. */
   readonly token: string;
   readonly author: string;
   /** On the author's clock, in Unix milliseconds. */
@@ -23,7 +23,7 @@
   readonly note: string;
   /** SHA-256 of the whole text. */
   readonly digest: string;
-  /** Absent when the text stands in parts. */
+  /** Absent when the text is stored in parts. */
   readonly text?: string | undefined;
   readonly parts: readonly PartReference[];
 }
@@ -43,14 +43,16 @@
   return JSON.stringify(record);
 }
 
-/** Reads a record; `key` names it in errors. */
+/** Parses a record; errors name `key` as the source. */
 export function parseRecord(
   key: string,
   value: string,
 ): Result<ConfigurationRecord, InvalidFile> {
-  const checked = recordSchema.safeParse(parseJson(value));
-  if (checked.success) return ok(checked.data);
-  return err(new InvalidFile(key, "value", "is no configuration record"));
+  const parsed = recordSchema.safeParse(parseJson(value));
+  if (parsed.success) return ok(parsed.data);
+  return err(
+    new InvalidFile(key, "value", "is not a valid configuration record"),
+  );
 }
 
 export function digestOf(text: string): string {
--- a/packages/configure/src/repository.ts
+++ b/packages/configure/src/repository.ts
@@ -1,6 +1,6 @@
 /**
- * Reads configuration versions from the key-value service. Parts of a long
- * text that the last read version shared with the next are not read again.
+ * Reads configuration versions from the key-value service. Caches the parts of
+ * the last long text, so that the next read fetches only the parts that differ.
  */
 import { errAsync, okAsync, type Result, ResultAsync } from "neverthrow";
 import { InvalidFile, type StoreUnavailable } from "@coltsfootreach/errors";
@@ -21,7 +21,7 @@
 
 export type ReadFault = StoreUnavailable | InvalidFile;
 
-/** The version in force and the revision of its key. */
+/** The version in force and the revision of the head key. */
 export interface Head {
   readonly record: ConfigurationRecord;
   readonly revision: number;
@@ -32,15 +32,15 @@
   readHead(): ResultAsync<Head | undefined, ReadFault>;
   /** The configuration in force; undefined before the first. */
   readCurrent(): ResultAsync<Configuration | undefined, ReadFault>;
-  /** The record of any kept version; undefined when it is not kept. */
+  /** The record of a version; undefined if it is not kept. */
   readVersion(
     version: number,
   ): ResultAsync<ConfigurationRecord | undefined, ReadFault>;
-  /** Kept versions from the newest to the oldest, the one in force first. */
+  /** Kept versions in descending order, starting with the one in force. */
   readHistory(): ResultAsync<readonly ConfigurationRecord[], ReadFault>;
-  /** The text of a record, put together from its parts. */
+  /** The text of a record, assembled from its parts if necessary. */
   readText(record: ConfigurationRecord): ResultAsync<Configuration, ReadFault>;
-  /** The configuration that a value of the head key stands for. */
+  /** Reads the configuration that a value of the head key refers to. */
   resolve(found: Versioned): ResultAsync<Configuration, ReadFault>;
 }
 
@@ -58,7 +58,7 @@
     return store.read(keys.head).andThen<Head | undefined, ReadFault>(
       (found) => {
         const owned = decodeOwned(found);
-        return owned === undefined ? okAsync(undefined) : readOwnedHead(owned);
+        return owned === undefined ? okAsync(undefined) : parseHead(owned);
       },
     );
   }
@@ -69,7 +69,7 @@
     );
   }
 
-  function readOwnedHead(owned: Owned): Result<Head, InvalidFile> {
+  function parseHead(owned: Owned): Result<Head, InvalidFile> {
     return parseRecord(keys.head, owned.body)
       .map((record) => ({ record, revision: owned.revision }));
   }
@@ -118,12 +118,14 @@
     const text = record.text === undefined
       ? readParts(record.parts)
       : okAsync<string, ReadFault>(record.text);
-    return text.andThen((whole) => {
-      if (digestOf(whole) === record.digest) {
-        return okAsync({ version: record.version, text: whole });
+    return text.andThen((fullText) => {
+      if (digestOf(fullText) === record.digest) {
+        return okAsync({ version: record.version, text: fullText });
       }
       const source = `configuration ${record.version}`;
-      return errAsync(new InvalidFile(source, "digest", "does not match"));
+      return errAsync(
+        new InvalidFile(source, "digest", "does not match the text"),
+      );
     });
   }
 
@@ -141,11 +143,11 @@
   function readPart(
     { key, digest }: PartReference,
   ): ResultAsync<string, ReadFault> {
-    const known = partsByDigest.get(digest);
-    if (known !== undefined) return okAsync(known);
+    const cached = partsByDigest.get(digest);
+    if (cached !== undefined) return okAsync(cached);
     return store.read(key).andThen<string, ReadFault>((found) =>
       found === undefined
-        ? errAsync(new InvalidFile(key, "value", "missing part"))
+        ? errAsync(new InvalidFile(key, "value", "part is missing"))
         : okAsync(found.value)
     );
   }
--- a/packages/configure/src/version_times.ts
+++ b/packages/configure/src/version_times.ts
@@ -1,27 +1,27 @@
 /**
- * Remembers when versions came into force here, which tells how long another
- * process that follows an older one has been behind.
+ * Records when versions came into force in this process, from which it follows
+ * how long a process with an older version has been behind.
  */
 
-/** Versions remembered; further back the oldest of these stands for all. */
+/** Versions recorded; for earlier ones the oldest recorded time is used. */
 const MAX_VERSIONS = 64;
 
 export interface VersionTimes {
   note(version: number, nowMs: number): void;
-  /** When the first version above this one came; undefined if none did. */
+  /** When the first higher version came into force; undefined if none did. */
   firstAbove(version: number): number | undefined;
 }
 
 export function createVersionTimes(): VersionTimes {
-  const times: { readonly version: number; readonly atMs: number }[] = [];
+  const history: { readonly version: number; readonly atMs: number }[] = [];
 
   return {
     note(version, nowMs) {
-      times.push({ version, atMs: nowMs });
-      if (times.length > MAX_VERSIONS) times.shift();
+      history.push({ version, atMs: nowMs });
+      if (history.length > MAX_VERSIONS) history.shift();
     },
     firstAbove(version) {
-      return times.find((one) => one.version > version)?.atMs;
+      return history.find((one) => one.version > version)?.atMs;
     },
   };
 }
