--- a/packages/cli/src/commands/edit_rules/run.ts
+++ b/packages/cli/src/commands/edit_rules/run.ts
@@ -6,7 +6,7 @@
 import {
   type Effect,
   planChange,
-  type Running,
+  type WorkloadSnapshot,
 } from "@coltsfootreach/configure";
 import { editRules, type RuleEdit } from "@coltsfootreach/inventory";
 import type { Configuration } from "@coltsfootreach/types";
@@ -49,7 +49,7 @@
 async function edit(
   versions: Versions,
   args: EditRulesArguments,
-  running: Running,
+  running: WorkloadSnapshot,
 ): Promise<Result<Report, CommandError>> {
   for (let attempt = 1;; attempt++) {
     const current = await readVersion(versions, undefined);
@@ -78,7 +78,7 @@
 function findEffectsOf(
   current: Configuration,
   text: string,
-  running: Running,
+  running: WorkloadSnapshot,
 ): readonly Effect[] {
   const next = estateOf({ version: current.version + 1, text });
   if (next === undefined) return [];
--- a/packages/cli/src/configuration.ts
+++ b/packages/cli/src/configuration.ts
@@ -2,6 +2,7 @@
 import { err, type Result } from "neverthrow";
 import {
   applyChange,
+  type ApplyOutcome,
   type ConfigurationRecord,
   type ConfigurationRepository,
   createConfigurationKeys,
@@ -9,8 +10,7 @@
   type Difference,
   type Effect,
   findDifferences,
-  type Outcome,
-  type ReadFault,
+  type ReadError,
 } from "@coltsfootreach/configure";
 import { parseConfiguration } from "@coltsfootreach/inventory";
 import type { Configuration, ParsedConfiguration } from "@coltsfootreach/types";
@@ -21,7 +21,7 @@
 /** The store of one fleet, opened for one command. */
 export interface Versions {
   readonly repository: ConfigurationRepository;
-  apply(edit: Edit): Promise<Result<Outcome, ReadFault>>;
+  apply(edit: Edit): Promise<Result<ApplyOutcome, ReadError>>;
 }
 
 export interface Edit {
@@ -34,7 +34,7 @@
 export async function withVersions<Value, Fault>(
   context: Context,
   use: (versions: Versions) => Promise<Result<Value, Fault>>,
-): Promise<Result<Value, Fault | ReadFault | CommandFailed>> {
+): Promise<Result<Value, Fault | ReadError | CommandFailed>> {
   const settings = context.settings();
   if (settings.isErr()) return err(settings.error);
   const section = settings.value.store;
@@ -72,7 +72,7 @@
 export async function reportOutcome(
   versions: Versions,
   edit: Edit,
-  outcome: Outcome,
+  outcome: ApplyOutcome,
 ): Promise<Report> {
   switch (outcome.kind) {
     case "accepted":
--- a/packages/cli/src/running.ts
+++ b/packages/cli/src/running.ts
@@ -1,5 +1,8 @@
 /** Puts together what runs and waits, from what all entries report. */
-import { NOTHING_RUNNING, type Running } from "@coltsfootreach/configure";
+import {
+  EMPTY_WORKLOAD,
+  type WorkloadSnapshot,
+} from "@coltsfootreach/configure";
 import type {
   EntryStatus,
   ServerTopRow,
@@ -10,7 +13,7 @@
 import { askAll } from "./management.ts";
 
 export interface RunningReport {
-  readonly running: Running;
+  readonly running: WorkloadSnapshot;
   /** False when no entry could be asked, or not all answered. */
   readonly known: boolean;
   readonly reason: string;
@@ -35,22 +38,28 @@
 }
 
 function unknown(reason: string): RunningReport {
-  return { running: NOTHING_RUNNING, known: false, reason };
+  return { running: EMPTY_WORKLOAD, known: false, reason };
 }
 
 /** Each entry reports the load from all, so one report is enough. */
-function mergeServers(servers: readonly ServerTopRow[]): Running["servers"] {
+function mergeServers(
+  servers: readonly ServerTopRow[],
+): WorkloadSnapshot["servers"] {
   return [...new Map(servers.map((item) => [item.server, item])).values()];
 }
 
-function mergeTenants(rows: readonly TenantTopRow[]): Running["tenants"] {
+function mergeTenants(
+  rows: readonly TenantTopRow[],
+): WorkloadSnapshot["tenants"] {
   return [...new Set(rows.map((row) => row.tenant))].map((tenant) => ({
     tenant,
     ...total(rows.filter((row) => row.tenant === tenant)),
   }));
 }
 
-function mergeClasses(rows: readonly TenantTopRow[]): Running["classes"] {
+function mergeClasses(
+  rows: readonly TenantTopRow[],
+): WorkloadSnapshot["classes"] {
   return [...new Set(rows.map((row) => row.class))].map((name) => ({
     class: name,
     ...total(rows.filter((row) => row.class === name)),
--- a/packages/configure/src/apply.ts
+++ b/packages/configure/src/apply.ts
@@ -29,7 +29,7 @@
 import {
   createConfigurationRepository,
   type Head,
-  type ReadFault,
+  type ReadError,
 } from "./repository.ts";
 import { pruneHistory } from "./prune.ts";
 
@@ -49,7 +49,7 @@
   readonly atMs: number;
 }
 
-export type Outcome =
+export type ApplyOutcome =
   /** The store has confirmed the write. */
   | { readonly kind: "accepted"; readonly version: number }
   /** The text is already in force. */
@@ -89,7 +89,7 @@
 export async function applyChange(
   options: ApplyOptions,
   change: ConfigurationChange,
-): Promise<Result<Outcome, ReadFault>> {
+): Promise<Result<ApplyOutcome, ReadError>> {
   const checked = checkText(options, change);
   if (checked.isErr()) return err(checked.error);
   const repository = createConfigurationRepository(options);
@@ -136,7 +136,7 @@
 function findOutcomeBeforeWriting(
   { text, baseVersion }: ConfigurationChange,
   head: Head | undefined,
-): Outcome | undefined {
+): ApplyOutcome | undefined {
   if (head?.record.digest === digestOf(text)) {
     return { kind: "unchanged", version: head.record.version };
   }
@@ -151,7 +151,7 @@
   options: ApplyOptions,
   change: ConfigurationChange,
   head: Head | undefined,
-): Promise<Result<ConfigurationRecord, ReadFault>> {
+): Promise<Result<ConfigurationRecord, ReadError>> {
   if (head !== undefined) {
     const { version } = head.record;
     const archived = await writeOnce(options.store, {
@@ -183,7 +183,7 @@
   { store, keys }: ApplyOptions,
   { text, token }: ConfigurationChange,
   head: Head | undefined,
-): Promise<Result<RecordBody, ReadFault>> {
+): Promise<Result<RecordBody, ReadError>> {
   if (Buffer.byteLength(text) <= MAX_INLINE_BYTES) {
     return ok({ text, parts: [] });
   }
@@ -236,7 +236,7 @@
 async function swapHead(
   { store, keys, head }: SwapContext,
   record: ConfigurationRecord,
-): Promise<Result<Outcome, ReadFault>> {
+): Promise<Result<ApplyOutcome, ReadError>> {
   const { version, token } = record;
   const swap = await swapIdempotently<HeadChanged>(store, keys.head, {
     decide: (current) =>
@@ -264,10 +264,10 @@
 function conflictOutcome(
   keys: ConfigurationKeys,
   current: VersionedTaggedValue | undefined,
-): Result<Outcome, InvalidFile> {
+): Result<ApplyOutcome, InvalidFile> {
   if (current === undefined) {
     return err(new InvalidFile(keys.head, "value", "has been removed"));
   }
   return parseRecord(keys.head, current.body)
-    .map((record): Outcome => ({ kind: "conflict", current: record }));
+    .map((record): ApplyOutcome => ({ kind: "conflict", current: record }));
 }
--- a/packages/configure/src/effect.ts
+++ b/packages/configure/src/effect.ts
@@ -5,7 +5,7 @@
 import type { ActionKind, ParsedConfiguration } from "@coltsfootreach/types";
 
 /** Tasks running and queued now, as the entries report them. */
-export interface Running {
+export interface WorkloadSnapshot {
   readonly servers: readonly ServerLoad[];
   readonly tenants: readonly TenantLoad[];
   readonly classes: readonly ClassLoad[];
@@ -32,7 +32,7 @@
   readonly running: number;
 }
 
-export const NOTHING_RUNNING: Running = {
+export const EMPTY_WORKLOAD: WorkloadSnapshot = {
   servers: [],
   tenants: [],
   classes: [],
@@ -49,7 +49,7 @@
 export interface EffectContext {
   readonly from: ParsedConfiguration;
   readonly to: ParsedConfiguration;
-  readonly running: Running;
+  readonly running: WorkloadSnapshot;
 }
 
 export function findEffects(context: EffectContext): readonly Effect[] {
--- a/packages/configure/src/feed.ts
+++ b/packages/configure/src/feed.ts
@@ -8,7 +8,7 @@
 import type { Configuration } from "@coltsfootreach/types";
 import type { ConfigurationSource } from "./holder.ts";
 import type { ConfigurationKeys } from "./keys.ts";
-import { createConfigurationRepository, type ReadFault } from "./repository.ts";
+import { createConfigurationRepository, type ReadError } from "./repository.ts";
 
 export interface FeedOptions {
   readonly store: Store;
@@ -21,7 +21,7 @@
     | undefined;
   /** Called with versions in any order; the holder ignores older ones. */
   learned(configuration: Configuration, source: ConfigurationSource): void;
-  failed(fault: ReadFault): void;
+  failed(fault: ReadError): void;
 }
 
 export interface ConfigurationFeed {
@@ -64,7 +64,7 @@
     if (!isClosed) learned(configuration, source);
   }
 
-  function scheduleRetry(fault: ReadFault): void {
+  function scheduleRetry(fault: ReadError): void {
     if (isClosed) return;
     failed(fault);
     clearTimeout(retryTimer);
--- a/packages/configure/src/holder.ts
+++ b/packages/configure/src/holder.ts
@@ -22,7 +22,7 @@
 }
 
 /** A newer version that this process could not parse. */
-export interface Rejected {
+export interface RejectedVersion {
   readonly version: number;
   readonly reason: string;
   readonly atMs: number;
@@ -41,16 +41,16 @@
  * - `different`: it has the version in force but another text; ignored.
  * - `invalid`: it is newer but could not be parsed.
  */
-export type Taken = "newer" | "same" | "older" | "different" | "invalid";
+export type OfferOutcome = "newer" | "same" | "older" | "different" | "invalid";
 
 export interface ConfigurationHolder {
-  take(news: OfferedConfiguration): Taken;
+  take(news: OfferedConfiguration): OfferOutcome;
   /** Undefined while no version is known. */
   inForce(): ActiveConfiguration | undefined;
   /** The version in force; 0 while none is. */
   version(): number;
   /** The newest unparsable version, until that or a newer one is in force. */
-  rejected(): Rejected | undefined;
+  rejected(): RejectedVersion | undefined;
 }
 
 export interface HolderOptions {
@@ -63,13 +63,13 @@
   { parse }: HolderOptions,
 ): ConfigurationHolder {
   let inForce: ActiveConfiguration | undefined;
-  let rejected: Rejected | undefined;
+  let rejected: RejectedVersion | undefined;
 
   function version(): number {
     return inForce?.configuration.version ?? 0;
   }
 
-  function take(news: OfferedConfiguration): Taken {
+  function take(news: OfferedConfiguration): OfferOutcome {
     const offered = news.configuration;
     if (offered.version < version()) return "older";
     if (offered.version === version()) return compareText(offered);
@@ -79,7 +79,7 @@
     );
   }
 
-  function compareText({ text }: Configuration): Taken {
+  function compareText({ text }: Configuration): OfferOutcome {
     return inForce === undefined || inForce.configuration.text === text
       ? "same"
       : "different";
@@ -88,7 +88,7 @@
   function activate(
     news: OfferedConfiguration,
     estate: ParsedConfiguration,
-  ): Taken {
+  ): OfferOutcome {
     const { configuration, source, nowMs } = news;
     inForce = { configuration, estate, source, sinceMs: nowMs };
     if (rejected !== undefined && rejected.version <= configuration.version) {
@@ -97,7 +97,7 @@
     return "newer";
   }
 
-  function reject(news: OfferedConfiguration, reason: string): Taken {
+  function reject(news: OfferedConfiguration, reason: string): OfferOutcome {
     const { version } = news.configuration;
     if (version > (rejected?.version ?? 0)) {
       rejected = { version, reason, atMs: news.nowMs };
--- a/packages/configure/src/holder_test.ts
+++ b/packages/configure/src/holder_test.ts
@@ -3,7 +3,7 @@
 import { err, ok } from "neverthrow";
 import type { ParsedConfiguration } from "@coltsfootreach/types";
 import { createConfigurationHolder } from "./holder.ts";
-import { LAG_BOUND_MS, laggards } from "./laggard.ts";
+import { laggards, MAX_LAG_MS } from "./laggard.ts";
 import { createVersionTimes } from "./version_times.ts";
 
 const SEED = 20_261_204;
@@ -75,10 +75,10 @@
   it("are the processes below the version, lowest version first", () => {
     const statuses = [status("a", 5), status("b", 4), status("c", 2)];
     const known = { version: 5, sinceMs: 100 };
-    const found = laggards(statuses, known, 100 + LAG_BOUND_MS);
+    const found = laggards(statuses, known, 100 + MAX_LAG_MS);
     expect(found.map((item) => item.process)).to.deep.equal(["c", "b"]);
-    expect(found[0]).to.include({ behindMs: LAG_BOUND_MS, overdue: true });
-    const earlier = laggards(statuses, known, 99 + LAG_BOUND_MS);
+    expect(found[0]).to.include({ behindMs: MAX_LAG_MS, overdue: true });
+    const earlier = laggards(statuses, known, 99 + MAX_LAG_MS);
     expect(earlier.some((item) => item.overdue)).to.equal(false);
   });
 
--- a/packages/configure/src/laggard.ts
+++ b/packages/configure/src/laggard.ts
@@ -25,7 +25,7 @@
 }
 
 /** Time within which a version must be in force in all processes. */
-export const LAG_BOUND_MS = 3_000;
+export const MAX_LAG_MS = 3_000;
 
 /** Processes below the known version, in ascending order of version. */
 export function laggards(
@@ -38,7 +38,7 @@
     .map((status) => {
       const sinceMs = status.behindSinceMs ?? known.sinceMs;
       const behindMs = Math.max(0, nowMs - sinceMs);
-      return { ...status, behindMs, overdue: behindMs >= LAG_BOUND_MS };
+      return { ...status, behindMs, overdue: behindMs >= MAX_LAG_MS };
     })
     .sort((a, b) =>
       a.version - b.version || a.process.localeCompare(b.process)
--- a/packages/configure/src/lookup.ts
+++ b/packages/configure/src/lookup.ts
@@ -2,7 +2,7 @@
 import type { RequestClass, Tenant } from "@coltsfootreach/types";
 import type { ConfigurationHolder } from "./holder.ts";
 
-export interface EstateLookup {
+export interface ConfigurationLookup {
   /** False while no configuration is in force. */
   isKnown(): boolean;
   /** Undefined for a tenant that is not in the configuration. */
@@ -10,7 +10,9 @@
   requestClass(name: string): RequestClass | undefined;
 }
 
-export function createEstateLookup(holder: ConfigurationHolder): EstateLookup {
+export function createConfigurationLookup(
+  holder: ConfigurationHolder,
+): ConfigurationLookup {
   let version = 0;
   let tenants: ReadonlyMap<string, Tenant> = new Map();
   let classes: ReadonlyMap<string, RequestClass> = new Map();
--- a/packages/configure/src/plan.ts
+++ b/packages/configure/src/plan.ts
@@ -1,7 +1,7 @@
 /** Previews a configuration change before it is applied. */
 import type { ParsedConfiguration } from "@coltsfootreach/types";
 import { type Difference, findDifferences } from "./difference.ts";
-import { type Effect, findEffects, type Running } from "./effect.ts";
+import { type Effect, findEffects, type WorkloadSnapshot } from "./effect.ts";
 
 export interface Plan {
   /** The version that the change starts from; 0 for the first. */
@@ -14,7 +14,7 @@
 export function planChange(
   current: ParsedConfiguration | undefined,
   next: ParsedConfiguration,
-  running: Running,
+  running: WorkloadSnapshot,
 ): Plan {
   return {
     fromVersion: current?.version ?? 0,
--- a/packages/configure/src/plan_test.ts
+++ b/packages/configure/src/plan_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { parseConfiguration } from "@coltsfootreach/inventory";
 import type { ParsedConfiguration } from "@coltsfootreach/types";
-import type { Running } from "./effect.ts";
+import type { WorkloadSnapshot } from "./effect.ts";
 import { planChange } from "./plan.ts";
 
 const EXAMPLE_TEXT = readFileSync(
@@ -10,7 +10,7 @@
   "utf8",
 );
 
-const RUNNING: Running = {
+const RUNNING: WorkloadSnapshot = {
   servers: [
     { server: "pot-dispatch-01", slots: 8, running: 5, queued: 2 },
     { server: "pot-dispatch-02", slots: 8, running: 4, queued: 0 },
--- a/packages/configure/src/repository.ts
+++ b/packages/configure/src/repository.ts
@@ -19,7 +19,7 @@
   type PartReference,
 } from "./record.ts";
 
-export type ReadFault = StoreUnavailable | InvalidFile;
+export type ReadError = StoreUnavailable | InvalidFile;
 
 /** The version in force and the revision of the head key. */
 export interface Head {
@@ -29,19 +29,19 @@
 
 export interface ConfigurationRepository {
   /** The version in force; undefined before the first. */
-  readHead(): ResultAsync<Head | undefined, ReadFault>;
+  readHead(): ResultAsync<Head | undefined, ReadError>;
   /** The configuration in force; undefined before the first. */
-  readCurrent(): ResultAsync<Configuration | undefined, ReadFault>;
+  readCurrent(): ResultAsync<Configuration | undefined, ReadError>;
   /** The record of a version; undefined if it is not kept. */
   readVersion(
     version: number,
-  ): ResultAsync<ConfigurationRecord | undefined, ReadFault>;
+  ): ResultAsync<ConfigurationRecord | undefined, ReadError>;
   /** Kept versions in descending order, starting with the one in force. */
-  readHistory(): ResultAsync<readonly ConfigurationRecord[], ReadFault>;
+  readHistory(): ResultAsync<readonly ConfigurationRecord[], ReadError>;
   /** The text of a record, assembled from its parts if necessary. */
-  readText(record: ConfigurationRecord): ResultAsync<Configuration, ReadFault>;
+  readText(record: ConfigurationRecord): ResultAsync<Configuration, ReadError>;
   /** Reads the configuration that a value of the head key refers to. */
-  resolve(found: VersionedValue): ResultAsync<Configuration, ReadFault>;
+  resolve(found: VersionedValue): ResultAsync<Configuration, ReadError>;
 }
 
 export interface RepositoryOptions {
@@ -54,8 +54,8 @@
 ): ConfigurationRepository {
   let partsByDigest: ReadonlyMap<string, string> = new Map();
 
-  function readHead(): ResultAsync<Head | undefined, ReadFault> {
-    return store.read(keys.head).andThen<Head | undefined, ReadFault>(
+  function readHead(): ResultAsync<Head | undefined, ReadError> {
+    return store.read(keys.head).andThen<Head | undefined, ReadError>(
       (found) => {
         const owned = decodeTaggedValue(found);
         return owned === undefined ? okAsync(undefined) : parseHead(owned);
@@ -63,8 +63,8 @@
     );
   }
 
-  function readCurrent(): ResultAsync<Configuration | undefined, ReadFault> {
-    return readHead().andThen<Configuration | undefined, ReadFault>((head) =>
+  function readCurrent(): ResultAsync<Configuration | undefined, ReadError> {
+    return readHead().andThen<Configuration | undefined, ReadError>((head) =>
       head === undefined ? okAsync(undefined) : readText(head.record)
     );
   }
@@ -76,7 +76,7 @@
 
   function readVersion(
     version: number,
-  ): ResultAsync<ConfigurationRecord | undefined, ReadFault> {
+  ): ResultAsync<ConfigurationRecord | undefined, ReadError> {
     return readHead().andThen((head) =>
       head?.record.version === version
         ? okAsync(head.record)
@@ -86,11 +86,11 @@
 
   function readHistoryRecord(
     version: number,
-  ): ResultAsync<ConfigurationRecord | undefined, ReadFault> {
+  ): ResultAsync<ConfigurationRecord | undefined, ReadError> {
     const key = keys.history(version);
     return store.read(key).andThen<
       ConfigurationRecord | undefined,
-      ReadFault
+      ReadError
     >((found) =>
       found === undefined ? okAsync(undefined) : parseRecord(key, found.value)
     );
@@ -98,7 +98,7 @@
 
   function readHistory(): ResultAsync<
     readonly ConfigurationRecord[],
-    ReadFault
+    ReadError
   > {
     return readHead().andThen((head) => {
       if (head === undefined) return okAsync([]);
@@ -114,10 +114,10 @@
 
   function readText(
     record: ConfigurationRecord,
-  ): ResultAsync<Configuration, ReadFault> {
+  ): ResultAsync<Configuration, ReadError> {
     const text = record.text === undefined
       ? readParts(record.parts)
-      : okAsync<string, ReadFault>(record.text);
+      : okAsync<string, ReadError>(record.text);
     return text.andThen((fullText) => {
       if (digestOf(fullText) === record.digest) {
         return okAsync({ version: record.version, text: fullText });
@@ -131,7 +131,7 @@
 
   function readParts(
     references: readonly PartReference[],
-  ): ResultAsync<string, ReadFault> {
+  ): ResultAsync<string, ReadError> {
     return ResultAsync.combine(references.map(readPart)).map((parts) => {
       partsByDigest = new Map(
         parts.map((part, position) => [references[position]!.digest, part]),
@@ -142,10 +142,10 @@
 
   function readPart(
     { key, digest }: PartReference,
-  ): ResultAsync<string, ReadFault> {
+  ): ResultAsync<string, ReadError> {
     const cached = partsByDigest.get(digest);
     if (cached !== undefined) return okAsync(cached);
-    return store.read(key).andThen<string, ReadFault>((found) =>
+    return store.read(key).andThen<string, ReadError>((found) =>
       found === undefined
         ? errAsync(new InvalidFile(key, "value", "part is missing"))
         : okAsync(found.value)
@@ -160,6 +160,6 @@
     readText,
     resolve: (found) =>
       parseRecord(keys.head, decodeTaggedValue(found)!.body)
-        .asyncAndThen<Configuration, ReadFault>(readText),
+        .asyncAndThen<Configuration, ReadError>(readText),
   };
 }
--- a/packages/coordinate/src/configuration_desk.ts
+++ b/packages/coordinate/src/configuration_desk.ts
@@ -6,9 +6,9 @@
   type ConfigurationHolder,
   type ConfigurationSource,
   createVersionTimes,
-  LAG_BOUND_MS,
+  MAX_LAG_MS,
+  type OfferOutcome,
   rulesInForce,
-  type Taken,
 } from "@coltsfootreach/configure";
 import {
   type Configuration,
@@ -23,7 +23,7 @@
     configuration: Configuration,
     source: ConfigurationSource,
     nowMs: number,
-  ): Taken;
+  ): OfferOutcome;
   version(): number;
   estate(): ParsedConfiguration | undefined;
   rules(): Rules;
@@ -109,7 +109,7 @@
     behindSince: (version) => times.firstAbove(version),
     isLagging(side, nowMs) {
       const sinceMs = times.firstAbove(side.configurationVersion);
-      return sinceMs !== undefined && nowMs - sinceMs >= LAG_BOUND_MS;
+      return sinceMs !== undefined && nowMs - sinceMs >= MAX_LAG_MS;
     },
   };
 }
--- a/packages/coordinate/src/configuration_desk_test.ts
+++ b/packages/coordinate/src/configuration_desk_test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import {
   createConfigurationHolder,
-  LAG_BOUND_MS,
+  MAX_LAG_MS,
 } from "@coltsfootreach/configure";
 import { DEFAULT_RULES, type ParsedConfiguration } from "@coltsfootreach/types";
 import { ok } from "neverthrow";
@@ -54,8 +54,8 @@
   it("finds a side that is behind while versions keep coming", () => {
     const desk = createDesk();
     for (let version = 1; version <= 4; version++) take(desk, version);
-    expect(desk.isLagging(side, 999 + LAG_BOUND_MS)).to.equal(false);
-    expect(desk.isLagging(side, 1_000 + LAG_BOUND_MS)).to.equal(true);
+    expect(desk.isLagging(side, 999 + MAX_LAG_MS)).to.equal(false);
+    expect(desk.isLagging(side, 1_000 + MAX_LAG_MS)).to.equal(true);
     side.configurationVersion = 4;
     expect(desk.isLagging(side, 60_000)).to.equal(false);
   });
--- a/packages/coordinate/src/limits.ts
+++ b/packages/coordinate/src/limits.ts
@@ -11,7 +11,7 @@
   type Queue,
   type Submission,
 } from "@coltsfootreach/limit";
-import type { EstateLookup } from "@coltsfootreach/configure";
+import type { ConfigurationLookup } from "@coltsfootreach/configure";
 import type { RunTimeModel } from "@coltsfootreach/place";
 import type { Job, Refusal, Rules, TenantDemand } from "@coltsfootreach/types";
 
@@ -54,7 +54,7 @@
 };
 
 export interface LimitOptions {
-  readonly estate: EstateLookup;
+  readonly estate: ConfigurationLookup;
   readonly runTimes: RunTimeModel;
   rules(): Rules;
   /** Slots that this entry can count on. */
--- a/packages/daemon/src/caller_server.ts
+++ b/packages/daemon/src/caller_server.ts
@@ -1,7 +1,7 @@
 /** Serves the HTTP API for callers of an entry. */
 import type { AddressInfo } from "node:net";
 import { createAdaptorServer, type ServerType } from "@hono/node-server";
-import type { EstateLookup } from "@coltsfootreach/configure";
+import type { ConfigurationLookup } from "@coltsfootreach/configure";
 import type { Entry } from "@coltsfootreach/entry";
 import type { Metrics } from "@coltsfootreach/measure";
 import { createCallerApp } from "@coltsfootreach/serve";
@@ -22,7 +22,7 @@
 
 export interface CallerServerDependencies {
   readonly entry: Entry;
-  readonly estate: EstateLookup;
+  readonly estate: ConfigurationLookup;
   readonly metrics: Metrics;
 }
 
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -1,9 +1,9 @@
 /** Converts the settings of an entry to the options of its process. */
 import {
   type ConfigurationHolder,
+  type ConfigurationLookup,
   createConfigurationHolder,
-  createEstateLookup,
-  type EstateLookup,
+  createConfigurationLookup,
   rulesInForce,
 } from "@coltsfootreach/configure";
 import { createLimits } from "@coltsfootreach/coordinate";
@@ -35,7 +35,7 @@
 /** Configuration state and parsing of an entry process. */
 export interface EntryConfiguration {
   readonly holder: ConfigurationHolder;
-  readonly estate: EstateLookup;
+  readonly estate: ConfigurationLookup;
   readonly prepare: EntryOptions["prepareConfiguration"];
 }
 
@@ -44,7 +44,7 @@
   const holder = createConfigurationHolder({ parse: parser.parse });
   return {
     holder,
-    estate: createEstateLookup(holder),
+    estate: createConfigurationLookup(holder),
     prepare: parser.prepare,
   };
 }
--- a/packages/entry/src/versions.ts
+++ b/packages/entry/src/versions.ts
@@ -5,7 +5,7 @@
 import {
   type ConfigurationHolder,
   type KnownVersion,
-  LAG_BOUND_MS,
+  MAX_LAG_MS,
 } from "@coltsfootreach/configure";
 
 /** Pause before the configuration is read again. */
@@ -57,7 +57,7 @@
     newest: () => newest,
     isLagging() {
       return elsewhere.version > holder.version() &&
-        performance.now() - elsewhere.sinceMs >= LAG_BOUND_MS;
+        performance.now() - elsewhere.sinceMs >= MAX_LAG_MS;
     },
   };
 }
--- a/packages/manage/src/view.ts
+++ b/packages/manage/src/view.ts
@@ -7,7 +7,7 @@
   ConfigurationStatus,
   KnownVersion,
   Laggard,
-  Rejected,
+  RejectedVersion,
 } from "@coltsfootreach/configure";
 import type {
   Answer,
@@ -51,7 +51,7 @@
   readonly version: number;
   readonly sinceMs?: number | undefined;
   readonly source?: ConfigurationSource | undefined;
-  readonly rejected?: Rejected | undefined;
+  readonly rejected?: RejectedVersion | undefined;
 }
 
 export interface StoreStatus {
--- a/packages/propagation/src/checks.ts
+++ b/packages/propagation/src/checks.ts
@@ -1,5 +1,5 @@
 /** Collects what was measured and which promises were broken. */
-import { LAG_BOUND_MS } from "@coltsfootreach/configure";
+import { MAX_LAG_MS } from "@coltsfootreach/configure";
 import { type Bed, until } from "./bed.ts";
 import type { EditDelays } from "./delay.ts";
 import type { Accepted } from "./operator.ts";
@@ -70,7 +70,7 @@
       phase.edits.push({ version, delaysMs });
       const worstMs = Math.max(0, ...delaysMs);
       expect(
-        worstMs <= LAG_BOUND_MS,
+        worstMs <= MAX_LAG_MS,
         `${phase.name}: version ${version} took ${worstMs} ms`,
       );
     },
--- a/packages/propagation/src/operator.ts
+++ b/packages/propagation/src/operator.ts
@@ -2,11 +2,11 @@
 import { readFileSync } from "node:fs";
 import {
   applyChange,
+  type ApplyOutcome,
   createConfigurationKeys,
   createConfigurationRepository,
   type Difference,
   findDifferences,
-  type Outcome,
 } from "@coltsfootreach/configure";
 import { editRules, parseConfiguration } from "@coltsfootreach/inventory";
 import { createEtcdStore } from "@coltsfootreach/store";
@@ -36,7 +36,7 @@
   /** Puts the edit on top of what is in force; throws unless accepted. */
   apply(edit: Edit): Promise<Accepted>;
   /** Makes the edit on a given version, whatever came after it. */
-  applyOn(base: Base, edit: Edit): Promise<Outcome>;
+  applyOn(base: Base, edit: Edit): Promise<ApplyOutcome>;
   read(): Promise<Base>;
   /** What changed between two versions. */
   differences(from: number, to: number): Promise<readonly Difference[]>;
@@ -63,7 +63,7 @@
     return found ?? { version: 0, text: readFileSync(EXAMPLE, "utf8") };
   }
 
-  async function applyOn(base: Base, edit: Edit): Promise<Outcome> {
+  async function applyOn(base: Base, edit: Edit): Promise<ApplyOutcome> {
     const applied = await applyChange({
       store,
       keys,
--- a/packages/propagation/src/phases.ts
+++ b/packages/propagation/src/phases.ts
@@ -2,7 +2,7 @@
  * What is done to the fleet while edits are made. Each phase leaves every
  * process running with the newest version in force.
  */
-import { LAG_BOUND_MS } from "@coltsfootreach/configure";
+import { MAX_LAG_MS } from "@coltsfootreach/configure";
 import type { Child } from "@coltsfootreach/fleet";
 import { type Bed, sleep, until } from "./bed.ts";
 import type { Checks, Phase } from "./checks.ts";
@@ -189,7 +189,7 @@
     const run = bed.latest().get(first!.child.name)!;
     return inForceSince(run, accepted.version) !== undefined;
   };
-  checks.expect(await until(hasIt, LAG_BOUND_MS), "the first entry lacks it");
+  checks.expect(await until(hasIt, MAX_LAG_MS), "the first entry lacks it");
   await bed.setStoreFaults({ outage: "unavailable" });
   await sleep(PAUSE_MS);
   const dueFromMs = Date.now();
@@ -210,7 +210,7 @@
     const laggards = status?.laggards ?? [];
     return laggards.some((one) => one.process === side.name && one.overdue);
   };
-  const named = await until(isNamed, 2 * LAG_BOUND_MS);
+  const named = await until(isNamed, 2 * MAX_LAG_MS);
   phase.notes.namedAfterMs = Date.now() - accepted.atMs;
   checks.expect(named, `${side.name} was not named as a laggard`);
   const top = await bed.top(0);
@@ -256,7 +256,7 @@
   const undone = await until(async () => {
     const now = await bed.acts(0);
     return now.find(({ id }) => id === takeover?.id)?.undoneAtMs !== undefined;
-  }, LAG_BOUND_MS);
+  }, MAX_LAG_MS);
   checks.expect(undone, "the takeover stands after the entry's return");
   await editAndWait(trial, phase);
 }
