Review case 1: no executor is used after a restart under its id

Cause: a side whose first list is refused for its fencing token, or whose answer to it is lost, sends no further list while the executor has no runs.

Seven executors crash in turn and start again under their ids, then all processes are killed.

--- /dev/null
+++ b/review/1/scenario.ts
@@ -0,0 +1,104 @@
+/**
+ * RECOVER: executors crash one after the other and start again under their ids;
+ * later all processes of the system are killed and started again.
+ */
+import { type Attempt, submitJob } from "../harness/caller.ts";
+import {
+  BOUNDS,
+  desiredState,
+  route,
+  startDeployment,
+} from "../harness/deployment.ts";
+import { hasTrouble, runCase, sleep } from "../harness/verdict.ts";
+
+/** `TROUBLE=kill` leaves out the crashes and keeps the final fault. */
+const SIDES = 7;
+
+/** One of seven is 0.143; the site's entry of `srv_crash` has a share of 0.14. */
+const CRASH_DOWN_MS = 1500;
+
+const CRASH_GAP_MS = 2500;
+
+const RESTART_DELAY_MS = 500;
+
+const MEASURED_MS = 10_000;
+
+const REQUEST_GAP_MS = 100;
+
+const STEPS = [{ count: 2, cpu: 1600, mem_mb: 64, estimate_ms: 200 }];
+
+runCase(async () => {
+  const deployment = await startDeployment({
+    recordFile: "review/1/record.txt",
+    fronts: 3,
+    sides: SIDES,
+    workMs: () => 200,
+  });
+  const { record, store, fronts, sides, executors } = deployment;
+  const addresses = fronts.map((front) => front.address);
+  const before: Attempt[] = [];
+  const after: Attempt[] = [];
+  const pending: Promise<unknown>[] = [];
+  let sent = 0;
+
+  async function sendJob(results: Attempt[] | undefined): Promise<void> {
+    sent += 1;
+    const first = addresses[sent % addresses.length]!;
+    const second = addresses[(sent + 1) % addresses.length]!;
+    const { attempts } = await submitJob({
+      record,
+      queue: "seal",
+      steps: STEPS,
+      fronts: [first, second],
+      deadlineMs: 1500,
+    });
+    results?.push(attempts.at(-1)!);
+  }
+
+  async function sendFor(ms: number, results?: Attempt[]): Promise<void> {
+    const endsAt = performance.now() + ms;
+    while (performance.now() < endsAt) {
+      pending.push(sendJob(results));
+      await sleep(REQUEST_GAP_MS);
+    }
+  }
+
+  store.write("op/config", desiredState(1, [route("seal")]));
+  await sleep(5000);
+
+  async function disturb(): Promise<void> {
+    if (!hasTrouble || process.env.TROUBLE === "kill") return;
+    for (const executor of executors) {
+      await executor.restart(CRASH_DOWN_MS);
+      await sleep(CRASH_GAP_MS - CRASH_DOWN_MS);
+    }
+  }
+
+  const crashes = disturb();
+  await sendFor(SIDES * CRASH_GAP_MS + 5000, before);
+  await crashes;
+  if (hasTrouble) {
+    record.add("final fault: all processes are killed");
+    await Promise.all([...fronts, ...sides].map((program) => program.kill()));
+    await sleep(RESTART_DELAY_MS);
+    for (const program of [...fronts, ...sides]) program.start();
+  }
+  await sendFor(BOUNDS.recover_s * 1000);
+  record.add(`recover_s has passed; requests from here are judged`);
+  await sendFor(MEASURED_MS, after);
+  await Promise.all(pending);
+  await deployment.stop();
+
+  const servedBefore = before.filter(({ status }) => status === 200).length;
+  const servedAfter = after.filter(({ status }) => status === 200).length;
+  console.log(
+    `served before: ${servedBefore} of ${before.length}; ` +
+      `later than recover_s: ${servedAfter} of ${after.length}`,
+  );
+  if (servedBefore < before.length / 4) {
+    throw new Error("less than a quarter was served before the final fault");
+  }
+  return servedAfter < after.length / 4
+    ? [`RECOVER: ${servedAfter} of ${after.length} requests were served`]
+    : [];
+});
