--- a/review/harness/deployment.ts
+++ b/review/harness/deployment.ts
@@ -66,6 +66,9 @@
   metrics: 9095,
 };
 
+/** The platform starts a process that ended by itself again. */
+const RESTART_DELAY_MS = 500;
+
 const MIN_PREFIX = 20;
 
 const MAX_PREFIX = 250;
@@ -77,6 +80,8 @@
   /** Sends SIGKILL and waits for the end of the process. */
   kill(): Promise<void>;
   signal(signal: NodeJS.Signals): void;
+  /** How often the process has ended without a signal. */
+  ownEnds(): number;
 }
 
 export interface Front extends Program {
@@ -186,6 +191,7 @@
   const prefix = await findNetwork(1 + options.fronts + options.sides);
   const storeAddress = `${prefix}.1:${PORTS.store}`;
   const children = new Set<ChildProcess>();
+  let isStopping = false;
   process.on("exit", () => {
     for (const child of children) child.kill("SIGKILL");
   });
@@ -240,6 +246,7 @@
       }),
     );
     let child: ChildProcess | undefined;
+    let ownEnds = 0;
 
     function start(): void {
       const log = openSync(path.join(folder, `${name}.log`), "a");
@@ -258,6 +265,11 @@
       started.on("exit", (code, signal) => {
         children.delete(started);
         record.add(`${name}: process ends (${signal ?? code})`);
+        if (signal !== null || isStopping) return;
+        ownEnds += 1;
+        setTimeout(() => {
+          if (!isStopping) start();
+        }, RESTART_DELAY_MS);
       });
       record.add(`${name}: process starts`);
     }
@@ -273,6 +285,7 @@
         victim.kill("SIGKILL");
         await ended;
       },
+      ownEnds: () => ownEnds,
       signal(signal) {
         record.add(`${name}: ${signal}`);
         child?.kill(signal);
@@ -325,6 +338,7 @@
     executors,
     allSpans: () => executors.flatMap((executor) => executor.spans),
     async stop() {
+      isStopping = true;
       for (const child of children) child.kill("SIGKILL");
       for (const executor of executors) await executor.close();
       await store.close();
--- a/review/harness/store.ts
+++ b/review/harness/store.ts
@@ -44,6 +44,8 @@
 export interface Store extends JsonServer {
   /** Writes as the operator does; the return is its acknowledgement. */
   write(key: string, value: unknown): void;
+  /** Writes as some other program does. */
+  writeBytes(key: string, bytes: Uint8Array): void;
   /** Connections that are open now get no bytes any more; new ones work. */
   silenceConnections(): void;
 }
@@ -207,6 +209,10 @@
       put(key, Buffer.from(JSON.stringify(value)).toString("base64"), 0);
       record.add(`operator: write of ${key} is acknowledged`);
     },
+    writeBytes(key, bytes) {
+      put(key, Buffer.from(bytes).toString("base64"), 0);
+      record.add(`another writer: ${bytes.length} bytes at ${key}`);
+    },
     silenceConnections() {
       let count = 0;
       for (const socket of sockets) {
