Count leases by the lowest value of the server's clock

Cause: the end of a lease is a time on the server's clock. The side worked it out from the clock's offset at the last list, and idle servers were not listed; after 25 s the server granted up to 0.5 s more than the side counted on.

The line now names the age of the clock's reading, which tells this from a lost renewal.

Change: the side keeps a lower bound of the clock, a reading plus 98% of the time since, and requests leases up to a time on it, so that none lasts longer than counted at any allowed rate. The rate stands once, in the timing module.

In "grants and renews leases of at most 700 ms" the exact values fall by 1 ms, 2% of the 8 ms since the reading; the check is as strict. Servers of the simulated fleets and of the soak now have slow clocks too.

--- a/packages/run/src/timing.ts
+++ b/packages/run/src/timing.ts
@@ -43,8 +43,11 @@
 /** Tick interval of a process with active runs. */
 export const BUSY_TICK_MS = 25;
 
-/** Maximum factor by which a clock may run slow. */
-const CLOCK_DRIFT_FACTOR = 1.02;
+/** Lowest rate of a clock; a server's own clock may be this slow. */
+export const MIN_CLOCK_RATE = 0.98;
+
+/** Factor by which a time that a slow clock measures may be longer. */
+const CLOCK_DRIFT_FACTOR = 1 / MIN_CLOCK_RATE;
 
 /** Allowance for the latency of frames and of requests to backend servers. */
 const MARGIN_MS = 100;
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -8,15 +8,16 @@
   type SessionId,
   type SubmissionId,
 } from "@coltsfootreach/dispatch";
-import type {
-  Announcement,
-  DispatchFrame,
-  Job,
-  Queue,
-  Resources,
-  RunRef,
-  Timing,
-  WorkFrame,
+import {
+  type Announcement,
+  type DispatchFrame,
+  type Job,
+  MIN_CLOCK_RATE,
+  type Queue,
+  type Resources,
+  type RunRef,
+  type Timing,
+  type WorkFrame,
 } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
 import {
@@ -45,6 +46,9 @@
 
 const REDIAL_DELAY_MS = 100;
 
+/** Every third server has a slow clock. */
+const SLOW_CLOCK_EVERY = 3;
+
 export interface FleetOptions {
   readonly clock: SimulatedClock;
   readonly random: Random;
@@ -348,6 +352,7 @@
         born: 1_000_000 + clock.now(),
         capacity: options.capacity,
         slowness: options.slowness[index % options.slowness.length]!,
+        clockRate: index % SLOW_CLOCK_EVERY === 0 ? MIN_CLOCK_RATE : 1,
         maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
         stopMs: SAMPLE_BOUNDS.stopMs,
         profileOf: options.profileOf,
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -43,6 +43,8 @@
   readonly capacity: Resources;
   /** Ratio of run time to work. */
   slowness: number;
+  /** Rate of the server's own clock, on which leases are measured. */
+  readonly clockRate: number;
   readonly maxLeaseMs: number;
   readonly stopMs: number;
   profileOf(ref: RunRef): TaskProfile;
@@ -104,7 +106,7 @@
   let isUp = true;
   let pendingLists: PendingList[] = [];
 
-  const clockMs = () => clock.now() - startedAt + 1000;
+  const clockMs = () => (clock.now() - startedAt) * options.clockRate + 1000;
 
   function extendLease(untilMs: number | undefined): void {
     if (untilMs === undefined) return;
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -18,7 +18,7 @@
   type ServerStandin,
   type TaskProfile,
 } from "@coltsfootreach/simulate";
-import type { RunRef } from "@coltsfootreach/run";
+import { MIN_CLOCK_RATE, type RunRef } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
 import type { FleetSize } from "./sizes.ts";
 
@@ -164,6 +164,7 @@
         born: 1_000_000 * (incarnation + 1) + Math.floor(options.now()),
         capacity: { cpu: 16_000, memoryMb: 65_536, gpu: 0 },
         slowness: 1,
+        clockRate: MIN_CLOCK_RATE,
         maxLeaseMs: SAMPLE_BOUNDS.maxLeaseMs,
         stopMs: SAMPLE_BOUNDS.stopMs,
         profileOf: options.taskProfile,
--- a/packages/worker/src/list_poller.ts
+++ b/packages/worker/src/list_poller.ts
@@ -3,7 +3,7 @@
  * sent, how long the server may hold the reply, and until when the lease that
  * they renew can last.
  */
-import type { Announcement } from "@coltsfootreach/run";
+import { type Announcement, MIN_CLOCK_RATE } from "@coltsfootreach/run";
 import type { ListRequest } from "./calls.ts";
 import { type ServerState, toInstance } from "./server_state.ts";
 
@@ -38,9 +38,6 @@
  */
 const LOSSES_UNTIL_DOWN = 2;
 
-/** Maximum factor by which the server's clock may run slower than the side's. */
-const CLOCK_DRIFT_FACTOR = 1.03;
-
 /** Allowance for the latency of requests to the server. */
 const LEASE_MARGIN_MS = 60;
 
@@ -84,15 +81,13 @@
   recordLoss(now: number): void;
   /** The connection was refused; returns true if the server counts as gone. */
   recordAbsence(): boolean;
+  /** End of a lease that is requested now, on the server's clock. */
+  leaseEnd(server: ServerState, now: number): number;
   /** Accounts for a lease that may just have been granted or renewed. */
   extendLease(now: number): void;
   isLeaseExpired(now: number): boolean;
 }
 
-export function toServerClock(server: ServerState, now: number): number {
-  return Math.floor(now + server.clockOffsetMs);
-}
-
 export function createListPoller(leaseMs: number): ListPoller {
   let pending: PendingList | undefined;
   let latestNumber = 0;
@@ -103,7 +98,11 @@
   let consecutiveLosses = 0;
 
   function computeLeaseExpiry(now: number): number {
-    return now + leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
+    return now + leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
+  }
+
+  function leaseEnd(server: ServerState, now: number): number {
+    return Math.floor(server.clock.lowestMs(now) + leaseMs);
   }
 
   function computeWaitMs(activity: RunActivity, now: number): number {
@@ -145,13 +144,12 @@
       };
       nextRequestAt = now +
         (activity.hasRuns ? MIN_LIST_INTERVAL_MS : MIN_IDLE_LIST_INTERVAL_MS);
-      const untilMs = toServerClock(server, now) + leaseMs;
       return {
         number: latestNumber,
         server: server.instance,
         fencingToken: server.fencingToken,
         observed: server.observed,
-        untilMs: isRenewal ? untilMs : undefined,
+        untilMs: isRenewal ? leaseEnd(server, now) : undefined,
         waitMs: computeWaitMs(activity, now),
       };
     },
@@ -182,6 +180,7 @@
       consecutiveAbsences = 0;
       return true;
     },
+    leaseEnd,
     extendLease(now) {
       leaseExpiresAt = Math.max(leaseExpiresAt, computeLeaseExpiry(now));
     },
--- a/packages/worker/src/offers.ts
+++ b/packages/worker/src/offers.ts
@@ -13,7 +13,6 @@
 } from "@coltsfootreach/run";
 import type { StartReply } from "./calls.ts";
 import type { OwnerId } from "./effect.ts";
-import { toServerClock } from "./list_poller.ts";
 import type { ListRequests } from "./list_requests.ts";
 import type { RunOutcomes } from "./run_outcomes.ts";
 import type { Stops } from "./stops.ts";
@@ -52,7 +51,6 @@
   { requests, outcomes, stops }: OffersOptions,
 ): Offers {
   const { circuitBreaker, counts, listPoller, runs } = state;
-  const { leaseMs } = state.timing;
   const { sendList } = requests;
   const { notify } = outcomes;
   const { beginStop } = stops;
@@ -83,7 +81,6 @@
     if (runs.count() === 0) state.current.lastReplyAt = now;
     runs.add(run);
     if (circuitBreaker.isSuspect()) circuitBreaker.trialStarted(now);
-    const untilMs = toServerClock(state.current, now) + leaseMs;
     listPoller.extendLease(now);
     state.emit({
       kind: "start",
@@ -91,7 +88,7 @@
         server: state.current.instance,
         ref: run.ref,
         payload: offer.payload,
-        untilMs,
+        untilMs: listPoller.leaseEnd(state.current, now),
         fencingToken: state.current.fencingToken,
       },
     });
--- a/packages/worker/src/run_reconciliation.ts
+++ b/packages/worker/src/run_reconciliation.ts
@@ -45,7 +45,7 @@
     pending: PendingList,
     now: number,
   ): void {
-    server.clockOffsetMs = reply.clockMs - now;
+    server.clock.recordReading(reply.clockMs, now);
     server.lastReplyAt = now;
     const listed = new Set<Run>();
     for (const row of reply.running) {
--- a/packages/worker/src/server_state.ts
+++ b/packages/worker/src/server_state.ts
@@ -5,6 +5,7 @@
  */
 import type { Announcement } from "@coltsfootreach/run";
 import type { ServerInstance } from "./calls.ts";
+import { createServerClock, type ServerClock } from "./server_clock.ts";
 
 export interface ServerState {
   readonly instance: ServerInstance;
@@ -13,8 +14,7 @@
   fencingToken: number;
   /** Number of the last run end that was processed. */
   observed: number;
-  /** Server's clock minus the side's clock, at the last reply. */
-  clockOffsetMs: number;
+  readonly clock: ServerClock;
   lastReplyAt: number;
   /** Whether the server has listed its runs at least once. */
   hasRunList: boolean;
@@ -46,7 +46,7 @@
     announcement,
     fencingToken: Math.max(1, Math.floor(clockMs)),
     observed: 0,
-    clockOffsetMs: clockMs - now,
+    clock: createServerClock(clockMs, now),
     lastReplyAt: now,
     hasRunList: false,
   };
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -95,17 +95,23 @@
     owners.setBusyOwners(ownership.busyOwners());
     if (!wasPaused) ownership.removeSilentOwners(now);
     ownership.stopUnclaimedRuns(now);
-    if (runs.count() > 0 && listPoller.isLeaseExpired(now)) expireLease();
+    if (runs.count() > 0 && listPoller.isLeaseExpired(now)) {
+      expireLease(now);
+    }
     if (state.current === undefined) return;
     stops.retryStops(state.current, now);
     requests.sendDueList(now);
   }
 
   /** The lease was not renewed in time, so the server has ended all runs. */
-  function expireLease(): void {
+  function expireLease(now: number): void {
+    const clockAgeMs = state.current?.clock.ageMs(now);
     state.log({
       message: "lease expired; all runs are lost",
-      figures: { runs: runs.count() },
+      figures: {
+        runs: runs.count(),
+        ...(clockAgeMs !== undefined && { clockAgeMs: Math.round(clockAgeMs) }),
+      },
     });
     for (const run of runs.all()) outcomes.loseRun(run, "lease ran out");
   }
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -321,11 +321,11 @@
     const harness = createHarness();
     harness.offer(0, 10);
     const [startRequest] = startRequests(harness.takeEffects(10));
-    // The server's clock is 5,000 ms ahead.
-    expect(startRequest?.untilMs).to.equal(5710);
+    // At 2 ms the server's clock showed 5,002; it may have lost 2% since.
+    expect(startRequest?.untilMs).to.equal(5709);
     harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
     const [list] = listRequests(harness.takeEffects(12));
-    expect(list?.kind === "list" && list.request.untilMs).to.equal(5711);
+    expect(list?.kind === "list" && list.request.untilMs).to.equal(5710);
   });
 
   it("takes a renewal in flight into account before a lease expires", () => {
