Request a server's first list until it arrives

Cause: a server gets runs once it has listed its runs, and the first list was requested once. Rejected for its token, lost or refused, nothing asked again. Rejections were common because a side's first token was the server's clock, which starts anew with each life of the server.

Change: a list is due while the server in use has not listed its runs. A server that rejects the token is closed until a list arrives. First tokens come from the wall clock and are raised in growing steps. A probe proves an instance only by a list with its birth time, is repeated when its reply is lost, and replies to older probes decide nothing.

--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -16,7 +16,7 @@
 import { createPauseDetector } from "./pause.ts";
 import type { BackendServerClient } from "./ports.ts";
 
-/** Tick interval while there are no runs and no unsent report. */
+/** Tick interval while nothing is pending. */
 const IDLE_TICK_MS = 200;
 
 /** Interval for checking whether all runs have ended while draining. */
@@ -48,6 +48,7 @@
     side: options.name,
     dataCentre: options.dataCentre,
     timing: options.timing,
+    initialFencingToken: Date.now(),
   });
   const pauseDetector = createPauseDetector({
     monotonicMs: monotonicNowMs,
@@ -55,8 +56,7 @@
     maxIntervalMs: options.timing.pauseThresholdMs,
   });
   const loop = startCoreLoop({
-    tickMs: () =>
-      core.runs() > 0 || core.hasUnsentReport() ? BUSY_TICK_MS : IDLE_TICK_MS,
+    tickMs: () => isBusy() ? BUSY_TICK_MS : IDLE_TICK_MS,
     tick(now) {
       if (pauseDetector.hasPaused()) core.pauseDetected(now);
       core.tick(now);
@@ -92,6 +92,10 @@
     found: streams.addAddresses,
   });
 
+  function isBusy(): boolean {
+    return core.runs() > 0 || core.hasUnsentReport() || core.isServerJoining();
+  }
+
   function applyEffects(now: number): void {
     for (const effect of core.takeEffects(now)) applyEffect(effect, now);
   }
--- a/packages/simulate/src/fleet.ts
+++ b/packages/simulate/src/fleet.ts
@@ -16,6 +16,7 @@
   type Queue,
   type Resources,
   type RunRef,
+  type ServerReport,
   type Timing,
   type WorkFrame,
 } from "@coltsfootreach/run";
@@ -98,6 +99,8 @@
   /** Share of the side's requests to its server that get no response. */
   responseLossRate: number;
   server(): ServerStandin;
+  /** Whether the side told entries that its server accepts runs. */
+  isServerOpen(): boolean;
   kill(downMs: number): void;
   crashServer(downMs: number): void;
   /** The server announces that it is draining, and shuts down after `leaveMs`. */
@@ -282,6 +285,7 @@
     let server = makeServer();
     let sequence = 0;
     let isDraining = false;
+    let lastReport: ServerReport | undefined;
     const node: SideNode = {
       isUp: true,
       frozenUntil: 0,
@@ -291,10 +295,12 @@
       owners,
       scheduleEffects,
       server: () => server,
+      isServerOpen: () => lastReport?.isOpen ?? false,
       kill(downMs) {
         if (!node.isUp) return;
         node.isUp = false;
         node.incarnation += 1;
+        lastReport = undefined;
         for (const stream of [...owners.values()]) closeStream(stream);
         clock.after(downMs, () => {
           node.isUp = true;
@@ -337,6 +343,7 @@
         side: `side-${index}`,
         dataCentre: "a",
         timing: options.timing,
+        initialFencingToken: Math.floor(clock.now()) + 1,
       });
     }
 
@@ -393,6 +400,7 @@
     function applyEffect(effect: WorkerEffect): void {
       if (effect.kind === "send") {
         counter.sideSent(effect.frame);
+        if ("server" in effect.frame) lastReport = effect.frame.server;
         owners.get(effect.owner)?.toEntry.send(effect.frame);
       } else if (effect.kind === "close") {
         const stream = owners.get(effect.owner);
--- a/packages/simulate/src/main.ts
+++ b/packages/simulate/src/main.ts
@@ -38,7 +38,8 @@
         process.stdout.write(`${at.toFixed(1)} ${what}\n`);
       },
     });
-    const isClean = result.breaches.length === 0 && result.stuck === 0;
+    const isClean = result.breaches.length === 0 && result.stuck === 0 &&
+      result.closedServers.length === 0;
     if (!isClean) failed += 1;
     if (isClean && flags.seed === undefined) continue;
     process.stdout.write(`${JSON.stringify(result, null, 1)}\n`);
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -247,7 +247,7 @@
         return answer({ kind: "otherLife" });
       }
       if (request.fencingToken < highestToken) {
-        return answer({ kind: "fenced", clockMs: clockMs() });
+        return answer({ kind: "fenced" });
       }
       highestToken = request.fencingToken;
       extendLease(request.untilMs);
--- a/packages/simulate/src/simulation.ts
+++ b/packages/simulate/src/simulation.ts
@@ -43,6 +43,8 @@
   readonly tasks: number;
   /** Jobs that entries still hold after all callers have timed out. */
   readonly stuck: number;
+  /** Servers that are up but, long after the last fault, get no runs. */
+  readonly closedServers: readonly string[];
   readonly faults: readonly string[];
   readonly traffic: Readonly<Traffic>;
 }
@@ -109,6 +111,9 @@
     inTime: callers.inTime(),
     tasks: [...taskProfiles.values()].reduce((sum, one) => sum + one.length, 0),
     stuck,
+    closedServers: fleet.sides
+      .filter((side) => !side.isServerOpen())
+      .map((side) => side.server().id),
     faults,
     traffic: fleet.traffic,
   };
--- a/packages/simulate/src/simulation_test.ts
+++ b/packages/simulate/src/simulation_test.ts
@@ -29,6 +29,7 @@
 function expectNoViolations(result: SimulationResult): void {
   expect(result.breaches, `seed ${result.seed}`).to.deep.equal([]);
   expect(result.stuck, `seed ${result.seed}`).to.equal(0);
+  expect(result.closedServers, `seed ${result.seed}`).to.deep.equal([]);
 }
 
 describe("a simulated fleet", () => {
--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -68,8 +68,8 @@
     readonly running: readonly ListedRun[];
     readonly ends: readonly RunEnd[];
   }
-  /** The server has seen a higher token; the next must exceed this clock. */
-  | { readonly kind: "fenced"; readonly clockMs: number }
+  /** The server has seen a higher token. */
+  | { readonly kind: "fenced" }
   /** A different instance answers at the address. */
   | { readonly kind: "otherLife" }
   /** The connection was refused: nothing listens at the address. */
--- a/packages/worker/src/instances.ts
+++ b/packages/worker/src/instances.ts
@@ -15,6 +15,9 @@
 import type { Stops } from "./stops.ts";
 import type { WorkerState } from "./worker_state.ts";
 
+/** Probes after one announcement; another announcement follows soon. */
+const MAX_PROBES = 12;
+
 export interface InstancesOptions {
   readonly requests: ListRequests;
   readonly outcomes: RunOutcomes;
@@ -24,9 +27,13 @@
 export interface Instances {
   announced(announcement: Announcement): void;
   left(id: string): void;
-  probeReplied(reply: ListReply, now: number): void;
-  /** Probes an instance that was announced while a list was pending. */
+  probeReplied(probed: Announcement, reply: ListReply, now: number): void;
+  /** Probes an announced instance that has not replied yet. */
   probeCandidate(): void;
+  /** The server has seen a higher token, so it ignores requests until then. */
+  raiseFencingToken(): void;
+  /** True from the announcement of an instance until it accepts runs. */
+  isJoining(): boolean;
   /** Another instance replied under the same id; its announcement follows. */
   handleServerRestart(): void;
   handleServerGone(reason: string): void;
@@ -37,10 +44,11 @@
   { requests, outcomes, stops }: InstancesOptions,
 ): Instances {
   const { circuitBreaker, listPoller, runs, slownessEstimator } = state;
-  const { sendList, sendProbe } = requests;
+  const { sendDueList, sendList, sendProbe } = requests;
   const { loseRun } = outcomes;
   const { sendStop } = stops;
   let candidate: Announcement | undefined;
+  let remainingProbes = 0;
 
   function announced(announcement: Announcement): void {
     const instance = toInstance(announcement);
@@ -52,7 +60,8 @@
       return;
     }
     candidate = announcement;
-    if (!listPoller.isPending()) sendProbe(announcement);
+    remainingProbes = MAX_PROBES;
+    probeCandidate();
   }
 
   function updateAnnouncement(
@@ -119,42 +128,68 @@
     else handleInstanceEnd("server replaced");
     clearInstance();
     const server = createServerState(announcement, clockMs, now);
-    if (isSameId) {
-      server.fencingToken = Math.max(
-        server.fencingToken,
-        predecessor.fencingToken + 1,
-      );
-    }
+    if (isSameId) state.fencingToken.advance();
     state.current = server;
     for (const run of runs.all()) sendStop(server, run, now);
   }
 
-  function probeReplied(reply: ListReply, now: number): void {
-    const announcement = candidate;
-    if (announcement === undefined) return;
-    const isAlive = reply.kind === "fenced" ||
-      (reply.kind === "listed" && reply.born === announcement.born);
-    if (!isAlive) {
-      // The next announcement triggers another probe.
-      candidate = undefined;
-      state.log({
-        message: "announced backend server instance did not answer the probe",
-        reason: reply.kind,
-      });
+  function probeReplied(
+    probed: Announcement,
+    reply: ListReply,
+    now: number,
+  ): void {
+    // A newer announcement has arrived since; its own probe is due.
+    if (probed !== candidate) return;
+    if (reply.kind === "listed" && reply.born === probed.born) {
+      join(probed, reply.clockMs, now);
       return;
     }
+    if (reply.kind === "fenced") raiseFencingToken();
+    else if (!mayStillReply(reply)) dropCandidate(reply.kind);
+    sendDueList(now);
+  }
+
+  /** A lost reply says nothing about an instance unless another one is in use. */
+  function mayStillReply({ kind }: ListReply): boolean {
+    const isLost = kind === "absent" || kind === "unanswered";
+    return isLost && state.current === undefined;
+  }
+
+  /** The next announcement triggers another probe. */
+  function dropCandidate(reason: string): void {
     candidate = undefined;
-    adoptInstance(announcement, reply.clockMs, now);
+    state.log({
+      message: "announced backend server instance did not answer the probe",
+      reason,
+    });
+  }
+
+  function join(
+    announcement: Announcement,
+    clockMs: number,
+    now: number,
+  ): void {
+    candidate = undefined;
+    adoptInstance(announcement, clockMs, now);
     state.log({
       message: "backend server joined",
       figures: {
         born: announcement.born,
-        fence: state.current?.fencingToken ?? 0,
+        fence: state.fencingToken.value(),
       },
     });
     sendList(now);
   }
 
+  function raiseFencingToken(): void {
+    state.fencingToken.raise();
+    state.log({
+      message: "backend server rejected the fencing token; raising it",
+      reason: "fenced",
+      figures: { fence: state.fencingToken.value() },
+    });
+  }
+
   /** Another instance replied under the same id; its announcement follows. */
   function handleServerRestart(): void {
     state.log({
@@ -170,9 +205,17 @@
   }
 
   function probeCandidate(): void {
-    if (candidate !== undefined && !listPoller.isPending()) {
-      sendProbe(candidate);
+    if (candidate === undefined || listPoller.isPending()) return;
+    if (remainingProbes === 0) {
+      dropCandidate("too many attempts");
+      return;
     }
+    remainingProbes -= 1;
+    sendProbe(candidate);
+  }
+
+  function isJoining(): boolean {
+    return candidate !== undefined || state.current?.hasRunList === false;
   }
 
   return {
@@ -180,6 +223,8 @@
     left,
     probeReplied,
     probeCandidate,
+    raiseFencingToken,
+    isJoining,
     handleServerRestart,
     handleServerGone,
   };
--- a/packages/worker/src/lease_test.ts
+++ b/packages/worker/src/lease_test.ts
@@ -67,6 +67,7 @@
     side: "side",
     dataCentre: "a",
     timing: SAMPLE_TIMING,
+    initialFencingToken: 1,
   });
   const serverClock = (now: number) =>
     Math.floor((now - SERVER_STARTED_AT) * clockRate);
--- a/packages/worker/src/list_poller.ts
+++ b/packages/worker/src/list_poller.ts
@@ -5,6 +5,7 @@
  */
 import { type Announcement, MIN_CLOCK_RATE } from "@coltsfootreach/run";
 import type { ListRequest } from "./calls.ts";
+import type { FencingToken } from "./fencing_token.ts";
 import { type ServerState, toInstance } from "./server_state.ts";
 
 /** Maximum wait of a list request for a run to end; also the renewal interval. */
@@ -47,8 +48,8 @@
 /** A list request in flight. */
 export interface PendingList {
   readonly number: number;
-  /** Only checks whether an announced instance answers. */
-  readonly isProbe: boolean;
+  /** The announced instance whose existence the request checks. */
+  readonly probed: Announcement | undefined;
   /** Time at which the lease that it renews is certain to have expired. */
   readonly leaseExpiresAt: number;
 }
@@ -88,7 +89,13 @@
   isLeaseExpired(now: number): boolean;
 }
 
-export function createListPoller(leaseMs: number): ListPoller {
+export interface ListPollerOptions {
+  readonly leaseMs: number;
+  readonly fencingToken: FencingToken;
+}
+
+export function createListPoller(options: ListPollerOptions): ListPoller {
+  const { leaseMs, fencingToken } = options;
   let pending: PendingList | undefined;
   let latestNumber = 0;
   let nextRequestAt = 0;
@@ -105,6 +112,11 @@
     return Math.floor(server.clock.lowestMs(now) + leaseMs);
   }
 
+  /** No runs can start before the server has listed its runs. */
+  function isAwaited(server: ServerState): boolean {
+    return !server.hasRunList && consecutiveLosses < LOSSES_UNTIL_DOWN;
+  }
+
   function computeWaitMs(activity: RunActivity, now: number): number {
     if (!activity.hasRuns) return 0;
     if (now < lossWindowEndsAt) return LOSSY_LONG_POLL_WAIT_MS;
@@ -120,13 +132,13 @@
       latestNumber += 1;
       pending = {
         number: latestNumber,
-        isProbe: true,
+        probed: announcement,
         leaseExpiresAt: 0,
       };
       return {
         number: latestNumber,
         server: toInstance(announcement),
-        fencingToken: 0,
+        fencingToken: fencingToken.value(),
         observed: 0,
         waitMs: 0,
       };
@@ -139,15 +151,16 @@
         consecutiveLosses < LOSSES_UNTIL_DOWN;
       pending = {
         number: latestNumber,
-        isProbe: false,
+        probed: undefined,
         leaseExpiresAt: isRenewal ? computeLeaseExpiry(now) : 0,
       };
+      const isUrgent = activity.hasRuns || isAwaited(server);
       nextRequestAt = now +
-        (activity.hasRuns ? MIN_LIST_INTERVAL_MS : MIN_IDLE_LIST_INTERVAL_MS);
+        (isUrgent ? MIN_LIST_INTERVAL_MS : MIN_IDLE_LIST_INTERVAL_MS);
       return {
         number: latestNumber,
         server: server.instance,
-        fencingToken: server.fencingToken,
+        fencingToken: fencingToken.value(),
         observed: server.observed,
         untilMs: isRenewal ? leaseEnd(server, now) : undefined,
         waitMs: computeWaitMs(activity, now),
--- a/packages/worker/src/list_replies.ts
+++ b/packages/worker/src/list_replies.ts
@@ -9,12 +9,6 @@
 import type { ServerState } from "./server_state.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/**
- * Factor by which a fencing token that is too low is raised. An instance's clock
- * may run for days, so small increments would take too many attempts.
- */
-const TOKEN_RAISE_FACTOR = 16;
-
 export interface ListRepliesOptions {
   readonly requests: ListRequests;
   readonly instances: Instances;
@@ -46,8 +40,11 @@
   ): void {
     const pending = listPoller.answered(request);
     if (pending === undefined) return;
-    if (pending.isProbe) probeReplied(reply, now);
-    else if (state.current !== undefined) {
+    if (pending.probed !== undefined) {
+      probeReplied(pending.probed, reply, now);
+      return;
+    }
+    if (state.current !== undefined) {
       handleListReply(state.current, reply, pending, now);
     }
     probeCandidate();
@@ -70,14 +67,8 @@
       case "fenced":
         // Another process of this side has sent requests since, or a request to
         // the previous instance has reached this one.
-        server.fencingToken = Math.max(
-          server.fencingToken * TOKEN_RAISE_FACTOR,
-          Math.floor(reply.clockMs),
-        );
-        state.log({
-          message: "backend server rejected the fencing token; raising it",
-          reason: "fenced",
-        });
+        server.hasRunList = false;
+        instances.raiseFencingToken();
         return;
       case "otherLife":
         handleServerGone(reply.kind);
--- a/packages/worker/src/list_requests.ts
+++ b/packages/worker/src/list_requests.ts
@@ -42,7 +42,7 @@
   }
 
   function isListNeeded(server: ServerState, now: number): boolean {
-    return runs.count() > 0 || listPoller.isDown() ||
+    return runs.count() > 0 || !server.hasRunList || listPoller.isDown() ||
       server.clock.ageMs(now) >= MAX_CLOCK_AGE_MS;
   }
 
--- a/packages/worker/src/offers.ts
+++ b/packages/worker/src/offers.ts
@@ -89,7 +89,7 @@
         ref: run.ref,
         payload: offer.payload,
         untilMs: listPoller.leaseEnd(state.current, now),
-        fencingToken: state.current.fencingToken,
+        fencingToken: state.fencingToken.value(),
       },
     });
   }
@@ -180,6 +180,8 @@
     runs.remove(run);
     state.logRun("backend server refused to start the run", run, reason);
     if (reason === "unhealthy") circuitBreaker.failed(now);
+    // The next list finds out that the token is too low, and raises it.
+    if (reason === "fence") sendList(now);
     counts.refused += 1;
     notify(run.owner, {
       kind: "refused",
--- a/packages/worker/src/server_state.ts
+++ b/packages/worker/src/server_state.ts
@@ -10,13 +10,14 @@
 export interface ServerState {
   readonly instance: ServerInstance;
   announcement: Announcement;
-  /** Higher than that of any earlier side process; see `createServerState`. */
-  fencingToken: number;
   /** Number of the last run end that was processed. */
   observed: number;
   readonly clock: ServerClock;
   lastReplyAt: number;
-  /** Whether the server has listed its runs at least once. */
+  /**
+   * Whether the server has listed its runs and accepts the side's requests. Until
+   * then it gets no runs, and lists are requested until one arrives.
+   */
   hasRunList: boolean;
 }
 
@@ -32,10 +33,6 @@
   return left.id === right.id && left.born === right.born;
 }
 
-/**
- * Uses the server's own clock at the first reply as the fencing token. The clock
- * never runs backward within an instance, and a later side process reads it later.
- */
 export function createServerState(
   announcement: Announcement,
   clockMs: number,
@@ -44,7 +41,6 @@
   return {
     instance: toInstance(announcement),
     announcement,
-    fencingToken: Math.max(1, Math.floor(clockMs)),
     observed: 0,
     clock: createServerClock(clockMs, now),
     lastReplyAt: now,
--- a/packages/worker/src/stops.ts
+++ b/packages/worker/src/stops.ts
@@ -43,7 +43,7 @@
       request: {
         server: server.instance,
         ref: run.ref,
-        fencingToken: server.fencingToken,
+        fencingToken: state.fencingToken.value(),
       },
     });
   }
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -43,6 +43,8 @@
   runs(): number;
   /** True while some entry has not been sent the latest server report. */
   hasUnsentReport(): boolean;
+  /** True while a server has been announced but does not accept runs yet. */
+  isServerJoining(): boolean;
   tick(now: number): void;
   /**
    * The process was paused. Input that it reads next may come from entries that
@@ -98,6 +100,7 @@
     if (runs.count() > 0 && listPoller.isLeaseExpired(now)) {
       expireLease(now);
     }
+    instances.probeCandidate();
     if (state.current === undefined) return;
     stops.retryStops(state.current, now);
     requests.sendDueList(now);
@@ -142,6 +145,7 @@
       state.isClosed = true;
     },
     runs: () => runs.count(),
+    isServerJoining: instances.isJoining,
     hasUnsentReport: () => owners.isReportPending(report),
     tick,
     pauseDetected(now) {
--- a/packages/worker/src/worker_state.ts
+++ b/packages/worker/src/worker_state.ts
@@ -6,6 +6,7 @@
 } from "./circuit_breaker.ts";
 import { type Claims, createClaims } from "./claims.ts";
 import type { WorkerDecision, WorkerEffect } from "./effect.ts";
+import { createFencingToken, type FencingToken } from "./fencing_token.ts";
 import { createListPoller, type ListPoller } from "./list_poller.ts";
 import { createOwners, type Owners } from "./owners.ts";
 import { createRuns, type Run, type Runs } from "./runs.ts";
@@ -28,6 +29,8 @@
   readonly side: string;
   readonly dataCentre: string;
   readonly timing: Timing;
+  /** Higher than that of any earlier process of this side. */
+  readonly initialFencingToken: number;
 }
 
 /** Totals since the side started. */
@@ -50,6 +53,7 @@
   readonly slownessEstimator: SlownessEstimator;
   readonly circuitBreaker: CircuitBreaker;
   readonly counts: WorkerTotals;
+  readonly fencingToken: FencingToken;
   /** The instance of the backend server in use. */
   current: ServerState | undefined;
   /** The previous instance, kept after it has ended. */
@@ -68,6 +72,7 @@
 
 export function createWorkerState(options: WorkerOptions): WorkerState {
   const { timing } = options;
+  const fencingToken = createFencingToken(options.initialFencingToken);
   let effects: WorkerEffect[] = [];
 
   const owners = createOwners({
@@ -88,7 +93,7 @@
     timing,
     owners,
     runs: createRuns(),
-    listPoller: createListPoller(timing.leaseMs),
+    listPoller: createListPoller({ leaseMs: timing.leaseMs, fencingToken }),
     claims: createClaims(),
     slownessEstimator: createSlownessEstimator(),
     circuitBreaker: createCircuitBreaker(),
@@ -101,6 +106,7 @@
       stopped: 0,
       lost: 0,
     },
+    fencingToken,
     current: undefined,
     previous: undefined,
     isClosed: false,
