Place a job only after its caller's connection was read again

Cause: a job and the end of its caller's connection are read in two turns of the event loop, and jobs were placed after the first.

Change: submissions reach the dispatcher after one more read of the sockets. Jobs that were read after a pause get a timeout by which their runs end before a resubmission can run. Sides take no offers right after a silence of an entry in which callers may have resubmitted; idle heartbeats and timeouts derive from the declared bounds. A side's window for stale input covers turns of the loop as well as 50 ms. Entries log pauses; that line was missing.

The tests of the pause detector check the length of a pause in place of a flag.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -50,6 +50,8 @@
   readonly configurationVersion: number;
   /** Estimated time that the caller waited before this submission. */
   readonly ageMs: number;
+  /** Longest time that the submission may have waited unread; default 0. */
+  readonly maxAgeMs?: number | undefined;
 }
 
 export interface Dispatcher {
@@ -129,7 +131,7 @@
     }
     const expectedMs = criticalPathMs(job) * state.baselineSlowness;
     const objective = objectiveMs(expectedMs, queue);
-    const timeoutMs = Math.max(0, job.timeoutMs - ANSWER_MARGIN_MS);
+    const timeoutMs = computeTimeoutMs(submission);
     const submittedAt = now - submission.ageMs;
     const live = createLiveJob(job, queue, {
       submission: id,
@@ -148,9 +150,19 @@
     admit(live, now);
   }
 
+  /**
+   * No run may be active when the caller, which may have waited for `maxAgeMs`
+   * before, gives up unnoticed and resubmits its job to another entry.
+   */
+  function computeTimeoutMs({ job, maxAgeMs = 0 }: Submission): number {
+    const { resubmitAfterMs } = options.timing;
+    const elapsedMs = Math.max(0, maxAgeMs - resubmitAfterMs);
+    return Math.max(0, job.timeoutMs - elapsedMs - ANSWER_MARGIN_MS);
+  }
+
   function logSubmission(
     live: LiveJob,
-    { configurationVersion, ageMs }: Submission,
+    { configurationVersion, ageMs, maxAgeMs = 0 }: Submission,
     now: number,
   ): void {
     log({
@@ -163,6 +175,7 @@
         slackMs: Math.round(latestStart(live, state.baselineSlowness) - now),
         timeoutMs: Math.round(live.job.timeoutMs),
         ageMs: Math.round(ageMs),
+        maxAgeMs: Math.round(maxAgeMs),
         servers: workers.size,
       },
     });
--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -16,7 +16,11 @@
 } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import type { Answer } from "./answer.ts";
-import { createDispatcher, type Dispatcher } from "./dispatcher.ts";
+import {
+  createDispatcher,
+  type Dispatcher,
+  type Submission,
+} from "./dispatcher.ts";
 
 /** After the server discovery phase at startup. */
 const START_MS = 10_000;
@@ -30,12 +34,14 @@
   return sampleReport({ id, capacity: resources, room: resources });
 }
 
+type SubmissionAge = Partial<Pick<Submission, "ageMs" | "maxAgeMs">>;
+
 interface Harness {
   readonly dispatcher: Dispatcher;
   readonly answers: Map<number, Answer>;
   /** Returns the frames sent to a session since the last call. */
   frames(session: number, now: number): readonly DispatchFrame[];
-  submit(id: number, job: Job, now: number, ageMs?: number): void;
+  submit(id: number, job: Job, now: number, age?: SubmissionAge): void;
   connect(
     session: number,
     side: string,
@@ -86,14 +92,15 @@
       sent.delete(session);
       return frames;
     },
-    submit(id, submittedJob, now, ageMs = 0) {
+    submit(id, submittedJob, now, age = {}) {
       const queue = sampleQueue();
       const submission = {
         id,
         job: submittedJob,
         queue,
         configurationVersion: 1,
-        ageMs,
+        ageMs: 0,
+        ...age,
       };
       dispatcher.submit(submission, now);
       performEffects(now);
@@ -402,7 +409,7 @@
     const harness = createHarness();
     harness.connect(1, "side", report("server", 1000), 0);
     const now = 100;
-    harness.submit(1, job("a"), now, 1500);
+    harness.submit(1, job("a"), now, { ageMs: 1500 });
     expect(harness.answers.get(1)).to.include({
       kind: "refused",
       reason: "overload",
@@ -413,12 +420,40 @@
     const harness = createHarness();
     const server = report("server", 1000);
     harness.connect(1, "side", { ...server, room: NO_RESOURCES }, START_MS);
-    harness.submit(1, job("back"), START_MS, 250);
-    harness.submit(2, job("new"), START_MS, 0);
+    harness.submit(1, job("back"), START_MS, { ageMs: 250 });
+    harness.submit(2, job("new"), START_MS);
     harness.receive(1, { server }, START_MS + 10);
     const offered = harness.frames(1, START_MS + 10).flatMap((frame) =>
       frame.offers.map((offer) => offer.task.job)
     );
     expect(offered).to.deep.equal(["new"]);
   });
+
+  // The entry was paused: the caller may give up, and resubmit its job to another
+  // entry, long before the timeout that counts from when the job was read.
+  it("ends the runs of a job that waited unread before it can run elsewhere", () => {
+    const harness = createHarness();
+    const { resubmitAfterMs } = SAMPLE_TIMING;
+    const maxAgeMs = resubmitAfterMs + 1000;
+    harness.connect(1, "side", report("server", 1000), START_MS);
+    harness.submit(1, job("a"), START_MS, { maxAgeMs });
+    expect(offers(harness.frames(1, START_MS))).to.have.length(1);
+    const resubmittedAt = START_MS - maxAgeMs + 2000 + resubmitAfterMs;
+    harness.dispatcher.tick(resubmittedAt - 1);
+    const sent = harness.frames(1, resubmittedAt - 1);
+    expect(stops(sent)).to.have.length(1);
+    expect(harness.answers.get(1)).to.deep.equal({ kind: "timedOut" });
+  });
+
+  it("refuses a job that may have been resubmitted while it waited unread", () => {
+    const harness = createHarness();
+    harness.connect(1, "side", report("server", 1000), START_MS);
+    const maxAgeMs = SAMPLE_TIMING.resubmitAfterMs + 2000;
+    harness.submit(1, job("a"), START_MS, { maxAgeMs });
+    expect(offers(harness.frames(1, START_MS))).to.deep.equal([]);
+    expect(harness.answers.get(1)).to.include({
+      kind: "refused",
+      reason: "overload",
+    });
+  });
 });
--- a/packages/dispatch/src/sides.ts
+++ b/packages/dispatch/src/sides.ts
@@ -20,12 +20,6 @@
   type Worker,
 } from "./workers.ts";
 
-/** Heartbeat interval for a side without runs. */
-const IDLE_HEARTBEAT_MS = 1000;
-
-/** Silence after which a side without runs is considered lost. */
-const IDLE_SIDE_LOST_MS = 2500;
-
 /** Pause in offers to a side after a refusal, unless it reports earlier. */
 const REFUSAL_BACKOFF_MS = 40;
 
@@ -194,7 +188,7 @@
   function closeSilentSides(now: number): void {
     for (const worker of [...workers.values()]) {
       const isBusy = worker.runs.size > 0;
-      const limitMs = isBusy ? timing.sideLostMs : IDLE_SIDE_LOST_MS;
+      const limitMs = isBusy ? timing.sideLostMs : timing.idleSideLostMs;
       const lastActiveAt = isBusy
         ? Math.max(worker.lastReceivedAt, worker.busySince)
         : worker.lastReceivedAt;
@@ -211,7 +205,7 @@
       const idleMs = now - worker.lastSentAt;
       const heartbeatMs = worker.runs.size > 0
         ? timing.heartbeatMs
-        : IDLE_HEARTBEAT_MS;
+        : timing.idleHeartbeatMs;
       const isDue = worker.offers.length > 0 || worker.stops.length > 0 ||
         hasEntriesUpdate || !worker.hasSentFirstFrame || idleMs >= heartbeatMs;
       if (!isDue) continue;
--- a/packages/run/src/timing.ts
+++ b/packages/run/src/timing.ts
@@ -26,6 +26,17 @@
   readonly reclaimMs: number;
   /** Lease duration of runs on backend servers. */
   readonly leaseMs: number;
+  /** Maximum interval between frames on a stream without runs. */
+  readonly idleHeartbeatMs: number;
+  /** Silence after which an entry considers a side without runs lost. */
+  readonly idleSideLostMs: number;
+  /** Silence after which a side considers an entry without runs lost. */
+  readonly idleEntryLostMs: number;
+  /**
+   * Time for which callers certainly don't resubmit a job whose connection broke.
+   * Offers and jobs that may be older than that may have started elsewhere.
+   */
+  readonly resubmitAfterMs: number;
   /** Time after which all runs of a lost side are certain to have ended. */
   readonly runExpiryMs: number;
   /** Tick gap beyond which the process was paused and may have unread input. */
@@ -43,6 +54,9 @@
 /** Tick interval of a process with active runs. */
 export const BUSY_TICK_MS = 25;
 
+/** Tick interval of a process with nothing to do. */
+export const IDLE_TICK_MS = 200;
+
 /** Lowest rate of a clock; a server's own clock may be this slow. */
 export const MIN_CLOCK_RATE = 0.98;
 
@@ -59,6 +73,8 @@
 
 const MAX_RECLAIM_MS = 300;
 
+const MAX_IDLE_HEARTBEAT_MS = 1000;
+
 /** A lease must survive a few lost renewals. */
 const MIN_LEASE_MS = 250;
 
@@ -72,6 +88,11 @@
 
 const PAUSE_RATIO = 0.62;
 
+/** Ratios to the heartbeat interval of idle streams. */
+const IDLE_SIDE_LOST_RATIO = 2.5;
+
+const IDLE_ENTRY_LOST_RATIO = 3;
+
 /** Derives the timeouts, or fails if the declared times are too short. */
 export function deriveTiming(
   { resendMs, maxLeaseMs, stopMs }: TimingBounds,
@@ -89,12 +110,20 @@
   if (leaseMs < MIN_LEASE_MS) {
     return err(new TimingConflict(`leases would last only ${leaseMs} ms`));
   }
+  // The tick that sends a heartbeat may be late by its interval.
+  const idleHeartbeatMs = Math.floor(
+    Math.min(MAX_IDLE_HEARTBEAT_MS, usableMs - IDLE_TICK_MS),
+  );
   return ok({
     heartbeatMs: Math.floor(silenceTimeoutMs * HEARTBEAT_RATIO),
     sideLostMs: Math.floor(silenceTimeoutMs * SIDE_LOST_RATIO),
     entryLostMs: silenceTimeoutMs,
     reclaimMs: Math.min(MAX_RECLAIM_MS, silenceTimeoutMs),
     leaseMs,
+    idleHeartbeatMs,
+    idleSideLostMs: idleHeartbeatMs * IDLE_SIDE_LOST_RATIO,
+    idleEntryLostMs: idleHeartbeatMs * IDLE_ENTRY_LOST_RATIO,
+    resubmitAfterMs: Math.floor(usableMs),
     // The side renews leases until it detects the loss; then they must expire.
     runExpiryMs: Math.ceil(
       (silenceTimeoutMs + BUSY_TICK_MS + leaseMs) * CLOCK_DRIFT_FACTOR +
--- a/packages/run/src/timing_test.ts
+++ b/packages/run/src/timing_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { deriveTiming, type TimingBounds } from "./timing.ts";
+import { deriveTiming, IDLE_TICK_MS, type TimingBounds } from "./timing.ts";
 
 /** Maximum factor by which a clock may run slow, per the platform's docs. */
 const CLOCK_DRIFT_FACTOR = 1.02;
@@ -23,6 +23,12 @@
   expect(timing.reclaimMs).to.be.at.most(silenceTimeoutMs);
   expect(timing.heartbeatMs * 3).to.be.below(silenceTimeoutMs);
   expect(timing.pauseThresholdMs).to.be.below(silenceTimeoutMs);
+  const resubmitAfterMs = timing.resubmitAfterMs * CLOCK_DRIFT_FACTOR;
+  expect(resubmitAfterMs, "resubmission").to.be.below(bounds.resendMs);
+  expect(timing.idleHeartbeatMs + IDLE_TICK_MS, "heartbeats of idle streams")
+    .to.be.at.most(timing.resubmitAfterMs);
+  expect(timing.idleHeartbeatMs * 2).to.be.below(timing.idleSideLostMs);
+  expect(timing.idleSideLostMs).to.be.below(timing.idleEntryLostMs);
 }
 
 describe("deriveTiming", () => {
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -2,17 +2,16 @@
 import { setTimeout } from "node:timers/promises";
 import { ListenFailed } from "@coltsfootreach/errors";
 import {
-  type Answer,
   createCallerAgeEstimator,
   createDispatcher,
   type DispatchEffect,
   type SessionId,
-  type SubmissionId,
 } from "@coltsfootreach/dispatch";
 import type { Log } from "@coltsfootreach/log";
 import {
   BUSY_TICK_MS,
   type DispatchFrame,
+  IDLE_TICK_MS,
   isWorkFrame,
   type Job,
   type Queue,
@@ -29,10 +28,10 @@
 import { createEntryMetrics } from "./entry_metrics.ts";
 import { joinMembership } from "./membership.ts";
 import type { ConfigurationSource } from "./ports.ts";
+import { createPauseDetector } from "./pause.ts";
 import { syncSharedRecord } from "./shared_record.ts";
-
-/** Tick interval while no job is live. */
-const IDLE_TICK_MS = 200;
+import { createStaleInput } from "./stale_input.ts";
+import { createSubmissions, type PendingAnswer } from "./submissions.ts";
 
 /** Store key of the estimates of callers' usual timeouts. */
 const TIMEOUT_ESTIMATES_KEY = "shared/patience";
@@ -55,14 +54,6 @@
   readonly log: Log;
 }
 
-/** The answer to a submitted job. */
-export interface PendingAnswer {
-  /** Never resolves if the job was abandoned. */
-  readonly answer: Promise<Answer>;
-  /** Called when the caller has disconnected. */
-  abandon(): void;
-}
-
 /** The connections on which callers submit jobs. */
 export interface CallerConnections {
   /**
@@ -105,16 +96,55 @@
   }));
   const startedAtMs = monotonicNowMs();
   const streams = new Map<SessionId, Stream<DispatchFrame>>();
-  const answerCallbacks = new Map<SubmissionId, (answer: Answer) => void>();
   /** Entry addresses, in the same order on all entries. */
   let entries: readonly string[] = [];
   let lastSessionId = 0;
-  let lastSubmissionId = 0;
   let isStopping = false;
 
+  const staleInput = createStaleInput({
+    detector: createPauseDetector({
+      monotonicMs: monotonicNowMs,
+      wallMs: Date.now,
+      maxIntervalMs: options.timing.pauseThresholdMs,
+    }),
+    nowMs: monotonicNowMs,
+    paused(pauseMs) {
+      log.warn("process was paused; jobs that it reads now may have waited", {
+        figures: { pauseMs: Math.round(pauseMs) },
+      });
+    },
+  });
+  const submissions = createSubmissions({
+    metrics,
+    configurationVersion: () => configuration.table()?.version ?? 0,
+    callerAge(queue, job) {
+      staleInput.check();
+      return {
+        ageMs: estimateAgeMs(queue, job, monotonicNowMs()),
+        maxAgeMs: staleInput.maxAgeMs(),
+      };
+    },
+    submit(submission, now) {
+      dispatcher.submit(submission, now);
+      loop.wake();
+    },
+    abandon(id, now) {
+      dispatcher.abandon(id, now);
+      loop.wake();
+    },
+    dropped(job, queue) {
+      const message = "caller disconnected before its job was considered";
+      const decision = { message, job: job.id, queue: queue.name };
+      decisionLog.write(decision, monotonicNowMs());
+    },
+  });
+
   const loop = startCoreLoop({
     tickMs: () => dispatcher.liveJobs() > 0 ? BUSY_TICK_MS : IDLE_TICK_MS,
-    tick: dispatcher.tick,
+    tick(now) {
+      staleInput.check();
+      dispatcher.tick(now);
+    },
     applyEffects,
   });
 
@@ -131,8 +161,7 @@
         closeStream(effect.session);
         return;
       case "answer":
-        answerCallbacks.get(effect.submission)?.(effect.answer);
-        answerCallbacks.delete(effect.submission);
+        submissions.answered(effect.submission, effect.answer);
         return;
       case "log":
         decisionLog.write(effect.decision, now);
@@ -213,37 +242,9 @@
     return 0;
   }
 
-  function submit(queue: Queue, job: Job): PendingAnswer {
-    lastSubmissionId += 1;
-    const id = lastSubmissionId;
-    const configurationVersion = configuration.table()?.version ?? 0;
-    const submittedAtMs = monotonicNowMs();
-    const answer = new Promise<Answer>((resolve) =>
-      answerCallbacks.set(id, (value) => {
-        const responseMs = monotonicNowMs() - submittedAtMs;
-        metrics.answered({ queue: queue.name, answer: value, responseMs });
-        resolve(value);
-      })
-    );
-    const ageMs = estimateAgeMs(queue, job, submittedAtMs);
-    dispatcher.submit(
-      { id, job, queue, configurationVersion, ageMs },
-      submittedAtMs,
-    );
-    loop.wake();
-    return {
-      answer,
-      abandon() {
-        if (!answerCallbacks.delete(id)) return;
-        dispatcher.abandon(id, monotonicNowMs());
-        loop.wake();
-      },
-    };
-  }
-
   return ok({
     table: () => configuration.table(),
-    submit,
+    submit: submissions.submit,
     isReady: () =>
       !isStopping && configuration.table() !== undefined &&
       dispatcher.hasOpenServer(),
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./membership.ts";
 export * from "./ports.ts";
 export * from "./side_process.ts";
+export type { PendingAnswer } from "./submissions.ts";
--- a/packages/runtime/src/pause.ts
+++ b/packages/runtime/src/pause.ts
@@ -16,8 +16,11 @@
 }
 
 export interface PauseDetector {
-  /** True once after each pause; must be called on every tick and every input. */
-  hasPaused(): boolean;
+  /**
+   * Returns the length of a pause once after it, otherwise 0. Must be called on
+   * every tick and every input.
+   */
+  takePauseMs(): number;
 }
 
 export function createPauseDetector(
@@ -26,13 +29,14 @@
   let lastMonotonicMs = options.monotonicMs();
   let lastWallMs = options.wallMs();
   return {
-    hasPaused() {
+    takePauseMs() {
       const monotonicElapsedMs = options.monotonicMs() - lastMonotonicMs;
       const wallElapsedMs = options.wallMs() - lastWallMs;
       lastMonotonicMs += monotonicElapsedMs;
       lastWallMs += wallElapsedMs;
-      return monotonicElapsedMs > options.maxIntervalMs ||
+      const hasPaused = monotonicElapsedMs > options.maxIntervalMs ||
         wallElapsedMs - monotonicElapsedMs > MAX_CLOCK_CORRECTION_MS;
+      return hasPaused ? Math.max(monotonicElapsedMs, wallElapsedMs) : 0;
     },
   };
 }
--- a/packages/runtime/src/pause_test.ts
+++ b/packages/runtime/src/pause_test.ts
@@ -9,10 +9,10 @@
     maxIntervalMs: 450,
   });
   return {
-    hasPausedAfter(monotonicMs: number, wallMs: number): boolean {
+    pauseAfter(monotonicMs: number, wallMs: number): number {
       clocks.monotonic += monotonicMs;
       clocks.wall += wallMs;
-      return detector.hasPaused();
+      return detector.takePauseMs();
     },
   };
 }
@@ -20,18 +20,18 @@
 describe("pause detector", () => {
   it("reports an overlong interval between checks once", () => {
     const harness = createHarness();
-    expect(harness.hasPausedAfter(200, 200)).to.equal(false);
-    expect(harness.hasPausedAfter(3000, 3000)).to.equal(true);
-    expect(harness.hasPausedAfter(25, 25)).to.equal(false);
+    expect(harness.pauseAfter(200, 200)).to.equal(0);
+    expect(harness.pauseAfter(3000, 3000)).to.equal(3000);
+    expect(harness.pauseAfter(25, 25)).to.equal(0);
   });
 
   it("detects a suspension that the monotonic clock does not count", () => {
     const harness = createHarness();
-    expect(harness.hasPausedAfter(10, 3010)).to.equal(true);
-    expect(harness.hasPausedAfter(10, 10)).to.equal(false);
+    expect(harness.pauseAfter(10, 3010)).to.equal(3010);
+    expect(harness.pauseAfter(10, 10)).to.equal(0);
   });
 
   it("ignores a wall clock that is set back", () => {
-    expect(createHarness().hasPausedAfter(25, -2400)).to.equal(false);
+    expect(createHarness().pauseAfter(25, -2400)).to.equal(0);
   });
 });
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -4,6 +4,7 @@
 import {
   type Announcement,
   BUSY_TICK_MS,
+  IDLE_TICK_MS,
   type Timing,
 } from "@coltsfootreach/run";
 import type { Store } from "@coltsfootreach/store";
@@ -15,9 +16,7 @@
 import { discoverEntries } from "./membership.ts";
 import { createPauseDetector } from "./pause.ts";
 import type { BackendServerClient } from "./ports.ts";
-
-/** Tick interval while nothing is pending. */
-const IDLE_TICK_MS = 200;
+import { createStaleInput } from "./stale_input.ts";
 
 /** Interval for checking whether all runs have ended while draining. */
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -50,15 +49,19 @@
     timing: options.timing,
     initialFencingToken: Date.now(),
   });
-  const pauseDetector = createPauseDetector({
-    monotonicMs: monotonicNowMs,
-    wallMs: Date.now,
-    maxIntervalMs: options.timing.pauseThresholdMs,
+  const staleInput = createStaleInput({
+    detector: createPauseDetector({
+      monotonicMs: monotonicNowMs,
+      wallMs: Date.now,
+      maxIntervalMs: options.timing.pauseThresholdMs,
+    }),
+    nowMs: monotonicNowMs,
+    paused: () => {},
   });
   const loop = startCoreLoop({
     tickMs: () => isBusy() ? BUSY_TICK_MS : IDLE_TICK_MS,
     tick(now) {
-      if (pauseDetector.hasPaused()) core.pauseDetected(now);
+      checkInput(now);
       core.tick(now);
     },
     applyEffects,
@@ -69,8 +72,9 @@
       loop.wake();
     },
     received(owner, frame) {
-      if (pauseDetector.hasPaused()) core.pauseDetected(monotonicNowMs());
-      core.ownerSent(owner, frame, monotonicNowMs());
+      const now = monotonicNowMs();
+      checkInput(now);
+      core.ownerSent(owner, frame, now);
       if (frame.entries !== undefined) streams.addAddresses(frame.entries);
       loop.wake();
     },
@@ -92,6 +96,11 @@
     found: streams.addAddresses,
   });
 
+  function checkInput(now: number): void {
+    staleInput.check();
+    if (staleInput.maxAgeMs() > 0) core.pauseDetected(now);
+  }
+
   function isBusy(): boolean {
     return core.runs() > 0 || core.hasUnsentReport() || core.isServerJoining();
   }
--- a/packages/worker/src/offers.ts
+++ b/packages/worker/src/offers.ts
@@ -50,14 +50,16 @@
   state: WorkerState,
   { requests, outcomes, stops }: OffersOptions,
 ): Offers {
-  const { circuitBreaker, counts, listPoller, runs } = state;
+  const { circuitBreaker, counts, listPoller, owners, runs } = state;
   const { sendList } = requests;
   const { notify } = outcomes;
   const { beginStop } = stops;
 
   function handleOffer(owner: OwnerId, offer: Offer, now: number): void {
     counts.offered += 1;
-    const reason = findRefusalReason(offer, now);
+    const reason = owners.isStale(owner, now)
+      ? "closed"
+      : findRefusalReason(offer, now);
     if (reason !== undefined || state.current === undefined) {
       refuseOffer(owner, offer, reason ?? "closed");
       return;
--- a/packages/worker/src/owners.ts
+++ b/packages/worker/src/owners.ts
@@ -5,9 +5,14 @@
 import type { RunUpdate, ServerReport, WorkFrame } from "@coltsfootreach/run";
 import type { OwnerId } from "./effect.ts";
 
+/** Time to read the input that arrived while nothing was read. */
+export const STALE_INPUT_WINDOW_MS = 50;
+
 interface Owner {
   hasRuns: boolean;
   lastReceivedAt: number;
+  /** Frames before this time may have been held up with one after a silence. */
+  staleUntil: number;
   lastSentAt: number;
   entry: string;
   seen: number;
@@ -27,6 +32,8 @@
   readonly heartbeatMs: number;
   /** ...and to an entry without any. */
   readonly idleHeartbeatMs: number;
+  /** Silence after which the next frames of an entry may be stale. */
+  readonly resubmitAfterMs: number;
 }
 
 export interface Owners {
@@ -34,6 +41,8 @@
   close(owner: OwnerId): void;
   has(owner: OwnerId): boolean;
   frameReceived(owner: OwnerId, sequence: number, now: number): void;
+  /** Whether frames of the stream may have been held up on their way. */
+  isStale(owner: OwnerId, now: number): boolean;
   setEntryName(owner: OwnerId, entry: string): void;
   entryNameOf(owner: OwnerId): string;
   notify(owner: OwnerId, update: RunUpdate): void;
@@ -109,6 +118,7 @@
       owners.set(id, {
         hasRuns: false,
         lastReceivedAt: now,
+        staleUntil: 0,
         lastSentAt: now,
         entry: "",
         seen: 0,
@@ -124,9 +134,14 @@
     frameReceived(id, sequence, now) {
       const owner = owners.get(id);
       if (owner === undefined) return;
+      const silenceMs = now - owner.lastReceivedAt;
+      if (silenceMs > options.resubmitAfterMs) {
+        owner.staleUntil = now + STALE_INPUT_WINDOW_MS;
+      }
       owner.lastReceivedAt = now;
       owner.seen = Math.max(owner.seen, sequence);
     },
+    isStale: (id, now) => now < (owners.get(id)?.staleUntil ?? 0),
     setEntryName(id, entry) {
       const owner = owners.get(id);
       if (owner !== undefined) owner.entry = entry;
--- a/packages/worker/src/ownership.ts
+++ b/packages/worker/src/ownership.ts
@@ -9,9 +9,6 @@
 import type { Stops } from "./stops.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** Silence after which an entry without runs on this side is considered lost. */
-const IDLE_OWNER_TIMEOUT_MS = 3000;
-
 export interface OwnershipOptions {
   readonly outcomes: RunOutcomes;
   readonly stops: Stops;
@@ -130,7 +127,7 @@
   function removeSilentOwners(now: number): void {
     const timeouts = {
       busyMs: timing.entryLostMs,
-      idleMs: IDLE_OWNER_TIMEOUT_MS,
+      idleMs: timing.idleEntryLostMs,
     };
     for (const owner of owners.silent(timeouts, now)) {
       removeOwner(owner, "silent", now);
--- a/packages/worker/src/worker_core.ts
+++ b/packages/worker/src/worker_core.ts
@@ -14,6 +14,7 @@
 import { createListReplies } from "./list_replies.ts";
 import { createListRequests } from "./list_requests.ts";
 import { createOffers } from "./offers.ts";
+import { STALE_INPUT_WINDOW_MS } from "./owners.ts";
 import { createOwnership } from "./ownership.ts";
 import { areReportsEqual, createReport } from "./report.ts";
 import { createRunOutcomes } from "./run_outcomes.ts";
@@ -25,9 +26,6 @@
   type WorkerTotals,
 } from "./worker_state.ts";
 
-/** Time to read the input that arrived while the process was paused. */
-const STALE_INPUT_WINDOW_MS = 50;
-
 export interface WorkerCore {
   announced(announcement: Announcement): void;
   left(id: string): void;
@@ -47,8 +45,8 @@
   isServerJoining(): boolean;
   tick(now: number): void;
   /**
-   * The process was paused. Input that it reads next may come from entries that
-   * have since considered this side lost and restarted its runs elsewhere.
+   * Input that is read now arrived while the process was paused. It may come from
+   * entries that have since considered this side lost and restarted its runs.
    */
   pauseDetected(now: number): void;
   /** Returns the effects that have accumulated since the last call. */
@@ -149,7 +147,9 @@
     hasUnsentReport: () => owners.isReportPending(report),
     tick,
     pauseDetected(now) {
+      const isKnown = now < state.staleInputUntil;
       state.staleInputUntil = now + STALE_INPUT_WINDOW_MS;
+      if (isKnown) return;
       state.log({
         message: "process was paused; refusing offers that may be stale",
       });
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -1,8 +1,9 @@
-import type {
-  Announcement,
-  DispatchFrame,
-  Offer,
-  RunUpdate,
+import {
+  type Announcement,
+  type DispatchFrame,
+  IDLE_TICK_MS,
+  type Offer,
+  type RunUpdate,
 } from "@coltsfootreach/run";
 import { SAMPLE_TIMING } from "@coltsfootreach/standin";
 import { expect } from "chai";
@@ -432,6 +433,28 @@
     expect(startRequests(harness.takeEffects(70))).to.have.length(1);
   });
 
+  // An entry that was paused, or cut off, places jobs whose callers have resubmitted
+  // them; what it sent before arrives together with what it sends now.
+  it("refuses offers that arrive after an entry's long silence", () => {
+    const harness = createHarness();
+    const resumedAt = 10 + SAMPLE_TIMING.resubmitAfterMs;
+    harness.core.ownerSent(OWNER, createFrame(1, {}), 10);
+    harness.offer(0, resumedAt + 1);
+    harness.offer(1, resumedAt + 2);
+    expect(startRequests(harness.takeEffects(resumedAt + 2))).to.deep.equal([]);
+    harness.offer(2, resumedAt + 100);
+    const effects = harness.takeEffects(resumedAt + 100);
+    expect(startRequests(effects)).to.have.length(1);
+  });
+
+  it("accepts offers after the usual silence of an idle stream", () => {
+    const harness = createHarness();
+    harness.core.ownerSent(OWNER, createFrame(1, {}), 10);
+    const now = 10 + SAMPLE_TIMING.idleHeartbeatMs + IDLE_TICK_MS;
+    harness.offer(0, now);
+    expect(startRequests(harness.takeEffects(now))).to.have.length(1);
+  });
+
   it("sends no start request if the entry's stream closes in the same turn", () => {
     const harness = createHarness();
     harness.offer(0, 10);
--- a/packages/worker/src/worker_state.ts
+++ b/packages/worker/src/worker_state.ts
@@ -22,9 +22,6 @@
 /** Minimum interval per entry; caps the total at 50 reports a second. */
 const MIN_REPORT_INTERVAL_PER_ENTRY_MS = 20;
 
-/** Maximum interval between frames to an entry without runs on this side. */
-const IDLE_HEARTBEAT_MS = 1000;
-
 export interface WorkerOptions {
   readonly side: string;
   readonly dataCentre: string;
@@ -81,7 +78,8 @@
     minReportIntervalMs: MIN_REPORT_INTERVAL_MS,
     minReportIntervalPerOwnerMs: MIN_REPORT_INTERVAL_PER_ENTRY_MS,
     heartbeatMs: timing.heartbeatMs,
-    idleHeartbeatMs: IDLE_HEARTBEAT_MS,
+    idleHeartbeatMs: timing.idleHeartbeatMs,
+    resubmitAfterMs: timing.resubmitAfterMs,
   });
 
   function log(decision: WorkerDecision): void {
