Bound the wait of the configuration's watch by the declared time

Cause: a watch waited for 30 s, and a silent one was to be noticed by stale reads each second, which may be 3 s old themselves. The times were never added up against the bound.

Evidence: entries on log "watch missed a change" only when a stale read shows the new version, although new connections to the store worked all along.

Change: the wait of a watch is the bound less the margin for its answer and the time to catch up; an unanswered watch is repeated on a new connection. The stale reads of the configuration are gone. Entries tell the age of their configuration.

--- a/packages/runtime/src/configuration.ts
+++ b/packages/runtime/src/configuration.ts
@@ -1,16 +1,23 @@
 /**
- * Follows the newest configuration. A watch delivers changes immediately, and
- * periodic stale reads, which are cheap, detect a watch that has stopped
- * delivering. Only a higher version replaces the current one.
+ * Follows the newest configuration. A watch delivers changes immediately. Its
+ * connection may go silent, so the store must answer at short intervals even
+ * without changes. Only a higher version replaces the current one.
  */
 import type { Log } from "@coltsfootreach/log";
 import type { QueueTable } from "@coltsfootreach/run";
 import type { Store, VersionedValue, Watch } from "@coltsfootreach/store";
 import { hedgedRead } from "./hedge.ts";
+import { monotonicNowMs } from "./loop.ts";
 import type { ConfigurationSource } from "./ports.ts";
 
-/** Interval of the stale reads. */
-const POLL_INTERVAL_MS = 1000;
+/**
+ * Time to get the changes on a new connection and to apply them, once the old
+ * connection is known to be silent.
+ */
+const CATCH_UP_MS = 500;
+
+/** Shorter waits would only cost calls. */
+const MIN_WATCH_WAIT_MS = 200;
 
 /** Delay before reopening a watch, or retrying the read that precedes it. */
 const RETRY_DELAY_MS = 200;
@@ -24,9 +31,30 @@
 export interface Configuration {
   /** Undefined until the first valid configuration has been read. */
   table(): QueueTable | undefined;
+  /** Time since the store last confirmed that there is no newer version. */
+  ageMs(): number;
   stop(): void;
 }
 
+/**
+ * Derives how long a watch may wait for changes. A change that is accepted right
+ * after the connection went silent is applied within the wait, the margin for the
+ * answer that does not come, and the time to catch up.
+ */
+export function deriveWatchWaitMs(
+  { applyWithinMs, answerMarginMs }: ConfigurationBounds,
+): number {
+  const waitMs = applyWithinMs - answerMarginMs - CATCH_UP_MS;
+  return Math.max(MIN_WATCH_WAIT_MS, Math.floor(waitMs));
+}
+
+export interface ConfigurationBounds {
+  /** Time within which an accepted change must be in force. */
+  readonly applyWithinMs: number;
+  /** How long the answer to a watch may take after its wait. */
+  readonly answerMarginMs: number;
+}
+
 export function watchConfiguration(
   options: ConfigurationOptions,
 ): Configuration {
@@ -35,7 +63,7 @@
   let revision = 0;
   let watch: Watch | undefined;
   let isStopped = false;
-  let pollTimer: NodeJS.Timeout | undefined;
+  let confirmedAtMs = monotonicNowMs();
 
   function applyVersion(
     item: Pick<VersionedValue, "value" | "revision">,
@@ -65,6 +93,7 @@
     }
     const item = listing.value.values.find(({ key }) => key === document.key);
     if (item !== undefined) applyVersion(item);
+    confirmedAtMs = monotonicNowMs();
     watch = store.watch(document.key, listing.value.revision + 1, {
       changed(change) {
         const { key, value } = change;
@@ -75,37 +104,25 @@
           );
         } else applyVersion({ value, revision: change.revision });
       },
+      confirmed() {
+        confirmedAtMs = monotonicNowMs();
+      },
       ended() {
         watch = undefined;
+        log.warn("configuration watch ended; reading the configuration again", {
+          figures: { ageMs: Math.round(monotonicNowMs() - confirmedAtMs) },
+        });
         setTimeout(openWatch, RETRY_DELAY_MS);
       },
     });
   }
 
-  async function poll(): Promise<void> {
-    const listing = await store.listStale(document.key);
-    const item = listing.isErr()
-      ? undefined
-      : listing.value.values.find(({ key }) => key === document.key);
-    if (item !== undefined && item.revision > revision) {
-      applyVersion(item);
-      if (watch !== undefined) {
-        log.warn("configuration watch missed a change; reopening it");
-        watch.close();
-        watch = undefined;
-        openWatch();
-      }
-    }
-    if (!isStopped) pollTimer = setTimeout(poll, POLL_INTERVAL_MS);
-  }
-
   openWatch();
-  pollTimer = setTimeout(poll, POLL_INTERVAL_MS);
   return {
     table: () => table,
+    ageMs: () => monotonicNowMs() - confirmedAtMs,
     stop() {
       isStopped = true;
-      clearTimeout(pollTimer);
       watch?.close();
     },
   };
--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -92,6 +92,7 @@
     ...dispatcher.counts(),
     jobsLive: dispatcher.liveJobs(),
     configurationVersion: configuration.table()?.version ?? 0,
+    configurationAgeMs: Math.round(configuration.ageMs()),
     logLinesDropped: decisionLog.dropped(),
   }));
   const startedAtMs = monotonicNowMs();
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -55,6 +55,8 @@
 export interface WatchListener {
   /** Called for each change, in revision order. */
   changed(change: Change): void;
+  /** All changes up to now have been reported. */
+  confirmed?(): void;
   /** The watch failed; changes since the last reported one may be missed. */
   ended(): void;
 }
