Check values of other writers before they are used

Other operators report the same of values with deep nesting, large numbers and ports out of range.

Cause: such a value was passed to connect(), which throws for a port out of range, in a callback that nothing guarded. Entries forwarded it to sides.

Change: registrations have to be an IPv4 address with a port; others are logged once and ignored, also where entries tell them to sides. Loops that follow the store go on after a failed run. An entry whose registration was overwritten writes it again. Announcements, replies of the backend server and the shared record have ranges for numbers and lengths, and an instance keeps the properties of its first announcement. Any failure of a decoder yields an invalid document.

The reply to a start no longer carries the clock, which nothing used and which was 0 when it was missing; the test of that call compares the rest.

--- a/packages/run/src/index.ts
+++ b/packages/run/src/index.ts
@@ -1,4 +1,5 @@
 /** Jobs, task runs, and the frames that entries and sides exchange. */
+export * from "./address.ts";
 export * from "./job.ts";
 export * from "./queue_table.ts";
 export * from "./server.ts";
--- a/packages/runtime/src/membership.ts
+++ b/packages/runtime/src/membership.ts
@@ -5,9 +5,16 @@
  */
 import type { Log } from "@coltsfootreach/log";
 import type { StoreUnavailable } from "@coltsfootreach/errors";
-import type { Lease, Listing, Store } from "@coltsfootreach/store";
+import type {
+  Lease,
+  Listing,
+  Store,
+  VersionedValue,
+} from "@coltsfootreach/store";
 import type { ResultAsync } from "neverthrow";
+import { createEntryAddresses } from "./entry_addresses.ts";
 import { hedgedRead } from "./hedge.ts";
+import { startPeriodic } from "./periodic.ts";
 import { createReachabilityLog } from "./reachability.ts";
 
 const ENTRY_KEY_PREFIX = "entries/";
@@ -45,9 +52,8 @@
   let isRegistered = false;
   let missingReads = 0;
   let lastAddresses = "";
-  let isLeaving = false;
   const reachability = createReachabilityLog(log, "store");
-  let timer: NodeJS.Timeout | undefined;
+  const entryAddresses = createEntryAddresses(log);
 
   async function renew(): Promise<void> {
     if (lease === undefined) return;
@@ -95,8 +101,8 @@
     }
     reachability.reached();
     const { values } = listing.value;
-    checkRegistration(values.some((item) => item.key === key));
-    const addresses = values.map((item) => item.value).sort();
+    checkRegistration(values.some(isOwnRegistration));
+    const addresses = entryAddresses.select(values);
     const joinedAddresses = addresses.join(",");
     if (joinedAddresses === lastAddresses) return true;
     lastAddresses = joinedAddresses;
@@ -107,11 +113,17 @@
     return true;
   }
 
+  function isOwnRegistration(item: VersionedValue): boolean {
+    return item.key === key && item.value === options.address;
+  }
+
   /** A key can disappear from the store although renewing its lease succeeds. */
   function checkRegistration(isListed: boolean): void {
     missingReads = isListed ? 0 : missingReads + 1;
     if (!isRegistered || missingReads < MISSING_READS_LIMIT) return;
-    log.warn("registration key is missing from the store; registering again");
+    log.warn(
+      "registration is missing from the store or was changed; registering again",
+    );
     isRegistered = false;
     lease = undefined;
   }
@@ -124,17 +136,18 @@
       await register();
       await refreshEntries();
     }
-    const intervalMs = isRegistered
-      ? REFRESH_INTERVAL_MS
-      : UNREGISTERED_INTERVAL_MS;
-    if (!isLeaving) timer = setTimeout(runCycle, intervalMs);
   }
 
-  runCycle();
+  const refresh = startPeriodic({
+    name: "refresh of the registration and the list of entries",
+    log,
+    run: runCycle,
+    intervalMs: () =>
+      isRegistered ? REFRESH_INTERVAL_MS : UNREGISTERED_INTERVAL_MS,
+  });
   return {
     async leave() {
-      isLeaving = true;
-      clearTimeout(timer);
+      refresh.stop();
       if (lease !== undefined) await store.revoke(lease);
     },
   };
@@ -161,8 +174,8 @@
 /** Discovers entries for a side. */
 export function discoverEntries(options: DiscoveryOptions): { stop(): void } {
   const { store, log } = options;
-  let timer: NodeJS.Timeout | undefined;
   const reachability = createReachabilityLog(log, "store");
+  const entryAddresses = createEntryAddresses(log);
   let lastPollAtMs = -Infinity;
 
   async function runCycle(): Promise<void> {
@@ -170,7 +183,6 @@
       ? DISCONNECTED_POLL_INTERVAL_MS
       : CONNECTED_POLL_INTERVAL_MS;
     if (performance.now() - lastPollAtMs >= waitMs) await poll();
-    timer = setTimeout(runCycle, DISCONNECTED_POLL_INTERVAL_MS);
   }
 
   async function poll(): Promise<void> {
@@ -178,9 +190,13 @@
     const listing = await readEntries(store);
     if (listing.isErr()) return reachability.lost(listing.error.message);
     reachability.reached();
-    options.found(listing.value.values.map((item) => item.value));
+    options.found(entryAddresses.select(listing.value.values));
   }
 
-  runCycle();
-  return { stop: () => clearTimeout(timer) };
+  return startPeriodic({
+    name: "discovery of entries",
+    log,
+    run: runCycle,
+    intervalMs: () => DISCONNECTED_POLL_INTERVAL_MS,
+  });
 }
--- a/packages/runtime/src/shared_record.ts
+++ b/packages/runtime/src/shared_record.ts
@@ -5,6 +5,7 @@
  */
 import type { Log } from "@coltsfootreach/log";
 import type { Store, VersionedValue } from "@coltsfootreach/store";
+import { startPeriodic } from "./periodic.ts";
 
 /** Estimated values by name. */
 export type EstimateTable = Readonly<Record<string, number>>;
@@ -21,6 +22,12 @@
 /** Interval at which a starting entry retries until it has read the record. */
 const INITIAL_READ_INTERVAL_MS = 500;
 
+/** Maximum number of estimates that are taken from the record. */
+const MAX_ESTIMATES = 500;
+
+/** Callers wait for an hour at most; the estimates are in milliseconds. */
+const MAX_ESTIMATE = 3_600_000;
+
 /** Smaller relative changes are not written. */
 const MIN_RELATIVE_CHANGE = 0.1;
 
@@ -37,18 +44,11 @@
   options: SharedRecordOptions,
 ): { stop(): void } {
   const { store, key, estimator, log } = options;
-  let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
   let hasRead = false;
 
   async function runCycle(): Promise<void> {
     if (!hasRead || options.isWriter()) await sync();
-    if (!isStopped) {
-      timer = setTimeout(
-        runCycle,
-        hasRead ? SYNC_INTERVAL_MS : INITIAL_READ_INTERVAL_MS,
-      );
-    }
   }
 
   async function sync(): Promise<void> {
@@ -84,7 +84,7 @@
 
   function decode(item: VersionedValue): EstimateTable {
     try {
-      return selectPositiveNumbers(JSON.parse(item.value));
+      return selectEstimates(JSON.parse(item.value));
     } catch (error) {
       log.warn("shared record is invalid and was ignored", {
         reason: `${key}: ${error}`,
@@ -93,20 +93,26 @@
     }
   }
 
-  runCycle();
+  const cycle = startPeriodic({
+    name: "synchronization of the shared record",
+    log,
+    run: runCycle,
+    intervalMs: () => hasRead ? SYNC_INTERVAL_MS : INITIAL_READ_INTERVAL_MS,
+  });
   return {
     stop() {
       isStopped = true;
-      clearTimeout(timer);
+      cycle.stop();
     },
   };
 }
 
-function selectPositiveNumbers(document: unknown): EstimateTable {
+/** Selects the estimates that can be right; another program may have written. */
+function selectEstimates(document: unknown): EstimateTable {
   const pairs = Object.entries(document ?? {}).filter(([, value]) =>
-    typeof value === "number" && value > 0
+    typeof value === "number" && value > 0 && value <= MAX_ESTIMATE
   );
-  return Object.fromEntries(pairs);
+  return Object.fromEntries(pairs.slice(0, MAX_ESTIMATES));
 }
 
 function hasChanged(recorded: EstimateTable, current: EstimateTable): boolean {
--- a/packages/runtime/src/shared_record_test.ts
+++ b/packages/runtime/src/shared_record_test.ts
@@ -78,4 +78,14 @@
     await runEntry(store, estimator);
     expect(estimator.table()).to.deep.equal({});
   });
+
+  // An infinite estimate made every caller look too old to be served.
+  it("is used without the values that can't be right", async () => {
+    const store = createMemoryStore(createFakeClock());
+    const value = '{"a":1e400,"b":1e300,"c":-1,"d":"2","e":[[[]]],"f":2000}';
+    await store.swap({ key: KEY, value, expectedRevision: 0 });
+    const estimator = createCallerAgeEstimator();
+    await runEntry(store, estimator, false);
+    expect(estimator.table()).to.deep.equal({ f: 2000 });
+  });
 });
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -5,6 +5,7 @@
   type Announcement,
   BUSY_TICK_MS,
   IDLE_TICK_MS,
+  isAddress,
   type Timing,
 } from "@coltsfootreach/run";
 import type { Store } from "@coltsfootreach/store";
@@ -75,7 +76,9 @@
       const now = monotonicNowMs();
       checkInput(now);
       core.ownerSent(owner, frame, now);
-      if (frame.entries !== undefined) streams.addAddresses(frame.entries);
+      if (frame.entries !== undefined) {
+        streams.addAddresses(frame.entries.filter(isAddress));
+      }
       loop.wake();
     },
     closed(owner) {
--- a/packages/simulate/src/server_standin.ts
+++ b/packages/simulate/src/server_standin.ts
@@ -205,7 +205,7 @@
       const existing = running.get(key);
       extendLease(request.untilMs);
       if (existing?.ref.run === request.ref.run) {
-        return { kind: "started", clockMs: clockMs() };
+        return { kind: "started" };
       }
       if (
         existing !== undefined || (blockedRuns.get(key) ?? 0) >= request.ref.run
@@ -227,7 +227,7 @@
       });
       observer.started(self, request.ref);
       checkCapacity();
-      return { kind: "started", clockMs: clockMs() };
+      return { kind: "started" };
     },
     stop(request) {
       if (!isUp) return { isConfirmed: false };
--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -18,7 +18,7 @@
 }
 
 export type StartReply =
-  | { readonly kind: "started"; readonly clockMs: number }
+  | { readonly kind: "started" }
   | {
     readonly kind: "refused";
     readonly reason: "fence" | "old" | "late" | "room" | "unhealthy" | "other";
--- a/packages/worker/src/instances.ts
+++ b/packages/worker/src/instances.ts
@@ -70,7 +70,14 @@
   ): void {
     const previousAnnouncement = server.announcement;
     if (announcement.sequence <= previousAnnouncement.sequence) return;
-    server.announcement = announcement;
+    // What describes the instance can't change; another writer may claim it.
+    const { sequence, isDraining, remainingMs } = announcement;
+    server.announcement = {
+      ...previousAnnouncement,
+      sequence,
+      isDraining,
+      remainingMs,
+    };
     if (announcement.isDraining === previousAnnouncement.isDraining) return;
     state.log({
       message: announcement.isDraining
--- a/packages/worker/src/lease_test.ts
+++ b/packages/worker/src/lease_test.ts
@@ -87,8 +87,7 @@
     if (effect.kind === "start") {
       isStarted = effect.request.untilMs > serverClock(now);
       extendLease(effect.request.untilMs, now);
-      const clockMs = serverClock(now);
-      core.startReplied(effect.request.ref, { kind: "started", clockMs }, now);
+      core.startReplied(effect.request.ref, { kind: "started" }, now);
     } else if (effect.kind === "list") {
       extendLease(effect.request.untilMs, now);
       if (isStarted && remainingAnswers === 0) return;
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -139,7 +139,7 @@
 function startOneRun(harness: Harness): void {
   harness.offer(0, 10);
   harness.takeEffects(10);
-  harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+  harness.core.startReplied(refOf(0), { kind: "started" }, 11);
 }
 
 function listedRun(index: number, run = 1): ListedRun {
@@ -167,7 +167,7 @@
     const harness = createHarness();
     harness.offer(0, 10, { resources: { cpu: 4000, memoryMb: 1, gpu: 0 } });
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     harness.takeEffects(11);
     harness.core.ownerSent(OWNER, createFrame(2, { stops: [refOf(0)] }), 12);
     expect(stoppedRuns(harness.takeEffects(12))).to.deep.equal([refOf(0)]);
@@ -206,7 +206,7 @@
     const harness = createHarness();
     harness.offer(0, 10);
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     harness.takeEffects(11);
     harness.listed(20, { ends: [{ number: 1, ref: refOf(0), end: "done" }] });
     harness.takeEffects(20);
@@ -223,7 +223,7 @@
     const harness = createHarness();
     harness.offer(0, 10);
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     const stopped: unknown[] = [];
     for (let now = 25; now <= 700; now += 25) {
       harness.core.tick(now);
@@ -238,7 +238,7 @@
     const harness = createHarness();
     harness.offer(0, 10);
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     harness.core.ownerClosed(OWNER, 20);
     harness.core.ownerOpened(2, 100);
     const claim = {
@@ -271,7 +271,7 @@
     const harness = createHarness();
     harness.offer(0, 10);
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     harness.takeEffects(11);
     harness.listed(12, { running: [listedRun(0), listedRun(9)] });
     harness.takeEffects(12);
@@ -328,7 +328,7 @@
     const [startRequest] = startRequests(harness.takeEffects(10));
     // At 2 ms the server's clock showed 5,002; it may have lost 2% since.
     expect(startRequest?.untilMs).to.equal(5709);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     const [list] = listRequests(harness.takeEffects(12));
     expect(list?.kind === "list" && list.request.untilMs).to.equal(5710);
   });
@@ -337,7 +337,7 @@
     const harness = createHarness();
     harness.offer(0, 10);
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     harness.takeEffects(11);
     harness.listed(100, { running: [listedRun(0)] });
     harness.takeEffects(100);
@@ -380,11 +380,30 @@
     expect(news).to.include({ kind: "refused", reason: "closed" });
   });
 
+  // Another program that knew the instance announced it with other properties.
+  it("keeps what describes an instance from its first announcement", () => {
+    const harness = createHarness();
+    harness.core.announced({
+      ...ANNOUNCEMENT,
+      service: "other",
+      capacity: { cpu: 0, memoryMb: 0, gpu: 0 },
+      labels: [],
+      sequence: 2,
+    });
+    harness.offer(0, 12);
+    expect(startRequests(harness.takeEffects(12))).to.have.length(1);
+    expect(sentReports(harness.takeEffects(500)).at(-1)).to.deep.include({
+      service: "pool",
+      capacity: ANNOUNCEMENT.capacity,
+      labels: ["a"],
+    });
+  });
+
   it("reports a run that makes no progress", () => {
     const harness = createHarness();
     harness.offer(0, 10);
     harness.takeEffects(10);
-    harness.core.startReplied(refOf(0), { kind: "started", clockMs: 0 }, 11);
+    harness.core.startReplied(refOf(0), { kind: "started" }, 11);
     harness.takeEffects(11);
     const stalled: RunUpdate[] = [];
     for (let now = 50; now <= 400; now += 50) {
@@ -400,7 +419,7 @@
     for (const index of [0, 1]) {
       harness.offer(index, 10);
       harness.takeEffects(10);
-      const started = { kind: "started", clockMs: 0 } as const;
+      const started = { kind: "started" } as const;
       harness.core.startReplied(refOf(index), started, 11);
       harness.takeEffects(11);
       const end = {
