Count planned tasks against the limit of a server

Cause: all tasks of a job are planned before the first is offered, and the limit counted offered tasks only.

Evidence: two offers of one job to one server in one frame.

Change: placements of the plan count too.

--- a/packages/dispatch/src/dispatcher_test.ts
+++ b/packages/dispatch/src/dispatcher_test.ts
@@ -146,6 +146,23 @@
     expect(harness.answers.get(1)).to.deep.equal({ kind: "completed" });
   });
 
+  // All tasks of a job are planned before the first of them is offered.
+  it("places at most maxPerServer tasks of a step on a server", () => {
+    const harness = createHarness();
+    harness.connect(1, "one", report("s1", 8000), START_MS);
+    const steps = [
+      sampleStep({ count: 4, maxPerServer: 1 }),
+      sampleStep({ count: 2, maxPerServer: 2 }),
+    ];
+    harness.submit(1, job("j", steps), START_MS);
+    const first = offers(harness.frames(1, START_MS));
+    expect(first.map(({ task }) => task.step)).to.deep.equal([0, 1, 1]);
+    harness.connect(2, "two", report("s2", 8000), START_MS + 1);
+    expect(offers(harness.frames(2, START_MS + 1))).to.have.length(1);
+    harness.receive(1, { news: [ended("j", "done")] }, START_MS + 50);
+    expect(offers(harness.frames(1, START_MS + 50))).to.have.length(1);
+  });
+
   it("offers a step once the steps before it are done", () => {
     const harness = createHarness();
     harness.connect(1, "one", report("s1", 4000), START_MS);
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -66,6 +66,12 @@
   readonly worker: Worker;
 }
 
+/** A plan in the making. */
+interface PlanState {
+  readonly placements: readonly Placement[];
+  readonly now: number;
+}
+
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 interface Plan {
@@ -120,7 +126,7 @@
       return { placements, unplacedWork: sumOf(tasks, expectedWork) };
     }
     for (const task of tasks) {
-      const worker = chooseWorkerFor(ranked, task, now);
+      const worker = chooseWorkerFor(ranked, task, { placements, now });
       if (worker === undefined) {
         unplacedWork += expectedWork(task);
         continue;
@@ -179,7 +185,7 @@
   function chooseWorkerFor(
     ranked: RankedJob,
     task: LiveTask,
-    now: number,
+    { placements, now }: PlanState,
   ): Worker | undefined {
     const { live } = ranked;
     const subsequentMs = live.remainingPathMs[task.ref.step]! -
@@ -195,7 +201,8 @@
       excludedServers: task.avoidedServers,
       isSuspectAllowed: task.failures === 0 && live.queue.attempts > 1,
       countOnServer: (server: string) =>
-        countOnServer(live, task.ref.step, server),
+        countOnServer(live, task.ref.step, server) +
+        countPlanned(placements, task.ref.step, server),
       random: options.random,
     };
     const preferred = chooseWorker(workers.values(), request);
@@ -255,6 +262,19 @@
   return { place, offers: () => offers };
 }
 
+/** Counts the tasks of a step that the plan puts on a server. */
+function countPlanned(
+  placements: readonly Placement[],
+  step: number,
+  server: string,
+): number {
+  let count = 0;
+  for (const { task, worker } of placements) {
+    if (task.ref.step === step && worker.report?.id === server) count += 1;
+  }
+  return count;
+}
+
 function sumOf<T>(items: readonly T[], valueOf: (item: T) => number): number {
   return items.reduce((sum, item) => sum + valueOf(item), 0);
 }
