--- a/packages/runtime/src/entry_process.ts
+++ b/packages/runtime/src/entry_process.ts
@@ -28,9 +28,8 @@
 import { createEntryMetrics } from "./entry_metrics.ts";
 import { joinMembership } from "./membership.ts";
 import type { ConfigurationSource } from "./ports.ts";
-import { createPauseDetector } from "./pause.ts";
 import { syncSharedRecord } from "./shared_record.ts";
-import { createStaleInput } from "./stale_input.ts";
+import { createProcessStaleInput } from "./stale_input.ts";
 import { createSubmissions, type PendingAnswer } from "./submissions.ts";
 
 /** Store key of the estimates of callers' usual timeouts. */
@@ -102,13 +101,8 @@
   let lastSessionId = 0;
   let isStopping = false;
 
-  const staleInput = createStaleInput({
-    detector: createPauseDetector({
-      monotonicMs: monotonicNowMs,
-      wallMs: Date.now,
-      maxIntervalMs: options.timing.pauseThresholdMs,
-    }),
-    nowMs: monotonicNowMs,
+  const staleInput = createProcessStaleInput({
+    thresholdMs: options.timing.pauseThresholdMs,
     paused(pauseMs) {
       log.warn("process was paused; jobs that it reads now may have waited", {
         figures: { pauseMs: Math.round(pauseMs) },
--- a/packages/runtime/src/side_process.ts
+++ b/packages/runtime/src/side_process.ts
@@ -15,9 +15,8 @@
 import { createEntryStreams } from "./entry_streams.ts";
 import { monotonicNowMs, startCoreLoop } from "./loop.ts";
 import { discoverEntries } from "./membership.ts";
-import { createPauseDetector } from "./pause.ts";
 import type { BackendServerClient } from "./ports.ts";
-import { createStaleInput } from "./stale_input.ts";
+import { createProcessStaleInput } from "./stale_input.ts";
 
 /** Interval for checking whether all runs have ended while draining. */
 const DRAIN_POLL_INTERVAL_MS = 50;
@@ -50,14 +49,8 @@
     timing: options.timing,
     initialFencingToken: Date.now(),
   });
-  const staleInput = createStaleInput({
-    detector: createPauseDetector({
-      monotonicMs: monotonicNowMs,
-      wallMs: Date.now,
-      maxIntervalMs: options.timing.pauseThresholdMs,
-    }),
-    nowMs: monotonicNowMs,
-    paused: () => {},
+  const staleInput = createProcessStaleInput({
+    thresholdMs: options.timing.pauseThresholdMs,
   });
   const loop = startCoreLoop({
     tickMs: () => isBusy() ? BUSY_TICK_MS : IDLE_TICK_MS,
--- a/packages/runtime/src/stale_input.ts
+++ b/packages/runtime/src/stale_input.ts
@@ -2,7 +2,8 @@
  * Bounds the age of input after the process was paused. The sockets then hold
  * what arrived in the meantime, which looks like new input when it is read.
  */
-import type { PauseDetector } from "./pause.ts";
+import { monotonicNowMs } from "./loop.ts";
+import { createPauseDetector, type PauseDetector } from "./pause.ts";
 
 /** Turns of the event loop to accept connections and read what they hold. */
 const STALE_TURNS = 4;
@@ -21,7 +22,29 @@
   readonly detector: PauseDetector;
   nowMs(): number;
   /** Called once after each pause. */
-  paused(pauseMs: number): void;
+  paused?(pauseMs: number): void;
+}
+
+export interface ProcessPauseOptions {
+  /** Maximum time between two checks while the process is running. */
+  readonly thresholdMs: number;
+  readonly paused?: StaleInputOptions["paused"];
+}
+
+/** Bounds the age of this process's input. */
+export function createProcessStaleInput(
+  { thresholdMs, paused }: ProcessPauseOptions,
+): StaleInput {
+  const detector = createPauseDetector({
+    monotonicMs: monotonicNowMs,
+    wallMs: Date.now,
+    maxIntervalMs: thresholdMs,
+  });
+  return createStaleInput({
+    detector,
+    nowMs: monotonicNowMs,
+    ...(paused !== undefined && { paused }),
+  });
 }
 
 export function createStaleInput(options: StaleInputOptions): StaleInput {
@@ -46,7 +69,7 @@
     clearTimeout(timer);
     if (remainingTurns <= 0) setImmediate(countTurn);
     remainingTurns = STALE_TURNS;
-    options.paused(pauseMs);
+    options.paused?.(pauseMs);
   }
 
   return {
