--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -66,7 +66,7 @@
   readonly worker: Worker;
 }
 
-/** A plan in the making. */
+/** Placements of the job that are planned but not offered yet. */
 interface PlanState {
   readonly placements: readonly Placement[];
   readonly now: number;
@@ -202,7 +202,7 @@
       isSuspectAllowed: task.failures === 0 && live.queue.attempts > 1,
       countOnServer: (server: string) =>
         countOnServer(live, task.ref.step, server) +
-        countPlanned(placements, task.ref.step, server),
+        countPlanned(placements, { step: task.ref.step, server }),
       random: options.random,
     };
     const preferred = chooseWorker(workers.values(), request);
@@ -265,8 +265,7 @@
 /** Counts the tasks of a step that the plan puts on a server. */
 function countPlanned(
   placements: readonly Placement[],
-  step: number,
-  server: string,
+  { step, server }: { readonly step: number; readonly server: string },
 ): number {
   let count = 0;
   for (const { task, worker } of placements) {
--- a/packages/limit/src/admission.ts
+++ b/packages/limit/src/admission.ts
@@ -10,7 +10,8 @@
  */
 import type { Refusal, RefusalCode } from "@coltsfootreach/types";
 import { type AdmittedWork, createAdmittedWork } from "./admitted.ts";
-import type { ProspectiveJob, QueueForecast } from "./tenant_queue.ts";
+import type { ProspectiveJob } from "./job_ranks.ts";
+import type { QueueForecast } from "./tenant_queue.ts";
 
 /** The properties of a submitted job that admission control depends on. */
 export interface Submission {
