--- a/packages/stream/src/stream_test.ts
+++ b/packages/stream/src/stream_test.ts
@@ -136,6 +136,22 @@
     expect(accepted[0]!.faults).to.deep.equal([]);
   });
 
+  // Decoding nested values is recursive; it must not end the process.
+  it("closes only the connection that receives deeply nested bytes", async () => {
+    dial(createRecorder().listener).send(FRAME);
+    await waitUntil(() => accepted[0]?.frames.length === 1);
+    const arrayOfOne = 0x91;
+    const mapOfOne = 0x81;
+    for (const [index, byte] of [arrayOfOne, mapOfOne].entries()) {
+      const raw = await dialSocket();
+      raw.on("error", () => {});
+      raw.write(Buffer.alloc(200_000, byte));
+      await waitUntil(() => accepted[1 + index]?.faults.length === 1);
+      expect(accepted[1 + index]!.faults[0]).to.be.instanceOf(Error);
+    }
+    expect(accepted[0]!.faults).to.deep.equal([]);
+  });
+
   it("keeps accepting streams after receiving arbitrary bytes", async () => {
     await fc.assert(
       fc.asyncProperty(fc.uint8Array({ maxLength: 200 }), async (bytes) => {
