--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -30,6 +30,7 @@
   SAMPLE_BOUNDS,
   SAMPLE_REMOTE_FACTOR,
   SAMPLE_TIMING,
+  sampleAnnouncement,
   sampleQueue,
   sampleReport,
   sampleStep,
--- a/packages/standin/src/run/samples.ts
+++ b/packages/standin/src/run/samples.ts
@@ -1,5 +1,6 @@
 /** Made-up queues, steps and reports; a test states what matters to it. */
 import {
+  type Announcement,
   deriveTiming,
   type Queue,
   type ServerReport,
@@ -66,3 +67,22 @@
     ...more,
   };
 }
+
+/** Announcement of a server of four cores. */
+export function sampleAnnouncement(
+  more: Partial<Announcement> = {},
+): Announcement {
+  return {
+    id: "server",
+    born: 77,
+    service: "pool",
+    address: "here:1",
+    dataCentre: "a",
+    capacity: { cpu: 4000, memoryMb: 1000, gpu: 0 },
+    labels: ["a"],
+    isDraining: false,
+    remainingMs: 0,
+    sequence: 1,
+    ...more,
+  };
+}
--- a/packages/worker/src/joining_test.ts
+++ b/packages/worker/src/joining_test.ts
@@ -5,7 +5,7 @@
  * behaves, and must accept runs within a bound.
  */
 import type { Announcement } from "@coltsfootreach/run";
-import { SAMPLE_TIMING } from "@coltsfootreach/standin";
+import { SAMPLE_TIMING, sampleAnnouncement } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import type { ListReply, ListRequest } from "./calls.ts";
 import { createWorkerCore, type WorkerCore } from "./worker_core.ts";
@@ -19,18 +19,7 @@
 /** An announcement, its probe and the first list, with some lost replies. */
 const JOIN_LIMIT_MS = 2 * ANNOUNCE_INTERVAL_MS;
 
-const ANNOUNCEMENT: Announcement = {
-  id: "server",
-  born: 77,
-  service: "pool",
-  address: "here:1",
-  dataCentre: "a",
-  capacity: { cpu: 4000, memoryMb: 1000, gpu: 0 },
-  labels: [],
-  isDraining: false,
-  remainingMs: 0,
-  sequence: 1,
-};
+const ANNOUNCEMENT = sampleAnnouncement();
 
 /** A side and the server that it is announced; the server replies on request. */
 interface Joining {
--- a/packages/worker/src/lease_test.ts
+++ b/packages/worker/src/lease_test.ts
@@ -3,8 +3,12 @@
  * its lease still lasts on its own server: the server's clock runs slow, and the
  * side requested a lease by a reading of that clock from long before.
  */
-import type { Announcement, Offer, RunUpdate } from "@coltsfootreach/run";
-import { SAMPLE_BOUNDS, SAMPLE_TIMING } from "@coltsfootreach/standin";
+import type { Offer, RunUpdate } from "@coltsfootreach/run";
+import {
+  SAMPLE_BOUNDS,
+  SAMPLE_TIMING,
+  sampleAnnouncement,
+} from "@coltsfootreach/standin";
 import { expect } from "chai";
 import fc from "fast-check";
 import type { WorkerEffect } from "./effect.ts";
@@ -19,18 +23,7 @@
 /** Longest time that the checks follow a run; leases are shorter. */
 const FOLLOWED_MS = 3000;
 
-const ANNOUNCEMENT: Announcement = {
-  id: "server",
-  born: 77,
-  service: "pool",
-  address: "here:1",
-  dataCentre: "a",
-  capacity: { cpu: 4000, memoryMb: 1000, gpu: 0 },
-  labels: [],
-  isDraining: false,
-  remainingMs: 0,
-  sequence: 1,
-};
+const ANNOUNCEMENT = sampleAnnouncement();
 
 const OFFER: Offer = {
   task: { job: "job", occurrence: 0, step: 0, index: 0 },
--- a/packages/worker/src/worker_core_test.ts
+++ b/packages/worker/src/worker_core_test.ts
@@ -1,11 +1,10 @@
 import {
-  type Announcement,
   type DispatchFrame,
   IDLE_TICK_MS,
   type Offer,
   type RunUpdate,
 } from "@coltsfootreach/run";
-import { SAMPLE_TIMING } from "@coltsfootreach/standin";
+import { SAMPLE_TIMING, sampleAnnouncement } from "@coltsfootreach/standin";
 import { expect } from "chai";
 import type { ListedRun, ListReply, ListRequest } from "./calls.ts";
 import type { WorkerEffect } from "./effect.ts";
@@ -15,18 +14,7 @@
 
 const FIRST_TOKEN = 5001;
 
-const ANNOUNCEMENT: Announcement = {
-  id: "server",
-  born: 77,
-  service: "pool",
-  address: "here:1",
-  dataCentre: "a",
-  capacity: { cpu: 4000, memoryMb: 1000, gpu: 0 },
-  labels: ["a"],
-  isDraining: false,
-  remainingMs: 0,
-  sequence: 1,
-};
+const ANNOUNCEMENT = sampleAnnouncement();
 
 interface Harness {
   readonly core: WorkerCore;
