Make the new tests wait for conditions in place of fixed times

On a busy machine a caller's process may start late; the tests now wait until what they follow has happened. What is checked stays the same.

--- a/packages/runtime/src/odd_entries_test.ts
+++ b/packages/runtime/src/odd_entries_test.ts
@@ -39,9 +39,18 @@
   "i-name": "entry.example:80",
 };
 
-/** Covers several reads of the list. */
+const WAIT_LIMIT_MS = 10_000;
+
+/** Several reads of the list. */
 const FOLLOWED_MS = 700;
 
+async function waitUntil(
+  isDone: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const deadline = performance.now() + WAIT_LIMIT_MS;
+  while (!(await isDone()) && performance.now() < deadline) await setTimeout(5);
+}
+
 /** Backend server that never replies. */
 const SILENT_SERVER: BackendServerClient = {
   start: () => new Promise(() => {}),
@@ -114,11 +123,11 @@
       backendServer: SILENT_SERVER,
       log: createTestLog(lines),
     });
-    await setTimeout(FOLLOWED_MS);
+    await waitUntil(() => first.connections() > 0);
     const afterFirst = first.connections();
     first.close();
     await register(store, "valid-2", second.address);
-    await setTimeout(FOLLOWED_MS);
+    await waitUntil(() => second.connections() > 0);
     const afterSecond = second.connections();
     await side.stop(0);
     second.close();
@@ -139,6 +148,7 @@
       log: createTestLog(),
       changed: (changed) => addresses = changed,
     });
+    await waitUntil(() => addresses.length > 0);
     await setTimeout(FOLLOWED_MS);
     await membership.leave();
     expect(addresses).to.deep.equal([address]);
@@ -154,15 +164,17 @@
       log: createTestLog(),
       changed() {},
     });
-    await setTimeout(FOLLOWED_MS);
-    const own = (await store.read("entries/own"))._unsafeUnwrap();
+    const readOwn = async () =>
+      (await store.read("entries/own"))._unsafeUnwrap();
+    await waitUntil(async () => await readOwn() !== undefined);
+    const own = await readOwn();
     await store.swap({
       key: "entries/own",
       value: "127.0.0.1:70000",
       expectedRevision: own!.revision,
     });
-    await setTimeout(5 * FOLLOWED_MS);
-    const repaired = (await store.read("entries/own"))._unsafeUnwrap();
+    await waitUntil(async () => (await readOwn())?.value === address);
+    const repaired = await readOwn();
     await membership.leave();
     expect(repaired?.value).to.equal(address);
   });
