Give each soak a network that no other one uses

The build's warm-up took one by its process id, with the same code beside it.

Change: both find a network whose store address is free. Two runs of the command line in one checkout still share the folder of a seed.

--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -21,6 +21,7 @@
 import { MIN_CLOCK_RATE, type RunRef } from "@coltsfootreach/run";
 import { SAMPLE_BOUNDS, SAMPLE_REMOTE_FACTOR } from "@coltsfootreach/standin";
 import type { FleetSize } from "./sizes.ts";
+import { storeAddressIn } from "./network.ts";
 
 const PROGRAM_PATH = "target/coltsfootreach.cjs";
 
@@ -76,7 +77,7 @@
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
   const { size, random, checker, folder, networkPrefix } = options;
-  const storeAddress = `${networkPrefix}.4.1:8169`;
+  const storeAddress = storeAddressIn(networkPrefix);
   /** Relay addresses that sides read from the store, by entry address. */
   const relayAddresses = new Map<string, string>();
   const closables: { close(): unknown }[] = [];
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -16,6 +16,7 @@
 import { injectFaults } from "./faults.ts";
 import { startFleet } from "./fleet.ts";
 import type { FleetSize } from "./sizes.ts";
+import { findFreeNetwork } from "./network.ts";
 
 export interface SoakOptions {
   readonly seed: number;
@@ -51,10 +52,6 @@
 /** Minimum ratio of completed to submitted jobs after the recovery. */
 const MIN_COMPLETED_RATIO = 0.75;
 
-const NETWORK_COUNT = 200;
-
-const FIRST_NETWORK = 20;
-
 export async function soak(options: SoakOptions): Promise<SoakResult> {
   const { seed, size, folder } = options;
   const startedAt = performance.now();
@@ -75,7 +72,7 @@
     random,
     checker,
     folder,
-    networkPrefix: `127.${FIRST_NETWORK + seed % NETWORK_COUNT}`,
+    networkPrefix: await findFreeNetwork(),
     now,
     taskProfile: ({ task }) => taskProfilesByJob.get(task.job)![task.index]!,
   });
--- a/packages/soak/src/warm_up.ts
+++ b/packages/soak/src/warm_up.ts
@@ -17,6 +17,7 @@
 import { sampleQueue } from "@coltsfootreach/standin";
 import { startCallers } from "./callers.ts";
 import { startFleet } from "./fleet.ts";
+import { findFreeNetwork } from "./network.ts";
 
 const FLEET_SIZE = { entries: 1, sides: 2, jobsPerSecond: 60 };
 
@@ -33,11 +34,6 @@
 /** Temporary folder for settings files and logs. */
 const OUTPUT_FOLDER = "target/warm_up";
 
-/** Loopback networks are chosen by process id, as builds may run in parallel. */
-const FIRST_NETWORK = 221;
-
-const NETWORK_COUNT = 30;
-
 async function warmUp(): Promise<void> {
   process.env.COLTSFOOTREACH_COMPILE_AFTER_MS = String(COMPILE_AFTER_MS);
   const startedAt = performance.now();
@@ -52,7 +48,7 @@
     random,
     checker,
     folder: OUTPUT_FOLDER,
-    networkPrefix: `127.${FIRST_NETWORK + process.pid % NETWORK_COUNT}`,
+    networkPrefix: await findFreeNetwork(),
     now,
     taskProfile: ({ task }) => taskProfilesByJob.get(task.job)![task.index]!,
   });
